Serve the platform's protocol on sockets

The gateway: GIO sockets on one GLib loop, a core that knows no wire, a front and an upstream for PostgreSQL's protocol, and discovery's watch. The settings' reading moves out of the adapter so that both programs share it.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -1,6 +1,5 @@
 #include "wire.h"
 
-#include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -12,91 +11,14 @@
 namespace sandhold::adapter {
 namespace {
 
-using Json = rapidjson::Value;
+using settings::choose;
+using settings::Json;
+using settings::text_of;
 constexpr Nanos kMillisecond = 1'000'000;
 constexpr double kSecond = 1e9;
 
-std::string text_of(const Json& value) { return {value.GetString(), value.GetStringLength()}; }
-
-template <typename T>
-T choose(const std::string& word, const std::string& field,
-         std::initializer_list<std::pair<const char*, T>> words) {
-  for (const auto& [name, value] : words)
-    if (word == name) return value;
-  throw WireError("field '" + field + "' holds the unknown word '" + word + "'");
-}
-
 } // namespace
 
-// A JSON object whose fields are asked for by name and type; says plainly what is missing or wrong.
-class Session::Reader {
-public:
-  Reader(const Json& value, std::string where) : value_(value), where_(std::move(where)) {
-    if (!value_.IsObject()) throw WireError(where_ + " is not an object");
-  }
-
-  const Json* find(const char* name) const {
-    const auto it = value_.FindMember(name);
-    return it == value_.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
-  }
-  const Json& need(const char* name) const {
-    const Json* found = find(name);
-    if (!found) throw WireError(where_ + " lacks the field '" + name + "'");
-    return *found;
-  }
-  std::int64_t integer(const char* name) const { return integer(name, need(name)); }
-  std::int64_t integer(const char* name, std::int64_t fallback) const {
-    const Json* found = find(name);
-    return found ? integer(name, *found) : fallback;
-  }
-  double number(const char* name, double fallback) const {
-    const Json* found = find(name);
-    if (!found) return fallback;
-    if (!found->IsNumber()) wrong(name, "a number");
-    return found->GetDouble();
-  }
-  bool truth(const char* name, bool fallback = false) const {
-    const Json* found = find(name);
-    if (!found) return fallback;
-    if (!found->IsBool()) wrong(name, "true or false");
-    return found->GetBool();
-  }
-  std::string text(const char* name) const {
-    const Json& found = need(name);
-    if (!found.IsString()) wrong(name, "a text");
-    return text_of(found);
-  }
-  std::string text(const char* name, const char* fallback) const {
-    return find(name) ? text(name) : std::string(fallback);
-  }
-  const Json& array(const char* name) const {
-    const Json& found = need(name);
-    if (!found.IsArray()) wrong(name, "a list");
-    return found;
-  }
-  Reader object(const char* name) const { return {need(name), where_ + "." + name}; }
-  std::uint32_t small(const char* name) const { // a whole number below 2^32
-    const std::int64_t value = integer(name);
-    if (value < 0 || value > 0xffffffffLL) wrong(name, "a whole number below 2^32");
-    return static_cast<std::uint32_t>(value);
-  }
-
-  [[noreturn]] void wrong(const std::string& name, const std::string& wanted) const {
-    throw WireError(where_ + ": the field '" + name + "' is not " + wanted);
-  }
-
-private:
-  std::int64_t integer(const char* name, const Json& found) const {
-    if (found.IsInt64()) return found.GetInt64();
-    if (found.IsDouble() && std::floor(found.GetDouble()) == found.GetDouble() &&
-        std::fabs(found.GetDouble()) < 9e15)
-      return static_cast<std::int64_t>(found.GetDouble());
-    wrong(name, "a whole number");
-  }
-
-  const Json& value_;
-  std::string where_;
-};
 
 namespace {
 
@@ -259,12 +181,12 @@
   if (name == "ORDER") {
     Request event;
     event.id = body.text("op_id");
-    const auto known = instance.classes.find(body.text("tier_class"));
-    if (known == instance.classes.end()) body.wrong("tier_class", "a class of the settings");
+    const auto known = instance.profile.classes.find(body.text("tier_class"));
+    if (known == instance.profile.classes.end()) body.wrong("tier_class", "a class of the settings");
     event.class_index = known->second;
     if (const Json* realm = body.find("realm"); realm && realm->IsString()) {
-      const auto tenant = instance.tenants.find(text_of(*realm));
-      if (tenant != instance.tenants.end()) event.tenant = tenant->second;
+      const auto tenant = instance.profile.tenants.find(text_of(*realm));
+      if (tenant != instance.profile.tenants.end()) event.tenant = tenant->second;
     }
     if (body.find("session")) event.session = static_cast<std::uint64_t>(body.integer("session"));
     event.deadline = body.integer("valid_until");
@@ -284,9 +206,9 @@
     event.elapsed = body.integer("delay_seen", 0);
     if (const std::int64_t mark = body.integer("mark", 0); mark > 0) {
       event.role = mark % 4 == 1 ? Role::Primary : mark % 4 == 2 ? Role::Replica : Role::Unknown;
-      if (mark / 4 > 0) event.position = instance.zero + mark / 4 * kMillisecond;
+      if (mark / 4 > 0) event.position = instance.profile.zero + mark / 4 * kMillisecond;
     }
-    event.report = read_report(body.find("report"), instance.zero);
+    event.report = read_report(body.find("report"), instance.profile.zero);
     return event;
   }
   if (name == "STATUS_BACK") {
@@ -294,7 +216,7 @@
     event.member = body.small("node");
     event.ok = read_result(body.text("code")) == Result::Ok;
     event.elapsed = body.integer("delay_seen", 0);
-    event.report = read_report(body.find("report"), instance.zero);
+    event.report = read_report(body.find("report"), instance.profile.zero);
     return event;
   }
   if (name == "TICK_DUE") return TimerDue{};
@@ -331,103 +253,12 @@
 
 void Session::start(const Reader& body) {
   const std::int64_t number = body.integer("router_id");
-  const Reader profile = body.object("profile_data");
-  const Reader extra = profile.object("extra");
-  const Reader limits = profile.object("limits");
-  const Reader rules = profile.object("obligations");
   const auto seed = body.need("init_seed").IsUint64() ? body.need("init_seed").GetUint64()
                                                       : static_cast<std::uint64_t>(body.integer("init_seed"));
-  Settings s;
-  std::map<std::string, std::size_t> class_names;
-  std::map<std::string, std::size_t> tenant_names;
-  const auto& levels = extra.array("read_level");
-  const auto& bounds = extra.array("lag_allowed");
-  for (const Json& element : profile.array("classes").GetArray()) {
-    const Reader entry(element, "classes");
-    const auto at = static_cast<rapidjson::SizeType>(s.classes.size());
-    RequestClass c;
-    c.name = entry.text("name");
-    if (at >= levels.Size() || !levels[at].IsString()) extra.wrong("read_level", "a word for each class");
-    c.level = choose<ReadLevel>(text_of(levels[at]), "read_level",
-                                {{"eventual", ReadLevel::Any},
-                                 {"lag_bound", ReadLevel::Bounded},
-                                 {"causal", ReadLevel::Session},
-                                 {"strong", ReadLevel::Fresh},
-                                 {"mutate", ReadLevel::Write}});
-    if (at >= bounds.Size() || !bounds[at].IsInt64()) extra.wrong("lag_allowed", "a time for each class");
-    c.bound = bounds[at].GetInt64();
-    c.aim = entry.integer("aim");
-    c.deadline = entry.integer("give_up");
-    c.worth = entry.number("worth", 1);
-    c.late_worth = entry.number("late_worth", 0);
-    c.effect =
-        choose<Effect>(entry.text("effect"), "effect",
-                       {{"free", Effect::Safe}, {"guarded", Effect::Keyed}, {"single_shot", Effect::Unsafe}});
-    c.scope = choose<RepeatScope>(
-        entry.text("group", "all"), "group",
-        {{"all", RepeatScope::All}, {"zone", RepeatScope::Zone}, {"cell", RepeatScope::Group}});
-    c.window = entry.integer("window", 0);
-    class_names[c.name] = s.classes.size();
-    s.classes.push_back(std::move(c));
-  }
-  if (profile.find("customers")) {
-    for (const Json& element : profile.array("customers").GetArray()) {
-      const Reader entry(element, "customers");
-      Tenant tenant;
-      tenant.name = entry.text("name");
-      tenant.rate = entry.number("quota_rps", 0);
-      tenant_names[tenant.name] = s.tenants.size();
-      s.tenants.push_back(std::move(tenant));
-    }
-  }
-  s.over_share_worth = profile.number("over_share_worth", 1);
-  s.router = static_cast<std::uint32_t>(profile.integer("me", 0));
-  s.routers = static_cast<std::uint32_t>(profile.integer("balancers", 1));
-  s.zone = profile.text("locality", "");
-  s.tick = profile.integer("tick", 1);
-  s.discovery = choose<Discovery>(profile.text("discovery", "automatic"), "discovery",
-                                  {{"automatic", Discovery::Pushed}, {"subscribe", Discovery::Asked}});
-  s.ask_within = rules.integer("must_ask_in", 0);
-  s.list_role =
-      choose<ListRole>(extra.text("list_role", "none"), "list_role",
-                       {{"none", ListRole::None}, {"static", ListRole::Start}, {"trailing", ListRole::Late}});
-  s.tokens = choose<TokenMode>(extra.text("token_mode", "kept"), "token_mode",
-                               {{"brought", TokenMode::Carried}, {"kept", TokenMode::Remembered}});
-  s.checks = choose<Checks>(extra.text("checks", "none"), "checks",
-                            {{"none", Checks::None}, {"bounce", Checks::Refuse}, {"await", Checks::Wait}});
-  s.check_wait = extra.integer("wait", 0);
-  if (profile.find("report")) {
-    const Reader report = profile.object("report");
-    s.reports = choose<ReportVia>(
-        report.text("via", "none"), "via",
-        {{"none", ReportVia::None}, {"probe", ReportVia::Probes}, {"answers", ReportVia::Answers}});
-    if (report.find("fields")) {
-      for (const Json& field : report.array("fields").GetArray()) {
-        if (!field.IsString()) report.wrong("fields", "a list of words");
-        s.report_positions |= text_of(field) == "x0";
-        s.report_roles |= text_of(field) == "x1";
-      }
-    }
-  }
-  s.probes = limits.truth("probes");
-  s.cancels = limits.truth("cancel");
-  s.second_copies = limits.truth("parallel_tries");
-  s.retry_after = limits.truth("retry_after");
-  s.max_retry_after = limits.integer("max_retry_after", 0);
-  s.max_attempts = static_cast<std::uint32_t>(limits.integer("send_cap", 1));
-  s.connect_timeout = limits.integer("dial_timeout", 0);
-  s.answer_slack = rules.integer("answer_slack", 0);
-  s.drain_grace = rules.integer("drain_grace", 0);
-  s.only_draining_binds = rules.truth("only_draining_binds");
-  s.cold_time = rules.integer("cold", 0);
-  s.cold_from = rules.number("cold_from", 1);
-  s.fall_time = rules.integer("fall", 0);
-  s.fall_multiple = rules.number("fall_multiple", 1);
-  const Nanos zero = extra.integer("zero", 0);
+  settings::Profile profile = settings::read_profile(body.object("profile_data"));
   instances_.erase(number);
-  Router router(s, seed);
-  instances_.emplace(number, Instance{std::move(router), std::move(s), std::move(class_names),
-                                      std::move(tenant_names), zero});
+  Router router(profile.settings, seed);
+  instances_.emplace(number, Instance{std::move(router), std::move(profile)});
 }
 
 } // namespace sandhold::adapter
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -1,21 +1,17 @@
 // The simulator's wire: lines of JSON to the library's types and back. No decision is made here.
 #pragma once
 
-#include "sandhold/router.h"
+#include "settings/settings.h"
 
 #include <array>
 #include <iosfwd>
 #include <map>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 namespace sandhold::adapter {
 
-// What is wrong with the input, in words for a person.
-struct WireError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using WireError = settings::FormatError;
 
 class Session {
 public:
@@ -26,12 +22,9 @@
 private:
   struct Instance {
     Router router;
-    Settings settings;
-    std::map<std::string, std::size_t> classes;
-    std::map<std::string, std::size_t> tenants;
-    Nanos zero;
+    settings::Profile profile;
   };
-  class Reader;
+  using Reader = settings::Reader;
 
   void event(const std::string& name, const Reader& body, std::string& reply);
   void start(const Reader& body);
--- /dev/null
+++ b/src/discovery/watch.cpp
@@ -0,0 +1,126 @@
+#include "watch.h"
+
+#include "net/log.h"
+
+#include <rapidjson/document.h>
+
+#include <charconv>
+#include <utility>
+
+namespace sandhold::discovery {
+namespace {
+
+constexpr Nanos kSecond = 1'000'000'000;
+constexpr Nanos kSilence = 5 * kSecond; // an empty line comes every 2 s
+constexpr Nanos kRetry = kSecond / 4;
+constexpr std::size_t kHeadMost = 16 * 1024;
+constexpr std::size_t kLineMost = 8 << 20; // bytes of one list
+
+} // namespace
+
+Watch::Watch(broker::Core& core, std::string address, std::int64_t revision)
+    : core_(core), address_(std::move(address)), revision_(revision),
+      silence_([this] { again("silent for 5 s"); }), retry_([this] { start(); }) {}
+
+void Watch::start() {
+  head_read_ = chunked_ = false;
+  body_.clear();
+  silence_.after(kSilence);
+  stream_ = net::Stream::connect(address_, *this);
+  if (!stream_) again("no socket");
+}
+
+void Watch::stop() {
+  silence_.stop();
+  retry_.stop();
+  if (stream_) stream_->close();
+}
+
+void Watch::again(const std::string& why) {
+  net::log_line("discovery", "watch ended: " + why);
+  stop();
+  retry_.after(kRetry);
+}
+
+void Watch::connected() {
+  const std::string request = "GET /api/targets?watch=1&from=" + std::to_string(revision_) +
+                              " HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: application/json\r\n\r\n";
+  stream_->write({request});
+}
+
+void Watch::ended(const std::string& why) { again(why); }
+
+void Watch::received() {
+  silence_.after(kSilence);
+  if (!head_read_ && !head()) return;
+  if (!chunked_) {
+    body_.append(stream_->input().view());
+    stream_->input().consume(stream_->input().size());
+  }
+  while (chunked_ && stream_->open() && chunk()) {}
+  if (stream_->open()) lines();
+}
+
+bool Watch::head() {
+  const std::string_view in = stream_->input().view();
+  const std::size_t end = in.find("\r\n\r\n");
+  if (end == std::string_view::npos) {
+    if (in.size() > kHeadMost) again("the answer's head is too long");
+    return false;
+  }
+  if (in.substr(0, 9) != "HTTP/1.1 " || in.substr(9, 3) != "200") {
+    again("answered " + std::string(in.substr(0, std::min<std::size_t>(in.find('\r'), 80))));
+    return false;
+  }
+  std::string lower(in.substr(0, end));
+  for (char& c : lower) c = g_ascii_tolower(c);
+  chunked_ = lower.find("transfer-encoding: chunked") != std::string::npos;
+  stream_->input().consume(end + 4);
+  head_read_ = true;
+  return true;
+}
+
+// Takes one chunk into the body. False: no whole one there.
+bool Watch::chunk() {
+  const std::string_view in = stream_->input().view();
+  const std::size_t line = in.find("\r\n");
+  if (line == std::string_view::npos) return false;
+  std::size_t size = 0;
+  const auto [end, fault] = std::from_chars(in.data(), in.data() + line, size, 16);
+  if (fault != std::errc() || end == in.data() || size > kLineMost) {
+    again("a malformed chunk");
+    return false;
+  }
+  if (in.size() < line + 2 + size + 2) return false;
+  if (size == 0) {
+    lines();
+    again("the answer ended");
+    return false;
+  }
+  body_.append(in.substr(line + 2, size));
+  stream_->input().consume(line + 2 + size + 2);
+  return true;
+}
+
+void Watch::lines() {
+  std::size_t begin = 0;
+  for (std::size_t end; (end = body_.find('\n', begin)) != std::string::npos; begin = end + 1) {
+    if (body_.find_first_not_of(" \r", begin) >= end) continue; // nothing changed
+    rapidjson::Document document;
+    document.Parse(body_.data() + begin, end - begin);
+    try {
+      if (document.HasParseError()) throw settings::FormatError("not JSON");
+      const List list = read_list(document, "discovery's list");
+      revision_ = list.revision;
+      core_.list(list.complete ? MemberList::Kind::Full : MemberList::Kind::Changes, list.members);
+    } catch (const settings::FormatError& error) {
+      // What was missed cannot be known: the whole list is asked for again.
+      revision_ = 0;
+      return again(error.what());
+    }
+  }
+  body_.erase(0, begin);
+  if (body_.size() > kLineMost) again("a line is too long");
+}
+
+} // namespace sandhold::discovery
--- /dev/null
+++ b/src/discovery/watch.h
@@ -0,0 +1,39 @@
+// Follows the member list: an HTTP/1.1 watch, opened again whenever it ends or falls silent.
+#pragma once
+
+#include "list.h"
+
+#include "net/stream.h"
+#include "net/timer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sandhold::discovery {
+
+class Watch : public net::Stream::Events {
+public:
+  Watch(broker::Core& core, std::string address, std::int64_t revision);
+  void start();
+  void stop();
+
+private:
+  void connected() override;
+  void received() override;
+  void ended(const std::string& why) override;
+  bool head();
+  bool chunk();
+  void lines();
+  void again(const std::string& why);
+
+  broker::Core& core_;
+  std::string address_;
+  std::int64_t revision_;
+  std::shared_ptr<net::Stream> stream_;
+  net::Timer silence_, retry_;
+  bool head_read_ = false, chunked_ = false;
+  std::string body_; // of the answer, up to the line not yet whole
+};
+
+} // namespace sandhold::discovery
--- /dev/null
+++ b/src/front/front.h
@@ -0,0 +1,93 @@
+// What every front shares: accepting within bounds, one request at a time on a connection, and the end after
+// SIGTERM. A protocol's connection derives from Connection.
+#pragma once
+
+#include "broker/core.h"
+#include "net/listener.h"
+#include "net/stream.h"
+#include "net/timer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sandhold::front {
+
+class Front;
+
+class Connection : public net::Stream::Events, public broker::Call {
+public:
+  Connection(Front& front, net::SocketHandle socket);
+  ~Connection() override = default;
+
+  bool idle() const { return !busy_ && stream_->input().size() == 0 && stream_->all_written(); }
+  bool unread() const { return stream_->readable(); }
+  Nanos idle_since() const { return idle_since_; }
+  void close(); // now; a request in hand goes with it
+
+protected:
+  // Consumes what it can of the input, until it needs more bytes or has begun a request. Called again after.
+  virtual void parse() = 0;
+  // Turned away at the door: to be told in the protocol's words once it has said hello.
+  bool crowded() const { return crowded_; }
+
+  void begin(Request request); // hands the request to the core
+  void answered();             // its answer is written
+  void close_when_written();
+  bool busy() const { return busy_; }
+  bool closing() const { return closing_; }
+
+  Front& front_;
+  std::shared_ptr<net::Stream> stream_;
+
+private:
+  friend class Front;
+  void received() final;
+  void flushed() final;
+  void ended(const std::string& why) final;
+  void run();
+
+  std::string request_;
+  bool busy_ = false, closing_ = false, crowded_ = false, running_ = false, starting_ = false;
+  Nanos idle_since_ = 0;
+};
+
+struct Limits {
+  std::size_t connections = 480; // served at once
+  std::size_t crowded = 32;      // accepted beyond that, to be turned away in words
+  std::size_t message_bytes = 256 * 1024;
+};
+
+class Front {
+public:
+  using Make = std::function<std::unique_ptr<Connection>(Front&, net::SocketHandle)>;
+  Front(broker::Core& core, const Limits& limits, Make make);
+  bool listen(const std::string& address, std::string& why) { return listener_.listen(address, why); }
+  std::string address() const { return listener_.address(); }
+  // After SIGTERM. First goes on as before; then takes no more connections, and closes each that is between
+  // requests, or as soon as it is.
+  void stop_accepting();
+  bool stopping() const { return stopping_; }
+  bool empty() const { return connections_.empty(); }
+  std::size_t size() const { return connections_.size(); }
+
+  broker::Core& core() { return core_; }
+  const Limits& limits() const { return limits_; }
+  void remove(Connection* connection);
+
+private:
+  void accepted(net::SocketHandle socket);
+  bool evict();
+
+  broker::Core& core_;
+  Limits limits_;
+  Make make_;
+  net::Listener listener_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> removed_;
+  net::Timer reaper_, sweep_;
+  bool stopping_ = false;
+};
+
+} // namespace sandhold::front
--- /dev/null
+++ b/src/gateway/config.cpp
@@ -0,0 +1,61 @@
+#include "config.h"
+
+#include "net/stream.h"
+
+#include <rapidjson/error/en.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+namespace sandhold::gateway {
+namespace {
+
+using settings::FormatError;
+using settings::Reader;
+
+std::uint64_t seed_of(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (fault != std::errc() || end != text.data() + text.size()) throw FormatError("the field 'seed' is not a number in hex");
+  return seed;
+}
+
+Config read(const settings::Json& document) {
+  const Reader body(document, "the configuration");
+  Config config;
+  config.name = body.text("name");
+  config.listen = body.text("listen");
+  config.discovery = body.text("discovery");
+  for (const char* field : {"listen", "discovery"})
+    if (!net::parse_address(body.text(field))) body.wrong(field, "an address and a port");
+  config.seed = seed_of(body.text("seed"));
+  if (body.find("limits")) {
+    const std::int64_t sockets = body.object("limits").integer("sockets", 1024);
+    config.sockets = static_cast<std::size_t>(std::clamp<std::int64_t>(sockets, 64, 1 << 20));
+  }
+  if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
+  config.profile = settings::read_profile(body.object("settings"));
+  return config;
+}
+
+} // namespace
+
+Config read_config(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw FormatError(path + ": cannot be read");
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  rapidjson::Document document;
+  document.Parse(text.data(), text.size());
+  if (document.HasParseError()) {
+    const auto at = static_cast<std::ptrdiff_t>(std::min(document.GetErrorOffset(), text.size()));
+    throw FormatError(path + ": line " + std::to_string(std::count(text.begin(), text.begin() + at, '\n') + 1) +
+                      ": not JSON: " + rapidjson::GetParseError_En(document.GetParseError()));
+  }
+  try {
+    return read(document);
+  } catch (const FormatError& error) { throw FormatError(path + ": " + error.what()); }
+}
+
+} // namespace sandhold::gateway
--- /dev/null
+++ b/src/gateway/config.h
@@ -0,0 +1,22 @@
+// The gateway's configuration: what RELAY_CONFIG holds.
+#pragma once
+
+#include "discovery/list.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sandhold::gateway {
+
+struct Config {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  discovery::List known;
+  settings::Profile profile;
+};
+
+Config read_config(const std::string& path); // throws settings::FormatError naming file and field
+
+} // namespace sandhold::gateway
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,217 @@
+#include "stream.h"
+
+#include "log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <cstring>
+#include <exception>
+#include <utility>
+
+namespace sandhold::net {
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kKeepSize = 64 * 1024; // a larger buffer is given back once it is empty
+constexpr std::size_t kVectorsMost = 16;
+
+bool would_block(const ErrorHandle& error) {
+  return g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+}
+
+} // namespace
+
+AddressHandle parse_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return nullptr;
+  guint64 port = 0;
+  if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, 1, 65535, &port, nullptr)) return nullptr;
+  const std::string host = text.substr(0, colon);
+  return AddressHandle(g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
+}
+
+void Input::consume(std::size_t count) {
+  begin_ += count;
+  if (begin_ < end_) return;
+  begin_ = end_ = 0;
+  if (bytes_.size() > kKeepSize) std::vector<char>().swap(bytes_);
+}
+
+char* Input::room(std::size_t least) {
+  if (bytes_.size() - end_ < least && begin_ > 0) {
+    std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
+    end_ -= begin_, begin_ = 0;
+  }
+  if (bytes_.size() - end_ < least) bytes_.resize(std::max(bytes_.size() * 2, end_ + least));
+  return bytes_.data() + end_;
+}
+
+std::shared_ptr<Stream> Stream::connect(const std::string& text, Events& events) {
+  const AddressHandle address = parse_address(text);
+  if (!address) return nullptr;
+  GError* raw = nullptr;
+  SocketHandle socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, &raw));
+  ErrorHandle error(raw);
+  if (!socket) return nullptr;
+  std::shared_ptr<Stream> stream(new Stream(events));
+  stream->socket_ = std::move(socket);
+  g_socket_set_blocking(stream->socket_.get(), FALSE);
+  g_socket_set_option(stream->socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  raw = nullptr;
+  // Also where it fails at once the end is told from the main loop, by the source, never from in here.
+  g_socket_connect(stream->socket_.get(), address.get(), nullptr, &raw);
+  error.reset(raw);
+  stream->connecting_ = true;
+  stream->watch_out();
+  return stream;
+}
+
+std::shared_ptr<Stream> Stream::adopt(SocketHandle socket, Events& events) {
+  std::shared_ptr<Stream> stream(new Stream(events));
+  stream->socket_ = std::move(socket);
+  g_socket_set_blocking(stream->socket_.get(), FALSE);
+  g_socket_set_option(stream->socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  stream->watch_in();
+  return stream;
+}
+
+Stream::~Stream() { close(); }
+
+void Stream::close() {
+  in_.reset();
+  out_.reset();
+  if (socket_) g_socket_close(socket_.get(), nullptr);
+  socket_.reset();
+}
+
+void Stream::watch_in() {
+  if (in_ || paused_ || !socket_ || connecting_) return;
+  in_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
+  g_source_set_callback(in_.get(), G_SOURCE_FUNC(&Stream::on_in), this, nullptr);
+  g_source_attach(in_.get(), nullptr);
+}
+
+void Stream::watch_out() {
+  if (out_ || !socket_) return;
+  out_.reset(g_socket_create_source(socket_.get(), G_IO_OUT, nullptr));
+  g_source_set_callback(out_.get(), G_SOURCE_FUNC(&Stream::on_out), this, nullptr);
+  g_source_attach(out_.get(), nullptr);
+}
+
+void Stream::pause_reading(bool pause) {
+  if (paused_ == pause) return;
+  paused_ = pause;
+  if (pause)
+    in_.reset();
+  else
+    watch_in();
+}
+
+bool Stream::readable() const {
+  return socket_ && g_socket_condition_check(socket_.get(), static_cast<GIOCondition>(
+                                                                G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
+}
+
+// Whatever is thrown while one connection is served ends that connection and nothing else.
+template <typename F> void Stream::guarded(F&& step) {
+  try {
+    step();
+  } catch (const std::exception& error) {
+    log_line("connection", std::string("closed after an exception: ") + error.what());
+    fail("exception");
+  }
+}
+
+gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
+  auto* stream = static_cast<Stream*>(self);
+  const auto keep = stream->shared_from_this();
+  stream->guarded([&] { stream->read_some(); });
+  return stream->in_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+gboolean Stream::on_out(GSocket*, GIOCondition, gpointer self) {
+  auto* stream = static_cast<Stream*>(self);
+  const auto keep = stream->shared_from_this();
+  stream->guarded([&] {
+    if (stream->connecting_) {
+      GError* raw = nullptr;
+      const bool up = g_socket_check_connect_result(stream->socket_.get(), &raw);
+      const ErrorHandle error(raw);
+      // A socket whose connect failed at once has no peer, and no error left to tell it.
+      if (!up || !g_socket_is_connected(stream->socket_.get()))
+        return stream->fail(error ? error->message : "not connected");
+      stream->connecting_ = false;
+      stream->out_.reset();
+      stream->watch_in();
+      stream->events_->connected();
+      return;
+    }
+    stream->write_some();
+  });
+  return stream->out_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void Stream::fail(const std::string& why) {
+  if (!socket_) return;
+  close();
+  events_->ended(why);
+}
+
+void Stream::read_some() {
+  char* room = input_.room(kReadSize);
+  GError* raw = nullptr;
+  const gssize got = g_socket_receive(socket_.get(), room, input_.room_size(), nullptr, &raw);
+  const ErrorHandle error(raw);
+  if (got < 0 && would_block(error)) return;
+  if (got < 0) return fail(error->message);
+  if (got == 0) return fail("closed by the peer");
+  input_.filled(static_cast<std::size_t>(got));
+  events_->received();
+}
+
+void Stream::write(const Parts& parts) {
+  if (!socket_) return;
+  if (!all_written() || connecting_ || parts.size() > kVectorsMost) {
+    for (const std::string_view part : parts) output_.append(part);
+    return watch_out();
+  }
+  GOutputVector vectors[kVectorsMost];
+  std::size_t total = 0;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    vectors[i] = {parts[i].data(), parts[i].size()};
+    total += parts[i].size();
+  }
+  GError* raw = nullptr;
+  const gssize sent = g_socket_send_message(socket_.get(), nullptr, vectors, static_cast<gint>(parts.size()),
+                                            nullptr, 0, G_SOCKET_MSG_NONE, nullptr, &raw);
+  const ErrorHandle error(raw);
+  std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  if (done == total && sent >= 0) return;
+  // The rest waits; a broken connection is told from the main loop, when its source finds it broken.
+  output_.clear(), written_ = 0;
+  for (const std::string_view part : parts) {
+    const std::size_t skip = std::min(done, part.size());
+    done -= skip;
+    output_.append(part.substr(skip));
+  }
+  watch_out();
+}
+
+void Stream::write_some() {
+  GError* raw = nullptr;
+  const gssize sent = g_socket_send(socket_.get(), output_.data() + written_, pending(), nullptr, &raw);
+  const ErrorHandle error(raw);
+  if (sent < 0 && would_block(error)) return;
+  if (sent < 0) return fail(error->message);
+  written_ += static_cast<std::size_t>(sent);
+  if (!all_written()) return;
+  written_ = 0;
+  std::string().swap(output_);
+  out_.reset();
+  events_->flushed();
+}
+
+} // namespace sandhold::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,79 @@
+// A TCP connection as an object with callbacks, on GIO sockets and GLib's main loop; never blocks.
+#pragma once
+
+#include "handles.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sandhold::net {
+
+using Parts = std::vector<std::string_view>;
+
+// "127.0.0.4:6432"; no names are looked up. Nothing where the text is no numeric address and port.
+AddressHandle parse_address(const std::string& text);
+
+// Received bytes, parsed in place: views stay good until the next consume, or the next read.
+class Input {
+public:
+  std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
+  std::size_t size() const { return end_ - begin_; }
+  void consume(std::size_t count);
+  char* room(std::size_t least);
+  std::size_t room_size() const { return bytes_.size() - end_; }
+  void filled(std::size_t count) { end_ += count; }
+
+private:
+  std::vector<char> bytes_;
+  std::size_t begin_ = 0, end_ = 0;
+};
+
+class Stream : public std::enable_shared_from_this<Stream> {
+public:
+  class Events {
+  public:
+    virtual ~Events() = default;
+    virtual void connected() {}
+    virtual void received() = 0; // bytes were added to input()
+    virtual void flushed() {}    // all that was written has gone to the kernel
+    virtual void ended(const std::string& why) = 0; // by the peer or by an error, not by close()
+  };
+
+  static std::shared_ptr<Stream> connect(const std::string& address, Events& events); // null: no such address
+  static std::shared_ptr<Stream> adopt(SocketHandle socket, Events& events);
+  ~Stream();
+
+  Input& input() { return input_; }
+  void write(const Parts& parts);
+  bool all_written() const { return output_.size() == written_; }
+  std::size_t pending() const { return output_.size() - written_; }
+  void pause_reading(bool pause);
+  bool readable() const; // something has come that was not read: bytes, or the end
+  void close();          // no callback follows
+  bool open() const { return socket_ != nullptr; }
+
+private:
+  explicit Stream(Events& events) : events_(&events) {}
+  static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+  static gboolean on_out(GSocket*, GIOCondition, gpointer self);
+  template <typename F> void guarded(F&& step);
+  void watch_in();
+  void watch_out();
+  void read_some();
+  void write_some();
+  void fail(const std::string& why);
+
+  Events* events_;
+  SocketHandle socket_;
+  SourceHandle in_, out_;
+  Input input_;
+  std::string output_;
+  std::size_t written_ = 0;
+  bool connecting_ = false, paused_ = false;
+};
+
+} // namespace sandhold::net
--- /dev/null
+++ b/src/postgres/wire.cpp
@@ -0,0 +1,149 @@
+#include "wire.h"
+
+#include "codec.h"
+
+#include <cmath>
+#include <cstdlib>
+
+namespace sandhold::postgres {
+namespace {
+
+using broker::Answer;
+using upstream::Step;
+
+constexpr std::size_t kMessageMost = 1 << 20;
+constexpr Nanos kMs = 1'000'000;
+
+std::optional<double> number(std::string_view text) {
+  const std::string copy(text.substr(0, 64));
+  char* end = nullptr;
+  const double value = std::strtod(copy.c_str(), &end);
+  if (copy.empty() || *end != '\0' || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+std::optional<Nanos> position_of(std::string_view text) {
+  const auto ms = number(text);
+  if (!ms || *ms < 0 || *ms > 9e12) return std::nullopt;
+  return static_cast<Nanos>(std::floor(*ms * 1e6)); // Unix ms, as the module's clock counts
+}
+
+// "x0=1767225600123,x1=0": positions are Unix milliseconds here too.
+void read_gauges(std::string_view text, Report& report) {
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view pair = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    if (pair.substr(0, 3) == "x0=") report.position = position_of(pair.substr(3));
+    if (pair.substr(0, 3) != "x1=") continue;
+    if (const auto flag = number(pair.substr(3))) report.primary = *flag > 0.5;
+  }
+}
+
+// The one column of a DataRow. False: not one column, or its length is off.
+bool read_row(std::string_view body, std::string_view& value) {
+  if (body.size() < 6 || body[0] != 0 || body[1] != 1) return false;
+  const std::uint32_t length = read_u32(body.data() + 2);
+  if (length == 0xffffffffu) return body.size() == 6; // null
+  value = body.substr(6);
+  return value.size() == length;
+}
+
+class PgWire : public upstream::Wire {
+public:
+  std::string greeting() override {
+    std::string body = u32(kVersion3);
+    for (const char* word : {"user", "gorsebeam", "database", "crm"}) body.append(word).push_back('\0');
+    body.push_back('\0');
+    return u32(static_cast<std::uint32_t>(body.size() + 4)) + body;
+  }
+
+  Step welcome(std::string_view in, std::size_t& used, bool& turned_away) override {
+    Message m;
+    for (std::string_view rest = in;; rest.remove_prefix(m.whole.size())) {
+      const Framing framing = read_message(rest, kMessageMost, m);
+      if (framing != Framing::Whole) return framing == Framing::More ? Step::More : Step::Broken;
+      if (m.type == 'E') {
+        turned_away = error_field(m.body, 'C') == "53300";
+        return Step::Broken;
+      }
+      if (m.type == 'R' && (m.body.size() < 4 || read_u32(m.body.data()) != 0)) return Step::Broken;
+      if (m.type != 'Z') continue;
+      used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
+      return Step::Done;
+    }
+  }
+
+  broker::Parts request(const broker::Parts& body) override {
+    std::size_t size = 5; // the length itself, and the end of the text
+    for (const std::string_view part : body) size += part.size();
+    head_ = 'Q' + u32(static_cast<std::uint32_t>(size));
+    broker::Parts parts{head_};
+    parts.insert(parts.end(), body.begin(), body.end());
+    parts.emplace_back("\0", 1);
+    return parts;
+  }
+
+  broker::Parts probe() override {
+    head_ = message('Q', std::string_view("SHOW gauges\0", 12));
+    return {head_};
+  }
+
+  Step answer(std::string_view in, bool ended, bool to_probe, Answer& answer, std::size_t& used) override {
+    answer = Answer{};
+    std::string_view description, row, complete, code;
+    bool rows_off = false, ready = false;
+    Message m;
+    for (std::string_view rest = in; !ready; rest.remove_prefix(m.whole.size())) {
+      const Framing framing = read_message(rest, kMessageMost, m);
+      if (framing == Framing::Malformed) return Step::Broken;
+      if (framing == Framing::More) break;
+      used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
+      std::string_view name, value;
+      switch (m.type) {
+      case 'T':
+        rows_off |= !description.empty() || m.body.size() < 2 || m.body[0] != 0 || m.body[1] != 1;
+        description = m.whole;
+        break;
+      case 'D':
+        rows_off |= !row.empty() || description.empty() || !complete.empty() || !read_row(m.body, value);
+        row = m.whole;
+        if (to_probe && !rows_off) read_gauges(value, answer.report);
+        break;
+      case 'C': complete = m.whole; break;
+      case 'E': code = error_field(m.body, 'C').value_or("XX000"); break;
+      case 'S':
+        if (!read_status(m.body, name, value)) return Step::Broken;
+        if (name == "part" && value == "master") answer.role = Role::Primary;
+        if (name == "part" && value == "replica") answer.role = Role::Replica;
+        if (name == "caught_up_to") answer.position = position_of(value);
+        if (name == "gauges") read_gauges(value, answer.report);
+        break;
+      case 'N': break;
+      case 'Z': ready = true; break;
+      default: return Step::Broken;
+      }
+    }
+    // Whole without ReadyForQuery only where the connection ended after the answer: a fatal error needs none.
+    if (!ready && !(ended && (!code.empty() || !complete.empty()))) return Step::More;
+    if (!code.empty()) {
+      answer.result = code == "25006" || code == "72000"   ? Result::Miss
+                      : code == "53300" || code == "57P03" ? Result::Full
+                                                           : Result::Error;
+      return Step::Done;
+    }
+    if (rows_off || description.empty() || row.empty() || complete.empty()) return Step::Broken;
+    answer.result = Result::Ok;
+    answer.value = {description, row, complete};
+    return Step::Done;
+  }
+
+private:
+  std::string head_;
+};
+
+} // namespace
+
+std::unique_ptr<upstream::Wire> make_wire() { return std::make_unique<PgWire>(); }
+
+} // namespace sandhold::postgres
--- /dev/null
+++ b/src/upstream/pool.cpp
@@ -0,0 +1,269 @@
+#include "pool.h"
+
+#include "net/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sandhold::upstream {
+
+using broker::Answer;
+using broker::AttemptId;
+
+class Pool::Link : public net::Stream::Events {
+public:
+  enum class State { Dialing, Greeting, Idle, Writing, Waiting };
+
+  Link(Pool& pool, MemberId member, const std::string& address)
+      : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] { due(); }),
+        stream_(net::Stream::connect(address, *this)) {}
+
+  bool good() const { return stream_ && stream_->open(); }
+  bool quiet() const { return good() && stream_->input().size() == 0 && !stream_->readable(); }
+
+  void assign(const Errand& errand) {
+    errand_ = errand;
+    busy_ = true;
+    if (state_ == State::Idle)
+      write();
+    else // being opened: both limits hold
+      timer_.at(std::min(net::now() + pool_.limits_.connect_timeout, errand.until));
+  }
+
+  void withdraw() { // the call is gone: what is not written yet will not be
+    errand_.call = nullptr;
+    if (state_ != State::Dialing && state_ != State::Greeting) return;
+    finish(result_only(Result::NotSent), true);
+  }
+
+  void close() {
+    timer_.stop();
+    if (stream_) stream_->close();
+  }
+
+  // Ends the errand with what is known, and the connection with it.
+  void fail(Result result) {
+    finish(result_only(result), false);
+  }
+
+  static Answer result_only(Result result) {
+    Answer answer;
+    answer.result = result;
+    return answer;
+  }
+
+  const MemberId member;
+  State state() const { return state_; }
+  Nanos idle_since() const { return idle_since_; }
+
+private:
+  void connected() override {
+    const std::string greeting = wire_->greeting();
+    if (greeting.empty()) return ready();
+    state_ = State::Greeting;
+    stream_->write({greeting});
+  }
+
+  void ready() {
+    state_ = State::Idle;
+    if (busy_) return write();
+    rest();
+  }
+
+  void write() {
+    const Nanos left = errand_.until - net::now();
+    if (left <= 0) return finish(result_only(Result::NotSent), true);
+    state_ = State::Writing;
+    timer_.at(errand_.until);
+    stream_->write(errand_.probe ? wire_->probe() : wire_->request(errand_.call->body(left)));
+    if (stream_->all_written()) flushed();
+  }
+
+  void flushed() override {
+    if (state_ == State::Writing) state_ = State::Waiting;
+  }
+
+  void received() override {
+    const std::string_view in = stream_->input().view();
+    std::size_t used = 0;
+    if (state_ == State::Greeting) {
+      bool turned_away = false;
+      const Step step = wire_->welcome(in, used, turned_away);
+      if (step == Step::More) return;
+      if (step == Step::Broken || turned_away)
+        return fail(turned_away ? Result::Full : Result::NoConnection);
+      stream_->input().consume(used);
+      return ready();
+    }
+    if (state_ == State::Idle || state_ == State::Dialing) return pool_.drop(this); // nothing was asked
+    Answer answer;
+    const Step step = wire_->answer(in, false, errand_.probe, answer, used);
+    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes) return;
+    if (step != Step::Done) {
+      net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
+      return fail(Result::Error); // the request was whole: it may have run
+    }
+    // An answer to what was not yet sent whole: heard, but the connection is of no further use.
+    finish(answer, state_ == State::Waiting && stream_->input().size() == used, used);
+  }
+
+  void ended(const std::string&) override {
+    if (!busy_) return pool_.drop(this);
+    if (state_ != State::Waiting) return fail(Result::NoConnection);
+    Answer answer;
+    std::size_t used = 0;
+    if (wire_->answer(stream_->input().view(), true, errand_.probe, answer, used) == Step::Done)
+      return finish(answer, false);
+    fail(Result::Reset);
+  }
+
+  void due() {
+    if (!busy_) return pool_.drop(this); // idle for long enough
+    if (state_ == State::Waiting) return fail(Result::Timeout);
+    // Not written whole, so it never ran; at the request's own end this tells nothing of the member.
+    const bool over = net::now() >= errand_.until && state_ != State::Writing && !errand_.probe;
+    fail(over ? Result::NotSent : Result::NoConnection);
+  }
+
+  // The errand's one end. Guards the rule on second attempts: a connection that is not kept is closed before the
+  // module hears of the end and may send again. A kept one is idle by then, so that the next send finds it.
+  void finish(const Answer& answer, bool keep, std::size_t used = 0) {
+    const Errand errand = std::exchange(errand_, Errand{});
+    busy_ = false;
+    timer_.stop();
+    const broker::Core::Hold hold(pool_.core_);
+    if (!keep && stream_) stream_->close();
+    pool_.report(member, errand, answer);
+    if (!keep) return pool_.drop(this);
+    if (used) stream_->input().consume(used);
+    if (state_ == State::Writing || state_ == State::Waiting) state_ = State::Idle;
+    if (state_ == State::Idle)
+      rest();
+    else
+      timer_.after(pool_.limits_.connect_timeout); // still being opened, for whoever comes next
+  }
+
+  void rest() {
+    idle_since_ = net::now();
+    // Guards against a request that crosses the member's own close, which ends as a reset: retired well
+    // before the member would.
+    const Nanos keepalive = pool_.limits_.keepalive;
+    if (keepalive > 0) timer_.after(keepalive - std::min<Nanos>(keepalive / 4, 3'000'000'000));
+    pool_.hosts_[member].idle.push_back(this);
+  }
+
+  Pool& pool_;
+  std::unique_ptr<Wire> wire_;
+  net::Timer timer_;
+  std::shared_ptr<net::Stream> stream_;
+  State state_ = State::Dialing;
+  Errand errand_;
+  bool busy_ = false;
+  Nanos idle_since_ = 0;
+};
+
+Pool::Pool(broker::Core& core, WireFactory wire, const Limits& limits)
+    : core_(core), wire_(wire), limits_(limits), reaper_([this] { dropped_.clear(); }) {}
+
+Pool::~Pool() {
+  for (auto& [link, owned] : links_) owned->close();
+}
+
+void Pool::listed(MemberId member, const std::string& address) {
+  Host& host = hosts_[member];
+  if (host.address == address) return;
+  host.address = address;
+  while (!host.idle.empty()) drop(host.idle.back()); // they lead to where it was
+}
+
+void Pool::removed(MemberId member) {
+  const auto host = hosts_.find(member);
+  while (host != hosts_.end() && !host->second.idle.empty()) drop(host->second.idle.back());
+}
+
+void Pool::send(AttemptId attempt, MemberId member, broker::Call& call, Nanos until) {
+  Errand errand;
+  errand.attempt = attempt, errand.call = &call, errand.until = until;
+  start(member, errand);
+}
+
+void Pool::probe(MemberId member) {
+  Errand errand;
+  errand.probe = true, errand.until = net::now() + limits_.connect_timeout;
+  start(member, errand);
+}
+
+void Pool::start(MemberId member, const Errand& errand) {
+  Host& host = hosts_[member];
+  Link* link = take_idle(host);
+  if (!link) {
+    if (!make_room(member)) return report(member, errand, Link::result_only(Result::NotSent));
+    auto fresh = std::make_unique<Link>(*this, member, host.address);
+    if (!fresh->good()) return report(member, errand, Link::result_only(Result::NoConnection));
+    link = fresh.get();
+    links_[link] = std::move(fresh);
+    ++host.links;
+  }
+  if (errand.attempt) attempts_[errand.attempt] = link;
+  link->assign(errand);
+}
+
+// The one used last, if nothing has come on it since: bytes or an end mean that the member gave it up.
+Pool::Link* Pool::take_idle(Host& host) {
+  while (!host.idle.empty()) {
+    Link* link = host.idle.back();
+    if (link->quiet()) {
+      host.idle.pop_back();
+      return link;
+    }
+    drop(link);
+  }
+  return nullptr;
+}
+
+// Bounds descriptors: over the limit the connection idle longest, of any member, is closed for the new one.
+bool Pool::make_room(MemberId member) {
+  if (hosts_[member].links >= limits_.per_member) return false;
+  if (links_.size() < limits_.connections) return true;
+  Link* oldest = nullptr;
+  for (auto& [id, host] : hosts_)
+    if (!host.idle.empty() && (!oldest || host.idle.front()->idle_since() < oldest->idle_since()))
+      oldest = host.idle.front();
+  if (!oldest) {
+    net::log_line("upstream", "all connections to members are in use: " + std::to_string(links_.size()));
+    return false;
+  }
+  drop(oldest);
+  return true;
+}
+
+void Pool::report(MemberId member, const Errand& errand, const Answer& answer) {
+  if (errand.probe) return core_.probed(member, answer);
+  if (!errand.attempt) return;
+  attempts_.erase(errand.attempt);
+  core_.ended(errand.attempt, answer);
+}
+
+void Pool::cancel(AttemptId attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) found->second->fail(Result::Cancelled);
+}
+
+void Pool::withdraw(AttemptId attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) found->second->withdraw();
+}
+
+void Pool::drop(Link* link) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return;
+  link->close();
+  Host& host = hosts_[link->member];
+  host.idle.erase(std::remove(host.idle.begin(), host.idle.end(), link), host.idle.end());
+  --host.links;
+  dropped_.push_back(std::move(found->second));
+  links_.erase(found);
+  reaper_.after(0);
+}
+
+} // namespace sandhold::upstream
