--- a/include/sandhold/router.h
+++ b/include/gorsebeam/router.h
@@ -1,4 +1,4 @@
-// The interface of sandhold: settings in, events in, actions out. No decision is made here; all of them
+// The interface of gorsebeam: settings in, events in, actions out. No decision is made here; all of them
 // stand in src/rules.cpp. Times are nanoseconds on the caller's clock, which must never go back.
 #pragma once
 
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace sandhold {
+namespace gorsebeam {
 
 using Nanos = std::int64_t;
 using MemberId = std::uint32_t;
@@ -189,4 +189,4 @@
   std::unique_ptr<Rules> rules_;
 };
 
-} // namespace sandhold
+} // namespace gorsebeam
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -8,7 +8,7 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  sandhold::adapter::Session session;
+  gorsebeam::adapter::Session session;
   std::string text;
   std::string reply;
   std::size_t number = 0;
@@ -22,11 +22,11 @@
       reply.clear();
     }
     if (session.inside_batch()) {
-      std::cerr << "sandhold_adapter: the input ended inside a batch, after line " << number << '\n';
+      std::cerr << "gorsebeam_adapter: the input ended inside a batch, after line " << number << '\n';
       return 1;
     }
   } catch (const std::exception& error) {
-    std::cerr << "sandhold_adapter: line " << number << ": " << error.what() << '\n';
+    std::cerr << "gorsebeam_adapter: line " << number << ": " << error.what() << '\n';
     return 1;
   }
   return 0;
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -8,7 +8,7 @@
 #include <cstdlib>
 #include <utility>
 
-namespace sandhold::adapter {
+namespace gorsebeam::adapter {
 namespace {
 
 using settings::choose;
@@ -261,4 +261,4 @@
   instances_.emplace(number, Instance{std::move(router), std::move(profile)});
 }
 
-} // namespace sandhold::adapter
+} // namespace gorsebeam::adapter
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace sandhold::adapter {
+namespace gorsebeam::adapter {
 
 using WireError = settings::FormatError;
 
@@ -39,4 +39,4 @@
   std::vector<Action> actions_; // kept to spare allocations
 };
 
-} // namespace sandhold::adapter
+} // namespace gorsebeam::adapter
--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace sandhold::broker {
+namespace gorsebeam::broker {
 
 Core::Core(const Settings& settings, std::uint64_t seed)
     : settings_(settings), router_(settings, seed), timer_([this] {
@@ -188,4 +188,4 @@
   upstream_->send(number, action.member, *job.call, until);
 }
 
-} // namespace sandhold::broker
+} // namespace gorsebeam::broker
--- a/src/broker/core.h
+++ b/src/broker/core.h
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace sandhold::broker {
+namespace gorsebeam::broker {
 
 struct Listed { // one member, as discovery or an inventory names it
   std::string name;
@@ -92,4 +92,4 @@
   std::size_t open_ = 0;
 };
 
-} // namespace sandhold::broker
+} // namespace gorsebeam::broker
--- a/src/broker/ports.h
+++ b/src/broker/ports.h
@@ -1,7 +1,7 @@
 // What the core asks of a front and of an upstream. No wire shows here: bodies are bytes that the core passes on.
 #pragma once
 
-#include "sandhold/router.h"
+#include "gorsebeam/router.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace sandhold::broker {
+namespace gorsebeam::broker {
 
 using Parts = std::vector<std::string_view>;
 using AttemptId = std::uint64_t;
@@ -46,4 +46,4 @@
   virtual void withdraw(AttemptId attempt) = 0; // its call ends now: not to be written if it is not yet
 };
 
-} // namespace sandhold::broker
+} // namespace gorsebeam::broker
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -2,7 +2,7 @@
 
 #include "net/stream.h"
 
-namespace sandhold::discovery {
+namespace gorsebeam::discovery {
 
 using settings::choose;
 using settings::Reader;
@@ -34,4 +34,4 @@
   return list;
 }
 
-} // namespace sandhold::discovery
+} // namespace gorsebeam::discovery
--- a/src/discovery/list.h
+++ b/src/discovery/list.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace sandhold::discovery {
+namespace gorsebeam::discovery {
 
 struct List {
   std::int64_t revision = 0;
@@ -16,4 +16,4 @@
 
 List read_list(const settings::Json& value, const std::string& where); // throws settings::FormatError
 
-} // namespace sandhold::discovery
+} // namespace gorsebeam::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -7,7 +7,7 @@
 #include <charconv>
 #include <utility>
 
-namespace sandhold::discovery {
+namespace gorsebeam::discovery {
 namespace {
 
 constexpr Nanos kSecond = 1'000'000'000;
@@ -123,4 +123,4 @@
   if (body_.size() > kLineMost) again("a line is too long");
 }
 
-} // namespace sandhold::discovery
+} // namespace gorsebeam::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-namespace sandhold::discovery {
+namespace gorsebeam::discovery {
 
 class Watch : public net::Stream::Events {
 public:
@@ -36,4 +36,4 @@
   std::string body_; // of the answer, up to the line not yet whole
 };
 
-} // namespace sandhold::discovery
+} // namespace gorsebeam::discovery
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace sandhold::front {
+namespace gorsebeam::front {
 namespace {
 constexpr Nanos kSweep = 50'000'000;
 constexpr Nanos kIdleLeast = 1'000'000'000; // a connection used within this is not closed for a new one
@@ -115,4 +115,4 @@
   if (!connections_.empty()) sweep_.after(kSweep);
 }
 
-} // namespace sandhold::front
+} // namespace gorsebeam::front
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <string>
 
-namespace sandhold::front {
+namespace gorsebeam::front {
 
 class Front;
 
@@ -90,4 +90,4 @@
   bool stopping_ = false;
 };
 
-} // namespace sandhold::front
+} // namespace gorsebeam::front
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <iterator>
 
-namespace sandhold::gateway {
+namespace gorsebeam::gateway {
 namespace {
 
 using settings::FormatError;
@@ -58,4 +58,4 @@
   } catch (const FormatError& error) { throw FormatError(path + ": " + error.what()); }
 }
 
-} // namespace sandhold::gateway
+} // namespace gorsebeam::gateway
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-using namespace sandhold;
+using namespace gorsebeam;
 
 constexpr Nanos kMs = 1'000'000;
 // After SIGTERM new connections go on coming for up to 0.4 s; then the door is closed.
--- a/src/net/handles.h
+++ b/src/net/handles.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 struct ObjectUnref {
   void operator()(gpointer object) const { g_object_unref(object); }
@@ -39,4 +39,4 @@
   GSource* source_ = nullptr;
 };
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -3,7 +3,7 @@
 #include "log.h"
 #include "stream.h"
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 namespace {
 constexpr int kBacklog = 512;
 constexpr int kAcceptsAtOnce = 16;
@@ -77,4 +77,4 @@
   return true;
 }
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 class Listener {
 public:
@@ -26,4 +26,4 @@
   SourceHandle source_;
 };
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <map>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 void log_line(const char* kind, const std::string& text) {
   struct Recent {
@@ -26,4 +26,4 @@
   std::fprintf(stderr, "%s\n", line.c_str());
 }
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -3,11 +3,11 @@
 
 #include <string>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 // Writes "gorsebeam: KIND: TEXT". At most kLogBurst lines of one kind a second; what is left out is counted
 // in the next line of that kind.
 constexpr int kLogBurst = 5;
 void log_line(const char* kind, const std::string& text);
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -10,7 +10,7 @@
 #include <exception>
 #include <utility>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
@@ -214,4 +214,4 @@
   events_->flushed();
 }
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 using Parts = std::vector<std::string_view>;
 
@@ -76,4 +76,4 @@
   bool connecting_ = false, paused_ = false;
 };
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -6,7 +6,7 @@
 #include <exception>
 #include <utility>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 namespace {
 
 constexpr std::int64_t kMicrosecond = 1000;
@@ -51,4 +51,4 @@
   return G_SOURCE_CONTINUE;
 }
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <functional>
 
-namespace sandhold::net {
+namespace gorsebeam::net {
 
 // Unix nanoseconds that never go back: the wall clock is read once, at the first call, and the monotonic clock
 // carries it on. Guards the module, whose time must not go back, against a clock that is set while we run;
@@ -29,4 +29,4 @@
   SourceHandle source_;
 };
 
-} // namespace sandhold::net
+} // namespace gorsebeam::net
--- a/src/postgres/codec.cpp
+++ b/src/postgres/codec.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <cstring>
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 namespace {
 
 std::string_view text_until_nul(std::string_view in) { return in.substr(0, in.find('\0')); }
@@ -172,4 +172,4 @@
   return value;
 }
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/postgres/codec.h
+++ b/src/postgres/codec.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 
 constexpr std::uint32_t kVersion3 = 196608;
 constexpr std::uint32_t kCancelRequest = 80877102;
@@ -48,4 +48,4 @@
 bool is_blank(std::string_view text); // an empty query
 std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most);
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
@@ -177,4 +177,4 @@
   };
 }
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/postgres/front.h
+++ b/src/postgres/front.h
@@ -5,9 +5,9 @@
 
 #include <map>
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 
 // `classes` outlives the front: the settings' classes by name.
 front::Front::Make make_connection(const std::map<std::string, std::size_t>& classes);
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/postgres/wire.cpp
+++ b/src/postgres/wire.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <cstdlib>
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 namespace {
 
 using broker::Answer;
@@ -146,4 +146,4 @@
 
 std::unique_ptr<upstream::Wire> make_wire() { return std::make_unique<PgWire>(); }
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/postgres/wire.h
+++ b/src/postgres/wire.h
@@ -3,8 +3,8 @@
 
 #include "upstream/wire.h"
 
-namespace sandhold::postgres {
+namespace gorsebeam::postgres {
 
 std::unique_ptr<upstream::Wire> make_wire();
 
-} // namespace sandhold::postgres
+} // namespace gorsebeam::postgres
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,5 @@
-// Every decision of sandhold. The types, events and actions stand in include/sandhold/router.h.
-#include "sandhold/router.h"
+// Every decision of gorsebeam. The types, events and actions stand in include/gorsebeam/router.h.
+#include "gorsebeam/router.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace sandhold {
+namespace gorsebeam {
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
@@ -887,7 +887,7 @@
 
   void check_settings() const {
     const auto refuse = [](const std::string& what) {
-      throw std::invalid_argument("sandhold settings: " + what);
+      throw std::invalid_argument("gorsebeam settings: " + what);
     };
     if (s_.classes.empty()) refuse("classes is empty");
     for (const RequestClass& c : s_.classes) {
@@ -930,4 +930,4 @@
   rules_->handle(now, event, actions);
 }
 
-} // namespace sandhold
+} // namespace gorsebeam
--- a/src/settings/json.h
+++ b/src/settings/json.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <utility>
 
-namespace sandhold::settings {
+namespace gorsebeam::settings {
 
 // What is wrong with the input, in words for a person.
 struct FormatError : std::runtime_error {
@@ -99,4 +99,4 @@
   std::string where_;
 };
 
-} // namespace sandhold::settings
+} // namespace gorsebeam::settings
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,6 +1,6 @@
 #include "settings.h"
 
-namespace sandhold::settings {
+namespace gorsebeam::settings {
 
 Profile read_profile(const Reader& profile) {
   const Reader extra = profile.object("extra");
@@ -96,4 +96,4 @@
   return read;
 }
 
-} // namespace sandhold::settings
+} // namespace gorsebeam::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -3,12 +3,12 @@
 
 #include "json.h"
 
-#include "sandhold/router.h"
+#include "gorsebeam/router.h"
 
 #include <map>
 #include <string>
 
-namespace sandhold::settings {
+namespace gorsebeam::settings {
 
 struct Profile {
   Settings settings;
@@ -20,4 +20,4 @@
 
 Profile read_profile(const Reader& profile); // throws FormatError
 
-} // namespace sandhold::settings
+} // namespace gorsebeam::settings
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace sandhold::upstream {
+namespace gorsebeam::upstream {
 
 using broker::Answer;
 using broker::AttemptId;
@@ -266,4 +266,4 @@
   reaper_.after(0);
 }
 
-} // namespace sandhold::upstream
+} // namespace gorsebeam::upstream
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace sandhold::upstream {
+namespace gorsebeam::upstream {
 
 struct Limits {
   Nanos connect_timeout = 250'000'000;
@@ -65,4 +65,4 @@
   net::Timer reaper_;
 };
 
-} // namespace sandhold::upstream
+} // namespace gorsebeam::upstream
--- a/src/upstream/wire.h
+++ b/src/upstream/wire.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace sandhold::upstream {
+namespace gorsebeam::upstream {
 
 enum class Step { More, Done, Broken };
 
@@ -26,4 +26,4 @@
 
 using WireFactory = std::unique_ptr<Wire> (*)();
 
-} // namespace sandhold::upstream
+} // namespace gorsebeam::upstream
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-using sandhold::adapter::Session;
-using sandhold::adapter::WireError;
+using gorsebeam::adapter::Session;
+using gorsebeam::adapter::WireError;
 
 const char* const kStart =
     R"({"NEW_INSTANCE":{"router_id":4,"init_seed":9,"profile_data":{"classes":[{"name":"look","aim":100000000,)"
--- a/tests/embedding.cmake
+++ b/tests/embedding.cmake
@@ -8,7 +8,7 @@
     message(FATAL_ERROR "${ARGV} failed:\n${text}")
   endif()
 endfunction()
-run(${CMAKE_COMMAND} -S ${SOURCE} -B ${BINARY}/embedding/library -DSANDHOLD_BUILD_ADAPTER=OFF -DSANDHOLD_BUILD_GATEWAY=OFF
+run(${CMAKE_COMMAND} -S ${SOURCE} -B ${BINARY}/embedding/library -DGORSEBEAM_BUILD_ADAPTER=OFF -DGORSEBEAM_BUILD_GATEWAY=OFF
     -DCMAKE_BUILD_TYPE=Release -DCMAKE_INSTALL_PREFIX=${prefix})
 run(${CMAKE_COMMAND} --build ${BINARY}/embedding/library --target install)
 run(${CMAKE_COMMAND} -S ${SOURCE}/tests/embedding -B ${tree} -DCMAKE_PREFIX_PATH=${prefix})
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,5 +1,5 @@
 // The rules of src/rules.cpp, seen through the interface alone. All settings are invented.
-#include "sandhold/router.h"
+#include "gorsebeam/router.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace sandhold;
+using namespace gorsebeam;
 constexpr Nanos ms = 1'000'000;
 
 enum ClassIndex : std::size_t { kAny, kBounded, kSession, kFresh, kWrite, kKeyed };
