--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -43,7 +43,9 @@
 
 struct Tenant {
   std::string name;
-  double rate = 0; // requests a second, over all routers, that lie within its share
+  double rate = 0;   // requests a second, over all routers, that lie within its share
+  double budget = 0; // requests a second that this router takes from it; 0: no limit
+  double burst = 1;  // of which so many may come at once
 };
 
 struct Settings {
@@ -106,6 +108,7 @@
   GroupId group = 0;
   std::optional<Nanos> token_age; // how long ago the session's last write was committed; 0: none
   bool retry = false;
+  std::uint32_t attempts = 0; // its contract's limit; 0: the settings' holds
 };
 
 struct Report {
@@ -124,6 +127,7 @@
   Nanos elapsed = 0;
   Role role = Role::Unknown;
   std::optional<Nanos> position; // of a write that went through: its commit
+  std::optional<Nanos> commit;   // of a write, where the member's position tells less than its commit
   Report report;
 };
 
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -19,7 +19,6 @@
 
 } // namespace
 
-
 namespace {
 
 class Line { // writes one action as one line
--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -70,6 +70,7 @@
   outcome.elapsed = net::now() - attempt.sent_at;
   outcome.role = answer.role;
   outcome.position = answer.position;
+  outcome.commit = answer.commit;
   outcome.report = answer.report;
   events_.emplace_back(std::move(outcome));
   if (!serves) return forget(attempt.id);
--- a/src/broker/ports.h
+++ b/src/broker/ports.h
@@ -19,6 +19,7 @@
   Result result = Result::NoConnection;
   Role role = Role::Unknown;
   std::optional<Nanos> position;
+  std::optional<Nanos> commit; // of a write, where it is not the position
   Report report;
   Parts value; // Ok: what the member gave, good only while the call that hands it over lasts
 };
--- a/src/gateway/config.cpp
+++ b/src/config/config.cpp
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <iterator>
 
-namespace gorsebeam::gateway {
+namespace gorsebeam::config {
 namespace {
 
 using settings::FormatError;
@@ -18,7 +18,8 @@
 std::uint64_t seed_of(const std::string& text) {
   std::uint64_t seed = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  if (fault != std::errc() || end != text.data() + text.size()) throw FormatError("the field 'seed' is not a number in hex");
+  if (fault != std::errc() || end != text.data() + text.size())
+    throw FormatError("the field 'seed' is not a number in hex");
   return seed;
 }
 
@@ -50,7 +51,8 @@
   document.Parse(text.data(), text.size());
   if (document.HasParseError()) {
     const auto at = static_cast<std::ptrdiff_t>(std::min(document.GetErrorOffset(), text.size()));
-    throw FormatError(path + ": line " + std::to_string(std::count(text.begin(), text.begin() + at, '\n') + 1) +
+    throw FormatError(path + ": line " +
+                      std::to_string(std::count(text.begin(), text.begin() + at, '\n') + 1) +
                       ": not JSON: " + rapidjson::GetParseError_En(document.GetParseError()));
   }
   try {
@@ -58,4 +60,4 @@
   } catch (const FormatError& error) { throw FormatError(path + ": " + error.what()); }
 }
 
-} // namespace gorsebeam::gateway
+} // namespace gorsebeam::config
--- a/src/gateway/config.h
+++ b/src/config/config.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace gorsebeam::gateway {
+namespace gorsebeam::config {
 
 struct Config {
   std::string name, listen, discovery;
@@ -19,4 +19,4 @@
 
 Config read_config(const std::string& path); // throws settings::FormatError naming file and field
 
-} // namespace gorsebeam::gateway
+} // namespace gorsebeam::config
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -77,7 +77,8 @@
   const bool crowded = connections_.size() >= limits_.connections && !evict();
   auto connection = make_(*this, std::move(socket));
   connection->crowded_ = crowded;
-  if (crowded) net::log_line("front", "turned a client away: " + std::to_string(connections_.size()) + " are connected");
+  if (crowded)
+    net::log_line("front", "turned a client away: " + std::to_string(connections_.size()) + " are connected");
   Connection* key = connection.get();
   connections_[key] = std::move(connection);
   // Guards the spare descriptors: beyond the ones to be turned away in words, clients wait in the kernel.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -69,8 +69,7 @@
   SocketHandle socket(g_socket_accept(socket_.get(), nullptr, &raw));
   const ErrorHandle error(raw);
   if (!socket) {
-    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-      log_line("accept", error->message);
+    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) log_line("accept", error->message);
     return false;
   }
   accepted_(std::move(socket));
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -111,8 +111,8 @@
 }
 
 bool Stream::readable() const {
-  return socket_ && g_socket_condition_check(socket_.get(), static_cast<GIOCondition>(
-                                                                G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
+  return socket_ && g_socket_condition_check(socket_.get(),
+                                             static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
 }
 
 // Whatever is thrown while one connection is served ends that connection and nothing else.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -38,8 +38,8 @@
   public:
     virtual ~Events() = default;
     virtual void connected() {}
-    virtual void received() = 0; // bytes were added to input()
-    virtual void flushed() {}    // all that was written has gone to the kernel
+    virtual void received() = 0;                    // bytes were added to input()
+    virtual void flushed() {}                       // all that was written has gone to the kernel
     virtual void ended(const std::string& why) = 0; // by the peer or by an error, not by close()
   };
 
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -16,9 +16,9 @@
   return fixed;
 }
 
-GSourceFuncs kReadyTimeOnly = {nullptr, nullptr,
-                               [](GSource*, GSourceFunc action, gpointer data) { return action(data); },
-                               nullptr, nullptr, nullptr};
+GSourceFuncs kReadyTimeOnly = {
+    nullptr, nullptr, [](GSource*, GSourceFunc action, gpointer data) { return action(data); },
+    nullptr, nullptr, nullptr};
 
 } // namespace
 
--- a/src/postgres/codec.cpp
+++ b/src/postgres/codec.cpp
@@ -90,7 +90,8 @@
   return out;
 }
 
-std::string error(const char* severity, const char* code, const std::string& text, const std::string& detail) {
+std::string error(const char* severity, const char* code, const std::string& text,
+                  const std::string& detail) {
   std::string body;
   const auto field = [&body](char type, const std::string& value) {
     body += type;
@@ -141,7 +142,8 @@
     if (!space(c) && c != ';' && ended) statement.several = true;
     if (c == '\'') {
       std::size_t end = i + 1; // a quote within is doubled
-      while ((end = text.find('\'', end)) != std::string_view::npos && text.compare(end, 2, "''") == 0) end += 2;
+      while ((end = text.find('\'', end)) != std::string_view::npos && text.compare(end, 2, "''") == 0)
+        end += 2;
       if (end == std::string_view::npos) break;
       if (statement.key.data() == nullptr) statement.key = text.substr(i + 1, end - i - 1);
       i = end + 1;
@@ -168,7 +170,8 @@
 std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most) {
   std::uint64_t value = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || fault != std::errc() || end != text.data() + text.size() || value > most) return std::nullopt;
+  if (text.empty() || fault != std::errc() || end != text.data() + text.size() || value > most)
+    return std::nullopt;
   return value;
 }
 
--- a/src/postgres/codec.h
+++ b/src/postgres/codec.h
@@ -32,16 +32,17 @@
 std::optional<std::string_view> startup_parameter(std::string_view body, std::string_view name);
 
 std::string message(char type, std::string_view body);
-std::string error(const char* severity, const char* code, const std::string& text, const std::string& detail = "");
+std::string error(const char* severity, const char* code, const std::string& text,
+                  const std::string& detail = "");
 std::optional<std::string_view> error_field(std::string_view body, char field);
 // ParameterStatus holds a name and a value.
 bool read_status(std::string_view body, std::string_view& name, std::string_view& value);
 
 // What the gateway reads of a statement; views lead into it.
 struct Statement {
-  bool select = false;       // a SELECT; everything else is taken for a write
-  bool several = false;      // more than one statement
-  std::string_view key;      // the first quoted literal
+  bool select = false;  // a SELECT; everything else is taken for a write
+  bool several = false; // more than one statement
+  std::string_view key; // the first quoted literal
   std::string_view id, service_class, deadline, idempotency, group, after, retry; // from the comment
 };
 Statement read_statement(std::string_view text);
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -26,8 +26,8 @@
 
 class PgConnection : public front::Connection {
 public:
-  PgConnection(front::Front& front, net::SocketHandle socket, const std::map<std::string, std::size_t>& classes)
-      : Connection(front, std::move(socket)), classes_(classes), ready_(message('Z', "I")) {}
+  PgConnection(front::Front& front, net::SocketHandle socket, const broker::Contracts& contracts)
+      : Connection(front, std::move(socket)), contracts_(contracts), ready_(message('Z', "I")) {}
 
   broker::Parts body(Nanos left) override {
     // The statement stands in the input until it is answered; only the waiting time is written anew.
@@ -84,7 +84,13 @@
       skip_to_sync_ = false;
       stream_->write({ready_});
       return stream_->input().consume(m.whole.size());
-    case 'P': case 'B': case 'D': case 'E': case 'C': case 'F': case 'H':
+    case 'P':
+    case 'B':
+    case 'D':
+    case 'E':
+    case 'C':
+    case 'F':
+    case 'H':
       // The extended protocol: told once, then nothing is heeded until the client synchronizes.
       skip_to_sync_ = m.type != 'F';
       stream_->write({error("ERROR", "0A000", "only simple queries are served")});
@@ -112,12 +118,16 @@
     if (crowded()) return reject("53300", "too many connections");
     user_ = startup_parameter(body, "user").value_or("");
     if (user_.empty()) return reject("28000", "the startup message names no user");
+    if (!contracts_.knows(user_)) return reject("28000", "no contract with the team '" + user_ + "'");
     started_ = true;
     std::string hello = message('R', std::string_view("\0\0\0\0", 4));
     for (const std::string_view status :
-         {std::string_view("server_version\0" "15.0\0", 20), std::string_view("server_encoding\0UTF8\0", 21),
-          std::string_view("client_encoding\0UTF8\0", 21), std::string_view("DateStyle\0ISO, MDY\0", 19),
-          std::string_view("integer_datetimes\0on\0", 21), std::string_view("standard_conforming_strings\0on\0", 31)})
+         {std::string_view("server_version\0"
+                           "15.0\0",
+                           20),
+          std::string_view("server_encoding\0UTF8\0", 21), std::string_view("client_encoding\0UTF8\0", 21),
+          std::string_view("DateStyle\0ISO, MDY\0", 19), std::string_view("integer_datetimes\0on\0", 21),
+          std::string_view("standard_conforming_strings\0on\0", 31)})
       hello += message('S', status);
     hello += message('K', std::string_view("\0\0\0\1\0\0\0\0", 8));
     stream_->write({hello, ready_});
@@ -125,7 +135,8 @@
   }
 
   void query(const Message& m) {
-    if (m.body.empty() || m.body.back() != '\0') return reject("08P01", "a query does not end in a zero byte");
+    if (m.body.empty() || m.body.back() != '\0')
+      return reject("08P01", "a query does not end in a zero byte");
     const std::string_view text = m.body.substr(0, m.body.size() - 1);
     if (text.find('\0') != std::string_view::npos) return reject("08P01", "a query holds a zero byte");
     if (is_blank(text)) {
@@ -133,13 +144,15 @@
       return stream_->input().consume(m.whole.size());
     }
     const Statement s = read_statement(text);
-    const auto found = classes_.find(std::string(s.service_class));
+    const auto found = contracts_.classes.find(std::string(s.service_class));
     const auto deadline = whole_number(s.deadline, kDeadlineMost);
     const auto group = whole_number(s.group, 0xffffffffu);
     if (s.several) return decline(m, "42601", "a query holds one statement");
     if (s.id.empty()) return decline(m, "42601", "the statement's comment holds no id");
-    if (found == classes_.end()) return decline(m, "42601", "the statement's comment names no known class");
-    if (!deadline || *deadline == 0) return decline(m, "42601", "the statement's comment holds no time to wait");
+    if (found == contracts_.classes.end())
+      return decline(m, "42601", "the statement's comment names no known class");
+    if (!deadline || *deadline == 0)
+      return decline(m, "42601", "the statement's comment holds no time to wait");
     if (!group) return decline(m, "42601", "the statement's comment names no cluster");
     const RequestClass& c = front_.core().settings().classes[found->second];
     // Guards the rules on repeats: a write under a reading class would be repeated as if it changed nothing.
@@ -156,13 +169,15 @@
     if (const auto after = whole_number(s.after, 9'000'000'000'000ULL))
       request.token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
     request.retry = s.retry == "1";
+    if (!contracts_.apply(user_, net::now(), request))
+      return decline(m, "42501", "the team's contract does not hold this class");
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
     begin(std::move(request));
   }
 
-  const std::map<std::string, std::size_t>& classes_;
+  const broker::Contracts& contracts_;
   const std::string ready_;
   std::string user_, left_;
   bool started_ = false, skip_to_sync_ = false;
@@ -171,9 +186,9 @@
 
 } // namespace
 
-front::Front::Make make_connection(const std::map<std::string, std::size_t>& classes) {
-  return [&classes](front::Front& front, net::SocketHandle socket) {
-    return std::make_unique<PgConnection>(front, std::move(socket), classes);
+front::Front::Make make_connection(const broker::Contracts& contracts) {
+  return [&contracts](front::Front& front, net::SocketHandle socket) {
+    return std::make_unique<PgConnection>(front, std::move(socket), contracts);
   };
 }
 
--- a/src/postgres/front.h
+++ b/src/postgres/front.h
@@ -3,11 +3,11 @@
 
 #include "front/front.h"
 
-#include <map>
+#include "broker/contracts.h"
 
 namespace gorsebeam::postgres {
 
-// `classes` outlives the front: the settings' classes by name.
-front::Front::Make make_connection(const std::map<std::string, std::size_t>& classes);
+// `contracts` outlives the front.
+front::Front::Make make_connection(const broker::Contracts& contracts);
 
 } // namespace gorsebeam::postgres
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -115,6 +115,11 @@
   int out = 0;
 };
 
+struct Budget { // what is left of a tenant's
+  double left = std::numeric_limits<double>::infinity();
+  Nanos at = 0;
+};
+
 struct ClassStat {
   double usual = 0; // the middle answer time of this class, overdue ones counted as long
   double seen = 0;  // requests lately: its share of this router's traffic
@@ -128,6 +133,7 @@
       : s_(std::move(settings)), phase_(static_cast<Nanos>(mix(seed) % static_cast<std::uint64_t>(kPulse))) {
     check_settings();
     for (const RequestClass& c : s_.classes) stats_.push_back({static_cast<double>(c.aim) / 5, 0});
+    budgets_.resize(s_.tenants.size());
   }
 
   void handle(Nanos now, const Event& event, std::vector<Action>& actions) {
@@ -452,11 +458,15 @@
     return static_cast<Nanos>(std::min(limit, 2.0 * static_cast<double>(c.deadline)));
   }
 
+  std::size_t attempts_of(const Job& job) const { // what the site allows, and what its contract does
+    return std::min(s_.max_attempts, job.request.attempts ? job.request.attempts : s_.max_attempts);
+  }
+
   void advance(Job& job) {
     if (job.closed || (now_ < job.not_before && now_ < job.end)) return;
     const RequestClass& c = s_.classes[job.request.class_index];
     if (job.out > 0) return second_copy(job);
-    if (now_ >= job.end || job.attempts.size() >= s_.max_attempts) return give_up(job);
+    if (now_ >= job.end || job.attempts.size() >= attempts_of(job)) return give_up(job);
     if (c.effect == Effect::Unsafe && job.may_have_run != kUnknown) return give_up(job);
     if (c.level == ReadLevel::Write || c.level == ReadLevel::Fresh) return to_primary(job);
     if (const auto id = trial(job, false); id && send(job, *id, true)) return;
@@ -516,7 +526,7 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     const Attempt& last = job.attempts.back();
     if (c.effect == Effect::Unsafe || job.copied || !last.out || c.level == ReadLevel::Fresh) return;
-    if (c.level == ReadLevel::Write || job.attempts.size() >= s_.max_attempts) return;
+    if (c.level == ReadLevel::Write || job.attempts.size() >= attempts_of(job)) return;
     const bool bad = rows_.at(last.member).set_aside;
     if (!s_.second_copies || !last.overdue || (!bad && copies_ < 1)) return;
     if (now_ + static_cast<Nanos>(work_of(job)) > job.end) return;
@@ -560,7 +570,7 @@
     const auto it = rows_.find(id);
     if (job.closed || it == rows_.end() || it->second.entry.group != job.request.group) return false;
     MemberRow& m = it->second;
-    if (job.attempts.size() >= s_.max_attempts || now_ >= job.request.deadline) return false;
+    if (job.attempts.size() >= attempts_of(job) || now_ >= job.request.deadline) return false;
     if (!usable(m)) return false; // drains kept
     if (job.out > 0 && (!s_.second_copies || c.effect != Effect::Safe)) return false;
     if (job.may_have_run != kUnknown && c.effect != Effect::Safe) { // no effect twice
@@ -580,6 +590,25 @@
     return true;
   }
 
+  // A team's budget at this router: a bucket that fills at its rate and holds its burst. Beyond it a request is
+  // refused before anything was sent, and told when the next one fits.
+  bool within_budget(Job& job) {
+    if (!job.request.tenant || *job.request.tenant >= budgets_.size()) return true;
+    const Tenant& tenant = s_.tenants[*job.request.tenant];
+    if (tenant.budget <= 0) return true;
+    Budget& budget = budgets_[*job.request.tenant];
+    const double filled = static_cast<double>(now_ - budget.at) / 1e9 * tenant.budget;
+    budget.left = std::min(std::max(tenant.burst, 1.0), budget.left + filled);
+    budget.at = now_;
+    if (budget.left >= 1) {
+      budget.left -= 1;
+      return true;
+    }
+    job.closed = true;
+    act(Refuse{job.request.id, static_cast<Nanos>((1 - budget.left) / tenant.budget * 1e9)});
+    return false;
+  }
+
   // Every final answer of ours passes here: refused when that is true to say, failed otherwise.
   void give_up(Job& job) {
     if (job.closed || job.out > 0) return;
@@ -667,8 +696,10 @@
     stats_[request.class_index].seen += 1;
     copies_ = std::min(copies_ + kCopyShare, kCopyBurst);
     probes_ = std::min(probes_ + kProbeShare, kProbeBurst);
-    if (c.level != ReadLevel::Write) keep_heard(groups_[request.group], c);
-    advance(job);
+    if (within_budget(job)) {
+      if (c.level != ReadLevel::Write) keep_heard(groups_[request.group], c);
+      advance(job);
+    }
     settle(job);
   }
 
@@ -735,7 +766,8 @@
       m.errors -= kSmooth * m.errors;
       if (read && s_.checks != Checks::None && a.need != kUnknown)
         prove(m, a.need, a.need > m.position ? a.sent_at : kUnknown);
-      if (!read && outcome.position) remember_write(job, *outcome.position);
+      if (const auto commit = outcome.commit ? outcome.commit : outcome.position; !read && commit)
+        remember_write(job, *commit);
       if (!a.overdue) m.failures = 0;
       if (!a.overdue && (a.trial || !m.needs_trial)) { // an answer proves more than a probe
         m.trial_gap = kTrialGap;
@@ -912,6 +944,7 @@
   Nanos floor_ = kUnknown;
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
+  std::vector<Budget> budgets_;                         // by tenant
   double copies_ = kCopyBurst;
   std::uint64_t next_ = 0;
   double probes_ = kProbeBurst;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -42,9 +42,7 @@
   }
 
   // Ends the errand with what is known, and the connection with it.
-  void fail(Result result) {
-    finish(result_only(result), false);
-  }
+  void fail(Result result) { finish(result_only(result), false); }
 
   static Answer result_only(Result result) {
     Answer answer;
@@ -90,8 +88,7 @@
       bool turned_away = false;
       const Step step = wire_->welcome(in, used, turned_away);
       if (step == Step::More) return;
-      if (step == Step::Broken || turned_away)
-        return fail(turned_away ? Result::Full : Result::NoConnection);
+      if (step == Step::Broken || turned_away) return fail(turned_away ? Result::Full : Result::NoConnection);
       stream_->input().consume(used);
       return ready();
     }
