Tell the stories of both protocols by one script, and mend what they showed

Seen by the stories: what was written to a connection before it was up never left (stream.cpp dropped its write source on connect); a keyed write whose primary broke one connection and lived on was never offered to it again (find_primary skipped every member tried, probes ruled out as the cause: the primary had answered one since), so it failed; both protocols alike. SIGHUP reads the inventories again.

--- a/src/config/broker_file.cpp
+++ b/src/config/broker_file.cpp
@@ -24,7 +24,7 @@
     if (const YAML::Node mongo = root["mongo"]) {
       only(mongo, "mongo", {"listen", "inventory"});
       file.mongo_listen = need(mongo, "listen");
-      if (!net::parse_address(file.mongo_listen))
+      if (!net::parse_address(file.mongo_listen, 0))
         wrong(mongo["listen"], "listen", "is no numeric address and port");
       file.mongo_inventory = beside(need(mongo, "inventory"));
     }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -23,6 +23,18 @@
   return seed;
 }
 
+// JSON keeps no lines, so the field that a message names, in quotes, is looked for in the text: where it first stands
+// as a key; line 1 where it is missing.
+std::size_t line_of_field(const std::string& text, const std::string& message) {
+  const std::size_t open = message.find('\''), close = message.find('\'', open + 1);
+  if (open == std::string::npos || close == std::string::npos) return 1;
+  const std::size_t at = text.find('"' + message.substr(open + 1, close - open - 1) + '"');
+  if (at == std::string::npos) return 1;
+  return static_cast<std::size_t>(
+             std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n')) +
+         1;
+}
+
 Config read(const settings::Json& document) {
   const Reader body(document, "the configuration");
   Config config;
@@ -30,7 +42,7 @@
   config.listen = body.text("listen");
   config.discovery = body.text("discovery");
   for (const char* field : {"listen", "discovery"})
-    if (!net::parse_address(body.text(field))) body.wrong(field, "an address and a port");
+    if (!net::parse_address(body.text(field), 0)) body.wrong(field, "an address and a port");
   config.seed = seed_of(body.text("seed"));
   if (body.find("limits")) {
     const std::int64_t sockets = body.object("limits").integer("sockets", 1024);
@@ -57,7 +69,10 @@
   }
   try {
     return read(document);
-  } catch (const FormatError& error) { throw FormatError(path + ": " + error.what()); }
+  } catch (const FormatError& error) {
+    throw FormatError(path + ": line " + std::to_string(line_of_field(text, error.what())) + ": " +
+                      error.what());
+  }
 }
 
 } // namespace gorsebeam::config
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -37,7 +37,9 @@
 }
 
 void Watch::again(const std::string& why) {
-  net::log_line("discovery", "watch ended: " + why);
+  // Told once for each cause while the agent stays away.
+  if (head_read_ || why != told_) net::log_line("discovery", "watch ended: " + why);
+  told_ = why;
   stop();
   retry_.after(kRetry);
 }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -33,6 +33,7 @@
   std::shared_ptr<net::Stream> stream_;
   net::Timer silence_, retry_;
   bool head_read_ = false, chunked_ = false;
+  std::string told_; // why it ended, as last logged
   std::string body_; // of the answer, up to the line not yet whole
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,12 +116,30 @@
   last_.after(longest + kStillAccepting);
 }
 
+void Gateway::reload() {
+  try {
+    const config::BrokerFile& files = plan_.broker;
+    if (!files.postgres_inventory.empty()) plan_.postgres = inventory::read(files.postgres_inventory);
+    if (!files.mongo_inventory.empty()) plan_.mongo = inventory::read(files.mongo_inventory);
+  } catch (const std::exception& error) {
+    return net::log_line("inventory", std::string("kept as it was: ") + error.what());
+  }
+  if (!plan_.postgres.empty()) postgres_->core.list(MemberList::Kind::Full, plan_.postgres);
+  if (mongo_) mongo_->core.list(MemberList::Kind::Full, plan_.mongo);
+  net::log_line("inventory", "read again");
+}
+
 int Gateway::run() {
   const auto on_signal = [](gpointer self) -> gboolean {
     static_cast<Gateway*>(self)->stop();
     return G_SOURCE_CONTINUE;
   };
-  const guint sources[] = {g_unix_signal_add(SIGTERM, on_signal, this),
+  const auto on_hangup = [](gpointer self) -> gboolean {
+    static_cast<Gateway*>(self)->reload();
+    return G_SOURCE_CONTINUE;
+  };
+  const guint sources[] = {g_unix_signal_add(SIGHUP, on_hangup, this),
+                           g_unix_signal_add(SIGTERM, on_signal, this),
                            g_unix_signal_add(SIGINT, on_signal, this)};
   g_main_loop_run(loop_);
   for (const guint source : sources) g_source_remove(source);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,7 @@
 
 private:
   void stop();
+  void reload(); // the inventories; a bad one is told of and changes nothing
 
   Plan plan_;
   GMainLoop* loop_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -10,7 +10,7 @@
 } // namespace
 
 bool Listener::listen(const std::string& text, std::string& why) {
-  const AddressHandle address = parse_address(text);
+  const AddressHandle address = parse_address(text, 0); // port 0: any free one
   if (!address) {
     why = "'" + text + "' is no address and port";
     return false;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -23,11 +23,12 @@
 
 } // namespace
 
-AddressHandle parse_address(const std::string& text) {
+AddressHandle parse_address(const std::string& text, unsigned least_port) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return nullptr;
   guint64 port = 0;
-  if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, 1, 65535, &port, nullptr)) return nullptr;
+  if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, least_port, 65535, &port, nullptr))
+    return nullptr;
   const std::string host = text.substr(0, colon);
   return AddressHandle(g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
 }
@@ -146,6 +147,7 @@
       stream->connecting_ = false;
       stream->out_.reset();
       stream->watch_in();
+      if (!stream->all_written()) stream->watch_out(); // what was written before it was up
       stream->events_->connected();
       return;
     }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -15,7 +15,7 @@
 using Parts = std::vector<std::string_view>;
 
 // "127.0.0.4:6432"; no names are looked up. Nothing where the text is no numeric address and port.
-AddressHandle parse_address(const std::string& text);
+AddressHandle parse_address(const std::string& text, unsigned least_port = 1);
 
 // Received bytes, parsed in place: views stay good until the next consume, or the next read.
 class Input {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -512,7 +512,11 @@
     std::optional<MemberId> best;
     for (const MemberId id : group.members) {
       const MemberRow& m = rows_.at(id);
-      if (!usable(m) || (m.set_aside && now_ < m.trial_at) || tried(job, id)) continue;
+      // Tried once, a member may have it again if it has shown since that it is the primary: it may have broken
+      // one connection and live on, and then no one else would ever take the write.
+      const bool shown =
+          group.primary == id && !job.attempts.empty() && group.primary_info > job.attempts.back().sent_at;
+      if (!usable(m) || (m.set_aside && now_ < m.trial_at) || (tried(job, id) && !shown)) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
     }
     if (!best) return;
--- /dev/null
+++ b/tests/stories/files.cpp
@@ -0,0 +1,103 @@
+// Configuration and inventories: what is fine is taken; what is not ends the program before it listens, with one
+// message that names file, line and field. And discovery's watch, from a stand-in agent.
+#include "stage.h"
+
+#include "inventory/inventory.h"
+#include "settings/json.h"
+
+#include <csignal>
+#include <fstream>
+
+using namespace stage;
+
+namespace {
+
+std::string write(const std::string& folder, const std::string& name, const std::string& text) {
+  std::ofstream(folder + "/" + name) << text;
+  return folder + "/" + name;
+}
+
+void inventories() {
+  const std::string folder = temporary_folder();
+  const auto csv = gorsebeam::inventory::read(
+      write(folder, "a.csv",
+            "# kept by the tools\r\nname,group,address,zone,role,state,size,started\r\n"
+            "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\ndb2,3,127.0.0.1:27018,b,,draining,"
+            ",\r\n"));
+  CHECK(csv.size() == 2 && csv[0].name == "db,1" && csv[0].member.group == 3 && csv[0].member.primary);
+  CHECK(csv[0].member.size == 2.5 && csv[0].member.started_at == 1767225600LL * 1'000'000'000);
+  CHECK(csv[1].member.state == gorsebeam::MemberState::Draining && !csv[1].member.primary);
+  const auto yaml = gorsebeam::inventory::read(write(
+      folder, "a.yaml",
+      "all:\n  vars: {zone: a, ansible_user: ops}\n  children:\n    group_three:\n      vars: {group: 3}\n"
+      "      hosts:\n        db1: {ansible_host: 127.0.0.1, ansible_port: 27017, role: primary}\n"
+      "        db2: {address: '127.0.0.1:27018', zone: b}\n"));
+  CHECK(yaml.size() == 2 && yaml[0].address == "127.0.0.1:27017" && yaml[0].member.zone == "a");
+  CHECK(yaml[1].member.zone == "b" && yaml[1].member.group == 3 && yaml[0].member.primary);
+
+  const struct {
+    const char *name, *text, *place, *field;
+  } bad[] = {
+      {"b1.csv", "name,address,group\ndb1,127.0.0.1:1,0\ndb1,127.0.0.1:2,0\n", "line 3", "'name'"},
+      {"b2.csv", "name,address,group\ndb1,db1.example:27017,0\n", "line 2", "'address'"},
+      {"b3.csv", "name,address,group\ndb1,127.0.0.1:1,x\n", "line 2", "'group'"},
+      {"b4.csv", "name,address,colour\n", "line 1", "'colour'"},
+      {"b5.csv", "name,address,group\ndb1,127.0.0.1:1\n", "line 2", "'address'"},
+      {"b6.csv", "name,address,group\n\ndb1,\"127.0.0.1:1,0\n", "line 3", "'name'"},
+      {"b7.yaml", "all:\n  hosts:\n    db1: {address: '127.0.0.1:1', group: 0, role: king}\n", "line 3",
+       "'role'"},
+      {"b8.yaml", "all:\n  hosts:\n    db1: {group: 0}\n", "line 3", "'address'"},
+      {"b9.yaml", "all:\n  hosts: [\n", "line 3", "'yaml'"},
+      {"b10.yaml", "all:\n  machines: {}\n", "line 2", "'machines'"},
+  };
+  const std::string config = write_config(folder, "127.0.0.1:9");
+  for (const auto& b : bad) {
+    write(folder, b.name, b.text);
+    const std::string broker = write(
+        folder, "broker.yaml", std::string("mongo: {listen: '127.0.0.1:0', inventory: ") + b.name + "}\n");
+    std::string output;
+    CHECK(run_program({"serve", "--config", config, "--broker", broker}, output) == 1);
+    const bool told = output.find(b.name) != std::string::npos && output.find(b.place) != std::string::npos &&
+                      output.find(b.field) != std::string::npos &&
+                      output.find('\n') == output.size() - 1; // one message
+    if (!told) std::fprintf(stderr, "%s: %s", b.name, output.c_str());
+    CHECK(told);
+  }
+}
+
+void configurations() {
+  const std::string folder = temporary_folder(), config = write_config(folder, "127.0.0.1:9");
+  std::string output;
+  CHECK(run_program({"version"}, output) == 0);
+  CHECK(run_program({"check", "--config", config}, output) == 0);
+  const struct {
+    const char *text, *place, *field;
+  } bad[] = {{"teams:\n  portal:\n    classes: {nothing: }\n", "line 3", "'nothing'"},
+             {"teams:\n  portal:\n    budget: {per_second: plenty}\n    classes: {any: }\n", "line 3",
+              "'per_second'"},
+             {"teams:\n  portal:\n    classes:\n      any: {attempts: 1.5}\n", "line 4", "'attempts'"},
+             {"mongo: {listen: everywhere, inventory: a.csv}\n", "line 1", "'listen'"},
+             {"teams:\n  portal: {}\n", "line 2", "'classes'"},
+             {"moongo: {}\n", "line 1", "'moongo'"}};
+  for (const auto& b : bad) {
+    const std::string broker = write(folder, "broker.yaml", b.text);
+    CHECK(run_program({"check", "--config", config, "--broker", broker}, output) == 1);
+    if (output.find(b.place) == std::string::npos || output.find(b.field) == std::string::npos)
+      std::fprintf(stderr, "%s", output.c_str());
+    CHECK(output.find("broker.yaml: " + std::string(b.place)) != std::string::npos);
+    CHECK(output.find(b.field) != std::string::npos);
+  }
+  CHECK(run_program({"check", "--config", write(folder, "c.json", "{\"name\":\"n0\",\n\"listen\":")},
+                    output) == 1);
+  CHECK(output.find("c.json: line 2") != std::string::npos);
+  CHECK(run_program({"check", "--config", write(folder, "d.json", "{\"name\":\"n0\",\n\"listen\":7}")},
+                    output) == 1);
+  CHECK(output.find("d.json: line 2: ") != std::string::npos && output.find("'listen'") != std::string::npos);
+}
+
+} // namespace
+
+int main(int, char** arguments) {
+  std::string(arguments[1]) == "inventories" ? inventories() : configurations();
+  std::printf("%s: fine\n", arguments[1]);
+}
--- /dev/null
+++ b/tests/stories/stage.h
@@ -0,0 +1,141 @@
+// The one helper of the stories: the built program, stand-in members and clients of both protocols on loopback, and
+// the rules that every story ends with. Runs on the main loop; waits are for events, with a generous limit.
+#pragma once
+
+#include "net/listener.h"
+#include "net/stream.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// Lives in Release too, where assert does not.
+#define CHECK(condition)                                                                                     \
+  do {                                                                                                       \
+    if (!(condition)) {                                                                                      \
+      std::fprintf(stderr, "%s:%d: not so: %s\n", __FILE__, __LINE__, #condition);                           \
+      std::exit(1);                                                                                          \
+    }                                                                                                        \
+  } while (false)
+
+namespace stage {
+
+void until(const std::function<bool()>& condition, const char* what);
+void pass(int ms); // lets so much time go by
+
+enum class Fault { Serve, Miss, Error, Full, Reset, Silent, Garbage };
+enum class Final { Served, Refused, Failed };
+
+struct Ask { // one request as a client writes it, and as a member reads it
+  std::string id, service_class = "any", key = "k1";
+  int wait_ms = 2000;
+  bool write = false;
+};
+
+// What differs between the protocols, on the stand-ins' side: bytes in and out.
+class Protocol {
+public:
+  virtual ~Protocol() = default;
+  virtual const char* name() const = 0;
+  virtual std::string client_hello() const = 0;
+  virtual std::string client_ask(const Ask& ask) const = 0;
+  // Takes one answer off `in`: nothing while it is not whole.
+  virtual std::optional<Final> client_answer(std::string& in, std::string& value) const = 0;
+  // Takes one message off `in`; `ask` is set for a request, `reply` holds what a greeting or probe gets.
+  virtual bool member_message(std::string& in, bool primary, std::optional<Ask>& ask,
+                              std::string& reply) const = 0;
+  virtual std::string member_answer(Fault fault, bool primary, const std::string& value) const = 0;
+};
+const Protocol& postgres();
+const Protocol& mongo();
+
+class Stage;
+
+class Member { // listens, and does as the script says
+public:
+  Member(Stage& stage, std::string name, bool listed_primary, bool primary);
+  std::string name, address, state = "up";
+  bool listed_primary, primary;
+  int requests = 0;
+  void die(); // resets its connections and refuses new ones
+  std::int64_t last_request = 0;
+
+private:
+  struct Link;
+  void accept(gorsebeam::net::SocketHandle socket);
+  Stage& stage_;
+  gorsebeam::net::Listener listener_;
+  std::list<std::shared_ptr<Link>> links_;
+};
+
+class Client : gorsebeam::net::Stream::Events {
+public:
+  Client(Stage& stage, const std::string& address);
+  void write(const std::string& bytes) { stream_->write({bytes}); }
+  void ask(const Ask& ask);
+  Final answer(); // waits for the next one
+  Final answer_to(const Ask& question) {
+    ask(question);
+    return answer();
+  }
+  void hang_up() { stream_->close(); }
+  std::string value; // the last one served
+  std::string input; // bytes not taken for an answer
+  bool ended_by_gateway = false;
+  std::deque<Final> answers;
+
+private:
+  void received() override;
+  void ended(const std::string&) override { ended_by_gateway = true; }
+  Stage& stage_;
+  std::shared_ptr<gorsebeam::net::Stream> stream_;
+};
+
+class Stage {
+public:
+  // Members of group 0 in the order given, the first listed as primary; `primary` tells who is.
+  Stage(const Protocol& protocol, std::size_t members, std::size_t primary, const std::string& teams = "");
+  ~Stage();
+  void start();
+  std::unique_ptr<Client> client(); // connected and greeted
+  void write_inventory();           // with the members' states; a running program reads it again
+  void signal(int number);
+  int exit_code(); // waits for the program's end
+  bool running() const { return !exited_; }
+  void check_rules(); // of all that went by
+
+  const Protocol& protocol;
+  std::vector<std::unique_ptr<Member>> members;
+  std::deque<Fault> script; // one for each attempt of a request; then Serve
+  std::string log;          // what the program wrote
+
+  struct Attempt {
+    Ask ask;
+    Member* member;
+    bool out, may_have_run;
+  };
+  std::vector<Attempt> attempts;
+  std::map<std::string, int> asked, answered;
+
+private:
+  void take_log();
+  std::string folder_, address_;
+  GPid pid_ = 0;
+  int log_fd_ = -1, status_ = 0;
+  bool exited_ = false;
+};
+
+// Runs the program to its end; for files that it must refuse.
+int run_program(const std::vector<std::string>& arguments, std::string& output);
+std::string write_config(const std::string& folder, const std::string& discovery);
+std::string temporary_folder();
+
+} // namespace stage
--- /dev/null
+++ b/tests/stories/stories.cpp
@@ -0,0 +1,211 @@
+// The stories: each protocol goes through the same ones, by the same script, and under the same rules.
+#include "stage.h"
+
+#include <csignal>
+#include <cstring>
+
+using namespace stage;
+
+namespace {
+
+Ask read(const std::string& id, int wait_ms = 2000) { return {id, "any", "", wait_ms, false}; }
+Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
+
+int attempts_of(const Stage& stage, const std::string& id) {
+  int count = 0;
+  for (const auto& a : stage.attempts) count += a.ask.id == id;
+  return count;
+}
+
+constexpr int kSome = -1; // as many attempts as it takes, within the rules
+
+void finish(Stage& stage) {
+  stage.check_rules();
+  CHECK(stage.running());
+}
+
+// One shared script of faults: what became of each request must be the same whatever the wire.
+void faults(const Protocol& protocol) {
+  struct Line {
+    Ask ask;
+    std::vector<Fault> script;
+    Final final;
+    int attempts;
+  };
+  const Line lines[] = {
+      {read("plain"), {Fault::Serve}, Final::Served, 1},
+      {read("full"), {Fault::Full, Fault::Serve}, Final::Served, 2},
+      {save("keyed-full"), {Fault::Full, Fault::Serve}, Final::Served, 2},
+      {{"once-full", "once", "key", 2500, true}, {Fault::Full, Fault::Serve}, Final::Served, 2},
+      {read("error"), {Fault::Error, Fault::Serve}, Final::Served, 2},
+      {{"once-error", "once", "key", 2500, true}, {Fault::Error}, Final::Failed, 1},
+      {read("garbage"), {Fault::Garbage, Fault::Serve}, Final::Served, 2},
+      {read("reset"), {Fault::Reset, Fault::Serve}, Final::Served, 2},
+      // A silent member: no second attempt while the first is out; refused at the end, as a read is harmless.
+      {read("silent", 400), {Fault::Silent}, Final::Refused, 1},
+      // The primary breaks one connection and lives on: the write comes back to it, over replicas or not; one that
+      // may not be repeated ends as failed.
+      {save("keyed-reset"), {Fault::Reset, Fault::Serve}, Final::Served, kSome},
+      {{"once-reset", "once", "key", 2500, true}, {Fault::Reset}, Final::Failed, 1},
+  };
+  for (const Line& line : lines) {
+    Stage stage(protocol, 3, 0);
+    stage.start();
+    const auto client = stage.client();
+    // So many good answers first that one bad one does not count as a crowd: what follows is the same every time.
+    for (int i = 0; i < 12; ++i) {
+      CHECK(client->answer_to(read("r" + std::to_string(i))) == Final::Served);
+      CHECK(client->answer_to(save("w" + std::to_string(i))) == Final::Served);
+      CHECK(client->value == "by m0");
+    }
+    stage.script.assign(line.script.begin(), line.script.end());
+    const Final final = client->answer_to(line.ask);
+    const bool as_told = line.attempts == kSome || attempts_of(stage, line.ask.id) == line.attempts;
+    if (final != line.final || !as_told)
+      std::fprintf(stderr, "%s: %s: final %d, %d attempts\n", protocol.name(), line.ask.id.c_str(),
+                   static_cast<int>(final), attempts_of(stage, line.ask.id));
+    CHECK(final == line.final);
+    CHECK(as_told);
+    CHECK(client->answer_to(read("after")) == Final::Served);
+    CHECK(client->answers.empty());
+    for (const auto& a : stage.attempts) CHECK(a.ask.wait_ms > 0 && a.ask.wait_ms <= 2500);
+    finish(stage);
+  }
+}
+
+// The hard case: a write with its key goes to the member listed as primary, which is a replica by now and turns it
+// away. It must reach the real primary, under the same key, and be answered once.
+void turned_away(const Protocol& protocol) {
+  Stage stage(protocol, 3, 2);
+  stage.start();
+  const auto client = stage.client();
+  CHECK(client->answer_to(save("w1")) == Final::Served);
+  CHECK(client->value == "by m2");
+  CHECK(stage.attempts.back().member == stage.members[2].get() && stage.attempts.back().ask.key == "key-w1");
+  const int before = stage.members[2]->requests;
+  CHECK(client->answer_to(save("w2")) == Final::Served);
+  CHECK(stage.members[2]->requests == before + 1 && attempts_of(stage, "w2") == 1); // learnt
+  finish(stage);
+}
+
+// A member that is told to drain gets nothing new after 250 ms; what was asked meanwhile is served elsewhere.
+void drains(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  stage.start();
+  const auto client = stage.client();
+  for (int i = 0; i < 20; ++i) CHECK(client->answer_to(read("a" + std::to_string(i))) == Final::Served);
+  stage.members[1]->state = "draining";
+  stage.write_inventory();
+  const int before = stage.members[1]->requests;
+  for (int i = 0; i < 40; ++i) CHECK(client->answer_to(read("b" + std::to_string(i))) == Final::Served);
+  CHECK(stage.members[1]->requests == before);
+  finish(stage);
+}
+
+// A member dies: its connections reset and new ones are refused. Reads go on, each with one answer.
+void dies(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  stage.start();
+  const auto client = stage.client();
+  for (int i = 0; i < 12; ++i) CHECK(client->answer_to(read("a" + std::to_string(i))) == Final::Served);
+  stage.members[1]->die();
+  for (int i = 0; i < 24; ++i) CHECK(client->answer_to(read("b" + std::to_string(i))) == Final::Served);
+  finish(stage);
+}
+
+// Whatever a client sends ends at its own connection.
+void bad_input(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto good = stage.client();
+  CHECK(good->answer_to(read("first")) == Final::Served);
+  const std::string hello = protocol.client_hello();
+  const std::string whole = protocol.client_ask(read("cut"));
+  std::vector<std::string> inputs{std::string(64, '\xff'), hello + std::string(64, '\xff'),
+                                  std::string(64, '\0')};
+  for (std::size_t at = 0; at < whole.size(); at += 3) { // one byte off, anywhere
+    std::string bent = whole;
+    bent[at] = static_cast<char>(bent[at] ^ 0x55);
+    inputs.push_back(hello + bent);
+  }
+  for (const std::string& input : inputs) {
+    const auto bad = stage.client();
+    bad->write(input);
+    pass(1);
+    bad->hang_up();
+  }
+  const auto oversized = stage.client();
+  oversized->write(protocol.client_ask({"big", "any", "", 2000, false}).substr(0, 1) +
+                   std::string(1 << 20, 'x'));
+  until([&] { return oversized->ended_by_gateway; }, "an oversized message to be turned away");
+  // A class that is not known, and a write under a class for reads: declined in words, and the connection goes on.
+  const auto client = stage.client();
+  CHECK(client->answer_to({"u", "unheard-of", "", 2000, false}) == Final::Failed);
+  CHECK(client->answer_to({"v", "any", "k", 2000, true}) == Final::Failed);
+  CHECK(client->answer_to(read("same-connection")) == Final::Served);
+  CHECK(good->answer_to(read("last")) == Final::Served);
+  stage.asked["cut"] = 1;
+  CHECK(stage.running());
+}
+
+// Requests written right behind the greeting, several at once: answered in order, one answer each.
+void written_ahead(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto client = stage.client();
+  for (int i = 0; i < 10; ++i) client->ask(read("p" + std::to_string(i)));
+  for (int i = 0; i < 10; ++i) CHECK(client->answer() == Final::Served);
+  CHECK(client->answers.empty());
+  finish(stage);
+}
+
+// After SIGTERM connections go on coming for a while and are served; what is in hand is answered; then it ends.
+void stops(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto client = stage.client();
+  CHECK(client->answer_to(read("before")) == Final::Served);
+  stage.script = {Fault::Silent};
+  client->ask(read("in-hand", 1200));
+  until([&] { return !stage.attempts.empty() && stage.attempts.back().ask.id == "in-hand"; },
+        "the request to go out");
+  stage.signal(SIGTERM);
+  pass(200);
+  const auto late = stage.client();
+  CHECK(late->answer_to(read("late")) == Final::Served);
+  CHECK(client->answer() == Final::Refused);
+  CHECK(stage.exit_code() == 0);
+  CHECK(late->answers.empty() && client->answers.empty());
+  stage.check_rules();
+}
+
+// A team's budget: beyond it refused at once; classes outside the contract are declined; strangers turned away.
+void budgets(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0,
+              "teams:\n  portal:\n    budget: {per_second: 0.01, burst: 3}\n    classes: {any: {attempts: 1, "
+              "deadline_ms: 700}}\n");
+  stage.start();
+  const auto client = stage.client();
+  CHECK(client->answer_to(read("one")) == Final::Served);
+  stage.script = {Fault::Error};
+  CHECK(client->answer_to(read("two")) == Final::Refused); // one attempt and no more, by the contract
+  CHECK(attempts_of(stage, "two") == 1);
+  CHECK(client->answer_to(save("not-theirs")) == Final::Failed);
+  CHECK(client->answer_to(read("three")) == Final::Served);
+  CHECK(client->answer_to(read("four")) == Final::Refused);
+  CHECK(attempts_of(stage, "four") == 0);
+  for (const auto& a : stage.attempts) CHECK(a.ask.wait_ms <= 700);
+  finish(stage);
+}
+
+} // namespace
+
+int main(int, char** arguments) {
+  const std::map<std::string, void (*)(const Protocol&)> stories{
+      {"faults", faults},       {"turned_away", turned_away},     {"drains", drains}, {"dies", dies},
+      {"bad_input", bad_input}, {"written_ahead", written_ahead}, {"stops", stops},   {"budgets", budgets}};
+  const auto story = stories.find(arguments[1]);
+  CHECK(story != stories.end());
+  story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
+  std::printf("%s on %s: fine\n", arguments[1], arguments[2]);
+}
