--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -512,8 +512,8 @@
     std::optional<MemberId> best;
     for (const MemberId id : group.members) {
       const MemberRow& m = rows_.at(id);
-      // Tried once, a member may have it again if it has shown since that it is the primary: it may have broken
-      // one connection and live on, and then no one else would ever take the write.
+      // Tried once, a member may have it again if it has shown since that it is the primary: it may have
+      // broken one connection and live on, and then no one else would ever take the write.
       const bool shown =
           group.primary == id && !job.attempts.empty() && group.primary_info > job.attempts.back().sent_at;
       if (!usable(m) || (m.set_aside && now_ < m.trial_at) || (tried(job, id) && !shown)) continue;
@@ -594,8 +594,8 @@
     return true;
   }
 
-  // A team's budget at this router: a bucket that fills at its rate and holds its burst. Beyond it a request is
-  // refused before anything was sent, and told when the next one fits.
+  // A team's budget at this router: a bucket that fills at its rate and holds its burst. Beyond it a request
+  // is refused before anything was sent, and told when the next one fits.
   bool within_budget(Job& job) {
     if (!job.request.tenant || *job.request.tenant >= budgets_.size()) return true;
     const Tenant& tenant = s_.tenants[*job.request.tenant];
