--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -191,6 +191,11 @@
         "the inventory");
 }
 
+void Stage::use_discovery(const std::string& agent) {
+  std::ofstream(folder_ + "/broker.yaml") << "teams: {}\n";
+  write_config(folder_, agent);
+}
+
 void Stage::start() {
   const std::string config = folder_ + "/config.json", broker = folder_ + "/broker.yaml";
   const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",        "--config", config.c_str(),
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -105,8 +105,9 @@
   Stage(const Protocol& protocol, std::size_t members, std::size_t primary, const std::string& teams = "");
   ~Stage();
   void start();
-  std::unique_ptr<Client> client(); // connected and greeted
-  void write_inventory();           // with the members' states; a running program reads it again
+  std::unique_ptr<Client> client();             // connected and greeted
+  void write_inventory();                       // with the members' states; a running program reads it again
+  void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
   void signal(int number);
   int exit_code(); // waits for the program's end
   bool running() const { return !exited_; }
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -198,12 +198,80 @@
   finish(stage);
 }
 
+// Discovery's agent, as a stand-in: one watch at a time, chunked, an object a line.
+struct Agent : gorsebeam::net::Stream::Events {
+  Agent() {
+    std::string why;
+    CHECK(listener.listen("127.0.0.1:0", why));
+  }
+  void received() override {
+    asked.append(stream->input().view());
+    stream->input().consume(stream->input().size());
+  }
+  void ended(const std::string&) override {}
+  void send(const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    stream->write({size, line, "\r\n"});
+  }
+  void list(const Stage& stage, int revision) {
+    std::string text = "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
+    for (const auto& m : stage.members)
+      text += std::string(m == stage.members[0] ? "" : ",") + "{\"id\":\"s-0000000" + m->name.back() +
+              "\",\"host_port\":\"" + m->address + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" +
+              (m->state == "up" ? "ready" : m->state) + "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
+              (m->listed_primary ? "master" : "replica") + "\"}";
+    text += "]}\n";
+    send(text.substr(0, 40)); // a line may come in pieces
+    send(text.substr(40));
+  }
+  void welcome() {
+    until([this] { return asked.find("\r\n\r\n") != std::string::npos; }, "the watch");
+    stream->write({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"});
+  }
+  std::string asked;
+  std::shared_ptr<gorsebeam::net::Stream> stream;
+  gorsebeam::net::Listener listener{[this](gorsebeam::net::SocketHandle socket) {
+    asked.clear();
+    stream = gorsebeam::net::Stream::adopt(std::move(socket), *this);
+  }};
+};
+
+// The list comes by a watch; a change is heeded; a broken line or a broken watch is asked for again, and a list as
+// held goes on meanwhile.
+void discovery(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  Agent agent;
+  stage.use_discovery(agent.listener.address());
+  stage.start();
+  agent.welcome();
+  CHECK(agent.asked.compare(0, 35, "GET /api/targets?watch=1&from=0 HTT") == 0);
+  agent.list(stage, 41);
+  const auto client = stage.client();
+  for (int i = 0; i < 20; ++i) CHECK(client->answer_to(read("a" + std::to_string(i))) == Final::Served);
+  stage.members[2]->state = "draining";
+  agent.list(stage, 42);
+  pass(250);
+  const int before = stage.members[2]->requests;
+  for (int i = 0; i < 40; ++i) CHECK(client->answer_to(read("b" + std::to_string(i))) == Final::Served);
+  CHECK(stage.members[2]->requests == before);
+  const auto broken = agent.stream;
+  agent.send("{\"revision\":43,\"members\":7}\n");
+  until([&] { return agent.stream != broken; }, "the watch to be opened again");
+  agent.welcome();
+  CHECK(agent.asked.find("from=0 ") != std::string::npos); // what was missed is not known: everything, please
+  agent.stream->close();
+  for (int i = 0; i < 10; ++i) CHECK(client->answer_to(read("c" + std::to_string(i))) == Final::Served);
+  finish(stage);
+}
+
 } // namespace
 
 int main(int, char** arguments) {
   const std::map<std::string, void (*)(const Protocol&)> stories{
-      {"faults", faults},       {"turned_away", turned_away},     {"drains", drains}, {"dies", dies},
-      {"bad_input", bad_input}, {"written_ahead", written_ahead}, {"stops", stops},   {"budgets", budgets}};
+      {"faults", faults}, {"turned_away", turned_away}, {"drains", drains},
+      {"dies", dies},     {"bad_input", bad_input},     {"written_ahead", written_ahead},
+      {"stops", stops},   {"budgets", budgets},         {"discovery", discovery}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
