--- a/src/config/broker_file.cpp
+++ b/src/config/broker_file.cpp
@@ -32,6 +32,7 @@
       only(postgres, "postgres", {"inventory"});
       file.postgres_inventory = beside(need(postgres, "inventory"));
     }
+    file.fixed = file.mongo_listen + '\n' + YAML::Dump(root["teams"]);
     if (const YAML::Node teams = root["teams"]) {
       map(teams, "teams");
       for (const auto& entry : teams) team(scalar(entry.first, "teams"), entry.second, file.contracts);
--- a/src/config/broker_file.h
+++ b/src/config/broker_file.h
@@ -10,6 +10,7 @@
 
 struct BrokerFile {
   broker::Contracts contracts;    // its classes are the settings'
+  std::string fixed;              // all that only a new start takes up, as text
   std::string mongo_listen;       // empty: the front is off
   std::string mongo_inventory;    // its members
   std::string postgres_inventory; // empty: discovery tells them
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,8 @@
 #include "net/stream.h"
 
 #include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 
 #include <algorithm>
 #include <charconv>
@@ -50,6 +52,16 @@
   }
   if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
   config.profile = settings::read_profile(body.object("settings"));
+  try {
+    Router(config.profile.settings, config.seed); // the module's own checks, before anything listens
+  } catch (const std::invalid_argument& error) { throw FormatError(error.what()); }
+  for (const char* field : {"listen", "limits", "settings"}) {
+    const settings::Json* value = body.find(field);
+    rapidjson::StringBuffer text;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+    if (value) value->Accept(writer);
+    config.fixed.append(text.GetString(), text.GetSize()) += '\n';
+  }
   return config;
 }
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -36,6 +36,16 @@
   if (stream_) stream_->close();
 }
 
+// Guards against a revision of the old address that the new one counts otherwise: the whole list is asked for.
+void Watch::follow(const std::string& address) {
+  if (address == address_) return;
+  stop();
+  address_ = address;
+  revision_ = 0;
+  told_.clear();
+  start();
+}
+
 void Watch::again(const std::string& why) {
   // Told once for each cause while the agent stays away.
   if (head_read_ || why != told_) net::log_line("discovery", "watch ended: " + why);
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -17,6 +17,7 @@
   Watch(broker::Core& core, std::string address, std::int64_t revision);
   void start();
   void stop();
+  void follow(const std::string& address); // goes over to it; the list as held goes on meanwhile
 
 private:
   void connected() override;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,8 @@
 
 Plan read_plan(const std::string& config, const std::string& broker_file) {
   Plan plan;
+  plan.config_path = config;
+  plan.broker_path = broker_file;
   plan.config = config::read_config(config);
   plan.broker.contracts.classes = plan.config.profile.classes;
   if (broker_file.empty()) return plan;
@@ -116,17 +118,23 @@
   last_.after(longest + kStillAccepting);
 }
 
+// Everything is read and checked before anything changes. Members keep what is known of them, as the module knows them
+// by their names; open requests never notice.
 void Gateway::reload() {
+  Plan fresh;
   try {
-    const config::BrokerFile& files = plan_.broker;
-    if (!files.postgres_inventory.empty()) plan_.postgres = inventory::read(files.postgres_inventory);
-    if (!files.mongo_inventory.empty()) plan_.mongo = inventory::read(files.mongo_inventory);
+    fresh = read_plan(plan_.config_path, plan_.broker_path);
   } catch (const std::exception& error) {
-    return net::log_line("inventory", std::string("kept as it was: ") + error.what());
+    return net::log_line("reload", std::string("kept all as it was: ") + error.what());
   }
-  if (!plan_.postgres.empty()) postgres_->core.list(MemberList::Kind::Full, plan_.postgres);
-  if (mongo_) mongo_->core.list(MemberList::Kind::Full, plan_.mongo);
-  net::log_line("inventory", "read again");
+  const bool from_files = !plan_.postgres.empty();
+  if (from_files != !fresh.postgres.empty() || fresh.mongo.empty() != plan_.mongo.empty() ||
+      fresh.config.fixed != plan_.config.fixed || fresh.broker.fixed != plan_.broker.fixed)
+    net::log_line("reload", "what differs beside discovery's address and the members waits for the next start");
+  if (watch_) watch_->follow(fresh.config.discovery);
+  if (from_files && !fresh.postgres.empty()) postgres_->core.list(MemberList::Kind::Full, fresh.postgres);
+  if (mongo_ && !fresh.mongo.empty()) mongo_->core.list(MemberList::Kind::Full, fresh.mongo);
+  net::log_line("reload", "read again; discovery is " + fresh.config.discovery);
 }
 
 int Gateway::run() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
   config::Config config;
   config::BrokerFile broker;
   std::vector<broker::Listed> postgres, mongo;
+  std::string config_path, broker_path; // read again on SIGHUP
 };
 Plan read_plan(const std::string& config, const std::string& broker_file); // throws settings::FormatError
 
@@ -51,7 +52,8 @@
 
 private:
   void stop();
-  void reload(); // the inventories; a bad one is told of and changes nothing
+  // All files, on SIGHUP. Follows discovery's address and the inventories; a bad file is told of and changes nothing.
+  void reload();
 
   Plan plan_;
   GMainLoop* loop_;
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -189,7 +189,7 @@
   take_log();
   const std::size_t before = log.size();
   signal(SIGHUP);
-  until([&] { return take_log(), log.find("inventory: read again", before) != std::string::npos; },
+  until([&] { return take_log(), log.find("reload: read again", before) != std::string::npos; },
         "the inventory");
 }
 
@@ -198,6 +198,14 @@
   write_config(folder_, agent);
 }
 
+void Stage::reload(const std::string& agent, const std::string& told) {
+  write_config(folder_, agent);
+  take_log();
+  const std::size_t before = log.size();
+  signal(SIGHUP);
+  until([&] { return take_log(), log.find(told, before) != std::string::npos; }, "the files to be read again");
+}
+
 void Stage::start() {
   const std::string config = folder_ + "/config.json", broker = folder_ + "/broker.yaml";
   const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",        "--config", config.c_str(),
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -107,6 +107,7 @@
   std::unique_ptr<Client> client();             // connected and greeted
   void write_inventory();                       // with the members' states; a running program reads it again
   void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
+  void reload(const std::string& agent, const std::string& told); // a new configuration; waits for the log line
   void signal(int number);
   int exit_code(); // waits for the program's end
   bool running() const { return !exited_; }
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -269,13 +269,45 @@
   finish(stage);
 }
 
+// SIGHUP under load: the new agent's list is followed without forgetting members, positions or what is in hand; a
+// configuration that cannot be used changes nothing.
+void reload(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  Agent old, fresh;
+  stage.use_discovery(old.listener.address());
+  stage.start();
+  old.welcome();
+  old.list(stage, 41);
+  const auto client = stage.client(), waiting = stage.client();
+  reads_served(*client, "a", 20);
+  stage.script = {Fault::Silent};
+  waiting->ask(read("in-hand", 1000));
+  until([&] { return !stage.attempts.empty() && stage.attempts.back().ask.id == "in-hand"; }, "it to go out");
+  stage.reload("nowhere", "reload: kept all as it was: ");
+  CHECK(stage.log.find("config.json: line 1: ") != std::string::npos);
+  CHECK(stage.log.find("'discovery'") != std::string::npos && fresh.asked.empty());
+  stage.reload(fresh.listener.address(), "reload: read again");
+  fresh.welcome();
+  CHECK(fresh.asked.find("from=0 ") != std::string::npos); // the old one's revision tells the new one nothing
+  old.listener.close();
+  stage.members[2]->state = "draining";
+  fresh.list(stage, 7);
+  pass(250);
+  const int before = stage.members[2]->requests;
+  reads_served(*client, "b", 40);
+  CHECK(stage.members[2]->requests == before);
+  CHECK(waiting->answer() == Final::Refused);
+  finish(stage);
+}
+
 } // namespace
 
 int main(int, char** arguments) {
   const std::map<std::string, void (*)(const Protocol&)> stories{
       {"faults", faults}, {"turned_away", turned_away}, {"drains", drains},
       {"dies", dies},     {"bad_input", bad_input},     {"written_ahead", written_ahead},
-      {"stops", stops},   {"budgets", budgets},         {"discovery", discovery}};
+      {"stops", stops},   {"budgets", budgets},         {"discovery", discovery},
+      {"reload", reload}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
