Bound what clients can hold: silent, half-sent, idle, written-ahead and unread

Faulty lines: Input::consume and kKeepSize (net/stream.cpp), Front::evict and Connection::received (front/front.cpp), Core::take (broker/core.cpp).

The story 'crowds' fails without the deadline, without closing idle ones, and without the check of ids.

--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -7,6 +7,10 @@
 
 namespace gorsebeam::broker {
 
+namespace {
+constexpr std::size_t kIdMost = 128;
+} // namespace
+
 Core::Core(const Settings& settings, std::uint64_t seed)
     : settings_(settings), router_(settings, seed), timer_([this] {
         events_.emplace_back(TimerDue{});
@@ -14,10 +18,10 @@
       }) {}
 
 std::string Core::take(Request request, Call& call) {
-  // Guards against ids that a client sends twice: the module drops a request whose id it knows, and that
-  // request would go without an answer.
-  request.id += ':' + std::to_string(++next_request_);
+  // Guards against an id that is still open, a client's own or another's: sent on, it would be a second copy out
+  // beside the first.
   const std::string id = request.id;
+  if (id.empty() || id.size() > kIdMost || jobs_.count(id)) return "";
   Job& job = jobs_[id];
   job.call = &call;
   job.deadline = request.deadline;
--- a/src/broker/core.h
+++ b/src/broker/core.h
@@ -24,7 +24,8 @@
   Core(const Settings& settings, std::uint64_t seed);
   void attach(Upstream& upstream) { upstream_ = &upstream; }
 
-  // Fronts. `request.id` is the client's; the core makes it its own and returns it. The answer may come at once.
+  // Fronts. `request.id` is the client's, and is returned; nothing is, and nothing was done, where it is open already
+  // or is no fit id. The answer may come at once.
   std::string take(Request request, Call& call);
   void gone(const std::string& id); // the client went away; the call is not used again
 
@@ -87,7 +88,6 @@
   std::map<std::string, MemberId> ids_;
   std::map<MemberId, std::string> names_;
   std::map<MemberId, Nanos> probing_;
-  std::uint64_t next_request_ = 0;
   AttemptId next_attempt_ = 1;
   std::size_t open_ = 0;
 };
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -48,6 +48,8 @@
   config.seed = seed_of(body.text("seed"));
   if (body.find("limits")) {
     const std::int64_t sockets = body.object("limits").integer("sockets", 1024);
+    const std::int64_t memory = body.object("limits").integer("memory_mb", 192);
+    config.memory_mb = static_cast<std::size_t>(std::clamp<std::int64_t>(memory, 16, 1 << 20));
     config.sockets = static_cast<std::size_t>(std::clamp<std::int64_t>(sockets, 64, 1 << 20));
   }
   if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -13,6 +13,7 @@
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory_mb = 192;
   std::string fixed; // all that only a new start takes up, as text
   discovery::List known;
   settings::Profile profile;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -28,8 +28,13 @@
 
   bool idle() const { return !busy_ && stream_->input().size() == 0 && stream_->all_written(); }
   bool unread() const { return stream_->readable(); }
-  Nanos idle_since() const { return idle_since_; }
-  void close(); // now; a request in hand goes with it
+  bool asked() const { return asked_; }  // it was answered at least once
+  Nanos since() const { return since_; } // when it last moved on: came, sent, was answered or took an answer
+  std::size_t held() const { return busy_ ? 0 : stream_->held(); }
+  // Why it is to be closed: nothing said, half a message, an answer not taken. Nothing where it is fine.
+  const char* overdue(Nanos now) const;
+  void turn_away(const char* why); // told in the protocol's words if that goes at once, and closed
+  void close();                    // now; a request in hand goes with it
 
 protected:
   // Consumes what it can of the input, until it needs more bytes or has begun a request. Called again after.
@@ -37,8 +42,12 @@
   // Turned away at the door: to be told in the protocol's words once it has said hello.
   bool crowded() const { return crowded_; }
 
-  void begin(Request request); // hands the request to the core
-  void answered();             // its answer is written
+  // Told and closed: the last words of a connection that broke the protocol or took too long.
+  virtual void farewell(const char* why) = 0;
+
+  // Hands the request to the core; it stands in the input's first `size` bytes. False: its id is open already.
+  bool begin(Request request, std::size_t size);
+  void answered(); // its answer is written
   void close_when_written();
 
   Front& front_;
@@ -52,14 +61,18 @@
   void run();
 
   std::string request_;
+  std::size_t request_size_ = 0;
   bool busy_ = false, closing_ = false, crowded_ = false, running_ = false, starting_ = false;
-  Nanos idle_since_ = 0;
+  bool spoke_ = false, asked_ = false; // something it sent could be read; a request of it was answered
+  Nanos since_ = 0;
+  net::Timer resume_;
 };
 
 struct Limits {
   std::size_t connections = 480; // served at once
   std::size_t crowded = 32;      // accepted beyond that, to be turned away in words
   std::size_t message_bytes = 256 * 1024;
+  std::size_t buffered = 16 << 20; // by all connections together, members' too
 };
 
 class Front {
@@ -77,10 +90,12 @@
   broker::Core& core() { return core_; }
   const Limits& limits() const { return limits_; }
   void remove(Connection* connection);
+  void relieve(); // called as input grows: over the bound, the largest half-sent message goes
 
 private:
   void accepted(net::SocketHandle socket);
   bool evict();
+  void tidy();
 
   broker::Core& core_;
   Limits limits_;
@@ -88,7 +103,7 @@
   net::Listener listener_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> removed_;
-  net::Timer reaper_, sweep_;
+  net::Timer reaper_, sweep_, tidy_;
   bool stopping_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,7 +26,8 @@
 
 // Descriptors and buffers: what is allowed less spare ones, for the listeners, discovery, logs and accepted
 // connections that are to be turned away, shared among the fronts; half of each share for clients, half for members.
-void share_out(std::size_t sockets, std::size_t paths, front::Limits& fronts, upstream::Limits& pools) {
+void share_out(std::size_t sockets, std::size_t memory_mb, std::size_t paths, front::Limits& fronts,
+               upstream::Limits& pools) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
@@ -35,6 +36,10 @@
   fronts.crowded = std::max<std::size_t>(use / 20, 1);
   fronts.connections = use / 2 - fronts.crowded;
   pools.connections = use - use / 2;
+  // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent messages, so that
+  // answers always find room.
+  fronts.buffered = (memory_mb << 20) / 8;
+  pools.buffered = (memory_mb << 20) / 4;
   pools.per_member = std::max<std::size_t>(4, pools.connections / 3);
 }
 
@@ -72,7 +77,7 @@
   const bool two = !plan_.broker.mongo_listen.empty();
   front::Limits fronts;
   upstream::Limits pools;
-  share_out(plan_.config.sockets, two ? 2 : 1, fronts, pools);
+  share_out(plan_.config.sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
   if (profile.settings.connect_timeout > 0) pools.connect_timeout = profile.settings.connect_timeout;
   pools.keepalive = profile.keepalive;
   const std::uint64_t seed = plan_.config.seed;
@@ -130,7 +135,8 @@
   const bool from_files = !plan_.postgres.empty();
   if (from_files != !fresh.postgres.empty() || fresh.mongo.empty() != plan_.mongo.empty() ||
       fresh.config.fixed != plan_.config.fixed || fresh.broker.fixed != plan_.broker.fixed)
-    net::log_line("reload", "what differs beside discovery's address and the members waits for the next start");
+    net::log_line("reload",
+                  "what differs beside discovery's address and the members waits for the next start");
   if (watch_) watch_->follow(fresh.config.discovery);
   if (from_files && !fresh.postgres.empty()) postgres_->core.list(MemberList::Kind::Full, fresh.postgres);
   if (mongo_ && !fresh.mongo.empty()) mongo_->core.list(MemberList::Kind::Full, fresh.mongo);
--- a/src/mongo/front.cpp
+++ b/src/mongo/front.cpp
@@ -140,6 +140,8 @@
     stream_->input().consume(message_size_);
   }
 
+  void farewell(const char* why) override { reject(why); }
+
   // What cannot be read, or not be answered in the protocol: told where it can be, and the connection closed.
   void reject(const std::string& text) {
     answer(fault(kInvalidBson, "InvalidBSON", text));
@@ -265,7 +267,8 @@
       return decline(kUnauthorized, "Unauthorized", "no contract with the team '" + team_ + "'");
     if (!contracts_.apply(team_, now, request))
       return decline(kUnauthorized, "Unauthorized", "the team's contract does not hold this class");
-    begin(std::move(request));
+    if (!begin(std::move(request), message_size_))
+      parse_error("a request with this id is open, or it is no fit id");
   }
 
   const broker::Contracts& contracts_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -13,8 +13,8 @@
 namespace gorsebeam::net {
 namespace {
 
-constexpr std::size_t kReadSize = 16 * 1024;
-constexpr std::size_t kKeepSize = 64 * 1024; // a larger buffer is given back once it is empty
+constexpr std::size_t kReadSize = 4 * 1024; // at least; doubles while a message goes on
+std::size_t buffered_bytes = 0;
 constexpr std::size_t kVectorsMost = 16;
 
 bool would_block(const ErrorHandle& error) {
@@ -33,11 +33,18 @@
   return AddressHandle(g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
 }
 
+std::size_t buffered() { return buffered_bytes; }
+
+// An empty buffer is given back at once: hundreds of connections stand idle, and memory is short.
 void Input::consume(std::size_t count) {
   begin_ += count;
-  if (begin_ < end_) return;
+  if (begin_ >= end_) release();
+}
+
+void Input::release() {
   begin_ = end_ = 0;
-  if (bytes_.size() > kKeepSize) std::vector<char>().swap(bytes_);
+  buffered_bytes -= bytes_.size();
+  std::vector<char>().swap(bytes_);
 }
 
 char* Input::room(std::size_t least) {
@@ -45,7 +52,11 @@
     std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
     end_ -= begin_, begin_ = 0;
   }
-  if (bytes_.size() - end_ < least) bytes_.resize(std::max(bytes_.size() * 2, end_ + least));
+  if (bytes_.size() - end_ < least) {
+    buffered_bytes -= bytes_.size();
+    bytes_.resize(std::max(bytes_.size() * 2, end_ + least));
+    buffered_bytes += bytes_.size();
+  }
   return bytes_.data() + end_;
 }
 
@@ -85,6 +96,9 @@
   out_.reset();
   if (socket_) g_socket_close(socket_.get(), nullptr);
   socket_.reset();
+  buffered_bytes -= output_.size();
+  std::string().swap(output_);
+  written_ = 0;
 }
 
 void Stream::watch_in() {
@@ -172,7 +186,7 @@
 void Stream::write(const Parts& parts) {
   if (!socket_) return;
   if (!all_written() || connecting_ || parts.size() > kVectorsMost) {
-    for (const std::string_view part : parts) output_.append(part);
+    keep_rest(parts, 0);
     return watch_out();
   }
   GOutputVector vectors[kVectorsMost];
@@ -185,16 +199,20 @@
   const gssize sent = g_socket_send_message(socket_.get(), nullptr, vectors, static_cast<gint>(parts.size()),
                                             nullptr, 0, G_SOCKET_MSG_NONE, nullptr, &raw);
   const ErrorHandle error(raw);
-  std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  const std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
   if (done == total && sent >= 0) return;
   // The rest waits; a broken connection is told from the main loop, when its source finds it broken.
-  output_.clear(), written_ = 0;
+  keep_rest(parts, done);
+  watch_out();
+}
+
+void Stream::keep_rest(const Parts& parts, std::size_t done) {
   for (const std::string_view part : parts) {
     const std::size_t skip = std::min(done, part.size());
     done -= skip;
     output_.append(part.substr(skip));
+    buffered_bytes += part.size() - skip;
   }
-  watch_out();
 }
 
 void Stream::write_some() {
@@ -206,6 +224,7 @@
   written_ += static_cast<std::size_t>(sent);
   if (!all_written()) return;
   written_ = 0;
+  buffered_bytes -= output_.size();
   std::string().swap(output_);
   out_.reset();
   events_->flushed();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -16,15 +16,23 @@
 // "127.0.0.4:6432"; no names are looked up. Nothing where the text is no numeric address and port.
 AddressHandle parse_address(const std::string& text, unsigned least_port = 1);
 
+// Bytes that all buffers of all connections hold now. What bounds memory bounds this, not only each message.
+std::size_t buffered();
+
 // Received bytes, parsed in place: views stay good until the next consume, or the next read.
 class Input {
 public:
+  Input() = default;
+  Input(const Input&) = delete;
+  Input& operator=(const Input&) = delete;
+  ~Input() { release(); }
   std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
   std::size_t size() const { return end_ - begin_; }
   void consume(std::size_t count);
   char* room(std::size_t least);
   std::size_t room_size() const { return bytes_.size() - end_; }
   void filled(std::size_t count) { end_ += count; }
+  void release(); // all of it, with its memory
 
 private:
   std::vector<char> bytes_;
@@ -50,6 +58,7 @@
   void write(const Parts& parts);
   bool all_written() const { return output_.size() == written_; }
   std::size_t pending() const { return output_.size() - written_; }
+  std::size_t held() const { return input_.size() + output_.size(); }
   void pause_reading(bool pause);
   bool readable() const; // something has come that was not read: bytes, or the end
   void close();          // no callback follows
@@ -65,6 +74,7 @@
   void read_some();
   void write_some();
   void fail(const std::string& why);
+  void keep_rest(const Parts& parts, std::size_t done); // what the kernel did not take waits in output_
 
   Events* events_;
   SocketHandle socket_;
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -61,6 +61,8 @@
     close_when_written();
   }
 
+  void farewell(const char* why) override { reject("57014", why); }
+
   // An error in one command: told, and the connection goes on.
   void decline(const Message& m, const char* code, const std::string& text) {
     stream_->write({error("ERROR", code, text), ready_});
@@ -173,7 +175,8 @@
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
-    begin(std::move(request));
+    if (!begin(std::move(request), m.whole.size()))
+      decline(m, "42710", "a request with this id is open, or it is no fit id");
   }
 
   const broker::Contracts& contracts_;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -7,6 +7,10 @@
 
 namespace gorsebeam::upstream {
 
+namespace {
+constexpr std::size_t kAnswerSmall = 16 * 1024; // an answer up to this is read on even while memory is short
+} // namespace
+
 using broker::Answer;
 using broker::AttemptId;
 
@@ -94,7 +98,8 @@
     if (state_ == State::Idle || state_ == State::Dialing) return pool_.drop(this); // nothing was asked
     Answer answer;
     const Step step = wire_->answer(in, false, errand_.probe, answer, used);
-    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes) return;
+    const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
+    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes && roomy) return;
     if (step != Step::Done) {
       net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
       return fail(Result::Error); // the request was whole: it may have run
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -21,6 +21,7 @@
   std::size_t connections = 400;    // over all members
   std::size_t per_member = 150;
   std::size_t answer_bytes = 1 << 20;
+  std::size_t buffered = 32 << 20; // by all connections together, clients' too
 };
 
 class Pool : public broker::Upstream {
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -203,7 +203,8 @@
   take_log();
   const std::size_t before = log.size();
   signal(SIGHUP);
-  until([&] { return take_log(), log.find(told, before) != std::string::npos; }, "the files to be read again");
+  until([&] { return take_log(), log.find(told, before) != std::string::npos; },
+        "the files to be read again");
 }
 
 void Stage::start() {
@@ -238,8 +239,10 @@
     log.append(buffer, static_cast<std::size_t>(got));
 }
 
+std::unique_ptr<Client> Stage::stranger() { return std::make_unique<Client>(*this, address_); }
+
 std::unique_ptr<Client> Stage::client() {
-  auto client = std::make_unique<Client>(*this, address_);
+  auto client = stranger();
   client->write(protocol.client_hello());
   return client;
 }
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -105,9 +105,11 @@
   ~Stage();
   void start();
   std::unique_ptr<Client> client();             // connected and greeted
+  std::unique_ptr<Client> stranger();           // connected, no more
   void write_inventory();                       // with the members' states; a running program reads it again
   void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
-  void reload(const std::string& agent, const std::string& told); // a new configuration; waits for the log line
+  // Writes a configuration, has it read again and waits for the log line.
+  void reload(const std::string& agent, const std::string& told);
   void signal(int number);
   int exit_code(); // waits for the program's end
   bool running() const { return !exited_; }
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -152,6 +152,54 @@
   CHECK(stage.running());
 }
 
+// Clients that say nothing, half of something, ask once and stay, or write hundreds of commands: each is answered or
+// closed in time, and the usual ones are served meanwhile.
+void crowds(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto usual = stage.client();
+  CHECK(usual->answer_to(read("usual")) == Final::Served);
+  const std::string half = protocol.client_ask(read("half")).substr(0, 30);
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < 250; ++i) {
+    crowd.push_back(stage.stranger()); // says nothing
+    if (i % 10 != 9) continue;
+    crowd.push_back(stage.client()); // half a command
+    crowd.back()->write(half);
+  }
+  for (int i = 0; i < 30; ++i) { // meanwhile: connections are free for those that ask
+    const auto client = stage.client();
+    CHECK(client->answer_to(read("new" + std::to_string(i))) == Final::Served);
+  }
+  CHECK(!crowd.back()->ended_by_gateway); // at once, that is, not when the crowd's time was up
+  for (const auto& one : crowd) until([&] { return one->ended_by_gateway; }, "the crowd to be closed");
+  for (const auto& one : crowd) stage.answered -= static_cast<int>(one->answers.size()); // they asked nothing
+  crowd.clear();
+  // The same again by clients that ask once and stay: after 2 s they make room.
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(stage.client());
+    CHECK(crowd.back()->answer_to(read("stay" + std::to_string(i))) == Final::Served);
+  }
+  const auto open = [&crowd] {
+    int count = 0;
+    for (const auto& one : crowd) count += !one->ended_by_gateway;
+    return count;
+  };
+  until([&] { return open() <= 45; }, "those that stay to be closed");
+  // An id that is open is not sent out beside itself, whoever asks; what is asked under another name is served.
+  const auto other = stage.client(), bad = stage.client();
+  stage.script = {Fault::Silent};
+  other->ask(read("open", 900));
+  until([&] { return attempts_of(stage, "open") == 1; }, "the request to go out");
+  CHECK(bad->answer_to(read("open")) == Final::Failed);
+  for (int i = 0; i < 300; ++i) bad->ask({"b" + std::to_string(i), "unheard-of", "", 2000, false});
+  CHECK(bad->answer_to(read("last")) == Final::Failed); // the first of them
+  for (int i = 0; i < 299; ++i) CHECK(bad->answer() == Final::Failed);
+  CHECK(bad->answer() == Final::Served);
+  CHECK(other->answer() == Final::Refused && attempts_of(stage, "open") == 1);
+  finish(stage);
+}
+
 // Requests written right behind the greeting, several at once: answered in order, one answer each.
 void written_ahead(const Protocol& protocol) {
   Stage stage(protocol, 2, 0);
@@ -304,10 +352,9 @@
 
 int main(int, char** arguments) {
   const std::map<std::string, void (*)(const Protocol&)> stories{
-      {"faults", faults}, {"turned_away", turned_away}, {"drains", drains},
-      {"dies", dies},     {"bad_input", bad_input},     {"written_ahead", written_ahead},
-      {"stops", stops},   {"budgets", budgets},         {"discovery", discovery},
-      {"reload", reload}};
+      {"faults", faults},       {"turned_away", turned_away},     {"drains", drains}, {"dies", dies},
+      {"bad_input", bad_input}, {"written_ahead", written_ahead}, {"crowds", crowds}, {"stops", stops},
+      {"budgets", budgets},     {"discovery", discovery},         {"reload", reload}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
