Bound what is kept of members, sessions and groups; end spoilt answers at once

Faulty lines: Router::Rules::on(MemberList), remember_write, settle (src/rules.cpp), Core::list, Pool::removed, Link::received (src/upstream/pool.cpp), read_gauges and PgWire::answer (src/postgres/wire.cpp). Members and writes are forgotten after a minute, groups without members at once; an answer that stops for 150 ms is spoilt.

Each test fails without its lines.

--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -3,6 +3,8 @@
 #include "net/log.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace gorsebeam::broker {
@@ -111,17 +113,34 @@
   return id;
 }
 
+// Its number follows from its name, should it come back. Where only draining binds it may still be asked.
+void Core::forget_member(MemberId id, const std::string& name) {
+  upstream_->removed(id);
+  names_.erase(id);
+  ids_.erase(std::string(name));
+}
+
 void Core::list(MemberList::Kind kind, const std::vector<Listed>& members) {
   const Hold hold(*this);
   MemberList event;
   event.kind = kind;
+  // Guards the descriptors and the tables: whoever a full list leaves out is gone as if it had said so.
+  if (kind == MemberList::Kind::Full && !settings_.only_draining_binds) {
+    std::set<std::string> named;
+    for (const Listed& listed : members) named.insert(listed.name);
+    for (auto known = ids_.begin(); known != ids_.end();) {
+      const auto next = std::next(known);
+      if (!named.count(known->first)) forget_member(known->second, known->first);
+      known = next;
+    }
+  }
   for (const Listed& listed : members) {
     Member member = listed.member;
     member.id = id_of(listed.name);
-    if (member.state == MemberState::Removed)
-      upstream_->removed(member.id);
-    else
+    if (member.state != MemberState::Removed)
       upstream_->listed(member.id, listed.address);
+    else if (!settings_.only_draining_binds)
+      forget_member(member.id, listed.name);
     event.members.push_back(std::move(member));
   }
   events_.emplace_back(std::move(event));
--- a/src/broker/core.h
+++ b/src/broker/core.h
@@ -74,6 +74,7 @@
   void conclude(const std::string& id);
   void forget(const std::string& id);
   MemberId id_of(const std::string& name);
+  void forget_member(MemberId id, const std::string& name);
 
   Settings settings_;
   Router router_;
--- a/src/postgres/wire.cpp
+++ b/src/postgres/wire.cpp
@@ -2,6 +2,9 @@
 
 #include "codec.h"
 
+#include "net/timer.h"
+
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 
@@ -11,7 +14,8 @@
 using broker::Answer;
 using upstream::Step;
 
-constexpr std::size_t kMessageMost = 1 << 20;
+constexpr std::size_t kMessageMost = 128 * 1024; // a value holds at most 64 KiB
+constexpr Nanos kAhead = 2'000'000'000;          // a position further ahead of our clock cannot be one
 
 std::optional<double> number(std::string_view text) {
   const std::string copy(text.substr(0, 64));
@@ -23,20 +27,34 @@
 
 std::optional<Nanos> position_of(std::string_view text) {
   const auto ms = number(text);
-  if (!ms || *ms < 0 || *ms > 9e12) return std::nullopt;
+  if (!ms || *ms < 0 || *ms * 1e6 > static_cast<double>(net::now() + kAhead)) return std::nullopt;
   return static_cast<Nanos>(std::floor(*ms * 1e6)); // Unix ms, as the module's clock counts
 }
 
-// "x0=1767225600123,x1=0": positions are Unix milliseconds here too.
+// "x0=1767225600123,x1=0": positions are Unix milliseconds here too. Guards against a spoilt report: one that cannot be
+// read whole is ignored whole, and the answer stands.
 void read_gauges(std::string_view text, Report& report) {
+  Report read;
   while (!text.empty()) {
     const std::size_t comma = text.find(',');
-    const std::string_view pair = text.substr(0, comma);
+    const std::string_view pair = text.substr(0, comma), name = pair.substr(0, pair.find('='));
     text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
-    if (pair.substr(0, 3) == "x0=") report.position = position_of(pair.substr(3));
-    if (pair.substr(0, 3) != "x1=") continue;
-    if (const auto flag = number(pair.substr(3))) report.primary = *flag > 0.5;
+    const auto value = number(pair.substr(std::min(pair.size(), name.size() + 1)));
+    if (!value) return;
+    if (name == "x0" && !(read.position = position_of(pair.substr(3)))) return;
+    if (name == "x1") read.primary = *value > 0.5;
   }
+  report = read;
+}
+
+// Guards against noise that would be waited for to its end: what has come of a message shows that it is none of an
+// answer's. A row's column must fill the row.
+bool hopeless(std::string_view in, std::string_view types) {
+  if (in.empty()) return false;
+  if (types.find(in[0]) == std::string_view::npos) return true;
+  if (in[0] != 'D' || in.size() < 11) return false;
+  const std::uint32_t length = read_u32(in.data() + 7);
+  return in[5] != 0 || in[6] != 1 || (length == 0xffffffffu ? 0 : length) != read_u32(in.data() + 1) - 10;
 }
 
 // The one column of a DataRow. False: not one column, or its length is off.
@@ -61,7 +79,8 @@
     Message m;
     for (std::string_view rest = in;; rest.remove_prefix(m.whole.size())) {
       const Framing framing = read_message(rest, kMessageMost, m);
-      if (framing != Framing::Whole) return framing == Framing::More ? Step::More : Step::Broken;
+      if (framing != Framing::Whole)
+        return framing == Framing::More && !hopeless(rest, "RSKZEN") ? Step::More : Step::Broken;
       if (m.type == 'E') {
         turned_away = error_field(m.body, 'C') == "53300";
         return Step::Broken;
@@ -95,7 +114,8 @@
     Message m;
     for (std::string_view rest = in; !ready; rest.remove_prefix(m.whole.size())) {
       const Framing framing = read_message(rest, kMessageMost, m);
-      if (framing == Framing::Malformed) return Step::Broken;
+      if (framing == Framing::Malformed || (framing == Framing::More && hopeless(rest, "TDCESNZ")))
+        return Step::Broken;
       if (framing == Framing::More) break;
       used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
       std::string_view name, value;
@@ -110,9 +130,12 @@
         if (to_probe && !rows_off) read_gauges(value, answer.report);
         break;
       case 'C': complete = m.whole; break;
-      case 'E': code = error_field(m.body, 'C').value_or("XX000"); break;
+      case 'E':
+        if (m.body.empty() || m.body.back() != '\0') return Step::Broken; // its code proves nothing
+        code = error_field(m.body, 'C').value_or("XX000");
+        break;
       case 'S':
-        if (!read_status(m.body, name, value)) return Step::Broken;
+        if (!read_status(m.body, name, value)) break; // tells nothing; the answer stands
         if (name == "part" && value == "master") answer.role = Role::Primary;
         if (name == "part" && value == "replica") answer.role = Role::Replica;
         if (name == "caught_up_to") answer.position = position_of(value);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,8 @@
 constexpr double kCopyBurst = 20;    // copies that may go at once: one member's requests in hand
 constexpr double kErrorShare = 0.25; // a member failing this share of its requests is set aside
 constexpr std::size_t kSessionsMost = 100'000; // remembered writes; older ones fold into one floor
+constexpr Nanos kRemember = 60'000 * kMs;      // and for so long: no replica in use is further behind
+constexpr Nanos kForget = 60'000 * kMs;        // what is known of a member that is gone is kept for so long
 constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
 constexpr double kProbeShare = 0.1; // probes, as a share of this router's own requests: bounds their cost
 constexpr double kProbeBurst = 10;  // probes that may go at once: a group's members, and some more
@@ -67,6 +69,7 @@
 struct MemberRow { // one row of the member table
   Member entry;
   bool told_leaving = false;  // the list said draining or gone
+  Nanos left_at = kNever;     // when the list said gone
   Nanos position = kUnknown;  // applied at least up to here; never falls
   Nanos disproved = kUnknown; // a miss: not yet applied up to here
   int failures = 0;           // time-outs in a row
@@ -108,7 +111,6 @@
   Request request;
   std::uint64_t seq = 0;
   Nanos arrived = 0, aim_at = 0, end = 0; // and when it is given up
-  Nanos half = 0;                         // when it is given up if nothing was sent by then
   Nanos token = kUnknown;
   std::uint64_t key = 0;
   std::uint64_t draw = 0; // its own chance
@@ -148,8 +150,10 @@
     if (armed_ != kNever && now_ - armed_ > 4 * kPulse) stalled_at_ = now_;
     std::visit([this](const auto& e) { on(e); }, event);
     for (std::size_t i = 0; i < changed_.size(); ++i) {
-      groups_[changed_[i]].changed = false;
-      if (now_ - groups_[changed_[i]].released_at >= kPulse / 2) release(changed_[i]);
+      const auto group = groups_.find(changed_[i]);
+      if (group == groups_.end()) continue;
+      group->second.changed = false;
+      if (now_ - group->second.released_at >= kPulse / 2) release(changed_[i]);
     }
     changed_.clear();
     arm();
@@ -478,9 +482,6 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     if (job.out > 0) return second_copy(job);
     if (now_ >= job.end || job.attempts.size() >= attempts_of(job)) return give_up(job);
-    // Guards against holding what finds no place: the client could go on by itself, and past half of its time
-    // has lost more by waiting than by hearing so. What is worth something late waits on.
-    if (now_ >= job.half && job.attempts.empty()) return give_up(job);
     if (c.effect == Effect::Unsafe && job.may_have_run != kUnknown) return give_up(job);
     if (c.level == ReadLevel::Write || c.level == ReadLevel::Fresh) return to_primary(job);
     if (const auto id = trial(job, false); id && send(job, *id, true)) return;
@@ -502,7 +503,7 @@
       if (m.position != kUnknown && !tried(job, id))
         hope |= m.set_aside ? !m.needs_trial : need != kUnknown && need < m.position + job.aim_at - now_;
     }
-    const Nanos last = std::min(job.aim_at - static_cast<Nanos>(2 * work_of(job)), job.half - 2 * kPulse);
+    const Nanos last = job.aim_at - static_cast<Nanos>(2 * work_of(job));
     if ((hope && now_ < last) || !group.primary || group.doubted || tried(job, *group.primary)) return;
     if (has_room(rows_.at(*group.primary), job)) send(job, *group.primary, false);
   }
@@ -531,7 +532,6 @@
       const bool shown =
           group.primary == id && !job.attempts.empty() && group.primary_info > job.attempts.back().sent_at;
       if (!usable(m) || (m.set_aside && now_ < m.trial_at) || (tried(job, id) && !shown)) continue;
-      if (m.denied_at != kUnknown && now_ - m.denied_at < 3 * kProbeGap && !shown) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
     }
     if (!best) return;
@@ -653,9 +653,29 @@
       seen.insert(entry.id);
       take_entry(entry, list.kind == MemberList::Kind::Remembered);
     }
-    if (list.kind == MemberList::Kind::Changes) return;
-    for (auto& [id, m] : rows_)
-      if (!seen.count(id)) leave(m, MemberState::Removed);
+    if (list.kind != MemberList::Kind::Changes)
+      for (auto& [id, m] : rows_)
+        if (!seen.count(id)) leave(m, MemberState::Removed);
+    forget_gone();
+  }
+
+  // Bounds memory and the work per request: members are replaced all day, and each comes under a new id.
+  void forget_gone() {
+    std::set<MemberId> held; // by requests still open
+    for (const auto& [seq, job] : jobs_)
+      for (const Attempt& a : job.attempts) held.insert(a.member);
+    for (auto it = rows_.begin(); it != rows_.end();) {
+      const MemberId id = it->first;
+      const MemberRow& m = it->second;
+      if (m.left_at == kNever || now_ - m.left_at < kForget || held.count(id)) {
+        ++it;
+        continue;
+      }
+      Group& group = groups_[m.entry.group];
+      group.members.erase(std::remove(group.members.begin(), group.members.end(), id), group.members.end());
+      if (group.primary == id) group.primary.reset();
+      it = rows_.erase(it);
+    }
   }
 
   // Where only draining binds, a member listed as gone, or left out, that never drained is taken as running:
@@ -666,6 +686,7 @@
       return;
     }
     m.entry.state = state;
+    m.left_at = state == MemberState::Removed ? std::min(m.left_at, now_) : kNever;
     m.told_leaving = true;
     doubt_primary(m.entry.id);
     wake(m.entry.group);
@@ -685,6 +706,7 @@
       m.cold_since = std::max(m.cold_since, entry.started_at);
     if (entry.state != MemberState::Up) return leave(m, entry.state);
     m.told_leaving = false;
+    m.left_at = kNever;
     if (entry.primary && (fresh || !was_listed_primary) && s_.list_role != ListRole::None && !group.primary)
       believe(m, true, remembered ? kUnknown + 1 : now_ - kStaleNews, false);
     if (fresh) probe(m); // beyond the budget: when its group is asked for
@@ -700,7 +722,6 @@
     job.request = request, job.seq = seq, job.arrived = now_, job.aim_at = now_ + c.aim;
     job.end = request.deadline - kPulse - 2 * s_.tick;
     if (c.late_worth <= 0) job.end = std::min(job.end, job.aim_at);
-    job.half = c.late_worth > 0 ? job.end : now_ + (request.deadline - now_) / 2 - 2 * kPulse;
     job.draw = hash_text(request.id);
     job.key = mix(request.session ? *request.session : job.draw + 2);
     if (c.level == ReadLevel::Session) {
@@ -728,12 +749,16 @@
     if (!written_.count(session)) order_.push_back(session);
     Nanos& at = written_[session];
     at = std::max(at, commit);
-    if (order_.size() <= kSessionsMost) return;
-    // Bounds memory: forgotten sessions are held to the newest write forgotten.
-    const auto oldest = written_.find(order_.front());
-    floor_ = std::max(floor_, oldest->second);
-    written_.erase(oldest);
-    order_.pop_front();
+    // Bounds memory: forgotten sessions are held to the newest write forgotten. One that wrote again since its
+    // turn came takes another; two steps a write, so the queue shrinks once most are old.
+    for (int step = 0; step < 2 && !order_.empty(); ++step) {
+      const auto oldest = written_.find(order_.front());
+      const bool old = oldest->second < now_ - kRemember;
+      if (!old && order_.size() <= kSessionsMost) return;
+      floor_ = std::max(floor_, oldest->second);
+      written_.erase(oldest);
+      order_.pop_front();
+    }
   }
 
   void on(const Outcome& outcome) {
@@ -924,8 +949,11 @@
     group.waiting.erase(job.seq);
     if (!job.closed && job.out == 0) group.waiting.insert(job.seq);
     if (job.closed && job.out == 0) {
+      const GroupId id = job.request.group;
       ids_.erase(job.request.id);
       jobs_.erase(job.seq);
+      // Bounds memory: clients may name groups that no list ever held.
+      if (group.members.empty() && group.waiting.empty()) groups_.erase(id);
       return;
     }
     // Routers started together must not retry in step: the seed gives each its own phase.
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -8,6 +8,7 @@
 namespace gorsebeam::upstream {
 
 namespace {
+constexpr Nanos kStall = 150'000'000;           // between two pieces of one answer
 constexpr std::size_t kAnswerSmall = 16 * 1024; // an answer up to this is read on even while memory is short
 } // namespace
 
@@ -75,6 +76,7 @@
     const Nanos left = errand_.until - net::now();
     if (left <= 0) return finish(result_only(Result::NotSent), true);
     state_ = State::Writing;
+    begun_ = false;
     timer_.at(errand_.until);
     stream_->write(errand_.probe ? wire_->probe() : wire_->request(errand_.call->body(left)));
     if (stream_->all_written()) flushed();
@@ -99,7 +101,12 @@
     Answer answer;
     const Step step = wire_->answer(in, false, errand_.probe, answer, used);
     const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
-    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes && roomy) return;
+    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes && roomy) {
+      // Guards against a length that does not fit: an answer that began and does not go on is none.
+      begun_ = true;
+      timer_.at(std::min(errand_.until, net::now() + kStall));
+      return;
+    }
     if (step != Step::Done) {
       net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
       return fail(Result::Error); // the request was whole: it may have run
@@ -120,6 +127,7 @@
 
   void due() {
     if (!busy_) return pool_.drop(this); // idle for long enough
+    if (state_ == State::Waiting && begun_ && net::now() < errand_.until) return fail(Result::Error);
     if (state_ == State::Waiting) return fail(Result::Timeout);
     // Not written whole, so it never ran; at the request's own end this tells nothing of the member.
     const bool over = net::now() >= errand_.until && state_ != State::Writing && !errand_.probe;
@@ -145,6 +153,7 @@
   }
 
   void rest() {
+    if (pool_.hosts_[member].address.empty()) return pool_.drop(this); // it was removed meanwhile
     idle_since_ = net::now();
     // Guards against a request that crosses the member's own close, which ends as a reset: retired well
     // before the member would.
@@ -159,7 +168,7 @@
   std::shared_ptr<net::Stream> stream_;
   State state_ = State::Dialing;
   Errand errand_;
-  bool busy_ = false;
+  bool busy_ = false, begun_ = false; // an errand is in hand; some of its answer has come
   Nanos idle_since_ = 0;
 };
 
@@ -179,7 +188,16 @@
 
 void Pool::removed(MemberId member) {
   const auto host = hosts_.find(member);
-  while (host != hosts_.end() && !host->second.idle.empty()) drop(host->second.idle.back());
+  if (host == hosts_.end()) return;
+  host->second.address.clear(); // nothing new goes there; the last connection takes the entry with it
+  const std::vector<Link*> idle = host->second.idle;
+  for (Link* link : idle) drop(link);
+  forget(member);
+}
+
+void Pool::forget(MemberId member) {
+  const auto host = hosts_.find(member);
+  if (host != hosts_.end() && host->second.links == 0 && host->second.address.empty()) hosts_.erase(host);
 }
 
 void Pool::send(AttemptId attempt, MemberId member, broker::Call& call, Nanos until) {
@@ -200,7 +218,10 @@
   if (!link) {
     if (!make_room(member)) return report(member, errand, Link::result_only(Result::NotSent));
     auto fresh = std::make_unique<Link>(*this, member, host.address);
-    if (!fresh->good()) return report(member, errand, Link::result_only(Result::NoConnection));
+    if (!fresh->good()) {
+      forget(member);
+      return report(member, errand, Link::result_only(Result::NoConnection));
+    }
     link = fresh.get();
     links_[link] = std::move(fresh);
     ++host.links;
@@ -262,6 +283,7 @@
   Host& host = hosts_[link->member];
   host.idle.erase(std::remove(host.idle.begin(), host.idle.end(), link), host.idle.end());
   --host.links;
+  forget(link->member);
   dropped_.push_back(std::move(found->second));
   links_.erase(found);
   reaper_.after(0);
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -20,7 +20,7 @@
   Nanos keepalive = 30'000'000'000; // a member closes a connection idle for this long
   std::size_t connections = 400;    // over all members
   std::size_t per_member = 150;
-  std::size_t answer_bytes = 1 << 20;
+  std::size_t answer_bytes = 256 * 1024;
   std::size_t buffered = 32 << 20; // by all connections together, clients' too
 };
 
@@ -54,7 +54,8 @@
   Link* take_idle(Host& host);
   bool make_room(MemberId member);
   void report(MemberId member, const Errand& errand, const broker::Answer& answer);
-  void drop(Link* link); // closes and forgets it
+  void drop(Link* link);        // closes and forgets it
+  void forget(MemberId member); // a removed one, with its last connection
 
   broker::Core& core_;
   WireFactory wire_;
--- a/tests/stories/protocols.cpp
+++ b/tests/stories/protocols.cpp
@@ -114,6 +114,15 @@
     case Fault::Error: return pg_error("XX000");
     case Fault::Full: return pg_error("53300");
     case Fault::Garbage: return "no protocol at all, and more of it than a head";
+    case Fault::Short: return pg_row(value).substr(0, 60);
+    case Fault::Huge: return pg_row(value).substr(0, 31) + "D\xc0" + std::string(3, '\0') + "and so on";
+    case Fault::Copied: return pg_row(value) + status + pg('Z', "I") + pg_row("a copy") + pg('Z', "I");
+    case Fault::BadReport:
+      return pg_row(value) + status + pg('S', std::string("gauges\0x0=nonsense,x1=7q\0", 26)) +
+             pg('S', std::string("caught_up_to\0"
+                                 "99999999999999\0",
+                                 28)) +
+             pg('S', "no end") + pg('Z', "I");
     default: return pg_row(value) + status + pg('Z', "I");
     }
   }
@@ -218,10 +227,18 @@
     case Fault::Miss: return error(10107);
     case Fault::Error: return error(8);
     case Fault::Full: return error(462);
+    case Fault::Short: return little(90) + little(1) + little(last_) + little(2013) + little(0);
+    case Fault::Huge: return little(0xc0000000) + little(1) + little(last_) + little(2013) + "and so on";
     case Fault::Garbage: return little(24) + little(1) + little(last_) + little(2013) + "nonsense";
     default: break;
     }
     const std::int64_t seconds = now_ms() / 1000;
+    const std::string good = mongo_message(Writer().real("ok", 1).text("value", value).take(), last_);
+    if (fault == Fault::Copied)
+      return good + mongo_message(Writer().real("ok", 1).text("value", "a copy").take(), last_);
+    if (fault == Fault::BadReport)
+      return mongo_message(
+          Writer().real("ok", 1).text("value", value).text("operationTime", "nonsense").take(), last_);
     return mongo_message(
         Writer().real("ok", 1).text("value", value).large("operationTime", seconds << 32 | 1, '\x11').take(),
         last_);
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -105,6 +105,12 @@
   links_.push_back(std::make_shared<Link>(*this, std::move(socket)));
 }
 
+int Member::connections() const {
+  int open = 0;
+  for (const auto& link : links_) open += link->stream->open();
+  return open;
+}
+
 void Member::die() {
   listener_.close();
   for (const auto& link : links_) link->stream->close(), link->over();
@@ -182,8 +188,9 @@
     std::ofstream file(folder_ + "/members.csv");
     file << "name,address,group,role,state\n";
     for (const auto& m : members)
-      file << m->name << ',' << m->address << ",0," << (m->listed_primary ? "primary" : "replica") << ','
-           << m->state << '\n';
+      if (m->state != "gone")
+        file << m->name << ',' << m->address << ",0," << (m->listed_primary ? "primary" : "replica") << ','
+             << m->state << '\n';
   }
   if (!pid_) return;
   take_log();
