Set a member aside for two connections broken in a row, not for one

Ruled out: a crowd (p50 level at 36 to 44 ms), descriptors (168 of 384).

Faulty lines: judge in src/rules.cpp, NoConnection and Reset. One broken at once now counts as a time-out does, two in a row; one that ran into the connect time-out still sets aside at once. The probe that follows is not budgeted, only spaced.

Without the line the tests of two breaks do not pass: one of them then never sees a second break.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -77,7 +77,6 @@
   bool set_aside = true;      // a fresh router sets all aside
   bool needs_trial = false;   // set aside for time-outs or errors: a shallow probe proves nothing
   bool lost = false;          // refused or broke a connection: may have restarted
-  bool refused = false;       // took no connection: it was down
   Nanos aside_at = kNever;    // when it was last set aside
   bool trial_out = false, probing = false;
   Nanos trial_at = 0, trial_gap = kTrialGap;
@@ -224,7 +223,10 @@
 
   void readmit(MemberRow& m) {
     m.failures = 0;
-    if (!m.set_aside) return;
+    if (!m.set_aside) {
+      m.lost = false;
+      return;
+    }
     m.set_aside = m.needs_trial = false;
     m.errors = 0;
     // Guards a member back before the list says that it restarted: it refused a connection, or was silent and
@@ -232,10 +234,10 @@
     // reach, by a bad way or dear connections, and is warm. Costs a hung one that comes back some traffic.
     const bool applied = m.position > m.aside_at && now_ - m.position < (now_ - m.aside_at) / 2;
     // One that broke connections and answers on a new one this soon never stopped: no process restarts so fast.
-    const bool blinked = !m.refused && now_ - m.aside_at < kBlink;
+    const bool blinked = now_ - m.aside_at < kBlink;
     if ((m.lost && !blinked) || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
       m.cold_since = now_;
-    m.lost = m.refused = false;
+    m.lost = false;
     wake(m.entry.group);
     note(std::to_string(m.entry.id) + " no longer set aside");
   }
@@ -845,12 +847,14 @@
     case Result::NoConnection:
     case Result::Reset:
       // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
-      m.refused |= outcome.result == Result::NoConnection;
       m.lost |= outcome.result == Result::Reset || outcome.elapsed < s_.connect_timeout / 2;
       if (!m.lost) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
-      set_aside(m, false, "connection failed");
       if (a.trial) pause_trials(m);
-      probe(m);
+      // One connection broken at once is chance: members reset kept and new ones and live on. Two in a row, as
+      // with time-outs, are a symptom: of one that died, all break together, and the next is refused.
+      if (m.lost && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
+      set_aside(m, false, "connection failed");
+      probe(m, kProbeGap, true);
       break;
     case Result::Full:
       learn_crowding(m, 2);
