Say once what was said twice: row checks, the id a front holds, a member's name

Found on reading the whole change again; behaviour stays as it is. Core::take returned the id that its caller had handed in, forget_member took a name that the core holds, readmit cleared one flag in two places, hopeless and read_row each checked a row's column (now fits_row), and three tests built the same miss (now Bench::turned_away).

--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -3,7 +3,6 @@
 #include "net/log.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -19,18 +18,18 @@
         pump();
       }) {}
 
-std::string Core::take(Request request, Call& call) {
+bool Core::take(Request request, Call& call) {
   // Guards against an id that is still open, a client's own or another's: sent on, it would be a second copy out
   // beside the first.
-  const std::string id = request.id;
-  if (id.empty() || id.size() > kIdMost || jobs_.count(id)) return "";
+  const std::string& id = request.id;
+  if (id.empty() || id.size() > kIdMost || jobs_.count(id)) return false;
   Job& job = jobs_[id];
   job.call = &call;
   job.deadline = request.deadline;
   ++open_;
   events_.emplace_back(std::move(request));
   pump();
-  return id;
+  return true;
 }
 
 void Core::gone(const std::string& id) {
@@ -114,10 +113,11 @@
 }
 
 // Its number follows from its name, should it come back. Where only draining binds it may still be asked.
-void Core::forget_member(MemberId id, const std::string& name) {
+void Core::forget_member(MemberId id) {
   upstream_->removed(id);
-  names_.erase(id);
-  ids_.erase(std::string(name));
+  const auto known = names_.find(id);
+  ids_.erase(known->second);
+  names_.erase(known);
 }
 
 void Core::list(MemberList::Kind kind, const std::vector<Listed>& members) {
@@ -128,10 +128,9 @@
   if (kind == MemberList::Kind::Full && !settings_.only_draining_binds) {
     std::set<std::string> named;
     for (const Listed& listed : members) named.insert(listed.name);
-    for (auto known = ids_.begin(); known != ids_.end();) {
-      const auto next = std::next(known);
-      if (!named.count(known->first)) forget_member(known->second, known->first);
-      known = next;
+    for (auto known = names_.begin(); known != names_.end();) {
+      const auto& [id, name] = *known++;
+      if (!named.count(name)) forget_member(id);
     }
   }
   for (const Listed& listed : members) {
@@ -140,7 +139,7 @@
     if (member.state != MemberState::Removed)
       upstream_->listed(member.id, listed.address);
     else if (!settings_.only_draining_binds)
-      forget_member(member.id, listed.name);
+      forget_member(member.id);
     event.members.push_back(std::move(member));
   }
   events_.emplace_back(std::move(event));
--- a/src/broker/core.h
+++ b/src/broker/core.h
@@ -24,9 +24,9 @@
   Core(const Settings& settings, std::uint64_t seed);
   void attach(Upstream& upstream) { upstream_ = &upstream; }
 
-  // Fronts. `request.id` is the client's, and is returned; nothing is, and nothing was done, where it is open already
-  // or is no fit id. The answer may come at once.
-  std::string take(Request request, Call& call);
+  // Fronts. `request.id` is the client's. False, and nothing was done, where it is open already or is no fit id. The
+  // answer may come at once.
+  bool take(Request request, Call& call);
   void gone(const std::string& id); // the client went away; the call is not used again
 
   // Upstreams.
@@ -74,7 +74,7 @@
   void conclude(const std::string& id);
   void forget(const std::string& id);
   MemberId id_of(const std::string& name);
-  void forget_member(MemberId id, const std::string& name);
+  void forget_member(MemberId id); // one that id_of knows
 
   Settings settings_;
   Router router_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -77,11 +77,12 @@
   busy_ = true;
   starting_ = true;
   request_size_ = size;
-  const std::string id = front_.core().take(std::move(request), *this);
+  std::string id = request.id;
+  const bool taken = front_.core().take(std::move(request), *this);
   starting_ = false;
-  if (id.empty()) busy_ = false;
-  if (busy_) request_ = id;
-  return !id.empty();
+  busy_ &= taken;
+  if (busy_) request_ = std::move(id);
+  return taken;
 }
 
 void Connection::answered() {
--- a/src/postgres/wire.cpp
+++ b/src/postgres/wire.cpp
@@ -47,23 +47,26 @@
   report = read;
 }
 
+// Whether a DataRow of `size` bytes, of which the first six stand in `head`, is one column that fills it.
+bool fits_row(std::string_view head, std::size_t size) {
+  if (head[0] != 0 || head[1] != 1) return false;
+  const std::uint32_t length = read_u32(head.data() + 2);
+  return size == 6 + static_cast<std::size_t>(length == 0xffffffffu ? 0 : length); // or null
+}
+
 // Guards against noise that would be waited for to its end: what has come of a message shows that it is none of an
-// answer's. A row's column must fill the row.
+// answer's.
 bool hopeless(std::string_view in, std::string_view types) {
   if (in.empty()) return false;
   if (types.find(in[0]) == std::string_view::npos) return true;
-  if (in[0] != 'D' || in.size() < 11) return false;
-  const std::uint32_t length = read_u32(in.data() + 7);
-  return in[5] != 0 || in[6] != 1 || (length == 0xffffffffu ? 0 : length) != read_u32(in.data() + 1) - 10;
+  return in[0] == 'D' && in.size() >= 11 && !fits_row(in.substr(5), read_u32(in.data() + 1) - 4);
 }
 
 // The one column of a DataRow. False: not one column, or its length is off.
 bool read_row(std::string_view body, std::string_view& value) {
-  if (body.size() < 6 || body[0] != 0 || body[1] != 1) return false;
-  const std::uint32_t length = read_u32(body.data() + 2);
-  if (length == 0xffffffffu) return body.size() == 6; // null
+  if (body.size() < 6 || !fits_row(body, body.size())) return false;
   value = body.substr(6);
-  return value.size() == length;
+  return true;
 }
 
 class PgWire : public upstream::Wire {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -223,10 +223,8 @@
 
   void readmit(MemberRow& m) {
     m.failures = 0;
-    if (!m.set_aside) {
-      m.lost = false;
-      return;
-    }
+    const bool lost = std::exchange(m.lost, false);
+    if (!m.set_aside) return;
     m.set_aside = m.needs_trial = false;
     m.errors = 0;
     // Guards a member back before the list says that it restarted: it refused a connection, or was silent and
@@ -235,9 +233,8 @@
     const bool applied = m.position > m.aside_at && now_ - m.position < (now_ - m.aside_at) / 2;
     // One that broke connections and answers on a new one this soon never stopped: no process restarts so fast.
     const bool blinked = now_ - m.aside_at < kBlink;
-    if ((m.lost && !blinked) || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
+    if ((lost && !blinked) || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
       m.cold_since = now_;
-    m.lost = false;
     wake(m.entry.group);
     note(std::to_string(m.entry.id) + " no longer set aside");
   }
@@ -751,8 +748,8 @@
     if (!written_.count(session)) order_.push_back(session);
     Nanos& at = written_[session];
     at = std::max(at, commit);
-    // Bounds memory: forgotten sessions are held to the newest write forgotten. One that wrote again since its
-    // turn came takes another; two steps a write, so the queue shrinks once most are old.
+    // Bounds memory: forgotten sessions are held to the newest write forgotten. In the order of their first
+    // writes, two steps a write; one that goes on writing keeps those behind it until there are too many.
     for (int step = 0; step < 2 && !order_.empty(); ++step) {
       const auto oldest = written_.find(order_.front());
       const bool old = oldest->second < now_ - kRemember;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -127,6 +127,13 @@
     if (result == Result::Ok || result == Result::Miss) o.role = m == 1 ? Role::Primary : Role::Replica;
     give(o);
   }
+  // Member 1 turns a write away: it is primary no more.
+  void turned_away(const std::string& id, Report report = {}) {
+    Outcome miss;
+    miss.id = id, miss.member = 1, miss.result = Result::Miss, miss.role = Role::Replica;
+    miss.report = report;
+    give(miss);
+  }
 };
 
 TEST(MemberTable, AFreshRouterProbesEachOnceAndSendsNothingToAnUnheardOne) {
@@ -281,13 +288,8 @@
   Bench b;
   b.settle();
   const std::string id = b.ask(kWrite, 1);
-  Outcome miss;
-  miss.id = id;
-  miss.member = 1;
-  miss.result = Result::Miss;
-  miss.role = Role::Replica;
   b.now += 5 * ms;
-  b.give(miss);
+  b.turned_away(id);
   EXPECT_FALSE(b.sent());
   b.now += 200 * ms;
   b.probed(3, true, 0);
@@ -300,10 +302,7 @@
   const std::string first = b.ask(kWrite);
   ASSERT_EQ(b.sent(), 1U);
   b.now += 20 * ms;
-  Outcome miss;
-  miss.id = first, miss.member = 1, miss.result = Result::Miss, miss.role = Role::Replica;
-  miss.report.primary = true, miss.report.position = b.now - 100 * ms;
-  b.give(miss);
+  b.turned_away(first, {b.now - 100 * ms, true});
   b.ask(kWrite);
   EXPECT_FALSE(b.sent());
   b.now += 10 * ms;
@@ -320,9 +319,7 @@
   const std::string write = b.ask(kKeyed);
   ASSERT_EQ(b.sent(), 1U);
   b.now += 5 * ms;
-  Outcome miss;
-  miss.id = write, miss.member = 1, miss.result = Result::Miss, miss.role = Role::Replica;
-  b.give(miss);
+  b.turned_away(write);
   b.now += 5 * ms;
   b.end(read, 1, Result::Ok, true, 60 * ms); // says that it is primary, as when it began
   b.ask(kKeyed);
