--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -231,7 +231,7 @@
     // comes back without what was written meanwhile. One that applied the log all the while was only out of
     // reach, by a bad way or dear connections, and is warm. Costs a hung one that comes back some traffic.
     const bool applied = m.position > m.aside_at && now_ - m.position < (now_ - m.aside_at) / 2;
-    // One that broke connections and answers on a new one this soon never stopped: no process restarts so fast.
+    // One that broke connections and answers this soon on a new one never stopped: restarts take longer.
     const bool blinked = now_ - m.aside_at < kBlink;
     if ((lost && !blinked) || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
       m.cold_since = now_;
@@ -847,8 +847,8 @@
       m.lost |= outcome.result == Result::Reset || outcome.elapsed < s_.connect_timeout / 2;
       if (!m.lost) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
       if (a.trial) pause_trials(m);
-      // One connection broken at once is chance: members reset kept and new ones and live on. Two in a row, as
-      // with time-outs, are a symptom: of one that died, all break together, and the next is refused.
+      // One connection broken at once is chance: members reset kept and new ones and live on. Two in a
+      // row, as with time-outs, are a symptom: of one that died, all break, and the next is refused.
       if (m.lost && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
       set_aside(m, false, "connection failed");
       probe(m, kProbeGap, true);
