Replace kept connections that rest past the point where uses break

The settings say 30 s. Tested and ruled out: that the breaks come with one member, or with the wire's own noise: those are the same 6 % whatever the rest. Faulty: Pool::take_idle, which used whatever was still quiet, whatever became of the ones before it.

Rests counts uses and breaks by how long the connection had rested, fading over 20 s; past the first span that breaks by a tenth more often than no rest, connections are replaced.

The story for it (rests: three members that forget after 40 ms) showed a second fault: a read that met a break at each member of its group waited to its end, as rules.cpp's tried() never let it go back to one, though all were in service. Once as many attempts went out as members serve, one that broke may have it again.

Without either half the story fails: 60 of 60 breaks, or a read refused.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -103,7 +103,7 @@
   MemberId member = 0;
   Nanos sent_at = 0;
   Nanos need = kUnknown;
-  bool out = true, overdue = false, trial = false;
+  bool out = true, overdue = false, trial = false, broke = false;
 };
 
 struct Job {
@@ -283,9 +283,13 @@
     return std::max(in, 1.0);
   }
 
+  // Guards a read that met a broken connection at every member against waiting while all of them live on:
+  // once as many attempts went out as there are members to serve it, one that broke may have it again.
   bool tried(const Job& job, MemberId id) const {
+    const Group& group = groups_.at(job.request.group);
+    const bool round = static_cast<double>(job.attempts.size()) + group.doubted >= members_in(group);
     return std::any_of(job.attempts.begin(), job.attempts.end(),
-                       [id](const Attempt& a) { return a.member == id; });
+                       [id, round](const Attempt& a) { return a.member == id && !(a.broke && round); });
   }
 
   // Departure: acts on reads that any member may serve and that run far longer than the reads which need
@@ -802,7 +806,7 @@
   }
 
   // What an attempt's end says of the member, and of what the request may have done.
-  void judge(MemberRow& m, Job& job, const Attempt& a, const Outcome& outcome) {
+  void judge(MemberRow& m, Job& job, Attempt& a, const Outcome& outcome) {
     const RequestClass& c = s_.classes[job.request.class_index];
     ClassStat& stat = stats_[job.request.class_index];
     const bool read = c.level != ReadLevel::Write;
@@ -843,6 +847,7 @@
       break;
     case Result::NoConnection:
     case Result::Reset:
+      a.broke = true;
       // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
       m.lost |= outcome.result == Result::Reset || outcome.elapsed < s_.connect_timeout / 2;
       if (!m.lost) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -3,6 +3,8 @@
 #include "net/log.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace gorsebeam::upstream {
@@ -10,8 +12,41 @@
 namespace {
 constexpr Nanos kStall = 150'000'000;           // between two pieces of one answer
 constexpr std::size_t kAnswerSmall = 16 * 1024; // an answer up to this is read on even while memory is short
+constexpr Nanos kRestFirst = 25'000'000;        // a rest shorter than this is none
+constexpr double kRestEnough = 8;               // uses after such a rest that tell
+constexpr double kRestWorse = 0.1;              // share of them broken, beyond that of connections not rested
+constexpr double kRestSpan = 20e9;              // ns over which this fades: then it is tried anew
+
+std::size_t span_of(Nanos rest, std::size_t count) {
+  std::size_t at = 0;
+  for (Nanos edge = kRestFirst; at + 1 < count && rest >= edge; edge *= 2) ++at;
+  return at;
+}
 } // namespace
 
+void Rests::fade() {
+  const double kept = std::exp(-static_cast<double>(net::now() - faded_at_) / kRestSpan);
+  for (Span& span : spans_) span.used *= kept, span.broke *= kept;
+  faded_at_ = net::now();
+}
+
+void Rests::count(Nanos rest, bool broke) {
+  fade();
+  Span& span = spans_[span_of(rest, spans_.size())];
+  span.used += 1, span.broke += broke;
+}
+
+Nanos Rests::limit() {
+  fade();
+  const Span& none = spans_[0];
+  const double usual = none.used > 0 ? none.broke / none.used : 0;
+  Nanos edge = kRestFirst;
+  for (std::size_t at = 1; at < spans_.size(); ++at, edge *= 2)
+    if (spans_[at].used >= kRestEnough && spans_[at].broke > (usual + kRestWorse) * spans_[at].used)
+      return edge;
+  return std::numeric_limits<Nanos>::max();
+}
+
 using broker::Answer;
 using broker::AttemptId;
 
@@ -47,7 +82,7 @@
   }
 
   // Ends the errand with what is known, and the connection with it.
-  void fail(Result result) { finish(result_only(result), false); }
+  void fail(Result result, bool broken = false) { finish(result_only(result), false, 0, broken); }
 
   static Answer result_only(Result result) {
     Answer answer;
@@ -77,6 +112,7 @@
     if (left <= 0) return finish(result_only(Result::NotSent), true);
     state_ = State::Writing;
     begun_ = false;
+    if (idle_since_ > 0) rested_ = net::now() - idle_since_;
     timer_.at(errand_.until);
     stream_->write(errand_.probe ? wire_->probe() : wire_->request(errand_.call->body(left)));
     if (stream_->all_written()) flushed();
@@ -117,12 +153,12 @@
 
   void ended(const std::string&) override {
     if (!busy_) return pool_.drop(this);
-    if (state_ != State::Waiting) return fail(Result::NoConnection);
+    if (state_ != State::Waiting) return fail(Result::NoConnection, true);
     Answer answer;
     std::size_t used = 0;
     if (wire_->answer(stream_->input().view(), true, errand_.probe, answer, used) == Step::Done)
       return finish(answer, false);
-    fail(Result::Reset);
+    fail(Result::Reset, true);
   }
 
   void due() {
@@ -136,8 +172,9 @@
 
   // The errand's one end. Guards the rule on second attempts: a connection that is not kept is closed before the
   // module hears of the end and may send again. A kept one is idle by then, so that the next send finds it.
-  void finish(const Answer& answer, bool keep, std::size_t used = 0) {
+  void finish(const Answer& answer, bool keep, std::size_t used = 0, bool broken = false) {
     const Errand errand = std::exchange(errand_, Errand{});
+    if (const Nanos rested = std::exchange(rested_, 0)) pool_.rests_.count(rested, broken && !begun_);
     busy_ = false;
     timer_.stop();
     const broker::Core::Hold hold(pool_.core_);
@@ -169,7 +206,8 @@
   State state_ = State::Dialing;
   Errand errand_;
   bool busy_ = false, begun_ = false; // an errand is in hand; some of its answer has come
-  Nanos idle_since_ = 0;
+  Nanos idle_since_ = 0;              // when it was last laid by, if ever
+  Nanos rested_ = 0;                  // how long before this errand
 };
 
 Pool::Pool(broker::Core& core, WireFactory wire, const Limits& limits)
@@ -230,11 +268,13 @@
   link->assign(errand);
 }
 
-// The one used last, if nothing has come on it since: bytes or an end mean that the member gave it up.
+// The one used last, if nothing has come on it since: bytes or an end mean that the member gave it up. The rest
+// go when it has rested for too long, as they have for longer.
 Pool::Link* Pool::take_idle(Host& host) {
+  const Nanos limit = rests_.limit();
   while (!host.idle.empty()) {
     Link* link = host.idle.back();
-    if (link->quiet()) {
+    if (link->quiet() && net::now() - link->idle_since() < limit) {
       host.idle.pop_back();
       return link;
     }
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -6,6 +6,7 @@
 #include "net/stream.h"
 #include "wire.h"
 
+#include <array>
 #include <list>
 #include <map>
 #include <memory>
@@ -24,6 +25,23 @@
   std::size_t buffered = 32 << 20; // by all connections together, clients' too
 };
 
+// How kept connections fared by how long they had rested. Guards against a way, or members, that forget resting
+// connections long before the settings say: each request on such a one ends as a reset and may have run.
+class Rests {
+public:
+  void count(Nanos rest, bool broke);
+  Nanos limit(); // a connection that rested for so long is not used again
+
+private:
+  struct Span {
+    double used = 0, broke = 0; // fading
+  };
+  void fade();
+
+  std::array<Span, 8> spans_; // each twice as long as the one before
+  Nanos faded_at_ = 0;
+};
+
 class Pool : public broker::Upstream {
 public:
   Pool(broker::Core& core, WireFactory wire, const Limits& limits);
@@ -63,6 +81,7 @@
   std::map<MemberId, Host> hosts_;
   std::unordered_map<Link*, std::unique_ptr<Link>> links_;
   std::unordered_map<broker::AttemptId, Link*> attempts_;
+  Rests rests_;
   std::list<std::unique_ptr<Link>> dropped_; // kept until their callbacks have returned
   net::Timer reaper_;
 };
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace stage {
 
@@ -52,9 +53,15 @@
   std::shared_ptr<Stream> stream;
   std::string input;
   std::size_t attempt = 0; // 1 + its place among the stage's; 0: none out
+  gint64 used_at = g_get_monotonic_time();
 
   void received() override {
     Stage& stage = member.stage_;
+    const gint64 rested = g_get_monotonic_time() - std::exchange(used_at, g_get_monotonic_time());
+    if (member.forgets_ms && rested >= member.forgets_ms * 1000) {
+      ++member.forgotten;
+      return stream->close();
+    }
     input.append(stream->input().view());
     stream->input().consume(stream->input().size());
     for (;;) {
@@ -64,6 +71,7 @@
       if (ask) reply = serve(*ask);
       if (!stream->open()) return;
       if (!reply.empty()) stream->write({reply});
+      used_at = g_get_monotonic_time();
     }
   }
 
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -67,6 +67,8 @@
   std::string name, address, state = "up";
   bool listed_primary, primary;
   int requests = 0;
+  int forgets_ms = 0;      // resets a connection that rested for so long at its next message, if set
+  int forgotten = 0;       // how often it did
   int connections() const; // open ones
   void die();              // resets its connections and refuses new ones
 
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -131,6 +131,25 @@
   finish(stage);
 }
 
+// Members forget connections that rested, long before the settings say, and reset them at the next message. All is
+// served, and after a few breaks such connections are replaced instead of used.
+void rests(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  stage.start();
+  const auto client = stage.client();
+  reads_served(*client, "a", 12);
+  for (const auto& member : stage.members) member->forgets_ms = 40;
+  for (int i = 0; i < 60; ++i) {
+    pass(60);
+    reads_served(*client, "b" + std::to_string(i) + "-", 1);
+  }
+  int forgotten = 0;
+  for (const auto& member : stage.members) forgotten += member->forgotten;
+  CHECK(forgotten > 0 &&
+        forgotten <= 30); // eight tell, in each span of rests that a busy machine may make of these
+  finish(stage);
+}
+
 // Whatever a client sends ends at its own connection.
 void bad_input(const Protocol& protocol) {
   Stage stage(protocol, 2, 0);
@@ -370,10 +389,18 @@
 } // namespace
 
 int main(int, char** arguments) {
-  const std::map<std::string, void (*)(const Protocol&)> stories{
-      {"faults", faults},       {"turned_away", turned_away},     {"drains", drains}, {"dies", dies},
-      {"bad_input", bad_input}, {"written_ahead", written_ahead}, {"crowds", crowds}, {"stops", stops},
-      {"budgets", budgets},     {"discovery", discovery},         {"reload", reload}};
+  const std::map<std::string, void (*)(const Protocol&)> stories{{"faults", faults},
+                                                                 {"turned_away", turned_away},
+                                                                 {"drains", drains},
+                                                                 {"dies", dies},
+                                                                 {"rests", rests},
+                                                                 {"bad_input", bad_input},
+                                                                 {"written_ahead", written_ahead},
+                                                                 {"crowds", crowds},
+                                                                 {"stops", stops},
+                                                                 {"budgets", budgets},
+                                                                 {"discovery", discovery},
+                                                                 {"reload", reload}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
