Take a member as restarted for two breaks in a row, not for one while it was slow

A probe at each return to service (190): all 20 members marked cold had been set aside for time-outs, had applied the log all the while, and 16 had answered since; each had one request reset, as 6 % of all are. Ruled out: doubt (0.0 to 9 s a group, mostly below 30 ms a time), and the second clause, of silence without the log applied, which marked none.

Faulty: judge() in rules.cpp set lost on any one broken connection; readmit() takes lost and 300 ms away as a restart, and a primary then got 16 to 49 % of its writes for 6 to 16 s. Now breaks are counted and an answer starts the count anew: of a process that died all connections break and no answer comes between.

The test fails with the count at one.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,7 +76,8 @@
   double errors = 0;          // recent share of errors
   bool set_aside = true;      // a fresh router sets all aside
   bool needs_trial = false;   // set aside for time-outs or errors: a shallow probe proves nothing
-  bool lost = false;          // refused or broke a connection: may have restarted
+  int breaks = 0;             // connections refused or broken in a row, with no answer between
+  bool lost = false;          // several such: may have restarted
   Nanos aside_at = kNever;    // when it was last set aside
   bool trial_out = false, probing = false;
   Nanos trial_at = 0, trial_gap = kTrialGap;
@@ -787,6 +788,7 @@
   }
 
   void hear_answer(MemberRow& m, const Outcome& outcome) {
+    m.breaks = 0;
     // Guards against reads begun before a hand-over: they end with the old role, each sending all that waits
     // to a member that has turned writes away since, until their attempts are used up.
     if (outcome.role == Role::Replica) m.denied_at = now_;
@@ -810,6 +812,7 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     ClassStat& stat = stats_[job.request.class_index];
     const bool read = c.level != ReadLevel::Write;
+    bool slow = false;
     switch (outcome.result) {
     case Result::Ok: {
       const double took = static_cast<double>(outcome.elapsed);
@@ -849,12 +852,15 @@
     case Result::Reset:
       a.broke = true;
       // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
-      m.lost |= outcome.result == Result::Reset || outcome.elapsed < s_.connect_timeout / 2;
-      if (!m.lost) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
+      slow = outcome.result == Result::NoConnection && outcome.elapsed >= s_.connect_timeout / 2;
+      if (slow) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
       if (a.trial) pause_trials(m);
       // One connection broken at once is chance: members reset kept and new ones and live on. Two in a
-      // row, as with time-outs, are a symptom: of one that died, all break, and the next is refused.
-      if (m.lost && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
+      // row, as with time-outs, are a symptom: of one that died, all break, and the next is refused. Guards
+      // one that is only slow, too: set aside, and with one request reset, it would come back as cold.
+      m.breaks += !slow;
+      m.lost |= m.breaks >= kTimeoutsInRow;
+      if (!slow && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
       set_aside(m, false, "connection failed");
       probe(m, kProbeGap, true);
       break;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -593,6 +593,32 @@
   }
 }
 
+TEST(Cold, OneThatWasSlowAndBrokeOneConnectionHasNotRestarted) {
+  Settings s = settings();
+  s.cold_time = 60'000 * ms;
+  Bench b(s);
+  b.settle();
+  std::vector<std::string> writes;
+  for (int i = 0; i < 4; ++i) writes.push_back(b.ask(kWrite));
+  b.after(700 * ms); // none answered: set aside
+  b.end(writes[0], 1, Result::Reset, true, 700 * ms);
+  b.end(writes[1], 1, Result::Ok, true, 700 * ms); // it lives
+  std::optional<MemberId> tried;
+  for (int asked = 0; tried != 1U; ++asked) { // one read tries it
+    ASSERT_LT(asked, 1000);
+    b.after(10 * ms);
+    b.probed(1, true, 0); // proves little after time-outs
+    const std::string id = b.ask(kAny);
+    if ((tried = b.sent())) b.end(id, *tried, Result::Ok, true);
+  }
+  b.after(20'000 * ms); // the crowd is forgotten, a cold one would still be short of its share
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = b.ask(kWrite);
+    ASSERT_EQ(b.sent(), 1U) << "held to a cold one's share after " << i;
+    b.end(id, 1, Result::Ok, true);
+  }
+}
+
 TEST(Cold, AConnectionThatRanIntoItsTimeOutIsNoRestart) {
   for (const bool refused : {false, true}) {
     Settings s = settings();
