Judge a restart at the first sign of life, and scout a primary that shows itself

Ruled out: a probe that never ended (each ends within the connect time-out), connections (all of it on fresh ones), and the other gateway's view.

Faulty in rules.cpp: find_primary() left out a primary until trial_at, which doubles to 4 s, whatever it showed meanwhile; readmit() took the time since it was set aside, not since its connections broke, for the time it may have been down. Now a primary shown by a probe within 400 ms is scouted at the usual pace where primaries answer quickly; the first answer, or probe's, after the breaks tells whether a process could have restarted meanwhile.

Each line taken out fails a test.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,7 +76,8 @@
   double errors = 0;          // recent share of errors
   bool set_aside = true;      // a fresh router sets all aside
   bool needs_trial = false;   // set aside for time-outs or errors: a shallow probe proves nothing
-  int breaks = 0;             // connections refused or broken in a row, with no answer between
+  int breaks = 0;             // connections refused or broken in a row, with no answer or probe between
+  Nanos broke_at = 0;         // the first of them
   bool lost = false;          // several such: may have restarted
   Nanos aside_at = kNever;    // when it was last set aside
   bool trial_out = false, probing = false;
@@ -232,9 +233,7 @@
     // comes back without what was written meanwhile. One that applied the log all the while was only out of
     // reach, by a bad way or dear connections, and is warm. Costs a hung one that comes back some traffic.
     const bool applied = m.position > m.aside_at && now_ - m.position < (now_ - m.aside_at) / 2;
-    // One that broke connections and answers this soon on a new one never stopped: restarts take longer.
-    const bool blinked = now_ - m.aside_at < kBlink;
-    if ((lost && !blinked) || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
+    if (lost || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
       m.cold_since = now_;
     wake(m.entry.group);
     note(std::to_string(m.entry.id) + " no longer set aside");
@@ -535,7 +534,11 @@
       // broken one connection and live on, and then no one else would ever take the write.
       const bool shown =
           group.primary == id && !job.attempts.empty() && group.primary_info > job.attempts.back().sent_at;
-      if (!usable(m) || (m.set_aside && now_ < m.trial_at) || (tried(job, id) && !shown)) continue;
+      // One that shows itself by probes, where answers are quick, loses some: the pause, which doubles, would
+      // keep writes from it for seconds. One that hangs shows nothing; where all are slow, it may be spent.
+      const bool quick = pool_of(m).sum <= kRoomy * pool_of(m).n;
+      const bool awake = quick && group.primary == id && now_ - m.shown_at < 4 * kProbeGap;
+      if (!usable(m) || (m.set_aside && now_ < m.trial_at && !awake) || (tried(job, id) && !shown)) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
     }
     if (!best) return;
@@ -605,9 +608,8 @@
         !(m.position != kUnknown && m.position >= need_of(job)))
       return false;                       // no stale read
     if (!cold_room(m, job)) return false; // no cold member pushed over
-    const Attempt a{id, now_, need_of(job), true, false, trial};
     if (trial) m.trial_out = true;
-    job.attempts.push_back(a);
+    job.attempts.push_back({id, now_, need_of(job), true, false, trial});
     ++job.out;
     act(Send{job.request.id, id, job.request.deadline - now_});
     return true;
@@ -638,10 +640,8 @@
     job.closed = true;
     const bool harmless = c.effect == Effect::Safe || job.may_have_run == kUnknown ||
                           (c.effect == Effect::Keyed && c.scope == RepeatScope::All);
-    if (harmless) {
-      act(Refuse{job.request.id, come_back.value_or(s_.retry_after ? s_.max_retry_after : 0)});
-    } else
-      act(Fail{job.request.id});
+    if (!harmless) return act(Fail{job.request.id});
+    act(Refuse{job.request.id, come_back.value_or(s_.retry_after ? s_.max_retry_after : 0)});
   }
 
   // ---- events
@@ -749,10 +749,9 @@
 
   void remember_write(const Job& job, Nanos commit) {
     if (s_.tokens != TokenMode::Remembered || !job.request.session) return;
-    const std::uint64_t session = *job.request.session;
-    if (!written_.count(session)) order_.push_back(session);
-    Nanos& at = written_[session];
-    at = std::max(at, commit);
+    const auto [written, fresh] = written_.try_emplace(*job.request.session, commit);
+    if (fresh) order_.push_back(written->first);
+    written->second = std::max(written->second, commit);
     // Bounds memory: forgotten sessions are held to the newest write forgotten. In the order of their first
     // writes, two steps a write; one that goes on writing keeps those behind it until there are too many.
     for (int step = 0; step < 2 && !order_.empty(); ++step) {
@@ -788,7 +787,6 @@
   }
 
   void hear_answer(MemberRow& m, const Outcome& outcome) {
-    m.breaks = 0;
     // Guards against reads begun before a hand-over: they end with the old role, each sending all that waits
     // to a member that has turned writes away since, until their attempts are used up.
     if (outcome.role == Role::Replica) m.denied_at = now_;
@@ -799,7 +797,10 @@
     take_report(m, outcome.report);
   }
 
-  void take_report(MemberRow& m, const Report& report) {
+  void take_report(MemberRow& m, const Report& report) { // of an answer, or of a probe's
+    // One that broke connections and answers this soon on a new one never stopped: restarts take longer.
+    m.lost &= now_ - m.broke_at >= kBlink;
+    m.breaks = 0;
     if (report.position) prove(m, *report.position, now_);
     if (!report.primary) return;
     // A primary stands at the present, so its position dates the report.
@@ -855,10 +856,9 @@
       slow = outcome.result == Result::NoConnection && outcome.elapsed >= s_.connect_timeout / 2;
       if (slow) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
       if (a.trial) pause_trials(m);
-      // One connection broken at once is chance: members reset kept and new ones and live on. Two in a
-      // row, as with time-outs, are a symptom: of one that died, all break, and the next is refused. Guards
-      // one that is only slow, too: set aside, and with one request reset, it would come back as cold.
-      m.breaks += !slow;
+      // One connection broken at once is chance: members reset some and live on, also while set aside as
+      // slow. Two in a row, as with time-outs, are a symptom: of one that died, all break.
+      if (!slow && ++m.breaks == 1) m.broke_at = now_;
       m.lost |= m.breaks >= kTimeoutsInRow;
       if (!slow && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
       set_aside(m, false, "connection failed");
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -56,21 +56,28 @@
   Nanos now = 1'000'000 * ms;
   std::vector<Action> actions;
   std::map<std::string, std::uint32_t> attempts;
+  std::set<std::pair<std::string, MemberId>> went; // which request to whom
   int next = 0;
 
   explicit Bench(Settings s = settings()) : router(std::move(s), 42) {}
 
+  void count(const Send& send) {
+    ++attempts[send.id];
+    went.insert({send.id, send.member});
+  }
   void give(const Event& event) {
     actions.clear();
     router.handle(now, event, actions);
     for (const Action& a : actions)
-      if (const auto* send = std::get_if<Send>(&a)) ++attempts[send->id];
+      if (const auto* send = std::get_if<Send>(&a)) count(*send);
   }
   void after(Nanos time) {
     for (const Nanos end = now + time; now < end;) {
       now += 10 * ms;
-      const auto before = actions;
+      const std::size_t before = actions.size();
       router.handle(now, TimerDue{}, actions);
+      for (std::size_t i = before; i < actions.size(); ++i)
+        if (const auto* send = std::get_if<Send>(&actions[i])) count(*send);
     }
   }
   template <typename T> std::vector<T> all() const {
@@ -593,29 +600,50 @@
   }
 }
 
-TEST(Cold, OneThatWasSlowAndBrokeOneConnectionHasNotRestarted) {
-  Settings s = settings();
-  s.cold_time = 60'000 * ms;
-  Bench b(s);
-  b.settle();
-  std::vector<std::string> writes;
-  for (int i = 0; i < 4; ++i) writes.push_back(b.ask(kWrite));
-  b.after(700 * ms); // none answered: set aside
-  b.end(writes[0], 1, Result::Reset, true, 700 * ms);
-  b.end(writes[1], 1, Result::Ok, true, 700 * ms); // it lives
-  std::optional<MemberId> tried;
-  for (int asked = 0; tried != 1U; ++asked) { // one read tries it
-    ASSERT_LT(asked, 1000);
-    b.after(10 * ms);
-    b.probed(1, true, 0); // proves little after time-outs
-    const std::string id = b.ask(kAny);
-    if ((tried = b.sent())) b.end(id, *tried, Result::Ok, true);
+TEST(Cold, OneThatWasSlowAndBrokeSomeConnectionsHasNotRestarted) {
+  for (const bool answers : {true, false}) { // between its breaks; or it answers a probe soon after them
+    Settings s = settings();
+    s.cold_time = 60'000 * ms;
+    Bench b(s);
+    b.settle();
+    std::vector<std::string> writes;
+    for (int i = 0; i < 4; ++i) writes.push_back(b.ask(kWrite));
+    b.after(700 * ms); // none answered: set aside
+    b.end(writes[0], 1, Result::Reset, true, 700 * ms);
+    if (answers) b.end(writes[1], 1, Result::Ok, true, 700 * ms), b.after(400 * ms);
+    b.end(writes[2], 1, Result::Reset, true, 700 * ms);
+    b.now += (answers ? 400 : 100) * ms;
+    b.probed(1, true, 0);
+    std::optional<MemberId> tried;
+    for (int asked = 0; tried != 1U; ++asked) { // one read tries it, long after
+      ASSERT_LT(asked, 1000);
+      b.after(10 * ms);
+      b.probed(1, true, 0); // proves little after time-outs
+      const std::string id = b.ask(kAny);
+      if ((tried = b.sent())) b.end(id, *tried, Result::Ok, true);
+    }
+    b.after(20'000 * ms); // the crowd is forgotten, a cold one would still be short of its share
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = b.ask(kWrite);
+      ASSERT_EQ(b.sent(), 1U) << "held to a cold one's share after " << i;
+      b.end(id, 1, Result::Ok, true);
+    }
   }
-  b.after(20'000 * ms); // the crowd is forgotten, a cold one would still be short of its share
-  for (int i = 0; i < 40; ++i) {
+}
+
+TEST(Trust, APrimaryThatLosesAnswersButShowsItselfIsTriedWithoutTheLongPause) {
+  for (const bool shows : {true, false}) {
+    Bench b;
+    b.settle();
+    for (int i = 0; i < 40; ++i) b.end(b.ask(kWrite), 1, Result::Ok, true); // quick
+    b.ask(kWrite), b.ask(kWrite);
+    b.after(300 * ms); // neither answered: set aside, to be tried again after 500 ms
     const std::string id = b.ask(kWrite);
-    ASSERT_EQ(b.sent(), 1U) << "held to a cold one's share after " << i;
-    b.end(id, 1, Result::Ok, true);
+    for (int i = 0; i < 4; ++i) {
+      b.after(50 * ms);
+      if (shows) b.probed(1, true, 0);
+    }
+    EXPECT_EQ(b.went.count({id, 1}) > 0, shows);
   }
 }
 
