Refuse writes unsent by half of their time while an election goes on

Faulty: find_primary() held whatever could not go, as a write that comes late is worth something; in an election, which lasts seconds, it does not come. Now one with no attempt by half of its time is refused, with the time to come back, once the group had no primary for more than a second: a role that is handed over is taken up sooner.

Without the lines, or with doubt included, the test fails.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,6 +37,7 @@
 constexpr std::size_t kSessionsMost = 100'000; // remembered writes; older ones fold into one floor
 constexpr Nanos kRemember = 60'000 * kMs;      // and for so long: no replica in use is further behind
 constexpr Nanos kForget = 60'000 * kMs;        // what is known of a member that is gone is kept for so long
+constexpr Nanos kHandOver = 1000 * kMs;        // a role that is handed over is taken up sooner
 constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
 constexpr double kProbeShare = 0.1; // probes, as a share of this router's own requests: bounds their cost
 constexpr double kProbeBurst = 10;  // probes that may go at once: a group's members, and some more
@@ -517,10 +518,14 @@
     if (has_room(rows_.at(*group.primary), job)) send(job, *group.primary, false);
   }
 
-  // Departure: acts while a group has no primary that answers. Where probes tell roles they are asked; where
-  // not, one waiting write at a time tries the replicas, most advanced first: a wrong one turns it away
-  // unrun.
+  // Departure: acts while a group has no primary that answers. Where probes tell roles they are asked; else
+  // one waiting write at a time tries the replicas, most advanced first: a wrong one turns it away unrun.
   void find_primary(Group& group, Job& job) {
+    // Guards against holding a client for an election, which lasts seconds: what was not sent by half of its
+    // time is refused while its client can still come back. One in doubt may answer any time: that is held.
+    const bool half = 2 * (now_ - job.arrived) >= job.request.deadline - job.arrived - 4 * kPulse;
+    const bool gone = !group.primary && now_ - group.primary_info > kHandOver;
+    if (half && gone && job.attempts.empty()) return give_up(job);
     for (const MemberId id : group.members) {
       MemberRow& m = rows_.at(id);
       if (usable(m) && (s_.report_roles || m.set_aside)) probe(m, 2 * kProbeGap, true);
@@ -653,10 +658,8 @@
     }
     if (s_.discovery == Discovery::Asked && list.kind == MemberList::Kind::Remembered) watch_at_ = now_;
     std::set<MemberId> seen;
-    for (const Member& entry : list.members) {
-      seen.insert(entry.id);
-      take_entry(entry, list.kind == MemberList::Kind::Remembered);
-    }
+    for (const Member& entry : list.members)
+      seen.insert(entry.id), take_entry(entry, list.kind == MemberList::Kind::Remembered);
     if (list.kind != MemberList::Kind::Changes)
       for (auto& [id, m] : rows_)
         if (!seen.count(id)) leave(m, MemberState::Removed);
@@ -669,8 +672,7 @@
     for (const auto& [seq, job] : jobs_)
       for (const Attempt& a : job.attempts) held.insert(a.member);
     for (auto it = rows_.begin(); it != rows_.end();) {
-      const MemberId id = it->first;
-      const MemberRow& m = it->second;
+      const auto& [id, m] = *it;
       if (m.left_at == kNever || now_ - m.left_at < kForget || held.count(id)) {
         ++it;
         continue;
@@ -790,9 +792,8 @@
     // Guards against reads begun before a hand-over: they end with the old role, each sending all that waits
     // to a member that has turned writes away since, until their attempts are used up.
     if (outcome.role == Role::Replica) m.denied_at = now_;
-    if (outcome.role == Role::Replica ||
-        (outcome.role == Role::Primary && now_ - outcome.elapsed > m.denied_at))
-      believe(m, outcome.role == Role::Primary, now_, true);
+    const bool primary = outcome.role == Role::Primary && now_ - outcome.elapsed > m.denied_at;
+    if (primary || outcome.role == Role::Replica) believe(m, primary, now_, true);
     if (outcome.position) prove(m, *outcome.position, now_);
     take_report(m, outcome.report);
   }
@@ -813,7 +814,8 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     ClassStat& stat = stats_[job.request.class_index];
     const bool read = c.level != ReadLevel::Write;
-    bool slow = false;
+    // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
+    const bool slow = outcome.result == Result::NoConnection && outcome.elapsed >= s_.connect_timeout / 2;
     switch (outcome.result) {
     case Result::Ok: {
       const double took = static_cast<double>(outcome.elapsed);
@@ -852,8 +854,6 @@
     case Result::NoConnection:
     case Result::Reset:
       a.broke = true;
-      // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
-      slow = outcome.result == Result::NoConnection && outcome.elapsed >= s_.connect_timeout / 2;
       if (slow) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
       if (a.trial) pause_trials(m);
       // One connection broken at once is chance: members reset some and live on, also while set aside as
@@ -953,8 +953,7 @@
     act(Probe{m.entry.id});
   }
 
-  // After each step of a request: forgets it when done, else notes that it waits and when it is looked at
-  // next.
+  // After each step of a request: forgets it when done, else notes that it waits and for when.
   void settle(Job& job) {
     Group& group = groups_[job.request.group];
     if (job.look_at != kNever) due_.erase({job.look_at, job.seq});
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -475,6 +475,25 @@
   EXPECT_LE(b.all<Refuse>()[0].retry_after, 700 * ms);
 }
 
+TEST(Refusals, AWriteUnsentByHalfOfItsTimeIsRefusedDuringAnElectionButHeldInADoubt) {
+  for (const bool election : {true, false}) {
+    Bench b;
+    b.settle();
+    const std::string first = b.ask(kWrite), second = b.ask(kWrite);
+    b.now += 10 * ms;
+    if (election)
+      b.turned_away(first);
+    else
+      b.end(first, 1, Result::Reset, true), b.end(second, 1, Result::Reset, true);
+    b.after(1100 * ms);
+    for (int i = 0; i < 30; ++i) b.ask(kWrite); // one in 100 ms scouts, the rest waits
+    b.after(900 * ms);
+    EXPECT_TRUE(b.all<Refuse>().empty());
+    b.after(100 * ms);
+    EXPECT_EQ(b.all<Refuse>().size() >= 15, election) << b.all<Refuse>().size();
+  }
+}
+
 TEST(OddEvents, DoNoHarm) {
   Bench b;
   b.give(ClientGone{"nobody"});
