Compare times that may be unknown without subtracting them

The same form stood in find_primary() for shown_at. A group that never knew a primary holds its writes to their end, as the wrapped figure did.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -524,7 +524,8 @@
     // Guards against holding a client for an election, which lasts seconds: what was not sent by half of its
     // time is refused while its client can still come back. One in doubt may answer any time: that is held.
     const bool half = 2 * (now_ - job.arrived) >= job.request.deadline - job.arrived - 4 * kPulse;
-    const bool gone = !group.primary && now_ - group.primary_info > kHandOver;
+    const bool known = group.primary_info != kUnknown; // ever
+    const bool gone = !group.primary && known && group.primary_info < now_ - kHandOver;
     if (half && gone && job.attempts.empty()) return give_up(job);
     for (const MemberId id : group.members) {
       MemberRow& m = rows_.at(id);
@@ -542,7 +543,7 @@
       // One that shows itself by probes, where answers are quick, loses some: the pause, which doubles, would
       // keep writes from it for seconds. One that hangs shows nothing; where all are slow, it may be spent.
       const bool quick = pool_of(m).sum <= kRoomy * pool_of(m).n;
-      const bool awake = quick && group.primary == id && now_ - m.shown_at < 4 * kProbeGap;
+      const bool awake = quick && group.primary == id && m.shown_at > now_ - 4 * kProbeGap;
       if (!usable(m) || (m.set_aside && now_ < m.trial_at && !awake) || (tried(job, id) && !shown)) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
     }
