Say once that a role's answers are slow; count members only for a broken attempt

Read again: rules.cpp held the check on slow answers three times (learn_silence, cold_room, find_primary), the last one faded and weighed for every member though only a primary can pass; tried() walked the group on each call, also for requests with no attempt. The test bench counted sends in two loops.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,6 +60,7 @@
 struct Crowd { // answer times as parts of their aims, fading
   double sum = 0, n = 0;
   Nanos at = 0;
+  bool slow() const { return sum > kRoomy * n; }
   Crowd& fade(Nanos now) {
     const double kept = std::exp(-static_cast<double>(now - at) / kNewsSpan);
     sum *= kept, n *= kept, at = now;
@@ -288,9 +289,9 @@
   // once as many attempts went out as there are members to serve it, one that broke may have it again.
   bool tried(const Job& job, MemberId id) const {
     const Group& group = groups_.at(job.request.group);
-    const bool round = static_cast<double>(job.attempts.size()) + group.doubted >= members_in(group);
+    const auto round = [&] { return double(job.attempts.size()) + group.doubted >= members_in(group); };
     return std::any_of(job.attempts.begin(), job.attempts.end(),
-                       [id, round](const Attempt& a) { return a.member == id && !(a.broke && round); });
+                       [&](const Attempt& a) { return a.member == id && !(a.broke && round()); });
   }
 
   // Departure: acts on reads that any member may serve and that run far longer than the reads which need
@@ -444,7 +445,7 @@
   // where they are quick, answers are being lost, and holding requests back would not help.
   void learn_silence(MemberRow& m) {
     const Crowd& pool = pool_of(m);
-    if (pool.n < 1 || pool.sum > kRoomy * pool.n) learn_crowding(m, 2);
+    if (pool.n < 1 || pool.slow()) learn_crowding(m, 2);
   }
 
   void learn_crowding(MemberRow& m, double part_of_aim) {
@@ -542,8 +543,7 @@
           group.primary == id && !job.attempts.empty() && group.primary_info > job.attempts.back().sent_at;
       // One that shows itself by probes, where answers are quick, loses some: the pause, which doubles, would
       // keep writes from it for seconds. One that hangs shows nothing; where all are slow, it may be spent.
-      const bool quick = pool_of(m).sum <= kRoomy * pool_of(m).n;
-      const bool awake = quick && group.primary == id && m.shown_at > now_ - 4 * kProbeGap;
+      const bool awake = group.primary == id && m.shown_at > now_ - 4 * kProbeGap && !pool_of(m).slow();
       if (!usable(m) || (m.set_aside && now_ < m.trial_at && !awake) || (tried(job, id) && !shown)) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
     }
@@ -593,7 +593,7 @@
   bool cold_room(const MemberRow& m, const Job& job) {
     if (cold_share(m) >= 1) return true;
     const Crowd& pool = pool_of(m);
-    return unit(job.draw) < cold_share(m) * (pool.sum > kRoomy * pool.n ? kRoomy * pool.n / pool.sum : 1);
+    return unit(job.draw) < cold_share(m) * (pool.slow() ? kRoomy * pool.n / pool.sum : 1);
   }
 
   // Every send passes here; the five rules that concern sends are kept here.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -61,23 +61,24 @@
 
   explicit Bench(Settings s = settings()) : router(std::move(s), 42) {}
 
-  void count(const Send& send) {
-    ++attempts[send.id];
-    went.insert({send.id, send.member});
+  void handle(const Event& event) { // keeps what was there
+    const std::size_t before = actions.size();
+    router.handle(now, event, actions);
+    for (std::size_t i = before; i < actions.size(); ++i) {
+      const auto* send = std::get_if<Send>(&actions[i]);
+      if (!send) continue;
+      ++attempts[send->id];
+      went.insert({send->id, send->member});
+    }
   }
   void give(const Event& event) {
     actions.clear();
-    router.handle(now, event, actions);
-    for (const Action& a : actions)
-      if (const auto* send = std::get_if<Send>(&a)) count(*send);
+    handle(event);
   }
   void after(Nanos time) {
     for (const Nanos end = now + time; now < end;) {
       now += 10 * ms;
-      const std::size_t before = actions.size();
-      router.handle(now, TimerDue{}, actions);
-      for (std::size_t i = before; i < actions.size(); ++i)
-        if (const auto* send = std::get_if<Send>(&actions[i])) count(*send);
+      handle(TimerDue{});
     }
   }
   template <typename T> std::vector<T> all() const {
