Let last words linger and make room of connections that asked once

A census of all closings showed bytes after the close only on connections of clients turned away after their hello: their first query was on its way in pieces, the close with bytes unread became a reset, and the refusal that was already written went with it. The refusals by the thousand had another cause: clients may hold a third of the descriptors, ask once on each connection and keep it, and each was closed after 2.05 s only; and some 400 a second said hello and nothing more. Neither core nor descriptors were used up.

Change: a connection that was told its last words ends its sending side and reads and drops for at most 0.25 s, within a bound (a twentieth of the front's share). Turned away for want of room is told as 53300, a refusal, in place of 57014.

The story last_words ends in a reset on both protocols without the lingering.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -9,9 +9,7 @@
 namespace {
 constexpr Nanos kSecond = 1'000'000'000;
 constexpr Nanos kSweep = kSecond / 20;
-constexpr Nanos kTidy = kSecond / 5;
-constexpr Nanos kIdleLeast = 2 * kSecond + kSecond / 20; // an idle connection is not closed before
-constexpr Nanos kSilentLeast = kSecond / 5;        // one that never asked makes room for others after this
+constexpr Nanos kLinger = kSecond / 4;             // after the last words; a client hangs up long before
 constexpr Nanos kOwed = 2 * kSecond + kSecond / 2; // an error or a close is due 3 s after connecting
 constexpr Nanos kUnread = 5 * kSecond;             // an answer not taken for longer than any deadline
 constexpr std::size_t kStepsAtOnce = 16;           // messages of one connection in one turn of the loop
@@ -46,7 +44,7 @@
 
 void Connection::flushed() {
   since_ = net::now();
-  if (closing_) return close();
+  if (closing_) return linger();
   run();
 }
 
@@ -87,7 +85,7 @@
 
 void Connection::answered() {
   busy_ = false;
-  asked_ = true;
+  answered_times_ = std::min<std::size_t>(answered_times_ + 1, 2);
   request_.clear();
   since_ = net::now();
   if (front_.stopping() && stream_->input().size() == 0) return close_when_written();
@@ -103,13 +101,25 @@
 
 void Connection::turn_away(const char* why) {
   if (!closing_ && stream_->all_written()) farewell(why);
-  if (stream_->open()) close();
+  if (stream_->open() && !lingering_) close();
 }
 
 void Connection::close_when_written() {
   closing_ = true;
   since_ = net::now();
-  if (stream_->all_written()) close();
+  if (stream_->all_written()) linger();
+}
+
+// Guards the last words: a close with bytes unread, or bytes that come after it, is a reset to the client, which may
+// then never read what it was told; its request would be lost.
+void Connection::linger() {
+  if (lingering_ || !stream_->open()) return;
+  lingering_ = true;
+  since_ = net::now();
+  stream_->input().release();
+  stream_->shut();
+  stream_->pause_reading(false);
+  front_.linger(this);
 }
 
 void Connection::close() {
@@ -124,8 +134,9 @@
 Front::Front(broker::Core& core, const Limits& limits, Make make)
     : core_(core), limits_(limits), make_(std::move(make)),
       listener_([this](net::SocketHandle socket) { accepted(std::move(socket)); }),
-      reaper_([this] { removed_.clear(); }), sweep_([this] { stop_accepting(); }), tidy_([this] { tidy(); }) {
-  tidy_.after(kTidy);
+      reaper_([this] { removed_.clear(); }), sweep_([this] { stop_accepting(); }), tidy_([this] { tidy(); }),
+      linger_([this] { end_lingering(); }) {
+  tidy_.after(admission::again(0, limits_.connections));
 }
 
 void Front::accepted(net::SocketHandle socket) {
@@ -140,45 +151,40 @@
   if (connections_.size() >= limits_.connections + limits_.crowded) listener_.pause(true);
 }
 
-// Makes room for a new connection: the one idle longest goes, those that never asked anything before all others, so
-// that hundreds which connect and say nothing do not crowd out the ones that ask.
-bool Front::evict() {
-  const Nanos now = net::now();
-  std::vector<std::pair<std::pair<bool, Nanos>, Connection*>> idle;
-  for (const auto& [connection, owned] : connections_)
-    if (connection->idle() && now - connection->since() >= (connection->asked() ? kIdleLeast : kSilentLeast))
-      idle.push_back({{connection->asked(), connection->since()}, connection});
-  std::sort(idle.begin(), idle.end());
-  for (const auto& [order, connection] : idle) {
-    if (connection->unread()) continue;
-    connection->close();
-    return true;
+std::vector<admission::Idle> Front::idle(std::vector<Connection*>& which) const {
+  std::vector<admission::Idle> idle;
+  for (const auto& [connection, owned] : connections_) {
+    if (!connection->idle() || connection->unread()) continue;
+    idle.push_back({which.size(), connection->since(), connection->answered_times()});
+    which.push_back(connection);
   }
-  return false;
+  return idle;
 }
 
-// What is owed an end gets it in time. While all connections are in use, those that never asked go first, also where
-// nothing is accepted any more. And beyond a quarter of what may connect, those idle for 2 s are closed: clients
-// that ask once and stay must not use up the connections that others need.
+bool Front::evict() {
+  std::vector<Connection*> which;
+  const std::vector<std::size_t> order = admission::room_for_new(idle(which), net::now());
+  if (order.empty()) return false;
+  which[order.front()]->close();
+  return true;
+}
+
+// What is owed an end gets it in time, and what rests makes room.
 void Front::tidy() {
   const Nanos now = net::now();
-  const bool full = connections_.size() >= limits_.connections;
-  std::vector<std::pair<Nanos, Connection*>> idle;
   std::vector<std::pair<const char*, Connection*>> late;
-  for (const auto& [connection, owned] : connections_) {
-    if (const char* why = connection->overdue(now))
-      late.emplace_back(why, connection);
-    else if (connection->idle() && !connection->asked() && full && now - connection->since() >= kSilentLeast)
-      late.emplace_back("too many connections", connection);
-    else if (connection->idle() && now - connection->since() >= kIdleLeast)
-      idle.emplace_back(connection->since(), connection);
+  for (const auto& [connection, owned] : connections_)
+    if (const char* why = connection->overdue(now)) late.emplace_back(why, connection);
+  for (const auto& [why, connection] : late) connection->turn_away(why);
+  std::vector<Connection*> which;
+  for (const admission::Close& close :
+       admission::retire(idle(which), now, connections_.size(), limits_.connections)) {
+    if (connections_.size() <= close.above) continue;
+    Connection* connection = which[close.index];
+    if (connection->answered_times() == 0) connection->crowded_ = true; // told why, in the protocol's words
+    connection->answered_times() == 0 ? connection->turn_away("too many connections") : connection->close();
   }
-  for (const auto& [why, connection] : late)
-    if (!connection->idle() || !connection->unread()) connection->turn_away(why);
-  std::sort(idle.begin(), idle.end());
-  for (const auto& [since, connection] : idle)
-    if (connections_.size() > limits_.connections / 4 && !connection->unread()) connection->close();
-  tidy_.after(kTidy);
+  tidy_.after(admission::again(connections_.size(), limits_.connections));
 }
 
 void Front::relieve() {
@@ -192,7 +198,32 @@
   largest->turn_away("memory is short");
 }
 
+void Front::linger(Connection* connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  lingering_.push_back(std::move(found->second));
+  connections_.erase(found);
+  // Bounds the descriptors: the one that has had most time to take its last words goes.
+  if (lingering_.size() > limits_.lingering) lingering_.front()->close();
+  if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
+  if (listener_.open() && !stopping_) listener_.pause(false);
+}
+
+void Front::end_lingering() {
+  const Nanos now = net::now();
+  while (!lingering_.empty() && now - lingering_.front()->since() >= kLinger) lingering_.front()->close();
+  if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
+}
+
 void Front::remove(Connection* connection) {
+  if (connection->lingering()) {
+    const auto at = std::find_if(lingering_.begin(), lingering_.end(),
+                                 [connection](const auto& owned) { return owned.get() == connection; });
+    if (at == lingering_.end()) return;
+    removed_.push_back(std::move(*at));
+    lingering_.erase(at);
+    return reaper_.after(0);
+  }
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
   removed_.push_back(std::move(found->second));
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -2,12 +2,14 @@
 // SIGTERM. A protocol's connection derives from Connection.
 #pragma once
 
+#include "admission/admission.h"
 #include "broker/core.h"
 #include "net/listener.h"
 #include "net/stream.h"
 #include "net/timer.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,7 +30,8 @@
 
   bool idle() const { return !busy_ && stream_->input().size() == 0 && stream_->all_written(); }
   bool unread() const { return stream_->readable(); }
-  bool asked() const { return asked_; }  // it was answered at least once
+  bool lingering() const { return lingering_; }                  // its last words are with the kernel
+  std::size_t answered_times() const { return answered_times_; } // 2 stands for more
   Nanos since() const { return since_; } // when it last moved on: came, sent, was answered or took an answer
   std::size_t held() const { return busy_ ? 0 : stream_->held(); }
   // Why it is to be closed: nothing said, half a message, an answer not taken. Nothing where it is fine.
@@ -48,6 +51,8 @@
   // Hands the request to the core; it stands in the input's first `size` bytes. False: its id is open already.
   bool begin(Request request, std::size_t size);
   void answered(); // its answer is written
+  // What is written is its last words. It then lingers: the sending side ends, and what the client had on the way
+  // is read and dropped until it hangs up.
   void close_when_written();
 
   Front& front_;
@@ -59,11 +64,14 @@
   void flushed() final;
   void ended(const std::string& why) final;
   void run();
+  void linger();
 
   std::string request_;
   std::size_t request_size_ = 0;
-  bool busy_ = false, closing_ = false, crowded_ = false, running_ = false, starting_ = false;
-  bool spoke_ = false, asked_ = false; // something it sent could be read; a request of it was answered
+  bool busy_ = false, closing_ = false, crowded_ = false, running_ = false, starting_ = false,
+       lingering_ = false;
+  bool spoke_ = false; // something it sent could be read
+  std::size_t answered_times_ = 0;
   Nanos since_ = 0;
   net::Timer resume_;
 };
@@ -71,6 +79,7 @@
 struct Limits {
   std::size_t connections = 480; // served at once
   std::size_t crowded = 32;      // accepted beyond that, to be turned away in words
+  std::size_t lingering = 32;    // told their last words, and not yet closed
   std::size_t message_bytes = 256 * 1024;
   std::size_t buffered = 16 << 20; // by all connections together, members' too
 };
@@ -85,17 +94,20 @@
   // requests, or as soon as it is.
   void stop_accepting();
   bool stopping() const { return stopping_; }
-  bool empty() const { return connections_.empty(); }
+  bool empty() const { return connections_.empty() && lingering_.empty(); }
 
   broker::Core& core() { return core_; }
   const Limits& limits() const { return limits_; }
   void remove(Connection* connection);
+  void linger(Connection* connection);
   void relieve(); // called as input grows: over the bound, the largest half-sent message goes
 
 private:
   void accepted(net::SocketHandle socket);
+  std::vector<admission::Idle> idle(std::vector<Connection*>& which) const; // with nothing unread
   bool evict();
   void tidy();
+  void end_lingering();
 
   broker::Core& core_;
   Limits limits_;
@@ -103,7 +115,8 @@
   net::Listener listener_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> removed_;
-  net::Timer reaper_, sweep_, tidy_;
+  std::list<std::unique_ptr<Connection>> lingering_; // the one that began first is first
+  net::Timer reaper_, sweep_, tidy_, linger_;
   bool stopping_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,7 +34,8 @@
   sockets = std::min(sockets, kSocketsMost);
   const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
   fronts.crowded = std::max<std::size_t>(use / 20, 1);
-  fronts.connections = use / 2 - fronts.crowded;
+  fronts.lingering = std::max<std::size_t>(use / 20, 1);
+  fronts.connections = use / 2 - fronts.crowded - fronts.lingering;
   pools.connections = use - use / 2;
   // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent messages, so that
   // answers always find room.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -101,6 +101,10 @@
   written_ = 0;
 }
 
+void Stream::shut() {
+  if (socket_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
 void Stream::watch_in() {
   if (in_ || paused_ || !socket_ || connecting_) return;
   in_.watch(socket_.get(), G_IO_IN, &Stream::on_in, this);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,6 +62,7 @@
   void pause_reading(bool pause);
   bool readable() const; // something has come that was not read: bytes, or the end
   void close();          // no callback follows
+  void shut();           // ends the sending side; what still comes is told as before
   bool open() const { return socket_ != nullptr; }
 
 private:
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -61,7 +61,7 @@
     close_when_written();
   }
 
-  void farewell(const char* why) override { reject("57014", why); }
+  void farewell(const char* why) override { reject(crowded() ? "53300" : "57014", why); }
 
   // An error in one command: told, and the connection goes on.
   void decline(const Message& m, const char* code, const std::string& text) {
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -94,11 +94,12 @@
   std::string value; // the last one served
   std::string input; // bytes not taken for an answer
   bool ended_by_gateway = false;
+  std::string end; // how, as the socket tells
   std::deque<Final> answers;
 
 private:
   void received() override;
-  void ended(const std::string&) override { ended_by_gateway = true; }
+  void ended(const std::string& why) override { ended_by_gateway = true, end = why; }
   Stage& stage_;
   std::shared_ptr<gorsebeam::net::Stream> stream_;
 };
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -238,6 +238,23 @@
   finish(stage);
 }
 
+// The last words of a closing reach a client that goes on writing: they are not lost to a reset.
+void last_words(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto usual = stage.client();
+  CHECK(usual->answer_to(read("usual")) == Final::Served);
+  for (int i = 0; i < 20; ++i) { // more at once than may linger
+    const auto client = stage.client();
+    client->write(std::string(64 * 1024, '\xff')); // what follows the first of it is unread when it is turned down
+    until([&] { return client->ended_by_gateway; }, "the door");
+    CHECK(client->end == "closed by the peer");
+    CHECK(client->input.size() + client->answers.size() > 0);
+    stage.answered -= static_cast<int>(client->answers.size()); // it asked nothing
+  }
+  finish(stage);
+}
+
 // Requests written right behind the greeting, several at once: answered in order, one answer each.
 void written_ahead(const Protocol& protocol) {
   Stage stage(protocol, 2, 0);
@@ -397,6 +414,7 @@
                                                                  {"bad_input", bad_input},
                                                                  {"written_ahead", written_ahead},
                                                                  {"crowds", crowds},
+                                                                 {"last_words", last_words},
                                                                  {"stops", stops},
                                                                  {"budgets", budgets},
                                                                  {"discovery", discovery},
