Take configuration from a file or a control service, applied live through one version machine

Need: contracts, budgets, limits and classes were read once at start; an installation of many gateways could not be changed without restarts, and nothing told which gateway ran which version.

Change: one protobuf schema for the operators' file, the wire and the disk (schema/), with one check that names place and mend. A pure module, src/versions, decides what runs: generations with explicit rollbacks, types that refer to each other settled together or not at all, one answer to an offer, reconnects with full jitter, silence found by PING, bursts run as one. src/grpc and src/xds carry xDS version 3 over nghttp2 on the house's sockets with stated bounds; src/state keeps the last good version whole; Gateway::run is the one place where a version comes into force. `gorsebeam config` checks, formats, diffs and shows.

Result: stories against a libgrpc++ stand-in on both protocols (good, broken, half, reordered, lying versions; silence, GOAWAY, status, cuts; removed hosts in use; 200 versions at once; 10,000 members; damaged state), 66,430 sequences of events walked through the code, a spin model with three sabotages caught. Found on the way: nghttp2 answers a broken peer by a GOAWAY and then wants nothing, which had left the stream standing until the silence was noticed.

--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -43,9 +43,7 @@
 
 struct Tenant {
   std::string name;
-  double rate = 0;   // requests a second, over all routers, that lie within its share
-  double budget = 0; // requests a second that this router takes from it; 0: no limit
-  double burst = 1;  // of which so many may come at once
+  double rate = 0; // requests a second, over all routers, that lie within its share
 };
 
 struct Settings {
@@ -109,6 +107,7 @@
   std::optional<Nanos> token_age; // how long ago the session's last write was committed; 0: none
   bool retry = false;
   std::uint32_t attempts = 0; // its contract's limit; 0: the settings' holds
+  Nanos over_budget = 0;      // above 0: beyond its team's budget, and when the next one fits
 };
 
 struct Report {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -132,13 +132,31 @@
 void Connection::ended(const std::string&) { close(); }
 
 Front::Front(broker::Core& core, const Limits& limits, Make make)
-    : core_(core), limits_(limits), make_(std::move(make)),
-      listener_([this](net::SocketHandle socket) { accepted(std::move(socket)); }),
+    : core_(core), limits_(limits), make_(std::move(make)), listener_(new_listener()),
       reaper_([this] { removed_.clear(); }), sweep_([this] { stop_accepting(); }), tidy_([this] { tidy(); }),
       linger_([this] { end_lingering(); }) {
   tidy_.after(admission::again(0, limits_.connections));
 }
 
+std::unique_ptr<net::Listener> Front::new_listener() {
+  return std::make_unique<net::Listener>([this](net::SocketHandle socket) { accepted(std::move(socket)); });
+}
+
+bool Front::listen(const std::string& address, std::string& why) {
+  auto fresh = new_listener();
+  if (!fresh->listen(address, why)) return false;
+  listener_->close(); // takes in what the kernel has accepted
+  listener_ = std::move(fresh);
+  if (connections_.size() >= limits_.connections + limits_.crowded) listener_->pause(true);
+  return true;
+}
+
+void Front::set_limits(const Limits& limits) {
+  limits_ = limits;
+  if (listener_->open() && !stopping_)
+    listener_->pause(connections_.size() >= limits_.connections + limits_.crowded);
+}
+
 void Front::accepted(net::SocketHandle socket) {
   const bool crowded = connections_.size() >= limits_.connections && !evict();
   auto connection = make_(*this, std::move(socket));
@@ -148,7 +166,7 @@
   Connection* key = connection.get();
   connections_[key] = std::move(connection);
   // Guards the spare descriptors: beyond the ones to be turned away in words, clients wait in the kernel.
-  if (connections_.size() >= limits_.connections + limits_.crowded) listener_.pause(true);
+  if (connections_.size() >= limits_.connections + limits_.crowded) listener_->pause(true);
 }
 
 std::vector<admission::Idle> Front::idle(std::vector<Connection*>& which) const {
@@ -206,7 +224,7 @@
   // Bounds the descriptors: the one that has had most time to take its last words goes.
   if (lingering_.size() > limits_.lingering) lingering_.front()->close();
   if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
-  if (listener_.open() && !stopping_) listener_.pause(false);
+  if (listener_->open() && !stopping_) listener_->pause(false);
 }
 
 void Front::end_lingering() {
@@ -229,12 +247,12 @@
   removed_.push_back(std::move(found->second));
   connections_.erase(found);
   reaper_.after(0);
-  if (listener_.open() && !stopping_) listener_.pause(false);
+  if (listener_->open() && !stopping_) listener_->pause(false);
 }
 
 void Front::stop_accepting() {
   stopping_ = true;
-  listener_.close();
+  listener_->close();
   std::vector<Connection*> idle;
   for (const auto& [connection, owned] : connections_)
     if (connection->idle() && !connection->unread()) idle.push_back(connection);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -88,8 +88,9 @@
 public:
   using Make = std::function<std::unique_ptr<Connection>(Front&, net::SocketHandle)>;
   Front(broker::Core& core, const Limits& limits, Make make);
-  bool listen(const std::string& address, std::string& why) { return listener_.listen(address, why); }
-  std::string address() const { return listener_.address(); }
+  // Also while it listens elsewhere: then the old address is given up once the new one stands; connections go on.
+  bool listen(const std::string& address, std::string& why);
+  std::string address() const { return listener_->address(); }
   // After SIGTERM. First goes on as before; then takes no more connections, and closes each that is between
   // requests, or as soon as it is.
   void stop_accepting();
@@ -98,11 +99,13 @@
 
   broker::Core& core() { return core_; }
   const Limits& limits() const { return limits_; }
+  void set_limits(const Limits& limits); // from now on; what is connected beyond them is retired as it rests
   void remove(Connection* connection);
   void linger(Connection* connection);
   void relieve(); // called as input grows: over the bound, the largest half-sent message goes
 
 private:
+  std::unique_ptr<net::Listener> new_listener();
   void accepted(net::SocketHandle socket);
   std::vector<admission::Idle> idle(std::vector<Connection*>& which) const; // with nothing unread
   bool evict();
@@ -112,7 +115,7 @@
   broker::Core& core_;
   Limits limits_;
   Make make_;
-  net::Listener listener_;
+  std::unique_ptr<net::Listener> listener_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> removed_;
   std::list<std::unique_ptr<Connection>> lingering_; // the one that began first is first
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "gateway.h"
 
-#include "inventory/inventory.h"
 #include "mongo/front.h"
 #include "mongo/wire.h"
 #include "net/log.h"
@@ -8,6 +7,7 @@
 #include "postgres/wire.h"
 
 #include <glib-unix.h>
+#include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
 #include <csignal>
@@ -46,20 +46,31 @@
 
 } // namespace
 
-Plan read_plan(const std::string& config, const std::string& broker_file) {
+Plan read_plan(const std::string& config, const std::string& file) {
   Plan plan;
   plan.config_path = config;
-  plan.broker_path = broker_file;
+  plan.file_path = file;
   plan.config = config::read_config(config);
-  plan.broker.contracts.classes = plan.config.profile.classes;
-  if (broker_file.empty()) return plan;
-  plan.broker = config::read_broker_file(broker_file, plan.config.profile);
-  if (!plan.broker.postgres_inventory.empty())
-    plan.postgres = inventory::read(plan.broker.postgres_inventory);
-  if (!plan.broker.mongo_inventory.empty()) plan.mongo = inventory::read(plan.broker.mongo_inventory);
+  plan.file.site.classes = plan.config.profile.classes;
+  if (!file.empty()) plan.file = config::read_file(file, &plan.config.profile.classes);
   return plan;
 }
 
+void Path::limit(const config::pb::Limits& limits) {
+  front::Limits fronts = front_share_;
+  upstream::Limits pools = pool_share_;
+  const auto at_most = [](std::size_t share, std::size_t wanted) {
+    return wanted ? std::min(share, wanted) : share;
+  };
+  fronts.connections = at_most(fronts.connections, limits.client_connections());
+  fronts.buffered = at_most(fronts.buffered, static_cast<std::size_t>(limits.buffered_mib()) << 20);
+  if (limits.message_kib()) fronts.message_bytes = static_cast<std::size_t>(limits.message_kib()) << 10;
+  pools.connections = at_most(pools.connections, limits.member_connections());
+  pools.per_member = std::min(pools.per_member, std::max<std::size_t>(4, pools.connections / 3));
+  front.set_limits(fronts);
+  pool_.set_limits(pools);
+}
+
 Gateway::Gateway(Plan plan)
     : plan_(std::move(plan)), loop_(g_main_loop_new(nullptr, FALSE)), door_([this] {
         postgres_->front.stop_accepting();
@@ -75,7 +86,7 @@
         g_main_loop_quit(loop_);
       }) {
   const settings::Profile& profile = plan_.config.profile;
-  const bool two = !plan_.broker.mongo_listen.empty();
+  const bool two = plan_.file.gateway.has_mongo();
   front::Limits fronts;
   upstream::Limits pools;
   share_out(plan_.config.sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
@@ -83,10 +94,10 @@
   pools.keepalive = profile.keepalive;
   const std::uint64_t seed = plan_.config.seed;
   postgres_ = std::make_unique<Path>(profile, seed, postgres::make_wire, pools, fronts,
-                                     postgres::make_connection(plan_.broker.contracts));
+                                     postgres::make_connection(terms_));
   if (two)
     mongo_ = std::make_unique<Path>(profile, ~seed, mongo::make_wire, pools, fronts,
-                                    mongo::make_connection(plan_.broker.contracts));
+                                    mongo::make_connection(terms_));
 }
 
 Gateway::~Gateway() {
@@ -96,13 +107,19 @@
 
 bool Gateway::start(std::string& why) {
   const config::Config& config = plan_.config;
-  if (plan_.postgres.empty()) {
+  const config::pb::Gateway& file = plan_.file.gateway;
+  net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
+                                                                   : net::LogFormat::Text);
+  control_ = std::make_unique<control::Client>(
+      plan_.file, config.seed,
+      [this](const config::pb::Contracts& contracts, const config::pb::Members& members,
+             const config::pb::Limits& limits) { run(contracts, members, limits); });
+  if (!plan_.file.site.postgres_listed) {
     postgres_->core.list(MemberList::Kind::Remembered, config.known.members);
     watch_ = std::make_unique<discovery::Watch>(postgres_->core, config.discovery, config.known.revision);
     watch_->start();
-  } else
-    postgres_->core.list(MemberList::Kind::Full, plan_.postgres);
-  if (mongo_) mongo_->core.list(MemberList::Kind::Full, plan_.mongo);
+  }
+  control_->start();
   const auto listen = [&why](front::Front& front, const std::string& address, const char* protocol) {
     if (!front.listen(address, why)) {
       why = "cannot listen on " + address + ": " + why;
@@ -112,38 +129,79 @@
     return true;
   };
   return listen(postgres_->front, config.listen, "PostgreSQL") &&
-         (!mongo_ || listen(mongo_->front, plan_.broker.mongo_listen, "MongoDB"));
+         (!mongo_ || listen(mongo_->front, file.mongo().listen(), "MongoDB"));
 }
 
 void Gateway::stop() {
   if (std::exchange(stopping_, true)) return;
   net::log_line("stop", "asked to: serving until all is answered");
+  control_->stop();
   door_.after(kStillAccepting);
   Nanos longest = kLongestLeast;
   for (const RequestClass& c : plan_.config.profile.settings.classes) longest = std::max(longest, c.deadline);
   last_.after(longest + kStillAccepting);
 }
 
+std::string Gateway::waits_for_start(const Plan& fresh) const {
+  if (fresh.file.gateway.has_mongo() != (mongo_ != nullptr))
+    return "the second front is turned on or off at the start only, as the descriptors are shared out then; "
+           "restart";
+  if (fresh.file.site.postgres_listed != plan_.file.site.postgres_listed)
+    return "whether PostgreSQL's members come from discovery or from a list is settled at the start; restart";
+  return "";
+}
+
 // Everything is read and checked before anything changes. Members keep what is known of them, as the module knows them
 // by their names; open requests never notice.
 void Gateway::reload() {
+  const auto kept = [](const std::string& why) { net::log_line("reload", "kept all as it was: " + why); };
   Plan fresh;
   try {
-    fresh = read_plan(plan_.config_path, plan_.broker_path);
-  } catch (const std::exception& error) {
-    return net::log_line("reload", std::string("kept all as it was: ") + error.what());
-  }
-  const bool from_files = !plan_.postgres.empty();
-  if (from_files != !fresh.postgres.empty() || fresh.mongo.empty() != plan_.mongo.empty() ||
-      fresh.config.fixed != plan_.config.fixed || fresh.broker.fixed != plan_.broker.fixed)
-    net::log_line("reload",
-                  "what differs beside discovery's address and the members waits for the next start");
+    fresh = read_plan(plan_.config_path, plan_.file_path);
+  } catch (const std::exception& error) { return kept(error.what()); }
+  std::string why = waits_for_start(fresh);
+  if (!why.empty()) return kept(plan_.file_path + ": " + why);
+  const config::pb::Gateway& file = fresh.file.gateway;
+  // Last of what can fail, as it changes something.
+  const bool moves = mongo_ && file.mongo().listen() != plan_.file.gateway.mongo().listen();
+  if (moves && !mongo_->front.listen(file.mongo().listen(), why))
+    return kept("cannot listen on " + file.mongo().listen() + ": " + why);
+  if (moves) net::log_line("start", "MongoDB on " + mongo_->front.address());
+  net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
+                                                                   : net::LogFormat::Text);
+  if (fresh.config.fixed != plan_.config.fixed)
+    net::log_line("reload", "the platform's limits, settings and listening address wait for the next start");
   if (watch_) watch_->follow(fresh.config.discovery);
-  if (from_files && !fresh.postgres.empty()) postgres_->core.list(MemberList::Kind::Full, fresh.postgres);
-  if (mongo_ && !fresh.mongo.empty()) mongo_->core.list(MemberList::Kind::Full, fresh.mongo);
+  why = control_->follow(fresh.file);
+  plan_.file.gateway = fresh.file.gateway;
+  if (!why.empty()) return net::log_line("reload", "contracts, members and limits kept as they were: " + why);
   net::log_line("reload", "read again; discovery is " + fresh.config.discovery);
 }
 
+void Gateway::run(const config::pb::Contracts& contracts, const config::pb::Members& members,
+                  const config::pb::Limits& limits) {
+  using google::protobuf::util::MessageDifferencer;
+  const bool first = !std::exchange(running_, true);
+  if (first || !MessageDifferencer::Equals(contracts, contracts_)) {
+    terms_.set(
+        std::make_shared<broker::Contracts>(config::contracts_of(contracts, plan_.config.profile.classes)),
+        net::now());
+    contracts_ = contracts;
+  }
+  const auto list = [&](Path& path, const auto& now, const auto& before) {
+    const bool same = now.size() == before.size() &&
+                      std::equal(now.begin(), now.end(), before.begin(), [](const auto& a, const auto& b) {
+                        return MessageDifferencer::Equals(a, b);
+                      });
+    if (first || !same) path.core.list(MemberList::Kind::Full, config::members_of(now));
+  };
+  if (plan_.file.site.postgres_listed) list(*postgres_, members.postgres(), members_.postgres());
+  if (mongo_) list(*mongo_, members.mongo(), members_.mongo());
+  members_ = members;
+  postgres_->limit(limits);
+  if (mongo_) mongo_->limit(limits);
+}
+
 int Gateway::run() {
   const auto on_signal = [](gpointer self) -> gboolean {
     static_cast<Gateway*>(self)->stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,8 +1,9 @@
 // One gateway: the fronts, their cores and upstreams, and the end after SIGTERM.
 #pragma once
 
-#include "config/broker_file.h"
 #include "config/config.h"
+#include "config/file.h"
+#include "control/client.h"
 #include "discovery/watch.h"
 #include "front/front.h"
 #include "upstream/pool.h"
@@ -13,29 +14,33 @@
 
 namespace gorsebeam::gateway {
 
-// Everything that is read before it listens. Members of an inventory stand in `postgres` and `mongo`.
+// Everything that is read before it listens.
 struct Plan {
   config::Config config;
-  config::BrokerFile broker;
-  std::vector<broker::Listed> postgres, mongo;
-  std::string config_path, broker_path; // read again on SIGHUP
+  config::File file;
+  std::string config_path, file_path; // read again on SIGHUP
 };
-Plan read_plan(const std::string& config, const std::string& broker_file); // throws settings::FormatError
+Plan read_plan(const std::string& config, const std::string& file); // throws settings::FormatError
 
 // One protocol's way through: a front on a core of its own, with its own members.
 class Path {
 public:
   Path(const settings::Profile& profile, std::uint64_t seed, upstream::WireFactory wire,
        const upstream::Limits& pool, const front::Limits& limits, front::Front::Make make)
-      : core(profile.settings, seed), pool_(core, wire, pool), front(core, limits, std::move(make)) {
+      : core(profile.settings, seed), pool_(core, wire, pool), pool_share_(pool), front_share_(limits),
+        front(core, limits, std::move(make)) {
     core.attach(pool_);
   }
+  // What the operator allows, within the path's own share.
+  void limit(const config::pb::Limits& limits);
   bool done() const { return front.empty() && core.open_requests() == 0; }
 
   broker::Core core;
 
 private:
   upstream::Pool pool_;
+  const upstream::Limits pool_share_;
+  const front::Limits front_share_;
 
 public:
   front::Front front;
@@ -52,13 +57,24 @@
 
 private:
   void stop();
-  // All files, on SIGHUP. Follows discovery's address and the inventories; a bad file is told of and changes nothing.
+  // All files, on SIGHUP. Follows discovery's address and what the operator configures; a bad file is told of and
+  // changes nothing.
   void reload();
+  // Why a file that is fine by itself cannot be followed by a running process; empty: it can.
+  std::string waits_for_start(const Plan& fresh) const;
+  // The one place where a version comes into force: contracts, members and limits, as far as they differ.
+  void run(const config::pb::Contracts& contracts, const config::pb::Members& members,
+           const config::pb::Limits& limits);
 
   Plan plan_;
   GMainLoop* loop_;
+  broker::Terms terms_;
+  config::pb::Contracts contracts_; // in force
+  config::pb::Members members_;
+  bool running_ = false; // something is in force
   std::unique_ptr<Path> postgres_, mongo_;
   std::unique_ptr<discovery::Watch> watch_;
+  std::unique_ptr<control::Client> control_;
   net::Timer door_, empty_, last_;
   bool stopping_ = false;
 };
--- a/src/mongo/front.cpp
+++ b/src/mongo/front.cpp
@@ -61,8 +61,8 @@
 
 class MongoConnection : public front::Connection {
 public:
-  MongoConnection(front::Front& front, net::SocketHandle socket, const broker::Contracts& contracts)
-      : Connection(front, std::move(socket)), contracts_(contracts) {}
+  MongoConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms)
+      : Connection(front, std::move(socket)), terms_(terms) {}
 
   // The message as the client sent it, but for three fields of its command: the time to wait, which is written anew;
   // a read's $readPreference, as replicas serve only reads that allow it; and a checksum, as the head is another.
@@ -230,13 +230,13 @@
   void request(std::string_view body) {
     const Terms terms = read_terms(body);
     const auto parse_error = [this](const char* text) { decline(kFailedToParse, "FailedToParse", text); };
-    const auto found = contracts_.classes.find(terms.service_class);
+    const auto found = terms_.classes().find(terms.service_class);
     char* end = nullptr;
     const unsigned long long group = std::strtoull(terms.group.c_str(), &end, 10);
     if (find(body, "startTransaction") || find(body, "autocommit"))
       return decline(kNotSupported, "CommandNotSupported", "transactions are not served");
     if (terms.id.empty()) return parse_error("the command's comment holds no id");
-    if (found == contracts_.classes.end()) return parse_error("the command's comment names no known class");
+    if (found == terms_.classes().end()) return parse_error("the command's comment names no known class");
     if (terms.group.empty() || *end != '\0' || group > 0xffffffffu)
       return parse_error("the command's comment names no cluster");
     const RequestClass& c = front_.core().settings().classes[found->second];
@@ -263,15 +263,16 @@
       if (*ms > 0) wait = *ms * kMs; // 0: no limit, as the protocol has it
     }
     request.deadline = now + wait;
-    if (!contracts_.knows(team_))
+    if (!terms_.knows(team_))
       return decline(kUnauthorized, "Unauthorized", "no contract with the team '" + team_ + "'");
-    if (!contracts_.apply(team_, now, request))
-      return decline(kUnauthorized, "Unauthorized", "the team's contract does not hold this class");
+    const auto verdict = terms_.apply(team_, now, request);
+    if (verdict != broker::Terms::Verdict::Fine)
+      return decline(kUnauthorized, "Unauthorized", broker::words(verdict));
     if (!begin(std::move(request), message_size_))
       parse_error("a request with this id is open, or it is no fit id");
   }
 
-  const broker::Contracts& contracts_;
+  broker::Terms& terms_;
   std::string team_, rewritten_;
   std::uint32_t sent_ = 0, request_id_ = 0;
   std::size_t message_size_ = 0;
@@ -280,9 +281,9 @@
 
 } // namespace
 
-front::Front::Make make_connection(const broker::Contracts& contracts) {
-  return [&contracts](front::Front& front, net::SocketHandle socket) {
-    return std::make_unique<MongoConnection>(front, std::move(socket), contracts);
+front::Front::Make make_connection(broker::Terms& terms) {
+  return [&terms](front::Front& front, net::SocketHandle socket) {
+    return std::make_unique<MongoConnection>(front, std::move(socket), terms);
   };
 }
 
--- a/src/mongo/front.h
+++ b/src/mongo/front.h
@@ -7,7 +7,7 @@
 
 namespace gorsebeam::mongo {
 
-// `contracts` outlives the front.
-front::Front::Make make_connection(const broker::Contracts& contracts);
+// `terms` outlives the front.
+front::Front::Make make_connection(broker::Terms& terms);
 
 } // namespace gorsebeam::mongo
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -25,8 +25,8 @@
 
 class PgConnection : public front::Connection {
 public:
-  PgConnection(front::Front& front, net::SocketHandle socket, const broker::Contracts& contracts)
-      : Connection(front, std::move(socket)), contracts_(contracts), ready_(message('Z', "I")) {}
+  PgConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms)
+      : Connection(front, std::move(socket)), terms_(terms), ready_(message('Z', "I")) {}
 
   broker::Parts body(Nanos left) override {
     // The statement stands in the input until it is answered; only the waiting time is written anew.
@@ -119,7 +119,7 @@
     if (crowded()) return reject("53300", "too many connections");
     user_ = startup_parameter(body, "user").value_or("");
     if (user_.empty()) return reject("28000", "the startup message names no user");
-    if (!contracts_.knows(user_)) return reject("28000", "no contract with the team '" + user_ + "'");
+    if (!terms_.knows(user_)) return reject("28000", "no contract with the team '" + user_ + "'");
     started_ = true;
     std::string hello = message('R', std::string_view("\0\0\0\0", 4));
     for (const std::string_view status :
@@ -145,12 +145,12 @@
       return stream_->input().consume(m.whole.size());
     }
     const Statement s = read_statement(text);
-    const auto found = contracts_.classes.find(std::string(s.service_class));
+    const auto found = terms_.classes().find(std::string(s.service_class));
     const auto deadline = whole_number(s.deadline, kDeadlineMost);
     const auto group = whole_number(s.group, 0xffffffffu);
     if (s.several) return decline(m, "42601", "a query holds one statement");
     if (s.id.empty()) return decline(m, "42601", "the statement's comment holds no id");
-    if (found == contracts_.classes.end())
+    if (found == terms_.classes().end())
       return decline(m, "42601", "the statement's comment names no known class");
     if (!deadline || *deadline == 0)
       return decline(m, "42601", "the statement's comment holds no time to wait");
@@ -170,8 +170,8 @@
     if (const auto after = whole_number(s.after, 9'000'000'000'000ULL))
       request.token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
     request.retry = s.retry == "1";
-    if (!contracts_.apply(user_, net::now(), request))
-      return decline(m, "42501", "the team's contract does not hold this class");
+    const auto verdict = terms_.apply(user_, net::now(), request);
+    if (verdict != broker::Terms::Verdict::Fine) return decline(m, "42501", broker::words(verdict));
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
@@ -179,7 +179,7 @@
       decline(m, "42710", "a request with this id is open, or it is no fit id");
   }
 
-  const broker::Contracts& contracts_;
+  broker::Terms& terms_;
   const std::string ready_;
   std::string user_, left_;
   bool started_ = false, skip_to_sync_ = false;
@@ -188,9 +188,9 @@
 
 } // namespace
 
-front::Front::Make make_connection(const broker::Contracts& contracts) {
-  return [&contracts](front::Front& front, net::SocketHandle socket) {
-    return std::make_unique<PgConnection>(front, std::move(socket), contracts);
+front::Front::Make make_connection(broker::Terms& terms) {
+  return [&terms](front::Front& front, net::SocketHandle socket) {
+    return std::make_unique<PgConnection>(front, std::move(socket), terms);
   };
 }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -125,11 +125,6 @@
   int out = 0;
 };
 
-struct Budget { // what is left of a tenant's
-  double left = std::numeric_limits<double>::infinity();
-  Nanos at = 0;
-};
-
 struct ClassStat {
   double usual = 0; // the middle answer time of this class, overdue ones counted as long
   double seen = 0;  // requests lately: its share of this router's traffic
@@ -143,7 +138,6 @@
       : s_(std::move(settings)), phase_(static_cast<Nanos>(mix(seed) % static_cast<std::uint64_t>(kPulse))) {
     check_settings();
     for (const RequestClass& c : s_.classes) stats_.push_back({static_cast<double>(c.aim) / 5, 0});
-    budgets_.resize(s_.tenants.size());
   }
 
   void handle(Nanos now, const Event& event, std::vector<Action>& actions) {
@@ -621,21 +615,10 @@
     return true;
   }
 
-  // A team's budget at this router: a bucket that fills at its rate and holds its burst. Beyond it a request
-  // is refused before anything was sent, and told when the next one fits.
+  // Beyond its team's budget a request is refused before anything was sent, and told when the next one fits.
   bool within_budget(Job& job) {
-    if (!job.request.tenant || *job.request.tenant >= budgets_.size()) return true;
-    const Tenant& tenant = s_.tenants[*job.request.tenant];
-    if (tenant.budget <= 0) return true;
-    Budget& budget = budgets_[*job.request.tenant];
-    const double filled = static_cast<double>(now_ - budget.at) / 1e9 * tenant.budget;
-    budget.left = std::min(std::max(tenant.burst, 1.0), budget.left + filled);
-    budget.at = now_;
-    if (budget.left >= 1) {
-      budget.left -= 1;
-      return true;
-    }
-    give_up(job, static_cast<Nanos>((1 - budget.left) / tenant.budget * 1e9));
+    if (job.request.over_budget <= 0) return true;
+    give_up(job, job.request.over_budget);
     return false;
   }
 
@@ -1015,7 +998,6 @@
   Nanos floor_ = kUnknown;
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
-  std::vector<Budget> budgets_;                         // by tenant
   double copies_ = kCopyBurst;
   std::uint64_t next_ = 0;
   double probes_ = kProbeBurst;
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -53,6 +53,8 @@
   void cancel(broker::AttemptId attempt) override;
   void withdraw(broker::AttemptId attempt) override;
   std::size_t connections() const { return links_.size(); }
+  const Limits& limits() const { return limits_; }
+  void set_limits(const Limits& limits) { limits_ = limits; } // for what is opened from now on
 
 private:
   class Link;
--- /dev/null
+++ b/tests/control/service.cpp
@@ -0,0 +1,219 @@
+#include "service.h"
+
+#include "ads.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <list>
+#include <mutex>
+
+namespace stand_in {
+
+using gorsebeam::net::Listener;
+using gorsebeam::net::SocketHandle;
+using gorsebeam::net::Stream;
+namespace xds = gorsebeam::xds::v3;
+namespace ads = envoy::service::discovery::v3;
+
+struct Service::Self : ads::AggregatedDiscoveryService::Service {
+  using Call = grpc::ServerReaderWriter<xds::DiscoveryResponse, xds::DiscoveryRequest>;
+
+  grpc::Status StreamAggregatedResources(grpc::ServerContext* context, Call* call) override {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      call_ = call, context_ = context, status_ = grpc::Status::OK;
+      ++streams;
+    }
+    xds::DiscoveryRequest request;
+    while (call->Read(&request)) {
+      const std::lock_guard<std::mutex> lock(mutex);
+      heard.push_back({request.type_url(), request.version_info(), request.response_nonce(),
+                       request.error_detail().message(), request.node().id()});
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (call_ == call) call_ = nullptr, context_ = nullptr;
+    return status_;
+  }
+
+  mutable std::mutex mutex;
+  Call* call_ = nullptr;
+  grpc::ServerContext* context_ = nullptr;
+  grpc::Status status_;
+  std::vector<Heard> heard;
+  int streams = 0, nonces = 0, port = 0;
+  std::unique_ptr<grpc::Server> server;
+};
+
+Service::Service() : self_(std::make_unique<Self>()) {
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &self_->port);
+  builder.RegisterService(self_.get());
+  builder.SetMaxSendMessageSize(64 << 20);
+  self_->server = builder.BuildAndStart();
+  CHECK(self_->server && self_->port > 0);
+}
+
+Service::~Service() { go_away(); }
+
+void Service::go_away() {
+  if (!self_->server) return;
+  self_->server->Shutdown(std::chrono::system_clock::now());
+  self_->server.reset();
+}
+
+std::string Service::address() const { return "127.0.0.1:" + std::to_string(self_->port); }
+
+int Service::streams() const {
+  const std::lock_guard<std::mutex> lock(self_->mutex);
+  return self_->streams;
+}
+
+bool Service::streaming() const {
+  const std::lock_guard<std::mutex> lock(self_->mutex);
+  return self_->call_ != nullptr;
+}
+
+std::vector<Heard> Service::heard() const {
+  const std::lock_guard<std::mutex> lock(self_->mutex);
+  return self_->heard;
+}
+
+std::string Service::push(const std::vector<const google::protobuf::Message*>& resources,
+                          const std::string& version, const std::string& type_url) {
+  xds::DiscoveryResponse response;
+  response.set_version_info(version);
+  for (const auto* resource : resources) response.add_resources()->PackFrom(*resource);
+  response.set_type_url(!type_url.empty() ? type_url : response.resources(0).type_url());
+  const std::lock_guard<std::mutex> lock(self_->mutex);
+  response.set_nonce("n" + std::to_string(++self_->nonces));
+  if (self_->call_) self_->call_->Write(response);
+  return response.nonce();
+}
+
+std::string Service::answer(const std::string& nonce) const {
+  const auto find = [&] {
+    std::vector<Heard> found;
+    for (const Heard& h : heard())
+      if (h.nonce == nonce) found.push_back(h);
+    return found;
+  };
+  stage::until([&] { return !find().empty(); }, ("the answer to " + nonce).c_str());
+  CHECK(find().size() == 1);
+  return find()[0].error;
+}
+
+void Service::end(int code, const std::string& words) {
+  const std::lock_guard<std::mutex> lock(self_->mutex);
+  CHECK(self_->context_);
+  self_->status_ = grpc::Status(static_cast<grpc::StatusCode>(code), words);
+  self_->context_->TryCancel();
+}
+
+// ---- the cable
+
+struct Cable::Pair {
+  struct End : Stream::Events {
+    explicit End(Pair& pair, bool service) : pair(pair), service(service) {}
+    Pair& pair;
+    bool service; // the side that the service is on
+    std::shared_ptr<Stream> stream;
+    void received() override { pair.carry(*this); }
+    void ended(const std::string&) override { pair.end(); }
+  };
+  Pair(Cable::Self& cable, SocketHandle socket, const std::string& to) : cable(cable) {
+    near.stream = Stream::adopt(std::move(socket), near);
+    far.stream = Stream::connect(to, far);
+  }
+  void carry(End& from);
+  void end() { near.stream->close(), far.stream->close(); }
+  Cable::Self& cable;
+  End near{*this, false}, far{*this, true};
+};
+
+struct Cable::Self {
+  std::list<std::unique_ptr<Pair>> pairs;
+  std::string to;
+  bool silent = false;
+  std::optional<std::size_t> left;
+  int connections = 0;
+  Listener listener{[this](SocketHandle socket) {
+    ++connections;
+    pairs.push_back(std::make_unique<Pair>(*this, std::move(socket), to));
+  }};
+};
+
+void Cable::Pair::carry(End& from) {
+  std::string bytes(from.stream->input().view());
+  from.stream->input().consume(bytes.size());
+  if (cable.silent) return;
+  const bool cut = from.service && cable.left && bytes.size() >= *cable.left;
+  if (cut) bytes.resize(*cable.left);
+  if (from.service && cable.left) *cable.left -= bytes.size();
+  End& to = from.service ? near : far;
+  if (!bytes.empty()) to.stream->write({bytes});
+  if (cut) cable.left.reset(), end();
+}
+
+Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
+  self_->to = to;
+  std::string why;
+  CHECK(self_->listener.listen("127.0.0.1:0", why));
+}
+Cable::~Cable() = default;
+std::string Cable::address() const { return self_->listener.address(); }
+void Cable::cut_after(std::size_t bytes) { self_->left = bytes; }
+void Cable::silence(bool on) { self_->silent = on; }
+int Cable::connections() const { return self_->connections; }
+
+// ---- the script
+
+struct Script::Link : Stream::Events {
+  Link(Script::Self& script, SocketHandle socket, const std::string& bytes)
+      : script(script), stream(Stream::adopt(std::move(socket), *this)) {
+    stream->write({bytes});
+  }
+  void received() override { stream->input().consume(stream->input().size()); }
+  void ended(const std::string&) override;
+  Script::Self& script;
+  std::shared_ptr<Stream> stream;
+};
+
+struct Script::Self {
+  std::string bytes;
+  std::list<std::unique_ptr<Link>> links;
+  int ended = 0;
+  Listener listener{[this](SocketHandle socket) {
+    links.push_back(std::make_unique<Link>(*this, std::move(socket), bytes));
+  }};
+};
+
+void Script::Link::ended(const std::string&) { ++script.ended; }
+
+Script::Script(std::string bytes) : self_(std::make_unique<Self>()) {
+  self_->bytes = std::move(bytes);
+  std::string why;
+  CHECK(self_->listener.listen("127.0.0.1:0", why));
+}
+Script::~Script() = default;
+std::string Script::address() const { return self_->listener.address(); }
+int Script::connections() const { return static_cast<int>(self_->links.size()); }
+int Script::ended() const { return self_->ended; }
+
+std::string frame(int type, int flags, int stream, const std::string& payload) {
+  std::string bytes;
+  for (int shift = 16; shift >= 0; shift -= 8) bytes += static_cast<char>(payload.size() >> shift & 0xff);
+  bytes += static_cast<char>(type), bytes += static_cast<char>(flags);
+  for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(stream >> shift & 0xff);
+  return bytes + payload;
+}
+
+std::string settings_frame() { return frame(4, 0, 0, ""); }
+
+std::string grpc_headers_frame() {
+  // HPACK: ":status 200" is entry 8 of the static table; "content-type" is 31, its value a literal without indexing.
+  const std::string type = "application/grpc";
+  return frame(1, 4, 1, std::string("\x88\x0f\x10", 3) + static_cast<char>(type.size()) + type);
+}
+
+} // namespace stand_in
--- a/tests/stories/files.cpp
+++ b/tests/stories/files.cpp
@@ -54,10 +54,11 @@
   const std::string config = write_config(folder, "127.0.0.1:9");
   for (const auto& b : bad) {
     write(folder, b.name, b.text);
-    const std::string broker = write(
-        folder, "broker.yaml", std::string("mongo: {listen: '127.0.0.1:0', inventory: ") + b.name + "}\n");
+    const std::string file =
+        write(folder, "gateway.textproto",
+              std::string("mongo { listen: '127.0.0.1:0' inventory: '") + b.name + "' }\n");
     std::string output;
-    CHECK(run_program({"serve", "--config", config, "--broker", broker}, output) == 1);
+    CHECK(run_program({"serve", "--config", config, "--file", file}, output) == 1);
     const bool told = output.find(b.name) != std::string::npos && output.find(b.place) != std::string::npos &&
                       output.find(b.field) != std::string::npos &&
                       output.find('\n') == output.size() - 1; // one message
@@ -73,19 +74,36 @@
   CHECK(run_program({"check", "--config", config}, output) == 0);
   const struct {
     const char *text, *place, *field;
-  } bad[] = {{"teams:\n  portal:\n    classes: {nothing: }\n", "line 3", "'nothing'"},
-             {"teams:\n  portal:\n    budget: {per_second: plenty}\n    classes: {any: }\n", "line 3",
-              "'per_second'"},
-             {"teams:\n  portal:\n    classes:\n      any: {attempts: 1.5}\n", "line 4", "'attempts'"},
-             {"mongo: {listen: everywhere, inventory: a.csv}\n", "line 1", "'listen'"},
-             {"teams:\n  portal: {}\n", "line 2", "'classes'"},
-             {"moongo: {}\n", "line 1", "'moongo'"}};
+  } bad[] = {
+      {"contracts {\n  team {\n    name: 'portal'\n    class { name: 'nothing' }\n  }\n}\n", "line 4",
+       "'name'"},
+      {"contracts { team { name: 'portal'\n budget { per_second: plenty }\n class { name: 'any' } } }\n",
+       "line 2", "plenty"},
+      {"contracts { team { name: 'portal'\n budget {\n per_second: -1 }\n class { name: 'any' } } }\n",
+       "line 3", "'per_second'"},
+      {"contracts { team { name: 'portal'\n class { name: 'any'\n tries: 1.5 } } }\n", "line 3", "1.5"},
+      {"mongo { listen: 'everywhere'\n inventory: 'a.csv' }\n", "line 1", "'listen'"},
+      {"contracts {\n team { name: 'portal' } }\n", "line 2", "'team'"},
+      {"contracts {\n team { name: 'p' class { name: 'any' } }\n team { name: 'p' class { name: 'any' } } "
+       "}\n",
+       "line 3", "'name'"},
+      {"members {\n postgres { name: 'a' address: '127.0.0.1:1' }\n postgres { name: 'b' address: 'b:1' } "
+       "}\n",
+       "line 3", "'address'"},
+      {"members { postgres { name: 'a' address: '127.0.0.1:1' group: 3 } }\ncontracts { team { name: 'p'\n"
+       "class { name: 'any' }\n group: 3\n group: 9 } }\n",
+       "line 5", "'group'"},
+      {"mongo { listen: '127.0.0.1:0' }\n", "line 1", "'members'"},
+      {"control_service {\n address: '127.0.0.1:1' }\n", "line 1", "'node'"},
+      {"state_folder: 'here'\n", "line 1", "'state_folder'"},
+      {"limits {\n message_kib: 1 }\n", "line 2", "'message_kib'"},
+      {"moongo {}\n", "line 1", "'moongo'"}};
   for (const auto& b : bad) {
-    const std::string broker = write(folder, "broker.yaml", b.text);
-    CHECK(run_program({"check", "--config", config, "--broker", broker}, output) == 1);
+    const std::string file = write(folder, "gateway.textproto", b.text);
+    CHECK(run_program({"check", "--config", config, "--file", file}, output) == 1);
     if (output.find(b.place) == std::string::npos || output.find(b.field) == std::string::npos)
       std::fprintf(stderr, "%s", output.c_str());
-    CHECK(output.find("broker.yaml: " + std::string(b.place)) != std::string::npos);
+    CHECK(output.find("gateway.textproto: " + std::string(b.place)) != std::string::npos);
     CHECK(output.find(b.field) != std::string::npos);
   }
   CHECK(run_program({"check", "--config", write(folder, "c.json", "{\"name\":\"n0\",\n\"listen\":")},
@@ -117,10 +135,44 @@
   CHECK(!answer.report.position && !answer.report.primary && !answer.position);
 }
 
+// The commands for files: what is the same in meaning is no difference, and the formatter changes none.
+void commands() {
+  const std::string folder = temporary_folder();
+  const std::string old =
+      write(folder, "old.textproto",
+            "# kept\ncontracts: < team { name: 'a' group: [2, 1] class { name: 'x' } class { name: "
+            "'y'; tries: 3 } budget { per_second: 300 } },\n team { name: 'b' class { name: 'x' } } >");
+  std::string output;
+  CHECK(run_program({"config", "check", old}, output) == 0);
+  const auto fmt = [&](const std::string& path) {
+    CHECK(run_program({"config", "fmt", path}, output) == 0);
+    return output;
+  };
+  const std::string once = fmt(old), copy = write(folder, "copy.textproto", once);
+  CHECK(once.find("# kept\n") == 0 &&
+        once.find("    budget {\n      per_second: 300\n    }\n") != std::string::npos);
+  CHECK(fmt(copy) == once);
+  CHECK(run_program({"config", "diff", old, copy}, output) == 0 && output.empty());
+  const std::string turned =
+      write(folder, "turned.textproto",
+            "contracts { team { name: 'b' class { name: 'x' } } team { name: 'a' class { name: 'y' tries: 4 "
+            "} class { name: "
+            "'x' } group: 1 group: 2 budget { per_second: 200 } } team { name: 'c' class { name: 'x' } } }");
+  CHECK(run_program({"config", "diff", old, turned}, output) == 1);
+  CHECK(output == "contracts team 'a'.budget.per_second: 300 -> 200\n"
+                  "contracts team 'a' class 'y'.tries: 3 -> 4\n"
+                  "contracts team 'c': added\n");
+  CHECK(run_program({"config", "diff", old, folder + "/none"}, output) == 2);
+  CHECK(run_program({"config", "show", "--state", folder}, output) == 2);
+}
+
 } // namespace
 
 int main(int, char** arguments) {
   const std::string name = arguments[1];
-  name == "inventories" ? inventories() : name == "answers" ? answers() : configurations();
+  name == "commands"      ? commands()
+  : name == "inventories" ? inventories()
+  : name == "answers"     ? answers()
+                          : configurations();
   std::printf("%s: fine\n", arguments[1]);
 }
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -178,19 +178,23 @@
   return path;
 }
 
-Stage::Stage(const Protocol& protocol, std::size_t count, std::size_t primary, const std::string& teams)
+Stage::Stage(const Protocol& protocol, std::size_t count, std::size_t primary, const std::string& more)
     : protocol(protocol), folder_(temporary_folder()) {
   for (std::size_t i = 0; i < count; ++i)
     members.push_back(std::make_unique<Member>(*this, "m" + std::to_string(i), i == 0, i == primary));
-  const bool second = &protocol == &mongo();
-  std::ofstream(folder_ + "/broker.yaml")
-      << (second ? "mongo: {listen: 127.0.0.1:0, inventory: members.csv}\n"
-                 : "postgres: {inventory: members.csv}\n")
-      << teams;
+  write_file(more);
   write_config(folder_, "127.0.0.1:9");
   write_inventory();
 }
 
+void Stage::write_file(const std::string& more) {
+  const bool second = &protocol == &mongo();
+  std::ofstream(folder_ + "/gateway.textproto")
+      << (second ? "mongo { listen: '127.0.0.1:0' inventory: 'members.csv' }\n"
+                 : "postgres { inventory: 'members.csv' }\n")
+      << more;
+}
+
 void Stage::write_inventory() {
   {
     std::ofstream file(folder_ + "/members.csv");
@@ -209,7 +213,7 @@
 }
 
 void Stage::use_discovery(const std::string& agent) {
-  std::ofstream(folder_ + "/broker.yaml") << "teams: {}\n";
+  std::ofstream(folder_ + "/gateway.textproto") << "";
   write_config(folder_, agent);
 }
 
@@ -223,9 +227,9 @@
 }
 
 void Stage::start() {
-  const std::string config = folder_ + "/config.json", broker = folder_ + "/broker.yaml";
-  const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",        "--config", config.c_str(),
-                             "--broker",        broker.c_str(), nullptr};
+  const std::string config = folder_ + "/config.json", file = folder_ + "/gateway.textproto";
+  const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",      "--config", config.c_str(),
+                             "--file",          file.c_str(), nullptr};
   CHECK(g_spawn_async_with_pipes(
       nullptr, const_cast<gchar**>(arguments), nullptr,
       static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr, nullptr,
@@ -298,7 +302,8 @@
     until([this] { return exited_; }, "the program's end");
   }
   if (log_fd_ >= 0) close(log_fd_);
-  for (const char* name : {"/config.json", "/broker.yaml", "/members.csv"}) unlink((folder_ + name).c_str());
+  for (const char* name : {"/config.json", "/gateway.textproto", "/members.csv"})
+    unlink((folder_ + name).c_str());
   rmdir(folder_.c_str());
 }
 
@@ -306,12 +311,12 @@
   std::vector<const char*> list{GORSEBEAM_PROGRAM};
   for (const std::string& a : arguments) list.push_back(a.c_str());
   list.push_back(nullptr);
-  gchar* text = nullptr;
+  gchar *text = nullptr, *errors = nullptr;
   gint status = 0;
-  CHECK(g_spawn_sync(nullptr, const_cast<gchar**>(list.data()), nullptr, G_SPAWN_STDOUT_TO_DEV_NULL, nullptr,
-                     nullptr, nullptr, &text, &status, nullptr));
-  output = text;
-  g_free(text);
+  CHECK(g_spawn_sync(nullptr, const_cast<gchar**>(list.data()), nullptr, G_SPAWN_DEFAULT, nullptr, nullptr,
+                     &text, &errors, &status, nullptr));
+  output = std::string(errors) + text;
+  g_free(text), g_free(errors);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -107,11 +107,12 @@
 class Stage {
 public:
   // Members of group 0 in the order given, the first listed as primary; `primary` tells who is.
-  Stage(const Protocol& protocol, std::size_t members, std::size_t primary, const std::string& teams = "");
+  Stage(const Protocol& protocol, std::size_t members, std::size_t primary, const std::string& more = "");
   ~Stage();
   void start();
   std::unique_ptr<Client> client();             // connected and greeted
   std::unique_ptr<Client> stranger();           // connected, no more
+  void write_file(const std::string& more);     // the operators' file, with so much more in it
   void write_inventory();                       // with the members' states; a running program reads it again
   void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
   // Writes a configuration, has it read again and waits for the log line.
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -246,7 +246,8 @@
   CHECK(usual->answer_to(read("usual")) == Final::Served);
   for (int i = 0; i < 20; ++i) { // more at once than may linger
     const auto client = stage.client();
-    client->write(std::string(64 * 1024, '\xff')); // what follows the first of it is unread when it is turned down
+    client->write(
+        std::string(64 * 1024, '\xff')); // what follows the first of it is unread when it is turned down
     until([&] { return client->ended_by_gateway; }, "the door");
     CHECK(client->end == "closed by the peer");
     CHECK(client->input.size() + client->answers.size() > 0);
@@ -288,9 +289,10 @@
 
 // A team's budget: beyond it refused at once; classes outside the contract are declined; strangers turned away.
 void budgets(const Protocol& protocol) {
-  Stage stage(protocol, 2, 0,
-              "teams:\n  portal:\n    budget: {per_second: 0.01, burst: 3}\n    classes: {any: {attempts: 1, "
-              "deadline_ms: 700}}\n");
+  Stage stage(
+      protocol, 2, 0,
+      "contracts { team { name: 'portal' budget { per_second: 0.01 burst: 3 } class { name: 'any' tries: 1 "
+      "longest_wait_ms: 700 } } }");
   stage.start();
   const auto client = stage.client();
   CHECK(client->answer_to(read("one")) == Final::Served);
@@ -302,6 +304,28 @@
   CHECK(client->answer_to(read("four")) == Final::Refused);
   CHECK(attempts_of(stage, "four") == 0);
   for (const auto& a : stage.attempts) CHECK(a.ask.wait_ms <= 700);
+  // Read again while a request is open: it ends by the terms that it began with; new ones come under the new.
+  const auto portal = [&](const char* terms) {
+    stage.write_file(std::string("contracts { team { name: 'portal' ") + terms + " } }");
+    stage.write_inventory();
+  };
+  portal("class { name: 'any' longest_wait_ms: 900 tries: 1 }");
+  const auto waiting = stage.client();
+  CHECK(waiting->answer_to(read("five")) == Final::Served); // no budget any more
+  stage.script = {Fault::Silent};
+  waiting->ask(read("open"));
+  until([&] { return attempts_of(stage, "open") == 1; }, "the request to go out");
+  portal("class { name: 'save' }");
+  CHECK(client->answer_to(save("theirs-now")) == Final::Served);
+  CHECK(client->answer_to(read("not-any-more")) == Final::Failed);
+  stage.write_file("contracts { team { name: 'others' class { name: 'any' } } }");
+  stage.write_inventory();
+  CHECK(client->answer_to(save("no-contract")) == Final::Failed);
+  CHECK(waiting->answer() == Final::Refused); // when its 900 ms were over, and once
+  if (&protocol == &mongo()) {                // beside discovery's groups, which are not known beforehand
+    portal("class { name: 'any' } group: 7");
+    CHECK(client->answer_to(read("other-group")) == Final::Failed);
+  }
   finish(stage);
 }
 
