--- /dev/null
+++ b/bench/config.cpp
@@ -0,0 +1,137 @@
+// What configuration from a control service costs: the time from a push to the change in force, by the number of members;
+// and the tail of request times while versions are applied, against none, in turns within one run.
+#include "control/service.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+using namespace stage;
+using stand_in::Service;
+namespace pb = gorsebeam::config::v1;
+
+namespace {
+
+double ms_since(gint64 start) { return static_cast<double>(g_get_monotonic_time() - start) / 1000; }
+
+double at(std::vector<double> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values.empty()
+             ? 0
+             : values[std::min(values.size() - 1,
+                               static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+pb::Members members(const Stage& stage, std::uint64_t generation, int more) {
+  pb::Members m;
+  m.set_generation(generation);
+  for (const auto& member : stage.members) {
+    pb::Member& one = *m.add_postgres();
+    one.set_name(member->name), one.set_address(member->address);
+    one.set_role(member->listed_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
+  }
+  for (int i = 0; i < more; ++i) { // in other groups, draining, so that nobody probes them
+    pb::Member& one = *m.add_postgres();
+    one.set_name("crowd-" + std::to_string(i)), one.set_address("127.0.0.1:" + std::to_string(1 + i % 60000));
+    one.set_group(1000 + static_cast<unsigned>(i) / 4), one.set_state(pb::Member::DRAINING);
+  }
+  return m;
+}
+
+pb::Contracts contracts(std::uint64_t generation) {
+  pb::Contracts c;
+  c.set_generation(generation);
+  for (int t = 0; t < 20; ++t) {
+    pb::Team& team = *c.add_team();
+    team.set_name(t == 0 ? "portal" : "team-" + std::to_string(t));
+    team.mutable_budget()->set_per_second(1e6);
+    for (const char* name : {"any", "save"}) team.add_class_()->set_name(name);
+  }
+  return c;
+}
+
+} // namespace
+
+int main() {
+  Stage stage(postgres(), 3, 0);
+  Service service;
+  stage.write_file("control_service { node: 'bench' address: '" + service.address() + "' }");
+  stage.start();
+  until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  std::uint64_t generation = 0;
+
+  // A push is in force at the latest when a request is answered that came in after its acknowledgement: one loop does
+  // both. The pause of 50 ms between runs is waited out before.
+  std::printf(
+      "push to in force, ms: members, median, least, most of 9 (each changes every member or none)\n");
+  const auto client = stage.client();
+  for (const int count : {10, 1000, 10000}) {
+    std::vector<double> took;
+    for (int i = 0; i < 9; ++i) {
+      pass(120);
+      pb::Members m = members(stage, ++generation, count - 3);
+      for (int j = 3; j < m.postgres_size(); ++j) m.mutable_postgres(j)->set_size(1 + i % 2); // all differ
+      const gint64 start = g_get_monotonic_time();
+      const std::string nonce = service.push(m, "v");
+      if (!service.answer(nonce).empty()) return 1;
+      if (client->answer_to({"p" + std::to_string(generation), "any", "", 2000, false}) != Final::Served)
+        return 1;
+      took.push_back(ms_since(start));
+    }
+    std::printf("%d %.2f %.2f %.2f\n", count, at(took, 0.5), at(took, 0), at(took, 1));
+    std::fflush(stdout);
+  }
+  service.answer(service.push(members(stage, ++generation, 0), "few"));
+
+  // Turns of one second with and without 50 versions a second, four clients asking at a steady pace of 400 a second.
+  std::vector<double> times[2];
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 16; ++i) clients.push_back(stage.client());
+  int number = 0;
+  std::uint64_t version = 0;
+  for (int turn = 0; turn < 40; ++turn) {
+    const bool applies = turn % 2 == 1;
+    const gint64 start = g_get_monotonic_time();
+    int asked = 0, pushed = 0;
+    struct Out {
+      Client* client;
+      gint64 due;
+    };
+    std::vector<Out> out;
+    std::vector<Client*> free;
+    for (const auto& c : clients) free.push_back(c.get());
+    until(
+        [&] {
+          const gint64 now = g_get_monotonic_time();
+          for (std::size_t i = 0; i < out.size();) {
+            if (out[i].client->answers.empty()) {
+              ++i;
+              continue;
+            }
+            times[applies].push_back(ms_since(out[i].due)); // from when it should have gone out
+            out[i].client->answers.pop_front();
+            free.push_back(out[i].client);
+            out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+          }
+          while (asked < 400 && now >= start + asked * 2500 && !free.empty()) {
+            out.push_back({free.back(), start + asked * 2500});
+            free.back()->ask({"t" + std::to_string(number++), "any", "", 2000, false});
+            free.pop_back();
+            ++asked;
+          }
+          while (applies && pushed < 50 && now >= start + pushed * 20'000) {
+            service.push(contracts(++version), "c");
+            ++pushed;
+          }
+          return asked == 400 && out.empty();
+        },
+        "a turn");
+  }
+  for (const int applies : {0, 1})
+    std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
+                applies ? "50 versions a second" : "none", times[applies].size(), at(times[applies], 0.5),
+                at(times[applies], 0.9), at(times[applies], 0.99), at(times[applies], 0.999),
+                at(times[applies], 1));
+  std::printf("ratio of p99: %.3f\n", at(times[1], 0.99) / at(times[0], 0.99));
+  stage.check_rules();
+}
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -118,14 +118,16 @@
   // Writes a configuration, has it read again and waits for the log line.
   void reload(const std::string& agent, const std::string& told);
   void signal(int number);
-  int exit_code(); // waits for the program's end
+  void take_address(); // where the program says last that it listens
+  int exit_code();     // waits for the program's end
   bool running() const { return !exited_; }
   void check_rules(); // of all that went by
 
   const Protocol& protocol;
   std::vector<std::unique_ptr<Member>> members;
-  std::deque<Fault> script; // one for each attempt of a request; then Serve
-  std::string log;          // what the program wrote
+  std::deque<Fault> script;         // one for each attempt of a request; then Serve
+  std::string log;                  // what the program wrote
+  std::string listen = "127.0.0.1"; // of the second front, in the operators' file
 
   struct Attempt {
     Ask ask;
