--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <unordered_set>
 
 namespace gorsebeam::config {
 namespace {
@@ -59,8 +60,9 @@
 }
 
 std::optional<Fault> check_members(const RepeatedPtrField<pb::Member>& members, const char* field) {
-  std::set<std::string> names;
-  std::set<GroupId> with_primary;
+  std::unordered_set<std::string> names;
+  names.reserve(static_cast<std::size_t>(members.size()));
+  std::unordered_set<GroupId> with_primary;
   for (int i = 0; i < members.size(); ++i) {
     const pb::Member& m = members[i];
     const Path at = {{field, i}};
--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -157,8 +157,9 @@
       } else if (const auto* ask = std::get_if<versions::Ask>(&action)) {
         channel_.send(xds::request(*ask, file_.control_service().node(), file_.control_service().cluster()));
       } else if (const auto* run = std::get_if<versions::Run>(&action)) {
-        run_(xds::contracts_of(run->bodies[0]), xds::members_of(run->bodies[1]),
-             xds::limits_of(run->bodies[2]));
+        run_(run->changed[0] ? &xds::contracts_of(run->bodies[0]) : nullptr,
+             run->changed[1] ? &xds::members_of(run->bodies[1]) : nullptr,
+             run->changed[2] ? &xds::limits_of(run->bodies[2]) : nullptr);
       } else if (std::holds_alternative<versions::Store>(action)) {
         store();
       } else if (const auto* text = std::get_if<versions::Note>(&action)) {
--- a/src/control/client.h
+++ b/src/control/client.h
@@ -17,8 +17,9 @@
 
 class Client : grpc::Channel::Events {
 public:
-  using Run = std::function<void(const config::pb::Contracts&, const config::pb::Members&,
-                                 const config::pb::Limits&)>;
+  // What is in force from now on; null where it is as it was.
+  using Run = std::function<void(const config::pb::Contracts*, const config::pb::Members*,
+                                 const config::pb::Limits*)>;
   Client(const config::File& file, std::uint64_t seed, Run run);
   void start();
   void stop(); // no new versions; what runs goes on
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,7 +7,6 @@
 #include "postgres/wire.h"
 
 #include <glib-unix.h>
-#include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
 #include <csignal>
@@ -112,8 +111,8 @@
                                                                    : net::LogFormat::Text);
   control_ = std::make_unique<control::Client>(
       plan_.file, config.seed,
-      [this](const config::pb::Contracts& contracts, const config::pb::Members& members,
-             const config::pb::Limits& limits) { run(contracts, members, limits); });
+      [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
+             const config::pb::Limits* limits) { run(contracts, members, limits); });
   if (!plan_.file.site.postgres_listed) {
     postgres_->core.list(MemberList::Kind::Remembered, config.known.members);
     watch_ = std::make_unique<discovery::Watch>(postgres_->core, config.discovery, config.known.revision);
@@ -178,28 +177,17 @@
   net::log_line("reload", "read again; discovery is " + fresh.config.discovery);
 }
 
-void Gateway::run(const config::pb::Contracts& contracts, const config::pb::Members& members,
-                  const config::pb::Limits& limits) {
-  using google::protobuf::util::MessageDifferencer;
-  const bool first = !std::exchange(running_, true);
-  if (first || !MessageDifferencer::Equals(contracts, contracts_)) {
+void Gateway::run(const config::pb::Contracts* contracts, const config::pb::Members* members,
+                  const config::pb::Limits* limits) {
+  if (contracts)
     terms_.set(
-        std::make_shared<broker::Contracts>(config::contracts_of(contracts, plan_.config.profile.classes)),
+        std::make_shared<broker::Contracts>(config::contracts_of(*contracts, plan_.config.profile.classes)),
         net::now());
-    contracts_ = contracts;
-  }
-  const auto list = [&](Path& path, const auto& now, const auto& before) {
-    const bool same = now.size() == before.size() &&
-                      std::equal(now.begin(), now.end(), before.begin(), [](const auto& a, const auto& b) {
-                        return MessageDifferencer::Equals(a, b);
-                      });
-    if (first || !same) path.core.list(MemberList::Kind::Full, config::members_of(now));
-  };
-  if (plan_.file.site.postgres_listed) list(*postgres_, members.postgres(), members_.postgres());
-  if (mongo_) list(*mongo_, members.mongo(), members_.mongo());
-  members_ = members;
-  postgres_->limit(limits);
-  if (mongo_) mongo_->limit(limits);
+  if (members && plan_.file.site.postgres_listed)
+    postgres_->core.list(MemberList::Kind::Full, config::members_of(members->postgres()));
+  if (members && mongo_) mongo_->core.list(MemberList::Kind::Full, config::members_of(members->mongo()));
+  if (limits) postgres_->limit(*limits);
+  if (limits && mongo_) mongo_->limit(*limits);
 }
 
 int Gateway::run() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,16 +62,13 @@
   void reload();
   // Why a file that is fine by itself cannot be followed by a running process; empty: it can.
   std::string waits_for_start(const Plan& fresh) const;
-  // The one place where a version comes into force: contracts, members and limits, as far as they differ.
-  void run(const config::pb::Contracts& contracts, const config::pb::Members& members,
-           const config::pb::Limits& limits);
+  // The one place where a version comes into force: contracts, members and limits; null: as it was.
+  void run(const config::pb::Contracts* contracts, const config::pb::Members* members,
+           const config::pb::Limits* limits);
 
   Plan plan_;
   GMainLoop* loop_;
   broker::Terms terms_;
-  config::pb::Contracts contracts_; // in force
-  config::pb::Members members_;
-  bool running_ = false; // something is in force
   std::unique_ptr<Path> postgres_, mongo_;
   std::unique_ptr<discovery::Watch> watch_;
   std::unique_ptr<control::Client> control_;
--- a/src/versions/versions.cpp
+++ b/src/versions/versions.cpp
@@ -255,9 +255,15 @@
 }
 
 void Machine::run(Nanos now, Actions& actions) {
+  Run run{running(), {}};
+  for (std::size_t i = 0; i < kTypes; ++i) {
+    const std::uint64_t print = types_[i].kept.running.print;
+    run.changed[i] = ran_at_ < 0 || print != ran_[i];
+    ran_[i] = print;
+  }
   dirty_ = false;
   ran_at_ = now;
-  actions.emplace_back(Run{running()});
+  actions.emplace_back(std::move(run));
   actions.emplace_back(Store{});
 }
 
--- a/src/versions/versions.h
+++ b/src/versions/versions.h
@@ -82,6 +82,7 @@
 };
 struct Run { // these are in force from now on
   Bodies bodies;
+  std::array<bool, kTypes> changed{}; // since the Run before, in content
 };
 struct Store {}; // what is kept has changed and should rest on disk
 struct Note {
@@ -154,9 +155,10 @@
   std::size_t next_address_ = 0;
   int failures_ = 0;
   bool was_lost_ = false, pinged_ = false, dirty_ = false;
-  Nanos at_ = kNever;  // Waiting: the next dial; Dialing: when it is given up
-  Nanos heard_at_ = 0; // Streaming
-  Nanos ran_at_ = -1;  // -1: never
+  Nanos at_ = kNever;                       // Waiting: the next dial; Dialing: when it is given up
+  Nanos heard_at_ = 0;                      // Streaming
+  std::array<std::uint64_t, kTypes> ran_{}; // prints of what runs
+  Nanos ran_at_ = -1;                       // -1: never
   std::uint64_t random_;
 };
 
--- a/src/xds/xds.cpp
+++ b/src/xds/xds.cpp
@@ -27,7 +27,8 @@
     offer.fault = "it holds no resource; one that is empty on purpose says so";
   for (int i = 0; i < response.resources_size() && offer.fault.empty(); ++i) {
     const std::string place = "resource " + std::to_string(i + 1) + ": ";
-    Message one;
+    Message later;
+    Message& one = i == 0 ? *merged : later; // a set in one resource is not copied
     if (response.resources(i).type_url() != offer.type_url)
       offer.fault = place + "is of type " + response.resources(i).type_url() + ", not of the response's";
     else if (!one.ParseFromString(response.resources(i).value()))
@@ -38,7 +39,7 @@
       offer.fault = place + "is of another generation than the first; a response holds one";
     else {
       offer.generation = one.generation(), offer.rolls_back = one.rolls_back();
-      merged->MergeFrom(one);
+      if (i > 0) merged->MergeFrom(one);
     }
   }
   if (!offer.fault.empty()) return;
