Parse PostgreSQL's statements and keep what may write from classes that read

Need: the class comes from the caller and the gateway believed it, so SELECT nextval(...), a data-modifying WITH or SELECT ... FOR UPDATE under a reading class went to a replica.

Change: src/shapes, pure, parses a statement by libpg_query and walks its tree against lists of what is known to read only: nodes, functions, operators, types. The rest is unknown: under a class that reads it is answered with 25006 and the reason and goes nowhere, under one that writes it has one attempt.

Not yet: a lexer and memory of shapes, cost, routes, MongoDB.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -93,7 +93,7 @@
   pools.keepalive = profile.keepalive;
   const std::uint64_t seed = plan_.config.seed;
   postgres_ = std::make_unique<Path>(profile, seed, postgres::make_wire, pools, fronts,
-                                     postgres::make_connection(terms_));
+                                     postgres::make_connection(terms_, shapes_));
   if (two)
     mongo_ = std::make_unique<Path>(profile, ~seed, mongo::make_wire, pools, fronts,
                                     mongo::make_connection(terms_));
@@ -109,6 +109,7 @@
   const config::pb::Gateway& file = plan_.file.gateway;
   net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
                                                                    : net::LogFormat::Text);
+  set_shapes(file.shapes());
   control_ = std::make_unique<control::Client>(
       plan_.file, config.seed,
       [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
@@ -141,6 +142,12 @@
   last_.after(longest + kStillAccepting);
 }
 
+void Gateway::set_shapes(const config::pb::Shapes& shapes) {
+  shapes_ = !shapes.postgres() ? nullptr
+                               : std::make_shared<const gorsebeam::shapes::Sql>(std::set<std::string>(
+                                     shapes.read_function().begin(), shapes.read_function().end()));
+}
+
 std::string Gateway::waits_for_start(const Plan& fresh) const {
   if (fresh.file.gateway.has_mongo() != (mongo_ != nullptr))
     return "the second front is turned on or off at the start only, as the descriptors are shared out then; "
@@ -168,6 +175,7 @@
   if (moves) net::log_line("start", "MongoDB on " + mongo_->front.address());
   net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
                                                                    : net::LogFormat::Text);
+  set_shapes(file.shapes());
   if (fresh.config.fixed != plan_.config.fixed)
     net::log_line("reload", "the platform's limits, settings and listening address wait for the next start");
   if (watch_) watch_->follow(fresh.config.discovery);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "control/client.h"
 #include "discovery/watch.h"
 #include "front/front.h"
+#include "shapes/sql.h"
 #include "upstream/pool.h"
 
 #include <functional>
@@ -60,6 +61,7 @@
   // All files, on SIGHUP. Follows discovery's address and what the operator configures; a bad file is told of and
   // changes nothing.
   void reload();
+  void set_shapes(const config::pb::Shapes& shapes);
   // Why a file that is fine by itself cannot be followed by a running process; empty: it can.
   std::string waits_for_start(const Plan& fresh) const;
   // The one place where a version comes into force: contracts, members and limits; null: as it was.
@@ -69,6 +71,7 @@
   Plan plan_;
   GMainLoop* loop_;
   broker::Terms terms_;
+  std::shared_ptr<const gorsebeam::shapes::Sql> shapes_; // null: statements are not parsed
   std::unique_ptr<Path> postgres_, mongo_;
   std::unique_ptr<discovery::Watch> watch_;
   std::unique_ptr<control::Client> control_;
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -25,8 +25,9 @@
 
 class PgConnection : public front::Connection {
 public:
-  PgConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms)
-      : Connection(front, std::move(socket)), terms_(terms), ready_(message('Z', "I")) {}
+  PgConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms,
+               const std::shared_ptr<const shapes::Sql>& shapes)
+      : Connection(front, std::move(socket)), terms_(terms), shapes_(shapes), ready_(message('Z', "I")) {}
 
   broker::Parts body(Nanos left) override {
     // The statement stands in the input until it is answered; only the waiting time is written anew.
@@ -157,7 +158,13 @@
     if (!group) return decline(m, "42601", "the statement's comment names no cluster");
     const RequestClass& c = front_.core().settings().classes[found->second];
     // Guards the rules on repeats: a write under a reading class would be repeated as if it changed nothing.
-    if (s.select != (c.level != ReadLevel::Write))
+    shapes::Verdict verdict_of_text{s.select ? shapes::Effect::Read : shapes::Effect::Write, ""};
+    if (shapes_) verdict_of_text = shapes_->classify(text);
+    const bool reads = verdict_of_text.effect == shapes::Effect::Read;
+    // A class is the caller's word: a write under a reading one would go to a replica.
+    if (shapes_ && !reads && c.level != ReadLevel::Write)
+      return decline(m, "25006", "the statement may write, and its class reads: " + verdict_of_text.why);
+    if (!shapes_ && s.select != (c.level != ReadLevel::Write))
       return decline(m, "42601", "the statement does not fit its class");
     if (c.effect == Effect::Keyed && s.idempotency.empty())
       return decline(m, "42601", "the class needs an idempotency key");
@@ -172,6 +179,8 @@
     request.retry = s.retry == "1";
     const auto verdict = terms_.apply(user_, net::now(), request);
     if (verdict != broker::Terms::Verdict::Fine) return decline(m, "42501", broker::words(verdict));
+    if (shapes_ && verdict_of_text.effect == shapes::Effect::Unknown)
+      request.attempts = 1; // may not be repeated
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
@@ -180,6 +189,7 @@
   }
 
   broker::Terms& terms_;
+  const std::shared_ptr<const shapes::Sql>& shapes_;
   const std::string ready_;
   std::string user_, left_;
   bool started_ = false, skip_to_sync_ = false;
@@ -188,9 +198,9 @@
 
 } // namespace
 
-front::Front::Make make_connection(broker::Terms& terms) {
-  return [&terms](front::Front& front, net::SocketHandle socket) {
-    return std::make_unique<PgConnection>(front, std::move(socket), terms);
+front::Front::Make make_connection(broker::Terms& terms, const std::shared_ptr<const shapes::Sql>& shapes) {
+  return [&terms, &shapes](front::Front& front, net::SocketHandle socket) {
+    return std::make_unique<PgConnection>(front, std::move(socket), terms, shapes);
   };
 }
 
--- a/tests/stories/protocols.cpp
+++ b/tests/stories/protocols.cpp
@@ -54,6 +54,7 @@
     const std::string terms = " /* id=" + ask.id + ",c=" + ask.service_class +
                               ",d=" + std::to_string(ask.wait_ms) + (ask.write ? ",k=" + ask.key : "") +
                               ",cluster=0 */";
+    if (!ask.statement.empty()) return pg('Q', ask.statement + terms + '\0');
     return pg('Q', (ask.write ? "INSERT INTO facts (code, data) VALUES ('7f', '\\x9f') RETURNING data"
                               : "SELECT data FROM facts WHERE code = '7f'") +
                        terms + '\0');
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -40,6 +40,7 @@
   std::string id, service_class = "any", key = "k1";
   int wait_ms = 2000;
   bool write = false;
+  std::string statement = ""; // PostgreSQL's; empty: one that fits
 };
 
 // What differs between the protocols, on the stand-ins' side: bytes in and out.
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -329,6 +329,41 @@
   finish(stage);
 }
 
+// Statements are parsed where the file says so: what may write never goes out under a class that reads, whatever it
+// calls itself; what is unknown goes out once under one that writes.
+void shapes(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0, "shapes { postgres: true read_function: 'area_total' }");
+  stage.start();
+  const auto client = stage.client();
+  int number = 0;
+  const auto ask = [&](const char* statement, const char* service_class = "any") {
+    Ask question = read("shape" + std::to_string(number++));
+    question.statement = statement, question.service_class = service_class;
+    question.write = std::strcmp(service_class, "any") != 0, question.key = "key";
+    return question;
+  };
+  for (const char* text : {"SELECT area_total(3), upper(data) FROM facts WHERE code = 'x; DELETE FROM facts'",
+                           "WITH recent AS (SELECT * FROM facts) SELECT count(*) FROM recent"})
+    CHECK(client->answer_to(ask(text)) == Final::Served);
+  for (const char* text :
+       {"SELECT nextval('ids')", "SELECT other(3)", "SELECT data FROM facts FOR UPDATE",
+        "WITH gone AS (DELETE FROM facts RETURNING *) SELECT * FROM gone", "SELECT data INTO copy FROM facts",
+        "EXPLAIN ANALYZE DELETE FROM facts", "SELECT 'odd"}) {
+    const Ask question = ask(text);
+    CHECK(client->answer_to(question) == Final::Failed && attempts_of(stage, question.id) == 0);
+  }
+  stage.script = {Fault::Full};
+  const Ask unknown = ask("INSERT INTO facts (code) VALUES (mystery())", "save");
+  CHECK(client->answer_to(unknown) != Final::Failed);
+  stage.script = {Fault::Full};
+  const Ask once = ask("VACUUM_ODDLY", "save"); // cannot be parsed: one attempt and no more
+  CHECK(client->answer_to(once) == Final::Refused && attempts_of(stage, once.id) == 1);
+  stage.write_file(""); // and off again
+  stage.write_inventory();
+  CHECK(client->answer_to(ask("SELECT other(3)")) == Final::Served);
+  finish(stage);
+}
+
 // Discovery's agent, as a stand-in: one watch at a time, chunked, an object a line.
 struct Agent : gorsebeam::net::Stream::Events {
   Agent() {
@@ -441,6 +476,7 @@
                                                                  {"last_words", last_words},
                                                                  {"stops", stops},
                                                                  {"budgets", budgets},
+                                                                 {"shapes", shapes},
                                                                  {"discovery", discovery},
                                                                  {"reload", reload}};
   const auto story = stories.find(arguments[1]);
