Leave a member's old address with its last answer, and write no state that rests already

Cause: a connection that was busy when its member's address changed was laid by for the new address and used again, so requests went on to the old one; seen by a story that gives a member another address under load (it never left the old one).

Change: a connection knows the address it leads to and is closed where its member is elsewhere by now; what a start runs is not stored anew.

Result: the story waits in vain for the old address to be left without the change, on both protocols; passes with it.

--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -55,7 +55,7 @@
   enum class State { Dialing, Greeting, Idle, Writing, Waiting };
 
   Link(Pool& pool, MemberId member, const std::string& address)
-      : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] { due(); }),
+      : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] { due(); }), address_(address),
         stream_(net::Stream::connect(address, *this)) {}
 
   bool good() const { return stream_ && stream_->open(); }
@@ -190,7 +190,8 @@
   }
 
   void rest() {
-    if (pool_.hosts_[member].address.empty()) return pool_.drop(this); // it was removed meanwhile
+    // It was removed meanwhile, or is elsewhere: this connection leads to where it was.
+    if (pool_.hosts_[member].address != address_) return pool_.drop(this);
     idle_since_ = net::now();
     // Guards against a request that crosses the member's own close, which ends as a reset: retired well
     // before the member would.
@@ -202,6 +203,7 @@
   Pool& pool_;
   std::unique_ptr<Wire> wire_;
   net::Timer timer_;
+  const std::string address_;
   std::shared_ptr<net::Stream> stream_;
   State state_ = State::Dialing;
   Errand errand_;
--- a/src/versions/versions.cpp
+++ b/src/versions/versions.cpp
@@ -49,7 +49,7 @@
 
 void Machine::begin(Nanos now, Actions& actions) {
   run(now, actions);
-  dirty_ = false;
+  actions.pop_back(); // what rests on disk rests there already
   if (!s_.addresses.empty()) dial(now, actions);
 }
 
--- a/tests/stories/control.cpp
+++ b/tests/stories/control.cpp
@@ -202,6 +202,17 @@
   load.more(50);
   CHECK(holder->requests == before);
 
+  // And one that was never gone has another address from one version to the next.
+  Member* moved = plane.stage.members[holder == plane.stage.members[2].get() ? 1 : 2].get();
+  moved->state = "gone";
+  plane.stage.members.push_back(std::make_unique<Member>(plane.stage, moved->name, false, false));
+  CHECK(pushed(plane.members(8), "m8").empty());
+  load.until([&] { return plane.stage.members.back()->requests > 0; }, "the other address to be asked");
+  until([&] { return moved->connections() == 0; }, "the old address to be left");
+  const int asked_there = moved->requests;
+  load.more(50);
+  CHECK(moved->requests == asked_there);
+
   // The class goes, then the team, then the whole group: what is asked is declined or refused, each once.
   CHECK(pushed(plane.contracts(6, {"save"}), "c6").empty());
   load.finals.clear();
@@ -212,11 +223,11 @@
   load.more(20);
   CHECK(pushed(plane.contracts(8), "c8").empty());
   pb::Members none;
-  none.set_generation(8), none.set_may_be_empty(true);
-  CHECK(pushed(none, "m8").empty());
+  none.set_generation(9), none.set_may_be_empty(true);
+  CHECK(pushed(none, "m9").empty());
   load.more(10);
   load.rest();
-  CHECK(service.push_and_answer(plane.members(9), "m9").empty());
+  CHECK(service.push_and_answer(plane.members(10), "m10").empty());
   load.finals.clear(), load.resting = false;
   load.until([&] { return load.finals[Final::Served] > 0; }, "the group to be back");
 
@@ -241,7 +252,7 @@
   has(pushed(limits, "l2"), "message_kib: is out of range; give 64 to 16384");
 
   // 10,000 members more, in other groups; and a message over the bound.
-  pb::Members many = plane.members(10);
+  pb::Members many = plane.members(11);
   auto* crowd = &protocol == &mongo() ? many.mutable_mongo() : many.mutable_postgres();
   for (int i = 0; i < 10'000; ++i) {
     pb::Member& m = *crowd->Add();
@@ -250,7 +261,7 @@
     m.set_state(pb::Member::DRAINING);
   }
   CHECK(pushed(many, "many").empty());
-  CHECK(pushed(plane.members(11), "few").empty());
+  CHECK(pushed(plane.members(12), "few").empty());
   const int streams = service.streams();
   for (int i = 0; i < 150'000; ++i) *crowd->Add() = crowd->at(3);
   service.push(many, "too-much");
@@ -433,7 +444,8 @@
   put(gorsebeam::state::packed(unfit));
   serves(Final::Served, "it does not fit here any more");
   unlink(file.c_str());
-  rmdir(folder.c_str()); // and the folder is gone: told, and serving goes on
+  unlink((file + ".new").c_str());   // of a program that was killed as it wrote
+  CHECK(rmdir(folder.c_str()) == 0); // and the folder is gone: told, and serving goes on
   Plane plane(protocol);
   Service service;
   plane.start({service.address()}, state);
