Read a report's position in seconds, and take no news from a report not made yet

Of 11,000 probes not one proved a position: reports say x0=1796149907.038, Unix seconds, and src/postgres/wire.cpp (read_gauges) read it as milliseconds, that is 1970. So bounded reads found no current replica but by chance, and most of what was refused without being sent (5,660 of 39,600) were bounded reads. At the start reports are not made yet and say x0=0.000,x1=0: each of 100 gateways took that for "no primary" and dropped three groups' primaries at 45 ms, refusing their reads for seconds.

Change: seconds below 1e11, milliseconds above; a position of 0 makes the report none.

Ruled out: probes that fail or come late (99 in 100 were answered within 24 ms), and a storm at the start as the cause of refusals.

--- a/src/postgres/wire.cpp
+++ b/src/postgres/wire.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMessageMost = 128 * 1024; // a value holds at most 64 KiB
 constexpr Nanos kAhead = 2'000'000'000;          // a position further ahead of our clock cannot be one
+constexpr double kSecondsMost = 1e11;            // a report's position below this is in seconds
 
 std::optional<double> number(std::string_view text) {
   const std::string copy(text.substr(0, 64));
@@ -25,14 +26,20 @@
   return value;
 }
 
+std::optional<Nanos> position_at(double ms) { // Unix ms, as the module's clock counts
+  if (ms < 0 || ms * 1e6 > static_cast<double>(net::now() + kAhead)) return std::nullopt;
+  return static_cast<Nanos>(std::floor(ms * 1e6));
+}
+
 std::optional<Nanos> position_of(std::string_view text) {
   const auto ms = number(text);
-  if (!ms || *ms < 0 || *ms * 1e6 > static_cast<double>(net::now() + kAhead)) return std::nullopt;
-  return static_cast<Nanos>(std::floor(*ms * 1e6)); // Unix ms, as the module's clock counts
+  return ms ? position_at(*ms) : std::nullopt;
 }
 
-// "x0=1767225600123,x1=0": positions are Unix milliseconds here too. Guards against a spoilt report: one that cannot be
-// read whole is ignored whole, and the answer stands.
+// "x0=1767225600.123,x1=0": a report's position is a Unix time in seconds, while an answer's is in milliseconds; one too
+// large to be seconds is taken as milliseconds. Guards against a member whose first report is not made yet: its zeros
+// would tell every gateway that starts that no group has a primary, and prove no position. Guards against a spoilt
+// report: one that cannot be read whole is ignored whole, and the answer stands.
 void read_gauges(std::string_view text, Report& report) {
   Report read;
   while (!text.empty()) {
@@ -41,7 +48,8 @@
     text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
     const auto value = number(pair.substr(std::min(pair.size(), name.size() + 1)));
     if (!value) return;
-    if (name == "x0" && !(read.position = position_of(pair.substr(3)))) return;
+    if (name == "x0" && *value == 0) return;
+    if (name == "x0" && !(read.position = position_at(*value < kSecondsMost ? *value * 1000 : *value))) return;
     if (name == "x1") read.primary = *value > 0.5;
   }
   report = read;
