Let reads of a group without a known primary ask its members once beyond the share

With 100 gateways a group's writes come to each once in 8 s, so gateways knew of an election 6 to 13 s after it was over.

Change: such a read, when it comes, has up to four probes beyond the share: a group's members, the doubted one too. A report that shows the primary ends the wait. Nothing at 3 gateways but while a primary is in doubt, where writes already probe as much. Hurts where clients ask for groups that have no primary for long: four probes a read.

Test: 100 routers with no share left; none finds the new primary where the change is taken out.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,6 +41,7 @@
 constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
 constexpr double kProbeShare = 0.1; // probes, as a share of this router's own requests: bounds their cost
 constexpr double kProbeBurst = 10;  // probes that may go at once: a group's members, and some more
+constexpr int kProbeExtra = 4;      // beyond the share, by a read of a group without a primary: its members
 
 std::uint64_t mix(std::uint64_t x) { // splitmix64's finish: spreads close keys
   x += 0x9e3779b97f4a7c15ULL;
@@ -489,15 +490,19 @@
     wait_for_proof(job);
   }
 
-  // None admitted: wait while probing; the primary once waiting longer would miss the aim.
+  // None admitted: wait while probing; the primary once waiting longer would miss the aim. Guards reads of a
+  // group without one against waiting for the next write to find it, which with many routers takes seconds:
+  // each such read asks a group's members once, beyond the share: a probe costs less than a read is worth.
   void wait_for_proof(Job& job) {
     Group& group = groups_[job.request.group];
+    int extra = now_ == job.arrived && (!group.primary || group.doubted) ? kProbeExtra : 0;
     const Nanos need = need_of(job);
     bool hope = false;
     for (const MemberId id : group.members) {
       MemberRow& m = rows_.at(id);
-      if (!usable(m) || group.primary == id) continue;
-      probe(m);
+      if (!usable(m) || (group.primary == id && !group.doubted)) continue;
+      extra -= probe(m, kProbeGap, extra > 0) && extra > 0;
+      if (group.primary == id) continue;
       // Behind by more than the time left, it will not catch up before the aim.
       if (m.position != kUnknown && !tried(job, id))
         hope |= m.set_aside ? !m.needs_trial : need != kUnknown && need < m.position + job.aim_at - now_;
@@ -929,12 +934,13 @@
     }
   }
 
-  void probe(MemberRow& m, Nanos gap = kProbeGap, bool must = false) {
-    if (!s_.probes || m.probing || (!must && probes_ < 1)) return;
-    if (m.probed_at != kUnknown && now_ - m.probed_at < gap) return;
+  bool probe(MemberRow& m, Nanos gap = kProbeGap, bool must = false) {
+    if (!s_.probes || m.probing || (!must && probes_ < 1)) return false;
+    if (m.probed_at != kUnknown && now_ - m.probed_at < gap) return false;
     if (!must) probes_ -= 1;
     m.probing = true, m.probed_at = now_;
     act(Probe{m.entry.id});
+    return true;
   }
 
   // After each step of a request: forgets it when done, else notes that it waits and for when.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -167,6 +167,33 @@
   }
 }
 
+// A hundred routers with no probes left to their share, whose groups' primary drains: each read asks every member once
+// and goes to whoever shows itself as the new primary, with no write to find it first.
+TEST(Admission, AReadOfAGroupWithoutAPrimaryFindsTheNewOneAmongManyRouters) {
+  std::size_t asked = 0, served = 0;
+  for (int router = 0; router < 100; ++router) {
+    Bench b;
+    b.settle();
+    for (int i = 0; i < 6; ++i) { // spends the share: no position holds, and each read asks
+      b.now += 5000 * ms;
+      b.ask(kBounded);
+      for (const MemberId id : {2U, 3U, 4U}) b.probed(id, false, 4000 * ms);
+    }
+    Member leaving = Bench::member(1);
+    leaving.state = MemberState::Draining;
+    b.list({leaving}, MemberList::Kind::Changes);
+    b.now += 1100 * ms;
+    b.ask(kBounded);
+    const std::vector<Probe> probes = b.all<Probe>();
+    asked += probes.size();
+    for (const Probe& probe : probes)
+      if (probe.member == 3) b.probed(3, true, 40 * ms);
+    served += b.sent() == MemberId{3};
+  }
+  EXPECT_EQ(served, 100U);
+  EXPECT_LE(asked, 300U);
+}
+
 TEST(Admission, AProofGrowsOldUntilItNoLongerHolds) {
   Bench b;
   b.settle();
@@ -576,6 +603,9 @@
   b.list(many);
   std::size_t probes = b.all<Probe>().size();
   EXPECT_LE(probes, 20U);
+  b.ask(kBounded); // with no primary, a read may ask beyond the share, though not everyone
+  EXPECT_LE(b.all<Probe>().size(), 14U);
+  b.probed(1, true, 0);
   for (int i = 0; i < 100; ++i) {
     b.ask(kBounded);
     probes += b.all<Probe>().size();
