Weigh crowding against what is usual until thirty answers tell

Change: the pool's mean is weighed against thirty answers of the usual part of their aims. A router that hears fifty answers a second is told of a crowd within half a second, as before; one of a hundred routers needs many late ones. Hurts where a real overload meets thin traffic: hosts then turn away by their own queues.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,6 +30,8 @@
 constexpr double kLong = 2; // times the middle of reads that need current data: such reads hold a replica up
 constexpr double kRoomy = 0.35;      // answers take this part of their aims: beyond, the slow ones miss them
 constexpr double kNewsSpan = 3e9;    // ns over which news of a crowd fades: jams last seconds
+constexpr double kEnough = 30;       // answers whose mean errs by a fifth: fewer tell little of a crowd
+constexpr double kUsual = 0.2;       // the part of their aims that answers take with no crowd
 constexpr double kPooled = 4;        // answers of its own from which on a member counts more than its pool
 constexpr double kCopyShare = 0.02;  // second copies, as a share of requests: bounds the load they add
 constexpr double kCopyBurst = 20;    // copies that may go at once: one member's requests in hand
@@ -424,7 +426,8 @@
 
   bool has_room(MemberRow& m, const Job& job) {
     const Crowd &pool = pool_of(m), &own = m.crowd.fade(now_);
-    const double mean = pool.sum / (pool.n + 1);
+    // Guards a router with few requests against taking chance for a crowd: of a hundred such, many would.
+    const double mean = (pool.sum + kEnough * kUsual) / (pool.n + kEnough);
     // About squared, as clients repeat what was late: more for what is worth less than the mean for its work.
     const double room = kRoomy * (own.n + kPooled) / (own.sum + kPooled * mean + 1e-9);
     double worth = 0, work = 0;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -751,6 +752,30 @@
   EXPECT_LT(sent[kAny], sent[kBounded]);
 }
 
+// A hundred routers of a fleet with no crowd anywhere: each hears three answers in two seconds, of usual work. What one
+// takes for a crowd by chance is refused for nothing.
+TEST(Crowd, AHundredRoutersThatHearLittleTakeNoChanceForACrowd) {
+  int asked = 0, held = 0;
+  std::uint64_t draw = 1;
+  for (int router = 0; router < 100; ++router) {
+    Bench b;
+    b.list({Bench::member(1), Bench::member(2)});
+    b.probed(1, true, 0);
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = b.ask(kFresh);
+      ++asked;
+      held += !b.sent();
+      if (!b.sent()) b.give(ClientGone{id});
+      draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
+      const double part = static_cast<double>(draw >> 11) / 9007199254740992.0;
+      const Nanos took = static_cast<Nanos>(-90.0 * std::log(1 - part)) * ms; // 90 in the mean, of 300
+      if (b.sent()) b.end(id, *b.sent(), Result::Ok, true, took);
+      b.after(660 * ms);
+    }
+  }
+  EXPECT_LT(held, asked / 50);
+}
+
 TEST(Crowd, LostAnswersAmongQuickOnesHoldNothingBack) {
   Bench b;
   b.settle();
