Ask one member at a time for a proof where bounded reads are thin, and wait for it

Among 100 routers bounded reads of a group come further apart than a proof's 200 ms, so no position held, and src/rules.cpp (wait_for_proof) took an old position for a member behind, gave up hope at once and sent to the primary, while it asked every replica for a proof that came 2 ms later and served no one; that used up the share of probes (0.1 a request).

Change: where a group's bounded reads come further apart than the bound, one member is asked, drawn by the read, and waited for; the next when that proved nothing. At 3 gateways reads are not thin. Hurts by a probe's way where several members lag.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,7 @@
 constexpr Nanos kHandOver = 1000 * kMs;        // a role that is handed over is taken up sooner
 constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
 constexpr double kProbeShare = 0.1; // probes, as a share of this router's own requests: bounds their cost
+constexpr double kProofCost = 0.04; // of its worth, for probes on behalf of a read that uses a proof alone
 constexpr double kProbeBurst = 10;  // probes that may go at once: a group's members, and some more
 constexpr int kProbeExtra = 4;      // beyond the share, by a read of a group without a primary: its members
 
@@ -101,6 +102,8 @@
   std::optional<MemberId> primary;
   Nanos primary_info = kUnknown;                // the time of the evidence for it
   bool doubted = false;                         // it failed to answer: writes wait
+  bool thin = false;                            // bounded reads come further apart than a proof holds
+  Nanos read_at = kUnknown;                     // the last of them
   bool changed = false;                         // evidence that may release waiting requests
   Nanos scouted_at = kUnknown, released_at = 0; // releases are spaced: crowds wait in thousands
   std::set<std::uint64_t> waiting;              // requests with nothing out, by arrival
@@ -277,13 +280,12 @@
   bool usable(const MemberRow& m) const { return !m.told_leaving && m.entry.state == MemberState::Up; }
 
   double members_in(const Group& group) const {
-    double in = 0;
-    for (const MemberId id : group.members) in += usable(rows_.at(id)) && !rows_.at(id).set_aside;
-    return std::max(in, 1.0);
+    const auto in = [this](MemberId id) { return usable(rows_.at(id)) && !rows_.at(id).set_aside; };
+    return std::max(1.0, double(std::count_if(group.members.begin(), group.members.end(), in)));
   }
 
-  // Guards a read that met a broken connection at every member against waiting while all of them live on:
-  // once as many attempts went out as there are members to serve it, one that broke may have it again.
+  // Guards a read that met a broken connection at every member against waiting while all live on: once as
+  // many attempts went out as there are members to serve it, one that broke may have it again.
   bool tried(const Job& job, MemberId id) const {
     const Group& group = groups_.at(job.request.group);
     const auto round = [&] { return double(job.attempts.size()) + group.doubted >= members_in(group); };
@@ -291,17 +293,14 @@
                        [&](const Attempt& a) { return a.member == id && !(a.broke && round()); });
   }
 
-  // Departure: acts on reads that any member may serve and that run far longer than the reads which need
-  // current data. A replica may apply nothing while it holds one: spread by the hash they would leave every
-  // replica behind. They go together to one replica, the same for all routers, which serves other reads only
-  // when proven current. What finds no room waits, then goes to the primary. Hurts if they fill a machine.
+  // Departure: acts on reads that any member may serve and that run far longer than those which need current
+  // data. A replica may apply nothing while it holds one, so they go together to one, the same everywhere; it
+  // serves others when proven current. What finds no room goes to the primary. Hurts if they fill a machine.
   bool is_long(std::size_t at) const {
     if (s_.classes[at].level != ReadLevel::Any) return false;
-    for (std::size_t i = 0; i < s_.classes.size(); ++i) {
-      const ReadLevel level = s_.classes[i].level;
-      const bool current = level == ReadLevel::Bounded || level == ReadLevel::Session;
-      if (current && stats_[at].usual < kLong * stats_[i].usual) return false;
-    }
+    for (std::size_t i = 0; i < s_.classes.size(); ++i)
+      if (s_.classes[i].level == ReadLevel::Bounded || s_.classes[i].level == ReadLevel::Session)
+        if (stats_[at].usual < kLong * stats_[i].usual) return false;
     return true;
   }
 
@@ -317,10 +316,9 @@
     return best;
   }
 
-  // Departure: acts where members check reads and a replica's known position is too old to prove it current:
-  // a token is younger than any report, and small routers hear from a member rarely. Once heard, it is taken
-  // as current unless a miss, or its position when last shown, tells otherwise; the member's own check keeps
-  // the read from stale data. Also covers probes that fail. Costs a miss where it fell behind since.
+  // Departure: acts where members check reads and a replica's known position is too old to prove it current.
+  // Once heard, it is taken as current unless a miss or its position when last shown tells otherwise; its own
+  // check keeps the read from stale data. Also covers probes that fail. Costs a miss where it fell behind.
   bool presumed(const MemberRow& m, const Job& job) const {
     if (s_.checks == Checks::None || m.set_aside || disproved(m)) return false;
     const RequestClass& c = s_.classes[job.request.class_index];
@@ -328,10 +326,9 @@
     return c.level == ReadLevel::Bounded && (m.shown_at == kUnknown || m.shown_at - m.position <= c.bound);
   }
 
-  // Departure: acts where the even split would leave the replica with the long reads, or the primary once
-  // replicas are pressed (answers take over half of what is roomy), with less work than the rest. Each
-  // member's part of the hash is what its even share of all work leaves beside what only it can do, as this
-  // router's own traffic shows the classes. Hurts where traffic through other routers is of another mix.
+  // Departure: acts where the even split leaves the replica with the long reads, or the primary once replicas
+  // are pressed (answers take over half of what is roomy), with less work than the rest. A member's part is
+  // what its even share of all work leaves beside what only it can do. Hurts where others' mix differs.
   double part(const Group& group, MemberId id, bool long_reads_here) const {
     double all = 0, own = 0;
     for (std::size_t i = 0; i < s_.classes.size(); ++i) {
@@ -359,11 +356,10 @@
     return std::nullopt;
   }
 
-  // Departure: acts when a set-aside member's probe did not tell: it failed, could not be afforded, or a
-  // shallow one proves little after time-outs or errors. One safe read at a time tries it, after a pause that
-  // doubles with each failure. Also lets a fresh router's first reads through where probes do not come back.
-  // It gets no more reads than the hash would give it, unless no other is left: each of many routers tries it
-  // for itself, and together they would push over one that just started.
+  // Departure: acts when a set-aside member's probe did not tell: it failed, could not be afforded, or proves
+  // little after time-outs or errors. One safe read at a time tries it, after a pause that doubles with each
+  // failure; also lets a fresh router's first reads through. It gets no more than the hash would give it,
+  // unless no other is left: many routers, each for itself, would push over one that just started.
   std::optional<MemberId> trial(const Job& job, bool none_left) {
     if (s_.classes[job.request.class_index].effect != Effect::Safe || !job.attempts.empty()) return {};
     std::vector<MemberId> pool;
@@ -415,11 +411,10 @@
     return best;
   }
 
-  // Departure: acts when answers take too large a part of their aims, whatever the cause: overload, a slow
-  // machine, too many repeats. Of the requests the hash gives a member, only so many pass that the rest are
-  // in time; what is left goes to others or waits. A router with few requests hears from one member rarely,
-  // so a member's own answers are weighed against those of all members of its role and zone: also covers a
-  // bad way between zones. Hurts while one group alone is crowded and its own answers are few.
+  // Departure: acts when answers take too large a part of their aims, by overload, slow machines, repeats. Of
+  // the requests the hash gives a member, only so many pass that the rest are in time; what is left goes to
+  // others or waits. A member's own answers, few at a small router, are weighed against those of its role and
+  // zone: also covers a bad way between zones. Hurts while one group alone is crowded with few answers.
   Crowd& pool_of(const MemberRow& m) {
     return pools_[{m.entry.zone, groups_[m.entry.group].primary == m.entry.id}].fade(now_);
   }
@@ -431,10 +426,8 @@
     // About squared, as clients repeat what was late: more for what is worth less than the mean for its work.
     const double room = kRoomy * (own.n + kPooled) / (own.sum + kPooled * mean + 1e-9);
     double worth = 0, work = 0;
-    for (std::size_t i = 0; i < s_.classes.size(); ++i) {
-      worth += stats_[i].seen * s_.classes[i].worth;
-      work += stats_[i].seen * stats_[i].usual;
-    }
+    for (std::size_t i = 0; i < s_.classes.size(); ++i)
+      worth += stats_[i].seen * s_.classes[i].worth, work += stats_[i].seen * stats_[i].usual;
     const double power = std::min(2 * kLong, std::max(1.0, 2 * worth / work / value_of(job)));
     return unit(job.draw + 1) < std::pow(room, power);
   }
@@ -501,17 +494,25 @@
     int extra = now_ == job.arrived && (!group.primary || group.doubted) ? kProbeExtra : 0;
     const Nanos need = need_of(job);
     bool hope = false;
-    for (const MemberId id : group.members) {
+    // Departure: acts where bounded reads of a group come further apart than a proof holds, as with many
+    // routers: one member is asked at a time, and waited for, as old is not behind. Hurts where several lag.
+    const std::vector<MemberId>& ids = group.members;
+    bool one = group.thin && extra == 0, asked = false;
+    for (const MemberId id : ids)
+      asked |= one && rows_.at(id).probing && now_ - rows_.at(id).probed_at < 2 * kPulse;
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+      const MemberId id = ids[(i + job.draw) % ids.size()];
       MemberRow& m = rows_.at(id);
       if (!usable(m) || (group.primary == id && !group.doubted)) continue;
-      extra -= probe(m, kProbeGap, extra > 0) && extra > 0;
+      if (!asked && probe(m, kProbeGap, extra > 0)) asked = one, extra -= extra > 0;
       if (group.primary == id) continue;
       // Behind by more than the time left, it will not catch up before the aim.
       if (m.position != kUnknown && !tried(job, id))
         hope |= m.set_aside ? !m.needs_trial : need != kUnknown && need < m.position + job.aim_at - now_;
     }
     const Nanos last = job.aim_at - static_cast<Nanos>(2 * work_of(job));
-    if ((hope && now_ < last) || !group.primary || group.doubted || tried(job, *group.primary)) return;
+    if ((hope || asked) && now_ < last) return;
+    if (!group.primary || group.doubted || tried(job, *group.primary)) return;
     if (has_room(rows_.at(*group.primary), job)) send(job, *group.primary, false);
   }
 
@@ -534,8 +535,8 @@
       MemberRow& m = rows_.at(id);
       if (usable(m) && (s_.report_roles || m.set_aside)) probe(m, 2 * kProbeGap, true);
     }
-    const bool asked_by_probe = s_.report_roles && s_.reports != ReportVia::None;
-    if ((asked_by_probe && now_ - job.arrived < kProbeGap) || now_ - kProbeGap < group.scouted_at) return;
+    const bool asked = s_.report_roles && s_.reports != ReportVia::None;
+    if ((asked && now_ - job.arrived < kProbeGap) || now_ - kProbeGap < group.scouted_at) return;
     std::optional<MemberId> best;
     for (const MemberId id : group.members) {
       const MemberRow& m = rows_.at(id);
@@ -590,10 +591,9 @@
   double work_of(const Job& job) const { return stats_[job.request.class_index].usual; }
 
   // Departure: acts while a member is cold. It keeps its place in the hash, and the primary its writes, but
-  // only for a part of the requests, drawn by the request, so that leavings do not add up on the next: its sure
-  // share, and where the list told of its start, that times the root of what fells it, as a member's usual work
-  // leaves it room; for less while its role is crowded, as clients repeat what is refused. Hurts where the work
-  // of several falls to one cold member: the rest of what fells it is its margin.
+  // only for a part of the requests, drawn by the request, so that leavings do not add up on the next: its
+  // sure share, times the root of what fells it where the list told of its start, as usual work leaves room;
+  // less while its role is crowded, as clients repeat what is refused. Hurts one with the work of several.
   bool cold_room(const MemberRow& m, const Job& job) {
     if (cold_share(m) >= 1) return true;
     const Crowd& pool = pool_of(m);
@@ -737,9 +737,13 @@
     for (ClassStat& stat : stats_) stat.seen *= 1 - kStep;
     stats_[request.class_index].seen += 1;
     copies_ = std::min(copies_ + kCopyShare, kCopyBurst);
-    probes_ = std::min(probes_ + kProbeShare, kProbeBurst);
+    Group& group = groups_[request.group];
+    if (c.level == ReadLevel::Bounded) group.thin = std::exchange(group.read_at, now_) < now_ - c.bound;
+    const bool alone = group.thin && (c.level == ReadLevel::Bounded || c.level == ReadLevel::Session);
+    const double share = alone ? kProofCost / std::max(s_.probe_price, kProofCost) : kProbeShare;
+    probes_ = std::min(probes_ + share, kProbeBurst);
     if (within_budget(job)) {
-      if (c.level != ReadLevel::Write) keep_heard(groups_[request.group], c);
+      if (c.level != ReadLevel::Write) keep_heard(group, c);
       advance(job);
     }
     settle(job);
@@ -935,8 +939,8 @@
       if (!usable(m)) continue;
       if (m.set_aside && (!m.needs_trial || m.lost)) probe(m, 4 * kProbeGap);
       if (!s_.report_positions || group.primary == id || m.set_aside) continue;
-      if (c.level == ReadLevel::Bounded && (m.position == kUnknown || now_ - m.position > c.bound / 2))
-        probe(m, c.bound / 3);
+      const bool old = m.position == kUnknown || now_ - m.position > c.bound / 2;
+      if (c.level == ReadLevel::Bounded && !group.thin && old) probe(m, c.bound / 3);
       if (disproved(m)) probe(m, 5 * kProbeGap);
     }
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -78,6 +78,7 @@
     }
   }
   s.probes = limits.truth("probes");
+  if (profile.find("prices")) s.probe_price = profile.object("prices").number("probe", s.probe_price);
   s.cancels = limits.truth("cancel");
   s.second_copies = limits.truth("parallel_tries");
   s.retry_after = limits.truth("retry_after");
