--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -64,7 +64,7 @@
   bool report_positions = false; // reports hold a position
   bool report_roles = false;     // reports hold the role
   bool probes = true;
-  double probe_price = 0.24; // what one costs, in parts of a request's worth; above zero
+  double probe_price = 0.24; // what one costs, in parts of a request's worth; 0: nothing
   bool cancels = false;
   bool second_copies = false;
   bool retry_after = false;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -188,7 +188,10 @@
     const std::string id = b.ask(kBounded);
     const std::vector<Probe> probes = b.all<Probe>();
     asked += probes.size();
-    for (const Probe& probe : probes) b.probed(probe.member, probe.member == 3, probe.member == 3 ? 40 * ms : 4000 * ms);
+    for (const Probe& probe : probes) {
+      const bool primary = probe.member == 3;
+      b.probed(probe.member, primary, primary ? 40 * ms : 4000 * ms);
+    }
     b.after(20 * ms);
     served += b.went.count({id, 3});
   }
--- a/tests/stories/protocols.cpp
+++ b/tests/stories/protocols.cpp
@@ -98,7 +98,8 @@
     const std::string text = in.substr(5, size - 6);
     in.erase(0, size);
     if (text == "SHOW gauges") {
-      reply = pg_row("x0=" + std::to_string(static_cast<double>(now_ms()) / 1000) + ",x1=" + (primary ? "1" : "0")) + pg('Z', "I");
+      const std::string seconds = std::to_string(static_cast<double>(now_ms()) / 1000);
+      reply = pg_row("x0=" + seconds + ",x1=" + (primary ? "1" : "0")) + pg('Z', "I");
       return true;
     }
     ask = Ask{between(text, "id=", ", "), between(text, ",c=", ", "), between(text, ",k=", ", "), 0,
