--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -580,10 +580,7 @@
     for (const std::uint64_t seq : groups_[id].waiting) waiting.push_back(&jobs_.at(seq));
     std::stable_sort(waiting.begin(), waiting.end(),
                      [this](const Job* a, const Job* b) { return value_of(*a) > value_of(*b); });
-    for (Job* job : waiting) {
-      advance(*job);
-      settle(*job);
-    }
+    for (Job* job : waiting) advance(*job), settle(*job);
   }
 
   // ---- gates
@@ -667,19 +664,24 @@
     std::set<MemberId> held; // by requests still open
     for (const auto& [seq, job] : jobs_)
       for (const Attempt& a : job.attempts) held.insert(a.member);
-    for (auto it = rows_.begin(); it != rows_.end();) {
+    for (auto it = rows_.begin(), next = it; it != rows_.end(); it = next) {
+      next = std::next(it);
       const auto& [id, m] = *it;
-      if (m.left_at == kNever || now_ - m.left_at < kForget || held.count(id)) {
-        ++it;
-        continue;
-      }
+      if (m.left_at == kNever || now_ - m.left_at < kForget || held.count(id)) continue;
       Group& group = groups_[m.entry.group];
       group.members.erase(std::remove(group.members.begin(), group.members.end(), id), group.members.end());
       if (group.primary == id) group.primary.reset();
-      it = rows_.erase(it);
+      forget_group(m.entry.group);
+      rows_.erase(it);
     }
   }
 
+  // Bounds memory: clients may name groups that no list ever held, and lists groups that come and go.
+  void forget_group(GroupId id) {
+    const auto at = groups_.find(id);
+    if (at != groups_.end() && at->second.members.empty() && at->second.waiting.empty()) groups_.erase(at);
+  }
+
   // Where only draining binds, a member listed as gone, or left out, that never drained is taken as running:
   // lists shrink and go back while members serve, and one that is gone shows at its connections.
   void leave(MemberRow& m, MemberState state) {
@@ -964,9 +966,7 @@
       const GroupId id = job.request.group;
       ids_.erase(job.request.id);
       jobs_.erase(job.seq);
-      // Bounds memory: clients may name groups that no list ever held.
-      if (group.members.empty() && group.waiting.empty()) groups_.erase(id);
-      return;
+      return forget_group(id);
     }
     // Routers started together must not retry in step: the seed gives each its own phase.
     const Nanos pulse = now_ + std::max(kPulse, s_.tick) + phase_;
