--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,11 +3,10 @@
 #include "mongo/front.h"
 #include "mongo/wire.h"
 #include "net/log.h"
+#include "net/signals.h"
 #include "postgres/front.h"
 #include "postgres/wire.h"
 
-#include <glib-unix.h>
-
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -199,19 +198,9 @@
 }
 
 int Gateway::run() {
-  const auto on_signal = [](gpointer self) -> gboolean {
-    static_cast<Gateway*>(self)->stop();
-    return G_SOURCE_CONTINUE;
-  };
-  const auto on_hangup = [](gpointer self) -> gboolean {
-    static_cast<Gateway*>(self)->reload();
-    return G_SOURCE_CONTINUE;
-  };
-  const guint sources[] = {g_unix_signal_add(SIGHUP, on_hangup, this),
-                           g_unix_signal_add(SIGTERM, on_signal, this),
-                           g_unix_signal_add(SIGINT, on_signal, this)};
+  const net::Signals signals({SIGHUP, SIGTERM, SIGINT},
+                             [this](int number) { number == SIGHUP ? reload() : stop(); });
   g_main_loop_run(loop_);
-  for (const guint source : sources) g_source_remove(source);
   net::log_line("stop", "done");
   return 0;
 }
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -5,7 +5,9 @@
 #include <glib-unix.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -276,6 +278,11 @@
   if (!exited_) kill(pid_, number);
 }
 
+std::size_t Stage::threads() const {
+  const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(pid_) + "/task");
+  return static_cast<std::size_t>(std::distance(begin(tasks), end(tasks)));
+}
+
 int Stage::exit_code() {
   until([this] { return take_log(), exited_; }, "the program's end");
   return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -119,6 +119,7 @@
   // Writes a configuration, has it read again and waits for the log line.
   void reload(const std::string& agent, const std::string& told);
   void signal(int number);
+  std::size_t threads() const; // of the program, now
   void take_address(); // where the program says last that it listens
   int exit_code();     // waits for the program's end
   bool running() const { return !exited_; }
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -282,6 +282,7 @@
   const auto late = stage.client();
   CHECK(late->answer_to(read("late")) == Final::Served);
   CHECK(client->answer() == Final::Refused);
+  CHECK(stage.threads() == 1); // where one thread runs at a time, a second may hold what the first waits for
   CHECK(stage.exit_code() == 0);
   CHECK(late->answers.empty() && client->answers.empty());
   stage.check_rules();
