Keep all timers in one queue of the loop, so that setting one does not wake it

Change: one source whose prepare and check look at a queue ordered by time; a timer is a place in it. What is set while timers fire waits for the next round, as before. No source a timer is kept any more.

--- a/tests/soak/virtual_time.cpp
+++ b/tests/soak/virtual_time.cpp
@@ -2,6 +2,7 @@
 
 #include "net/timer.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -13,19 +14,6 @@
 std::uint64_t asked = 0;
 std::map<std::pair<std::int64_t, std::uint64_t>, std::function<void()>> steps;
 
-// Stands in for a timer's source. GLib ends it with its owner, and then it leaves the queue.
-struct Alarm {
-  GSource source;
-  std::pair<std::int64_t, std::uint64_t> key;
-};
-
-GSourceFuncs alarm_kind = {nullptr,
-                           nullptr,
-                           nullptr,
-                           [](GSource* source) { steps.erase(reinterpret_cast<Alarm*>(source)->key); },
-                           nullptr,
-                           nullptr};
-
 } // namespace
 
 namespace virtual_time {
@@ -53,21 +41,20 @@
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
-  if (!source_) source_.reset(g_source_new(&alarm_kind, sizeof(Alarm)));
-  auto* alarm = reinterpret_cast<Alarm*>(source_.get());
-  steps.erase(alarm->key);
-  alarm->key = {when, ++asked};
-  steps[alarm->key] = [this] { fire(this); };
+  stop();
+  place_ = {when, ++asked};
+  steps[place_] = [this] { fire(); };
+  set_ = true;
 }
 
 void Timer::stop() {
-  if (source_) steps.erase(reinterpret_cast<Alarm*>(source_.get())->key);
+  if (std::exchange(set_, false)) steps.erase(place_);
 }
 
-gboolean Timer::fire(gpointer self) {
-  const auto action = static_cast<Timer*>(self)->action_; // the action may end the timer's owner
+void Timer::fire() {
+  stop();
+  const auto action = action_; // the action may end the timer's owner
   action();
-  return G_SOURCE_CONTINUE;
 }
 
 } // namespace gorsebeam::net
--- /dev/null
+++ b/tests/timer_test.cpp
@@ -0,0 +1,47 @@
+// Timers on the main loop: what they cost it, and their order.
+#include "net/timer.h"
+
+#include <glib.h>
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+using gorsebeam::net::Timer;
+constexpr std::int64_t kMs = 1'000'000;
+
+int waits = 0;
+
+gint counted_poll(GPollFD* fds, guint count, gint timeout) {
+  ++waits;
+  return g_poll(fds, count, timeout);
+}
+
+TEST(Timer, SettingOneDoesNotWakeTheLoop) {
+  g_main_context_set_poll_func(nullptr, counted_poll);
+  int fired = 0;
+  Timer other([] {});
+  Timer timer([&] {
+    other.after(60'000 * kMs);
+    if (++fired < 50) timer.after(2 * kMs);
+  });
+  timer.after(2 * kMs);
+  while (fired < 50) g_main_context_iteration(nullptr, TRUE);
+  g_main_context_set_poll_func(nullptr, nullptr);
+  EXPECT_LE(waits, 60) << "one for each firing, and a few";
+}
+
+TEST(Timer, OneSetWhileTimersFireHasItsTurnInTheNextRound) {
+  std::string order;
+  Timer third([&] { order += 'c'; }), stopped([&] { order += 'x'; });
+  Timer first([&] { order += 'a', stopped.stop(), third.after(-1); });
+  Timer second([&] { order += 'b'; });
+  first.after(-1), second.after(-1), stopped.after(-1);
+  g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(order, "ab");
+  g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(order, "abc");
+}
+
+} // namespace
