Open a silent watch again before what it missed counts as told

Change: an open watch is silent after 2.5 s, by the beat of 2 s; where lists are pushed it is opened again within 0.25 s, then 2 s; where all ask one discovery, within 2 s after a silence and by the number of gateways afterwards, and a call in its queue keeps 5 s.

--- a/src/discovery/pace.cpp
+++ b/src/discovery/pace.cpp
@@ -1,16 +1,29 @@
 #include "pace.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gorsebeam::discovery {
 
-Pace::Pace(std::uint32_t gateways, std::uint64_t seed)
-    : random_(seed), first_(std::max(kFirst, static_cast<Nanos>(gateways) * kCall)), most_(first_) {}
+Pace::Pace(std::uint32_t gateways, bool asked, std::uint64_t seed)
+    : random_(seed), asked_(asked),
+      first_(asked ? std::max(kFirst, static_cast<Nanos>(gateways) * kCall) : kFirst), most_(first_) {}
 
-Nanos Pace::next() {
-  const Nanos wait = std::uniform_int_distribution<Nanos>(most_ / 8 + 1, most_)(random_);
+Nanos Pace::next(bool silent) {
+  const bool was_heard = std::exchange(heard_, false);
+  const Nanos most = silent && was_heard ? std::min(most_, kTold - kOpen - kInTime) : most_;
   most_ = std::min(2 * most_, 8 * first_);
-  return wait;
+  return std::uniform_int_distribution<Nanos>(most / 8 + 1, most)(random_);
+}
+
+void Pace::heard() {
+  moved();
+  heard_ = true;
+}
+
+void Pace::moved() {
+  heard_ = false;
+  most_ = first_;
 }
 
 } // namespace gorsebeam::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,8 +10,6 @@
 namespace gorsebeam::discovery {
 namespace {
 
-constexpr Nanos kSecond = 1'000'000'000;
-constexpr Nanos kSilence = 5 * kSecond; // an empty line comes every 2 s
 constexpr std::size_t kHeadMost = 16 * 1024;
 constexpr std::size_t kLineMost = 8 << 20; // bytes of one list
 
@@ -19,13 +17,12 @@
 
 Watch::Watch(broker::Core& core, std::string address, std::int64_t revision, Pace pace)
     : core_(core), address_(std::move(address)), revision_(revision),
-      silence_([this] { again("silent for 5 s"); }), retry_([this] { start(); }),
-      pace_(pace) {}
+      silence_([this] { again("silent", true); }), retry_([this] { start(); }), pace_(pace) {}
 
 void Watch::start() {
   head_read_ = chunked_ = false;
   body_.clear();
-  silence_.after(kSilence);
+  silence_.after(pace_.silence());
   stream_ = net::Stream::connect(address_, *this);
   if (!stream_) again("no socket");
 }
@@ -43,16 +40,16 @@
   address_ = address;
   revision_ = 0;
   told_.clear();
-  pace_.heard();
+  pace_.moved();
   start();
 }
 
-void Watch::again(const std::string& why) {
+void Watch::again(const std::string& why, bool silent) {
   // Told once for each cause while the agent stays away.
   if (head_read_ || why != told_) net::log_line("discovery", "watch ended: " + why);
   told_ = why;
   stop();
-  retry_.after(pace_.next());
+  retry_.after(pace_.next(silent));
 }
 
 void Watch::connected() {
@@ -64,7 +61,11 @@
 void Watch::ended(const std::string& why) { again(why); }
 
 void Watch::received() {
-  silence_.after(kSilence);
+  take();
+  if (stream_->open()) silence_.after(pace_.silence()); // by what has come of it so far
+}
+
+void Watch::take() {
   if (!head_read_ && !head()) return;
   if (!chunked_) {
     body_.append(stream_->input().view());
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -24,10 +24,11 @@
   void connected() override;
   void received() override;
   void ended(const std::string& why) override;
+  void take();
   bool head();
   bool chunk();
   void lines();
-  void again(const std::string& why);
+  void again(const std::string& why, bool silent = false);
 
   broker::Core& core_;
   std::string address_;
--- a/tests/pace_test.cpp
+++ b/tests/pace_test.cpp
@@ -17,8 +17,8 @@
   std::multimap<Nanos, std::size_t> calls;
   std::deque<std::pair<Nanos, std::size_t>> queue; // when it came, and whose
   for (std::size_t i = 0; i < gateways; ++i) {
-    paces.emplace_back(static_cast<std::uint32_t>(gateways), i);
-    calls.insert({paces[i].next(), i});
+    paces.emplace_back(static_cast<std::uint32_t>(gateways), true, i);
+    calls.insert({paces[i].next(false), i});
   }
   std::size_t back = 0;
   for (Nanos now = 0; now < end; now += 50 * ms) {
@@ -30,7 +30,7 @@
     queue.pop_front();
     const bool dead = now - came > 2000 * ms;
     back += !dead;
-    if (dead) calls.insert({came + 2000 * ms + paces[gateway].next(), gateway});
+    if (dead) calls.insert({came + 2000 * ms + paces[gateway].next(true), gateway});
   }
   return back;
 }
@@ -41,15 +41,31 @@
 }
 
 TEST(Pace, BoundsDoubleAndStartOver) {
-  Pace few(3, 7), many(100, 7);
+  Pace few(3, true, 7), many(100, true, 7), agents(300, false, 7);
   for (const Nanos most : {250, 500, 1000, 2000, 2000}) {
-    const Nanos wait = few.next();
+    const Nanos wait = few.next(false);
     EXPECT_GT(wait, most / 8 * ms);
     EXPECT_LE(wait, most * ms);
-    EXPECT_LE(many.next(), 20 * most * ms);
+    EXPECT_LE(many.next(false), 20 * most * ms);
+    EXPECT_LE(agents.next(false), most * ms); // who asks an agent of its own harms nobody
   }
   few.heard();
-  EXPECT_LE(few.next(), 250 * ms);
+  EXPECT_LE(few.next(false), 250 * ms);
+}
+
+// What a watch that fell silent misses counts as told 6 s later, at any number of gateways.
+TEST(Pace, AfterASilenceTheNextCallIsMadeInTimeToBeAnswered) {
+  for (const bool asked : {false, true}) {
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+      Pace pace(300, asked, seed);
+      EXPECT_EQ(pace.silence(), asked ? 5000 * ms : 2500 * ms); // a call in a queue is not given up
+      pace.heard();
+      const Nanos noticed = pace.silence();
+      EXPECT_GT(noticed, 2000 * ms); // the beat of a sound watch
+      EXPECT_LE(noticed + pace.next(true), 4500 * ms);
+      EXPECT_GT(pace.silence(), 0);
+    }
+  }
 }
 
 } // namespace
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -404,8 +404,8 @@
   }};
 };
 
-// The list comes by a watch; a change is heeded; a broken line or a broken watch is asked for again, and a list as
-// held goes on meanwhile.
+// The list comes by a watch; a change is heeded; a broken line, or a watch that broke or fell silent, is asked for
+// again, and a list as held goes on meanwhile.
 void discovery(const Protocol& protocol) {
   Stage stage(protocol, 3, 0);
   Agent agent;
@@ -427,6 +427,11 @@
   until([&] { return agent.stream != broken; }, "the watch to be opened again");
   agent.welcome();
   CHECK(agent.asked.find("from=0 ") != std::string::npos); // what was missed is not known: everything, please
+  agent.list(stage, 44);
+  const auto silent = agent.stream;
+  until([&] { return agent.stream != silent; }, "the watch that fell silent to be opened again");
+  agent.welcome();
+  CHECK(agent.asked.find("from=44 ") != std::string::npos);
   agent.stream->close();
   reads_served(*client, "c", 10);
   finish(stage);
