Call an agent that lost its watch again within 50 ms, with no doubling

Traced: the first draining list came to 309 gateways over 0.39 s. What an agent has counts as told whether or not a call is open. Change: where each gateway has an agent the wait is up to 50 ms and does not double. The pace test fails with the old waits.

--- a/src/discovery/pace.h
+++ b/src/discovery/pace.h
@@ -4,7 +4,8 @@
 // not: a member that drains must not be asked from then on. So silence is noticed as soon as the beat of empty lines
 // allows, and the next call goes out early enough to be answered in time.
 //
-// Where an agent on the gateway's own machine has the list, a call costs nobody else anything. Where all gateways ask
+// Where an agent on the gateway's own machine has the list, a call costs nobody else anything, and what the agent has
+// counts as told whether or not a call is open: it is opened again at once, well within a drain's grace. Where all gateways ask
 // one discovery, it has room for a few calls a second and works on calls that have waited too long as on any other:
 // gateways that all lost their watch, and come back sooner than it can take them, keep it busy with dead calls. There
 // waits follow the number of gateways, but for the first after a silence.
@@ -17,8 +18,8 @@
 
 namespace gorsebeam::discovery {
 
-// Waits are drawn evenly up to a bound, which doubles with each, up to eight times the first. An answer, which `heard`
-// tells, starts over. Times are nanoseconds.
+// Waits are drawn evenly up to a bound; on one discovery it doubles with each, up to eight times the first, and an
+// answer, which `heard` tells, starts over. Times are nanoseconds.
 class Pace {
 public:
   static constexpr Nanos kTold = 6'000'000'000; // after a watch's last byte: what it misses counts as told
@@ -27,6 +28,7 @@
       5'000'000'000; // silence of a call on one discovery: it may stand in a queue
   static constexpr Nanos kInTime = 1'500'000'000; // of kTold, kept for the call itself
   static constexpr Nanos kCall = 50'000'000; // allowed for one call: at size one was seen to take 49 to 84 ms
+  static constexpr Nanos kAgent = 50'000'000;  // the bound of each wait where each gateway has an agent
   static constexpr Nanos kFirst = 250'000'000; // the least first bound: few gateways harm no one
 
   // `asked`: all gateways ask one discovery; else each asks an agent of its own.
--- a/tests/pace_test.cpp
+++ b/tests/pace_test.cpp
@@ -47,7 +47,7 @@
     EXPECT_GT(wait, most / 8 * ms);
     EXPECT_LE(wait, most * ms);
     EXPECT_LE(many.next(false), 20 * most * ms);
-    EXPECT_LE(agents.next(false), most * ms); // who asks an agent of its own harms nobody
+    EXPECT_LE(agents.next(false), 50 * ms); // who asks an agent of its own harms nobody, and must never miss it long
   }
   few.heard();
   EXPECT_LE(few.next(false), 250 * ms);
