Let a session's reads see what its write may have done while it is out or unknown

Reads of the session at 10.039, 10.069 and 10.588 s went to a replica 2 s behind. At fault: rules.cpp, remember_write, called for served writes alone, and on(Request), which took no notice of writes that are out; a served write whose commit was spoilt was not remembered either.

Ruled out: wrong roles (each replica was read as a replica), positions that fell, an old token.

Now a write counts from its sending: while one is out, and after one that ended without proof that it never ran, the session's reads need all that may be committed by then. Test: a session read beside a write that is out, reset, timed out, failed, spoilt, at the module and on the sockets of both fronts; seen to fail without the change.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,9 +1,10 @@
 // Every decision of gorsebeam. The types, events and actions stand in include/gorsebeam/router.h.
 #include "gorsebeam/router.h"
 
+#include "sessions/sessions.h"
+
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <limits>
 #include <map>
 #include <set>
@@ -36,8 +37,6 @@
 constexpr double kCopyShare = 0.02;  // second copies, as a share of requests: bounds the load they add
 constexpr double kCopyBurst = 20;    // copies that may go at once: one member's requests in hand
 constexpr double kErrorShare = 0.25; // a member failing this share of its requests is set aside
-constexpr std::size_t kSessionsMost = 100'000; // remembered writes; older ones fold into one floor
-constexpr Nanos kRemember = 60'000 * kMs;      // and for so long: no replica in use is further behind
 constexpr Nanos kForget = 60'000 * kMs;        // what is known of a member that is gone is kept for so long
 constexpr Nanos kHandOver = 1000 * kMs;        // a role that is handed over is taken up sooner
 constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
@@ -620,6 +619,7 @@
     if (trial) m.trial_out = true;
     job.attempts.push_back({id, now_, need_of(job), true, false, trial});
     ++job.out;
+    if (const auto session = writer(job)) writes_.sent(*session);
     act(Send{job.request.id, id, job.request.deadline - now_});
     return true;
   }
@@ -732,8 +732,7 @@
       if (s_.tokens == TokenMode::Carried) {
         if (request.token_age && *request.token_age > 0) job.token = now_ - *request.token_age;
       } else if (request.session) {
-        const auto found = written_.find(*request.session);
-        job.token = found == written_.end() ? floor_ : found->second;
+        job.token = writes_.seen_by(*request.session, now_);
       }
     }
     for (ClassStat& stat : stats_) stat.seen *= 1 - kStep;
@@ -751,21 +750,10 @@
     settle(job);
   }
 
-  void remember_write(const Job& job, Nanos commit) {
-    if (s_.tokens != TokenMode::Remembered || !job.request.session) return;
-    const auto [written, fresh] = written_.try_emplace(*job.request.session, commit);
-    if (fresh) order_.push_back(written->first);
-    written->second = std::max(written->second, commit);
-    // Bounds memory: forgotten sessions are held to the newest write forgotten. In the order of their first
-    // writes, two steps a write; one that goes on writing keeps those behind it until there are too many.
-    for (int step = 0; step < 2 && !order_.empty(); ++step) {
-      const auto oldest = written_.find(order_.front());
-      const bool old = oldest->second < now_ - kRemember;
-      if (!old && order_.size() <= kSessionsMost) return;
-      floor_ = std::max(floor_, oldest->second);
-      written_.erase(oldest);
-      order_.pop_front();
-    }
+  // Where sessions' writes are remembered here: the session of a write.
+  std::optional<std::uint64_t> writer(const Job& job) const {
+    const bool write = s_.classes[job.request.class_index].level == ReadLevel::Write;
+    return write && s_.tokens == TokenMode::Remembered ? job.request.session : std::nullopt;
   }
 
   void on(const Outcome& outcome) {
@@ -826,8 +814,6 @@
       m.errors -= kSmooth * m.errors;
       if (read && s_.checks != Checks::None && a.need != kUnknown)
         prove(m, a.need, a.need > m.position ? a.sent_at : kUnknown);
-      if (const auto commit = outcome.commit ? outcome.commit : outcome.position; !read && commit)
-        remember_write(job, *commit);
       if (!a.overdue) m.failures = 0;
       if (!a.overdue && (a.trial || !m.needs_trial)) { // an answer proves more than a probe
         m.trial_gap = kTrialGap;
@@ -875,6 +861,12 @@
     }
     const bool ran = outcome.result == Result::Error || outcome.result == Result::Timeout ||
                      outcome.result == Result::Reset || outcome.result == Result::Cancelled;
+    if (const auto session = writer(job)) {
+      std::optional<Nanos> commit = outcome.commit ? outcome.commit : outcome.position;
+      if (ran || (outcome.result == Result::Ok && !commit)) commit = now_; // told nothing: at the latest now
+      if (!ran && outcome.result != Result::Ok) commit.reset();
+      writes_.ended(*session, commit, now_);
+    }
     if (ran && job.may_have_run == kUnknown) {
       job.may_have_run = a.sent_at;
       job.ran_at = m.entry.id;
@@ -1010,9 +1002,7 @@
   std::map<GroupId, Group> groups_;
   std::map<std::uint64_t, Job> jobs_;                  // by arrival
   std::unordered_map<std::string, std::uint64_t> ids_; // looked up only
-  std::unordered_map<std::uint64_t, Nanos> written_;   // looked up only
-  std::deque<std::uint64_t> order_;
-  Nanos floor_ = kUnknown;
+  sessions::Writes writes_;
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
   double copies_ = kCopyBurst;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -269,6 +269,34 @@
   EXPECT_TRUE(b.sent());
 }
 
+// A write's answer may be lost or held up on the way while its member has committed it: what the session reads from then on
+// must see it, also where the write ended without an answer, or with one whose commit was spoilt.
+TEST(Admission, ASessionReadNeedsWhatItsWriteMayHaveDone) {
+  const auto reads = [](std::optional<Result> end, bool keyed) {
+    Settings s = settings();
+    s.tokens = TokenMode::Remembered;
+    Bench b(s);
+    b.settle();
+    const std::string id = b.ask(keyed ? kKeyed : kWrite, 9);
+    EXPECT_EQ(b.sent(), 1U);
+    b.now += 30 * ms;
+    if (end) b.end(id, 1, *end, true); // its client has gone, or it is served
+    b.now += 5 * ms;
+    b.ask(kSession, 9);
+    const std::optional<MemberId> read = b.sent();
+    b.ask(kSession, 8); // another session wrote nothing
+    EXPECT_TRUE(b.sent());
+    return read.value_or(1U);
+  };
+  EXPECT_EQ(reads(std::nullopt, true), 1U) << "the write is out";
+  EXPECT_EQ(reads(Result::Reset, false), 1U);
+  EXPECT_EQ(reads(Result::Timeout, false), 1U);
+  EXPECT_EQ(reads(Result::Error, false), 1U);
+  EXPECT_EQ(reads(Result::Ok, true), 1U) << "served, and its commit not told";
+  EXPECT_NE(reads(Result::NotSent, false), 1U) << "it never ran";
+  EXPECT_NE(reads(Result::Full, false), 1U) << "it never ran";
+}
+
 TEST(Admission, TwoTimeOutsInARowSetAsideAndAnAnswerBetweenDoesNot) {
   Settings s = settings();
   s.second_copies = true;
--- a/tests/stories/files.cpp
+++ b/tests/stories/files.cpp
@@ -123,7 +123,7 @@
     return gorsebeam::postgres::make_wire()->answer(bytes, false, false, answer, used);
   };
   gorsebeam::broker::Answer answer;
-  const std::string good = postgres().member_answer(Fault::Serve, true, "value");
+  const std::string good = postgres().member_answer(Fault::Serve, {true}, "value");
   CHECK(read(good, answer) == Step::Done && answer.position);
   CHECK(read(good.substr(0, 45), answer) == Step::More);
   CHECK(read(std::string("x\0\0\1\0noise", 10), answer) == Step::Broken);
@@ -131,7 +131,7 @@
   const std::size_t row = misfit.find(std::string("D\0", 2));
   misfit[row + 3] = '\7';
   CHECK(read(misfit, answer) == Step::Broken);
-  CHECK(read(postgres().member_answer(Fault::BadReport, true, "value"), answer) == Step::Done);
+  CHECK(read(postgres().member_answer(Fault::BadReport, {true}, "value"), answer) == Step::Done);
   CHECK(!answer.report.position && !answer.report.primary && !answer.position);
 }
 
--- a/tests/stories/protocols.cpp
+++ b/tests/stories/protocols.cpp
@@ -84,7 +84,7 @@
     return std::nullopt;
   }
 
-  bool member_message(std::string& in, bool primary, std::optional<Ask>& ask,
+  bool member_message(std::string& in, const Standing& standing, std::optional<Ask>& ask,
                       std::string& reply) const override {
     if (in.size() < 5) return false;
     if (in[0] == '\0') { // a startup message has no type
@@ -98,8 +98,8 @@
     const std::string text = in.substr(5, size - 6);
     in.erase(0, size);
     if (text == "SHOW gauges") {
-      const std::string seconds = std::to_string(static_cast<double>(now_ms()) / 1000);
-      reply = pg_row("x0=" + seconds + ",x1=" + (primary ? "1" : "0")) + pg('Z', "I");
+      const std::string seconds = std::to_string(static_cast<double>(now_ms() - standing.behind_ms) / 1000);
+      reply = pg_row("x0=" + seconds + ",x1=" + (standing.primary ? "1" : "0")) + pg('Z', "I");
       return true;
     }
     ask = Ask{between(text, "id=", ", "), between(text, ",c=", ", "), between(text, ",k=", ", "), 0,
@@ -108,9 +108,9 @@
     return true;
   }
 
-  std::string member_answer(Fault fault, bool primary, const std::string& value) const override {
-    const std::string status = pg('S', std::string("part\0", 5) + (primary ? "master" : "replica") + '\0') +
-                               pg('S', std::string("caught_up_to\0", 13) + std::to_string(now_ms()) + '\0');
+  std::string member_answer(Fault fault, const Standing& standing, const std::string& value) const override {
+    const std::string status = pg('S', std::string("part\0", 5) + (standing.primary ? "master" : "replica") + '\0') +
+                               pg('S', std::string("caught_up_to\0", 13) + std::to_string(now_ms() - standing.behind_ms) + '\0');
     switch (fault) {
     case Fault::Miss: return status + pg_error("25006");
     case Fault::Error: return pg_error("XX000");
@@ -189,7 +189,7 @@
     return std::nullopt;
   }
 
-  bool member_message(std::string& in, bool primary, std::optional<Ask>& ask,
+  bool member_message(std::string& in, const Standing& standing, std::optional<Ask>& ask,
                       std::string& reply) const override {
     if (in.size() < 16 || in.size() < gorsebeam::mongo::read_u32(in.data())) return false;
     const std::string message = in.substr(0, gorsebeam::mongo::read_u32(in.data()));
@@ -200,10 +200,10 @@
     Element first;
     Reader(document).next(first);
     if (first.name == "hello") {
-      const std::string last = Writer().large("lastWriteDate", now_ms(), '\x09').take();
+      const std::string last = Writer().large("lastWriteDate", now_ms() - standing.behind_ms, '\x09').take();
       reply = mongo_message(Writer()
-                                .truth("isWritablePrimary", primary)
-                                .truth("secondary", !primary)
+                                .truth("isWritablePrimary", standing.primary)
+                                .truth("secondary", !standing.primary)
                                 .document("lastWrite", last)
                                 .real("ok", 1)
                                 .take(),
@@ -220,7 +220,7 @@
     return true;
   }
 
-  std::string member_answer(Fault fault, bool, const std::string& value) const override {
+  std::string member_answer(Fault fault, const Standing& standing, const std::string& value) const override {
     const auto error = [this](int code) {
       return mongo_message(Writer().real("ok", 0).text("errmsg", "scripted").small("code", code).take(),
                            last_);
@@ -234,7 +234,7 @@
     case Fault::Garbage: return little(24) + little(1) + little(last_) + little(2013) + "nonsense";
     default: break;
     }
-    const std::int64_t seconds = now_ms() / 1000;
+    const std::int64_t seconds = (now_ms() - standing.behind_ms) / 1000;
     const std::string good = mongo_message(Writer().real("ok", 1).text("value", value).take(), last_);
     if (fault == Fault::Copied)
       return good + mongo_message(Writer().real("ok", 1).text("value", "a copy").take(), last_);
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -69,7 +69,7 @@
     for (;;) {
       std::optional<Ask> ask;
       std::string reply;
-      if (!stage.protocol.member_message(input, member.primary, ask, reply)) return;
+      if (!stage.protocol.member_message(input, member.standing, ask, reply)) return;
       if (ask) reply = serve(*ask);
       if (!stream->open()) return;
       if (!reply.empty()) stream->write({reply});
@@ -84,7 +84,7 @@
     stage.attempts.push_back({ask, &member, true, false});
     attempt = stage.attempts.size();
     Fault fault = Fault::Serve;
-    if (ask.write && !member.primary)
+    if (ask.write && !member.standing.primary)
       fault = Fault::Miss; // no write is taken but by the primary, whatever the script says
     else if (!stage.script.empty())
       fault = stage.script.front(), stage.script.pop_front();
@@ -93,7 +93,7 @@
     over();
     if (fault == Fault::Reset) stream->close();
     return fault == Fault::Reset ? ""
-                                 : stage.protocol.member_answer(fault, member.primary, "by " + member.name);
+                                 : stage.protocol.member_answer(fault, member.standing, "by " + member.name);
   }
 
   void over() {
@@ -104,7 +104,7 @@
 };
 
 Member::Member(Stage& stage, std::string name, bool listed_primary, bool primary)
-    : name(std::move(name)), listed_primary(listed_primary), primary(primary), stage_(stage),
+    : name(std::move(name)), listed_primary(listed_primary), standing{primary}, stage_(stage),
       listener_([this](SocketHandle socket) { accept(std::move(socket)); }) {
   std::string why;
   CHECK(listener_.listen("127.0.0.1:0", why));
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -43,6 +43,11 @@
   std::string statement = ""; // PostgreSQL's; empty: one that fits
 };
 
+struct Standing { // of a member in its group: its role, and by how much its position lags
+  bool primary = false;
+  int behind_ms = 0;
+};
+
 // What differs between the protocols, on the stand-ins' side: bytes in and out.
 class Protocol {
 public:
@@ -53,9 +58,9 @@
   // Takes one answer off `in`: nothing while it is not whole.
   virtual std::optional<Final> client_answer(std::string& in, std::string& value) const = 0;
   // Takes one message off `in`; `ask` is set for a request, `reply` holds what a greeting or probe gets.
-  virtual bool member_message(std::string& in, bool primary, std::optional<Ask>& ask,
+  virtual bool member_message(std::string& in, const Standing& standing, std::optional<Ask>& ask,
                               std::string& reply) const = 0;
-  virtual std::string member_answer(Fault fault, bool primary, const std::string& value) const = 0;
+  virtual std::string member_answer(Fault fault, const Standing& standing, const std::string& value) const = 0;
 };
 const Protocol& postgres();
 const Protocol& mongo();
@@ -66,7 +71,8 @@
 public:
   Member(Stage& stage, std::string name, bool listed_primary, bool primary);
   std::string name, address, state = "up";
-  bool listed_primary, primary;
+  bool listed_primary;
+  Standing standing;
   int requests = 0;
   int forgets_ms = 0;      // resets a connection that rested for so long at its next message, if set
   int forgotten = 0;       // how often it did
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -101,6 +101,24 @@
   finish(stage);
 }
 
+// A session's write is out, or broke: its member may have done it. The session's reads go where that would be seen, and to no
+// replica that lags, though nothing was told of the write yet.
+void own_writes(const Protocol& protocol) {
+  Stage stage(protocol, 3, 0);
+  stage.members[1]->standing.behind_ms = stage.members[2]->standing.behind_ms = 60'000;
+  stage.start();
+  const auto client = stage.client(), writer = stage.client();
+  const auto session = [](const std::string& id) { return Ask{id, "session", "", 2000, false}; };
+  reads_served(*client, "warm", 12);
+  stage.script = {Fault::Silent};
+  writer->ask({"out", "once", "key-out", 700, true});
+  until([&] { return attempts_of(stage, "out") == 1; }, "the write to go out");
+  CHECK(client->answer_to(session("while-out")) == Final::Served && client->value == "by m0");
+  CHECK(writer->answer() == Final::Failed);
+  CHECK(client->answer_to(session("after")) == Final::Served && client->value == "by m0");
+  finish(stage);
+}
+
 // A member that is told to drain gets nothing new after 250 ms; what was asked meanwhile is served elsewhere.
 void drains(const Protocol& protocol) {
   Stage stage(protocol, 3, 0);
@@ -473,6 +491,7 @@
 int main(int, char** arguments) {
   const std::map<std::string, void (*)(const Protocol&)> stories{{"faults", faults},
                                                                  {"turned_away", turned_away},
+                                                                 {"own_writes", own_writes},
                                                                  {"drains", drains},
                                                                  {"dies", dies},
                                                                  {"rests", rests},
