Ask again at the moment of writing whether an attempt may go to its member

Seen: the operators saw requests sent to servers announced as leaving. A member told to drain meanwhile got the request; so did a keyed group a repeat after its window, and a replica a bounded read whose proof had grown too old. Probes went out the same way.

Ruled out: other paths to a send. Each passes Rules::send, which asks the member's state, and each byte to a member is written in Link::write; lists of members that are held elsewhere (the hash, what waits, trials, second copies) end in Rules::send.

A cold member's share is drawn at the decision alone.

--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -188,6 +188,12 @@
   // Appends what is to be done, in order, at the time `now`.
   void handle(Nanos now, const Event& event, std::vector<Action>& actions);
 
+  // Asked at the moment of writing, which a connection that comes up late may put long after the decision: whether it
+  // still holds. Not where the request has ended, its member is leaving, the time for a repeat is over, or what proved
+  // the member current is too old by now; the attempt then ends as NotSent.
+  bool may_write(Nanos now, const std::string& id, MemberId member);
+  bool may_probe(MemberId member) const;
+
 private:
   class Rules;
   std::unique_ptr<Rules> rules_;
--- a/src/broker/core.cpp
+++ b/src/broker/core.cpp
@@ -83,6 +83,12 @@
   call->served(answer.value);
 }
 
+bool Core::may_write(AttemptId number) {
+  const auto attempt = attempts_.find(number);
+  return attempt != attempts_.end() &&
+         router_.may_write(net::now(), attempt->second.id, attempt->second.member);
+}
+
 void Core::probed(MemberId member, const Answer& answer) {
   const auto since = probing_.find(member);
   if (since == probing_.end()) return;
--- a/src/broker/core.h
+++ b/src/broker/core.h
@@ -32,6 +32,9 @@
   // Upstreams.
   void ended(AttemptId attempt, const Answer& answer);
   void probed(MemberId member, const Answer& answer);
+  // Asked at the moment of writing: whether what was decided before still holds; else it ends as NotSent.
+  bool may_write(AttemptId attempt);
+  bool may_probe(MemberId member) const { return router_.may_probe(member); }
 
   // Discovery and inventories.
   void list(MemberList::Kind kind, const std::vector<Listed>& members);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -2,6 +2,7 @@
 #include "gorsebeam/router.h"
 
 #include "sessions/sessions.h"
+#include "settings/check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -141,7 +142,7 @@
 public:
   Rules(Settings settings, std::uint64_t seed)
       : s_(std::move(settings)), phase_(static_cast<Nanos>(mix(seed) % static_cast<std::uint64_t>(kPulse))) {
-    check_settings();
+    settings::check(s_);
     for (const RequestClass& c : s_.classes) stats_.push_back({static_cast<double>(c.aim) / 5, 0});
   }
 
@@ -162,6 +163,18 @@
     out_ = nullptr;
   }
 
+  bool may_write(Nanos now, const std::string& id, MemberId member) {
+    now_ = now;
+    const auto seq = ids_.find(id);
+    const auto row = rows_.find(member);
+    return seq != ids_.end() && row != rows_.end() && may_go(jobs_.at(seq->second), row->second);
+  }
+
+  bool may_probe(MemberId member) const {
+    const auto row = rows_.find(member);
+    return row != rows_.end() && usable(row->second);
+  }
+
 private:
   // ---- member table
 
@@ -598,24 +611,28 @@
     return unit(job.draw) < more * cold_share(m) * crowded;
   }
 
-  // Every send passes here; the five rules that concern sends are kept here.
-  bool send(Job& job, MemberId id, bool trial) {
+  // The rules on what may go to a member: kept at the decision, and again at the moment of writing.
+  bool may_go(const Job& job, const MemberRow& m) {
     const RequestClass& c = s_.classes[job.request.class_index];
-    const auto it = rows_.find(id);
-    if (job.closed || it == rows_.end() || it->second.entry.group != job.request.group) return false;
-    MemberRow& m = it->second;
-    if (job.attempts.size() >= attempts_of(job) || now_ >= job.request.deadline) return false;
+    if (job.closed || now_ >= job.request.deadline || m.entry.group != job.request.group) return false;
     if (!usable(m)) return false; // drains kept
-    if (job.out > 0 && (!s_.second_copies || c.effect != Effect::Safe)) return false;
     if (job.may_have_run != kUnknown && c.effect != Effect::Safe) { // no effect twice
       if (c.effect == Effect::Unsafe || now_ - job.may_have_run >= c.window - s_.tick) return false;
       if (c.scope == RepeatScope::Zone && m.entry.zone != rows_.at(job.ran_at).entry.zone) return false;
     }
-    const bool primary = groups_[job.request.group].primary == id;
-    if (s_.checks == Checks::None && !primary && c.level != ReadLevel::Write && c.level != ReadLevel::Any &&
-        !(m.position != kUnknown && m.position >= need_of(job)))
-      return false;                       // no stale read
-    if (!cold_room(m, job)) return false; // no cold member pushed over
+    if (s_.checks != Checks::None || c.level == ReadLevel::Write || c.level == ReadLevel::Any) return true;
+    const bool primary = groups_[job.request.group].primary == m.entry.id;
+    return primary || (m.position != kUnknown && m.position >= need_of(job)); // no stale read
+  }
+
+  // Every send passes here; the five rules that concern sends are kept here.
+  bool send(Job& job, MemberId id, bool trial) {
+    const auto it = rows_.find(id);
+    if (it == rows_.end() || job.attempts.size() >= attempts_of(job)) return false;
+    MemberRow& m = it->second;
+    const bool safe = s_.classes[job.request.class_index].effect == Effect::Safe;
+    if (job.out > 0 && (!s_.second_copies || !safe)) return false;
+    if (!may_go(job, m) || !cold_room(m, job)) return false; // no cold member pushed over
     if (trial) m.trial_out = true;
     job.attempts.push_back({id, now_, need_of(job), true, false, trial});
     ++job.out;
@@ -980,20 +997,6 @@
     act(SetTimer{armed_});
   }
 
-  void check_settings() const {
-    const auto refuse = [](const std::string& what) {
-      throw std::invalid_argument("gorsebeam settings: " + what);
-    };
-    if (s_.classes.empty()) refuse("classes is empty");
-    for (const RequestClass& c : s_.classes) {
-      if (c.aim <= 0) refuse("classes." + c.name + ".aim is not above zero");
-      if (c.bound < 0) refuse("classes." + c.name + ".bound is below zero");
-      if (c.deadline < c.aim) refuse("classes." + c.name + ".deadline is before its aim");
-    }
-    if (s_.max_attempts < 1) refuse("max_attempts is below one");
-    if (s_.cold_from <= 0 || s_.cold_from > 1) refuse("cold_from is not within (0, 1]");
-  }
-
   Settings s_;
   Nanos phase_; // spent at the first timer
   Nanos now_ = 0;
@@ -1022,5 +1025,9 @@
 void Router::handle(Nanos now, const Event& event, std::vector<Action>& actions) {
   rules_->handle(now, event, actions);
 }
+bool Router::may_write(Nanos now, const std::string& id, MemberId member) {
+  return rules_->may_write(now, id, member);
+}
+bool Router::may_probe(MemberId member) const { return rules_->may_probe(member); }
 
 } // namespace gorsebeam
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -108,8 +108,11 @@
   }
 
   void write() {
+    // Every byte to a member is written here. Guards against a connection that came up late: by now the member may be
+    // leaving, or a repeat or a proof be too old.
     const Nanos left = errand_.until - net::now();
-    if (left <= 0) return finish(result_only(Result::NotSent), true);
+    const bool holds = errand_.probe ? pool_.core_.may_probe(member) : pool_.core_.may_write(errand_.attempt);
+    if (left <= 0 || !holds) return finish(result_only(Result::NotSent), true);
     state_ = State::Writing;
     begun_ = false;
     if (idle_since_ > 0) rested_ = net::now() - idle_since_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -505,6 +505,40 @@
   }
 }
 
+// A connection comes up long after the decision: what is written then is decided by what is known then.
+TEST(Rules, WhatWasDecidedHoldsAtTheMomentOfWritingOrIsNotWritten) {
+  Bench b;
+  b.settle();
+  const std::string bounded = b.ask(kBounded), any = b.ask(kAny), gone = b.ask(kAny), keyed = b.ask(kKeyed, 1);
+  const auto to = [&b](const std::string& id) {
+    for (const auto& [name, member] : b.went)
+      if (name == id) return member;
+    return MemberId{0};
+  };
+  const auto may = [&](const std::string& id) { return b.router.may_write(b.now, id, to(id)); };
+  for (const std::string& id : {bounded, any, gone, keyed}) EXPECT_TRUE(may(id));
+  EXPECT_FALSE(b.router.may_write(b.now, "unknown", 1));
+  EXPECT_FALSE(b.router.may_write(b.now, any, 99)) << "of no list";
+  b.give(ClientGone{gone});
+  EXPECT_FALSE(may(gone));
+  // The repeat of a keyed write that may have run, while its connection comes up.
+  b.end(keyed, 1, Result::Error);
+  ASSERT_EQ(b.sent(), 1U);
+  EXPECT_TRUE(may(keyed));
+  b.now += 1490 * ms;
+  EXPECT_TRUE(may(keyed)) << "the group drops a repeat for 1.5 s";
+  EXPECT_FALSE(may(bounded)) << "its proof is older than its bound";
+  b.now += 10 * ms;
+  EXPECT_FALSE(may(keyed));
+  EXPECT_TRUE(may(any) && b.router.may_probe(to(any)));
+  Member leaving = Bench::member(to(any));
+  leaving.state = MemberState::Draining;
+  b.list({leaving}, MemberList::Kind::Changes);
+  EXPECT_FALSE(may(any) || b.router.may_probe(to(any)));
+  b.now += 1000 * ms;
+  EXPECT_FALSE(may(keyed)) << "its time is up";
+}
+
 TEST(Rules, AMemberAbsentFromAFullListGetsNothingNew) {
   Bench b;
   b.settle();
