See clients that leave behind unread bytes, and refuse what comes once the door is closed

Seen, by reading for crossings and forced on sockets: - a client that sent more than 8 KiB behind a request in hand and left was not seen to leave: reading was paused (front.cpp, Connection::received), and with it the end; its waiting request was sent on when a connection came up. So was one that lay in the kernel with its client's end behind it; - after SIGTERM and the closed door, a request on a connection still open for another was sent on (Connection::begin), with the end of the process near; - resting connections were closed at once (stop_accepting, evict, tidy): bytes that crossed the close made it a reset, and could take an answer with them that the client had not read yet; - SIGHUP after SIGTERM read all files again and could open the second front's new address (Gateway::reload).

Ruled out: waiting requests of clients seen to leave (the module ends them at once; a dial under way is withdrawn, also before a repeat); TCP_NODELAY (set on each socket).

Now behind a request in hand as much is read as one message holds while memory is roomy, and beyond that the peer's end is heeded without reading (POLLRDHUP); each request is begun only if its client is still there; a client that left is lingered for, so that what was written to it stays; behind the closed door requests are refused in words and never sent on; resting connections end by their sending side and linger. Reload is refused while stopping.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -13,7 +13,7 @@
 constexpr Nanos kOwed = 2 * kSecond + kSecond / 2; // an error or a close is due 3 s after connecting
 constexpr Nanos kUnread = 5 * kSecond;             // an answer not taken for longer than any deadline
 constexpr std::size_t kStepsAtOnce = 16;           // messages of one connection in one turn of the loop
-constexpr std::size_t kAheadMost = 8 * 1024;       // bytes read behind a request in hand
+constexpr std::size_t kAheadMost = 8 * 1024;       // bytes read behind a request in hand where memory is short
 } // namespace
 
 std::uint64_t hash_name(std::string_view name) {
@@ -36,8 +36,12 @@
 void Connection::received() {
   if (closing_) return stream_->input().consume(stream_->input().size()); // nobody heeds what follows
   // Bounds what a client can make us hold: behind a request in hand its next ones wait in the kernel.
-  const std::size_t most = busy_ ? request_size_ + kAheadMost : front_.limits().message_bytes + 1024;
-  if (stream_->input().size() > most) stream_->pause_reading(true);
+  // While there is room more is read, so that a client that sends much and leaves is seen to leave; beyond, its end is
+  // heeded without reading on.
+  const bool roomy = net::buffered() <= front_.limits().buffered / 2;
+  const std::size_t most = busy_ ? request_size_ + (roomy ? front_.limits().message_bytes : kAheadMost)
+                                 : front_.limits().message_bytes + 1024;
+  if (stream_->input().size() > most) stream_->pause_reading(true, busy_);
   run();
   if (stream_->open() && !busy_) front_.relieve();
 }
@@ -72,9 +76,18 @@
 }
 
 bool Connection::begin(Request request, std::size_t size) {
+  if (stream_->peer_left()) {
+    abandon();
+    return true;
+  }
   busy_ = true;
   starting_ = true;
   request_size_ = size;
+  if (front_.stopping()) {
+    refused(0);
+    starting_ = false;
+    return true;
+  }
   std::string id = request.id;
   const bool taken = front_.core().take(std::move(request), *this);
   starting_ = false;
@@ -104,6 +117,17 @@
   if (stream_->open() && !lingering_) close();
 }
 
+void Connection::abandon() {
+  if (busy_) front_.core().gone(request_);
+  busy_ = false;
+  retire();
+}
+
+void Connection::retire() {
+  closing_ = true;
+  linger();
+}
+
 void Connection::close_when_written() {
   closing_ = true;
   since_ = net::now();
@@ -183,7 +207,7 @@
   std::vector<Connection*> which;
   const std::vector<std::size_t> order = admission::room_for_new(idle(which), net::now());
   if (order.empty()) return false;
-  which[order.front()]->close();
+  which[order.front()]->retire();
   return true;
 }
 
@@ -200,7 +224,7 @@
     if (connections_.size() <= close.above) continue;
     Connection* connection = which[close.index];
     if (connection->answered_times() == 0) connection->crowded_ = true; // told why, in the protocol's words
-    connection->answered_times() == 0 ? connection->turn_away("too many connections") : connection->close();
+    connection->answered_times() == 0 ? connection->turn_away("too many connections") : connection->retire();
   }
   tidy_.after(admission::again(connections_.size(), limits_.connections));
 }
@@ -222,7 +246,8 @@
   lingering_.push_back(std::move(found->second));
   connections_.erase(found);
   // Bounds the descriptors: the one that has had most time to take its last words goes.
-  if (lingering_.size() > limits_.lingering) lingering_.front()->close();
+  // Nothing new takes their place once the door is closed.
+  if (lingering_.size() > limits_.lingering && !stopping_) lingering_.front()->close();
   if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
   if (listener_->open() && !stopping_) listener_->pause(false);
 }
@@ -256,7 +281,7 @@
   std::vector<Connection*> idle;
   for (const auto& [connection, owned] : connections_)
     if (connection->idle() && !connection->unread()) idle.push_back(connection);
-  for (Connection* connection : idle) connection->close();
+  for (Connection* connection : idle) connection->retire();
   if (!connections_.empty()) sweep_.after(kSweep);
 }
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -37,6 +37,7 @@
   // Why it is to be closed: nothing said, half a message, an answer not taken. Nothing where it is fine.
   const char* overdue(Nanos now) const;
   void turn_away(const char* why); // told in the protocol's words if that goes at once, and closed
+  void retire();                   // one that is idle: its sending side ends, and it lingers
   void close();                    // now; a request in hand goes with it
 
 protected:
@@ -48,7 +49,8 @@
   // Told and closed: the last words of a connection that broke the protocol or took too long.
   virtual void farewell(const char* why) = 0;
 
-  // Hands the request to the core; it stands in the input's first `size` bytes. False: its id is open already.
+  // Hands the request to the core; it stands in the input's first `size` bytes. False: its id is open already. Once the door
+  // is closed it is refused, and one whose client has left meanwhile ends with its connection: neither is sent on.
   bool begin(Request request, std::size_t size);
   void answered(); // its answer is written
   // What is written is its last words. It then lingers: the sending side ends, and what the client had on the way
@@ -63,8 +65,10 @@
   void received() final;
   void flushed() final;
   void ended(const std::string& why) final;
+  void left() final { abandon(); }
   void run();
   void linger();
+  void abandon(); // the client has left: what it asked ends unanswered; what was written to it stays its own
 
   std::string request_;
   std::size_t request_size_ = 0;
@@ -91,8 +95,8 @@
   // Also while it listens elsewhere: then the old address is given up once the new one stands; connections go on.
   bool listen(const std::string& address, std::string& why);
   std::string address() const { return listener_->address(); }
-  // After SIGTERM. First goes on as before; then takes no more connections, and closes each that is between
-  // requests, or as soon as it is.
+  // The door closes: takes no more connections and sends no more requests on; retires each connection that is between
+  // requests, or as soon as it is. What was on the way is refused in words where that can still be told.
   void stop_accepting();
   bool stopping() const { return stopping_; }
   bool empty() const { return connections_.empty() && lingering_.empty(); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,6 +164,8 @@
 // by their names; open requests never notice.
 void Gateway::reload() {
   const auto kept = [](const std::string& why) { net::log_line("reload", "kept all as it was: " + why); };
+  // Guards the end against an address that would be listened on anew.
+  if (stopping_) return kept("this gateway is stopping");
   Plan fresh;
   try {
     fresh = read_plan(plan_.config_path, plan_.file_path);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <cstring>
@@ -16,6 +17,8 @@
 constexpr std::size_t kReadSize = 4 * 1024; // at least; doubles while a message goes on
 std::size_t buffered_bytes = 0;
 constexpr std::size_t kVectorsMost = 16;
+// The peer's end, also behind bytes not read. GLib has no name for it and hands the bit on to poll as it is.
+constexpr auto kPeerEnd = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR | POLLRDHUP);
 
 bool would_block(const ErrorHandle& error) {
   return g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
@@ -94,6 +97,7 @@
 void Stream::close() {
   in_.reset();
   out_.reset();
+  end_.reset();
   if (socket_) g_socket_close(socket_.get(), nullptr);
   socket_.reset();
   buffered_bytes -= output_.size();
@@ -115,7 +119,9 @@
   out_.watch(socket_.get(), G_IO_OUT, &Stream::on_out, this);
 }
 
-void Stream::pause_reading(bool pause) {
+void Stream::pause_reading(bool pause, bool heed_end) {
+  if (!pause || !heed_end) end_.reset();
+  if (pause && heed_end && !end_ && socket_) end_.watch(socket_.get(), kPeerEnd, &Stream::on_end, this);
   if (paused_ == pause) return;
   paused_ = pause;
   if (pause)
@@ -124,6 +130,10 @@
     watch_in();
 }
 
+bool Stream::peer_left() const {
+  return !socket_ || g_socket_condition_check(socket_.get(), kPeerEnd) != 0;
+}
+
 bool Stream::readable() const {
   return socket_ && g_socket_condition_check(socket_.get(),
                                              static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
@@ -146,6 +156,14 @@
   return stream->in_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
+gboolean Stream::on_end(GSocket*, GIOCondition, gpointer self) {
+  auto* stream = static_cast<Stream*>(self);
+  const auto keep = stream->shared_from_this();
+  stream->end_.reset();
+  stream->guarded([&] { stream->events_->left(); });
+  return G_SOURCE_REMOVE;
+}
+
 gboolean Stream::on_out(GSocket*, GIOCondition, gpointer self) {
   auto* stream = static_cast<Stream*>(self);
   const auto keep = stream->shared_from_this();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -48,6 +48,7 @@
     virtual void received() = 0;                    // bytes were added to input()
     virtual void flushed() {}                       // all that was written has gone to the kernel
     virtual void ended(const std::string& why) = 0; // by the peer or by an error, not by close()
+    virtual void left() {}                          // the peer's end, while reading is paused and it is heeded
   };
 
   static std::shared_ptr<Stream> connect(const std::string& address, Events& events); // null: no such address
@@ -59,8 +60,10 @@
   bool all_written() const { return output_.size() == written_; }
   std::size_t pending() const { return output_.size() - written_; }
   std::size_t held() const { return input_.size() + output_.size(); }
-  void pause_reading(bool pause);
-  bool readable() const; // something has come that was not read: bytes, or the end
+  // `heed_end`: the peer's end is told by left() all the same, with what was not read before it.
+  void pause_reading(bool pause, bool heed_end = false);
+  bool readable() const;  // something has come that was not read: bytes, or the end
+  bool peer_left() const; // its end has come, or the connection broke; also behind bytes that were not read
   void close();          // no callback follows
   void shut();           // ends the sending side; what still comes is told as before
   bool open() const { return socket_ != nullptr; }
@@ -68,6 +71,7 @@
 private:
   Stream(SocketHandle socket, Events& events);
   static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+  static gboolean on_end(GSocket*, GIOCondition, gpointer self);
   static gboolean on_out(GSocket*, GIOCondition, gpointer self);
   template <typename F> void guarded(F&& step);
   void watch_in();
@@ -79,7 +83,7 @@
 
   Events* events_;
   SocketHandle socket_;
-  SourceHandle in_, out_;
+  SourceHandle in_, out_, end_; // end_: while reading is paused and the end is heeded
   Input input_;
   std::string output_;
   std::size_t written_ = 0;
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -53,7 +53,8 @@
       : member(member), stream(Stream::adopt(std::move(socket), *this)) {}
   Member& member;
   std::shared_ptr<Stream> stream;
-  std::string input;
+  std::string input, greeting; // greeting: held
+  bool greeted = false;
   std::size_t attempt = 0; // 1 + its place among the stage's; 0: none out
   gint64 used_at = g_get_monotonic_time();
 
@@ -71,6 +72,7 @@
       std::string reply;
       if (!stage.protocol.member_message(input, member.standing, ask, reply)) return;
       if (ask) reply = serve(*ask);
+      if (!std::exchange(greeted, true) && member.holds_greetings) greeting = std::exchange(reply, "");
       if (!stream->open()) return;
       if (!reply.empty()) stream->write({reply});
       used_at = g_get_monotonic_time();
@@ -121,9 +123,26 @@
   return open;
 }
 
+std::size_t Member::greetings_held() const {
+  std::size_t held = 0;
+  for (const auto& link : links_) held += link->stream->open() && !link->greeting.empty();
+  return held;
+}
+
+void Member::give_greetings() {
+  holds_greetings = false;
+  for (const auto& link : links_)
+    if (link->stream->open() && !link->greeting.empty())
+      link->stream->write({std::exchange(link->greeting, "")});
+}
+
+void Member::drop_connections() {
+  for (const auto& link : links_) link->stream->close(), link->over();
+}
+
 void Member::die() {
   listener_.close();
-  for (const auto& link : links_) link->stream->close(), link->over();
+  drop_connections();
 }
 
 // ---- clients
@@ -160,7 +179,7 @@
   return name;
 }
 
-std::string write_config(const std::string& folder, const std::string& discovery) {
+std::string write_config(const std::string& folder, const std::string& discovery, int dial_ms) {
   const std::string path = folder + "/config.json";
   const auto service = [](const char* name, const char* effect) {
     return std::string(R"({"name":")") + name + R"(","aim":2000000000,"give_up":3000000000,"effect":")" +
@@ -174,7 +193,7 @@
       << ',' << service("once", "single_shot")
       << R"(],"extra":{"read_level":["eventual","causal","mutate","mutate"],"lag_allowed":[0,0,0,0],)"
       << R"("list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
-      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":250000000,"keepalive":30000000000,)"
+      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << dial_ms << R"(000000,"keepalive":30000000000,)"
       << R"("retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":0.5,)"
       << R"("drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
   return path;
@@ -214,6 +233,8 @@
         "the inventory");
 }
 
+void Stage::set_dial_ms(int ms) { write_config(folder_, "127.0.0.1:9", ms); }
+
 void Stage::use_discovery(const std::string& agent) {
   std::ofstream(folder_ + "/gateway.textproto") << "";
   write_config(folder_, agent);
@@ -259,6 +280,10 @@
   address_ = log.substr(at, log.find('\n', at) - at);
 }
 
+void Stage::await_log(const std::string& text, std::size_t from) {
+  until([&] { return take_log(), log.find(text, from) != std::string::npos; }, text.c_str());
+}
+
 void Stage::take_log() {
   char buffer[4096];
   for (ssize_t got; (got = read(log_fd_, buffer, sizeof buffer)) > 0;)
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -74,9 +74,13 @@
   bool listed_primary;
   Standing standing;
   int requests = 0;
+  bool holds_greetings = false; // a new connection gets no answer to its greeting until they are given
+  std::size_t greetings_held() const;
+  void give_greetings();   // and none is held from then on
   int forgets_ms = 0;      // resets a connection that rested for so long at its next message, if set
   int forgotten = 0;       // how often it did
   int connections() const; // open ones
+  void drop_connections(); // ends those that are open, and goes on listening
   void die();              // resets its connections and refuses new ones
 
 private:
@@ -98,6 +102,8 @@
     return answer();
   }
   void hang_up() { stream_->close(); }
+  bool flushed() const { return stream_->all_written(); }
+  void half_close() { stream_->shut(); } // its sending side ends; it goes on reading
   std::string value; // the last one served
   std::string input; // bytes not taken for an answer
   bool ended_by_gateway = false;
@@ -121,12 +127,14 @@
   std::unique_ptr<Client> stranger();           // connected, no more
   void write_file(const std::string& more);     // the operators' file, with so much more in it
   void write_inventory();                       // with the members' states; a running program reads it again
+  void set_dial_ms(int ms); // before start: the longest that a connection to a member may take
   void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
   // Writes a configuration, has it read again and waits for the log line.
   void reload(const std::string& agent, const std::string& told);
   void signal(int number);
   std::size_t threads() const; // of the program, now
   void take_address(); // where the program says last that it listens
+  void await_log(const std::string& text, std::size_t from = 0);
   int exit_code();     // waits for the program's end
   bool running() const { return !exited_; }
   void check_rules(); // of all that went by
@@ -156,7 +164,7 @@
 
 // Runs the program to its end; for files that it must refuse.
 int run_program(const std::vector<std::string>& arguments, std::string& output);
-std::string write_config(const std::string& folder, const std::string& discovery);
+std::string write_config(const std::string& folder, const std::string& discovery, int dial_ms = 250);
 std::string temporary_folder();
 
 } // namespace stage
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -105,11 +105,17 @@
 // replica that lags, though nothing was told of the write yet.
 void own_writes(const Protocol& protocol) {
   Stage stage(protocol, 3, 0);
-  stage.members[1]->standing.behind_ms = stage.members[2]->standing.behind_ms = 60'000;
   stage.start();
   const auto client = stage.client(), writer = stage.client();
   const auto session = [](const std::string& id) { return Ask{id, "session", "", 2000, false}; };
-  reads_served(*client, "warm", 12);
+  for (int i = 0; i < 12; ++i) { // so many good answers that one that does not come is no crowd
+    CHECK(client->answer_to(save("w" + std::to_string(i))) == Final::Served);
+    CHECK(client->answer_to(session("s" + std::to_string(i))) == Final::Served);
+  }
+  do // until a replica is known to hold all that was written so far; it gets no more
+    CHECK(client->answer_to(session("t" + std::to_string(stage.attempts.size()))) == Final::Served);
+  while (client->value == "by m0");
+  stage.members[1]->standing.behind_ms = stage.members[2]->standing.behind_ms = 60'000;
   stage.script = {Fault::Silent};
   writer->ask({"out", "once", "key-out", 700, true});
   until([&] { return attempts_of(stage, "out") == 1; }, "the write to go out");
@@ -119,6 +125,105 @@
   finish(stage);
 }
 
+// Members whose connections are gone, and come up only when told to; what is asked waits for one of them.
+void hold_greetings(Stage& stage) {
+  for (const auto& member : stage.members) member->holds_greetings = true, member->drop_connections();
+}
+Member& awaited(Stage& stage) {
+  Member* found = nullptr;
+  until(
+      [&] {
+        for (const auto& member : stage.members)
+          if (member->greetings_held() > 0) found = member.get();
+        return found != nullptr;
+      },
+      "a connection to wait for its greeting");
+  return *found;
+}
+void give_greetings(Stage& stage) {
+  for (const auto& member : stage.members) member->give_greetings();
+}
+
+// A request's connection comes up only after its member was told to leave: nothing is written to it, and the request goes to
+// another. The same for a write that has its primary to go to and no other: it ends in time, unsent.
+void late_connection(const Protocol& protocol) {
+  for (const bool write : {false, true}) {
+    Stage stage(protocol, 3, 0);
+    stage.set_dial_ms(20'000);
+    stage.start();
+    const auto client = stage.client();
+    reads_served(*client, "a", 12);
+    hold_greetings(stage);
+    client->ask(write ? save("late") : read("late"));
+    Member& leaving = awaited(stage);
+    leaving.state = "draining";
+    stage.write_inventory();
+    const int before = leaving.requests;
+    give_greetings(stage);
+    CHECK(client->answer() == (write ? Final::Refused : Final::Served));
+    CHECK(leaving.requests == before);
+    CHECK(write || attempts_of(stage, "late") == 1);
+    finish(stage);
+  }
+}
+
+// A client leaves while its request waits for a connection: seen at once, and nothing of it is sent on, whatever lies behind
+// the request and however the client left.
+void client_leaves(const Protocol& protocol) {
+  for (const std::size_t behind : {0, 20'000, 300'000}) {
+    for (const bool half : {false, true}) {
+      Stage stage(protocol, 2, 0);
+      stage.set_dial_ms(20'000);
+      stage.start();
+      const auto client = stage.client();
+      reads_served(*client, "a", 8);
+      hold_greetings(stage);
+      const auto leaver = stage.client();
+      std::string bytes = protocol.client_ask(read("left-0"));
+      for (int i = 1; bytes.size() < behind; ++i) bytes += protocol.client_ask(read("left-" + std::to_string(i)));
+      leaver->write(bytes);
+      awaited(stage);
+      until([&] { return leaver->flushed(); }, "all to be written");
+      half ? leaver->half_close() : leaver->hang_up();
+      if (half)
+        until([&] { return leaver->ended_by_gateway; }, "the gateway to end its side");
+      else
+        for (int i = 0; i < 40; ++i) // the gateway's loop has gone round so often since, and read all it reads
+          CHECK(client->answer_to({"u" + std::to_string(i), "unheard-of", "", 2000, false}) == Final::Failed);
+      give_greetings(stage);
+      reads_served(*client, "b", 12);
+      for (const auto& a : stage.attempts) CHECK(a.ask.id.compare(0, 5, "left-") != 0);
+      CHECK(leaver->answers.empty());
+      finish(stage);
+    }
+  }
+}
+
+// After SIGTERM the door is closed: what comes on a connection that is still open for a request in hand is refused and not
+// sent on. Neither a second SIGTERM nor SIGHUP opens it again. What was in hand has its answer, and the program ends.
+void door_closed(const Protocol& protocol) {
+  Stage stage(protocol, 2, 0);
+  stage.start();
+  const auto client = stage.client(), resting = stage.client();
+  CHECK(client->answer_to(read("before")) == Final::Served && resting->answer_to(read("rests")) == Final::Served);
+  stage.script = {Fault::Silent};
+  client->ask(read("in-hand", 2500));
+  until([&] { return attempts_of(stage, "in-hand") == 1; }, "the request to go out");
+  stage.signal(SIGTERM);
+  until([&] { return resting->ended_by_gateway; }, "the door to be closed");
+  CHECK(resting->end == "closed by the peer");
+  stage.signal(SIGTERM);
+  stage.signal(SIGHUP);
+  stage.await_log("reload: kept all as it was: this gateway is stopping");
+  const auto refused = stage.stranger();
+  until([&] { return refused->ended_by_gateway; }, "a new connection to be refused");
+  client->ask(read("late"));
+  CHECK(client->answer() == Final::Refused && client->answer() == Final::Refused);
+  CHECK(attempts_of(stage, "late") == 0);
+  CHECK(stage.exit_code() == 0 && client->end == "closed by the peer");
+  stage.check_rules();
+}
+
 // A member that is told to drain gets nothing new after 250 ms; what was asked meanwhile is served elsewhere.
 void drains(const Protocol& protocol) {
   Stage stage(protocol, 3, 0);
@@ -492,6 +597,9 @@
   const std::map<std::string, void (*)(const Protocol&)> stories{{"faults", faults},
                                                                  {"turned_away", turned_away},
                                                                  {"own_writes", own_writes},
+                                                                 {"late_connection", late_connection},
+                                                                 {"client_leaves", client_leaves},
+                                                                 {"door_closed", door_closed},
                                                                  {"drains", drains},
                                                                  {"dies", dies},
                                                                  {"rests", rests},
