Tell a keyed write's client as soon as its window is over that it failed

Seen, by reading for crossings: a keyed write that may have run, and whose group no longer drops repeats, can never go out again; it waited all the same until its time was over, up to 2.8 s at a class with a window of 150 ms and 3 s to wait. At fault: rules.cpp, advance, which ended only writes that must never run twice; Rules::send turned each try down. A final answer is not to be delayed.

Now both ask one function, repeatable.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -490,7 +490,7 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     if (job.out > 0) return second_copy(job);
     if (now_ >= job.end || job.attempts.size() >= attempts_of(job)) return give_up(job);
-    if (c.effect == Effect::Unsafe && job.may_have_run != kUnknown) return give_up(job);
+    if (!repeatable(job)) return give_up(job);
     if (c.level == ReadLevel::Write || c.level == ReadLevel::Fresh) return to_primary(job);
     if (const auto id = trial(job, false); id && send(job, *id, true)) return;
     if (const auto id = choose_replica(job); id && send(job, *id, false)) return;
@@ -611,15 +611,21 @@
     return unit(job.draw) < more * cold_share(m) * crowded;
   }
 
+  // No effect twice: what may have run goes out again only where its key holds, within its window.
+  bool repeatable(const Job& job) const {
+    const RequestClass& c = s_.classes[job.request.class_index];
+    if (job.may_have_run == kUnknown || c.effect == Effect::Safe) return true;
+    return c.effect == Effect::Keyed && now_ - job.may_have_run < c.window - s_.tick;
+  }
+
   // The rules on what may go to a member: kept at the decision, and again at the moment of writing.
   bool may_go(const Job& job, const MemberRow& m) {
     const RequestClass& c = s_.classes[job.request.class_index];
     if (job.closed || now_ >= job.request.deadline || m.entry.group != job.request.group) return false;
     if (!usable(m)) return false; // drains kept
-    if (job.may_have_run != kUnknown && c.effect != Effect::Safe) { // no effect twice
-      if (c.effect == Effect::Unsafe || now_ - job.may_have_run >= c.window - s_.tick) return false;
-      if (c.scope == RepeatScope::Zone && m.entry.zone != rows_.at(job.ran_at).entry.zone) return false;
-    }
+    const bool keyed = job.may_have_run != kUnknown && c.effect == Effect::Keyed;
+    if (!repeatable(job)) return false;
+    if (keyed && c.scope == RepeatScope::Zone && m.entry.zone != rows_.at(job.ran_at).entry.zone) return false;
     if (s_.checks != Checks::None || c.level == ReadLevel::Write || c.level == ReadLevel::Any) return true;
     const bool primary = groups_[job.request.group].primary == m.entry.id;
     return primary || (m.position != kUnknown && m.position >= need_of(job)); // no stale read
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -485,11 +485,11 @@
   b.now += 1450 * ms;
   b.end(id, 1, Result::Error, false, 1450 * ms, 1);
   EXPECT_FALSE(b.sent());
+  EXPECT_EQ(b.all<Fail>().size(), 1U) << "nothing more can come of it, and the client hears so now";
+  EXPECT_TRUE(b.all<Refuse>().empty()) << "a refusal would call a repeat harmless";
   b.actions.clear();
   b.after(600 * ms);
-  EXPECT_TRUE(b.all<Send>().empty());
-  EXPECT_TRUE(b.all<Refuse>().empty()) << "a refusal would call a repeat harmless";
-  EXPECT_EQ(b.all<Fail>().size(), 1U);
+  EXPECT_TRUE(b.all<Send>().empty() && b.all<Refuse>().empty() && b.all<Fail>().empty());
 }
 
 TEST(Rules, ADrainingMemberGetsNothingNew) {
