Read lists however they come, and let no old one bring back a member told to leave

Now discovery/objects cuts objects out wherever lines and reads end, and takes a blank line within one for a lost part; discovery/newest knows the newest told of each member. Where another address or a discovery set up again counts otherwise, the new count is taken, but for members told to leave: those are back by a start or by a later word. Why a watch ended is logged once until a list comes, and not forty times a second.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -11,17 +11,21 @@
 namespace {
 
 constexpr std::size_t kHeadMost = 16 * 1024;
-constexpr std::size_t kLineMost = 8 << 20; // bytes of one list
+constexpr std::size_t kSizeMost = 64; // bytes that tell the size of a chunk
 
 } // namespace
 
-Watch::Watch(broker::Core& core, std::string address, std::int64_t revision, Pace pace)
-    : core_(core), address_(std::move(address)), revision_(revision),
-      silence_([this] { again("silent", true); }), retry_([this] { start(); }), pace_(pace) {}
+Watch::Watch(broker::Core& core, std::string address, List known, Pace pace)
+    : core_(core), address_(std::move(address)), revision_(known.revision),
+      silence_([this] { again("silent", true); }), retry_([this] { start(); }), pace_(pace) {
+  newest_.take(known, true);
+  core_.list(MemberList::Kind::Remembered, known.members);
+}
 
 void Watch::start() {
   head_read_ = chunked_ = false;
-  body_.clear();
+  first_ = true;
+  objects_.clear();
   silence_.after(pace_.silence());
   stream_ = net::Stream::connect(address_, *this);
   if (!stream_) again("no socket");
@@ -39,6 +43,7 @@
   stop();
   address_ = address;
   revision_ = 0;
+  newest_.recount();
   told_.clear();
   pace_.moved();
   start();
@@ -46,7 +51,7 @@
 
 void Watch::again(const std::string& why, bool silent) {
   // Told once for each cause while the agent stays away.
-  if (head_read_ || why != told_) net::log_line("discovery", "watch ended: " + why);
+  if (why != told_) net::log_line("discovery", "watch ended: " + why);
   told_ = why;
   stop();
   retry_.after(pace_.next(silent));
@@ -68,11 +73,11 @@
 void Watch::take() {
   if (!head_read_ && !head()) return;
   if (!chunked_) {
-    body_.append(stream_->input().view());
+    objects_.add(stream_->input().view());
     stream_->input().consume(stream_->input().size());
   }
   while (chunked_ && stream_->open() && chunk()) {}
-  if (stream_->open()) lines();
+  if (stream_->open()) lists();
 }
 
 bool Watch::head() {
@@ -98,44 +103,49 @@
 bool Watch::chunk() {
   const std::string_view in = stream_->input().view();
   const std::size_t line = in.find("\r\n");
-  if (line == std::string_view::npos) return false;
+  if (line == std::string_view::npos) {
+    if (in.size() > kSizeMost) again("a malformed chunk");
+    return false;
+  }
   std::size_t size = 0;
   const auto [end, fault] = std::from_chars(in.data(), in.data() + line, size, 16);
-  if (fault != std::errc() || end == in.data() || size > kLineMost) {
+  if (fault != std::errc() || end == in.data() || size > Objects::kMost) {
     again("a malformed chunk");
     return false;
   }
   if (in.size() < line + 2 + size + 2) return false;
   if (size == 0) {
-    lines();
-    again("the answer ended");
+    lists();
+    if (stream_->open()) again("the answer ended");
     return false;
   }
-  body_.append(in.substr(line + 2, size));
+  objects_.add(in.substr(line + 2, size));
   stream_->input().consume(line + 2 + size + 2);
   return true;
 }
 
-void Watch::lines() {
-  std::size_t begin = 0;
-  for (std::size_t end; (end = body_.find('\n', begin)) != std::string::npos; begin = end + 1) {
-    if (body_.find_first_not_of(" \r", begin) >= end) continue; // nothing changed
+void Watch::lists() {
+  std::string_view object;
+  for (Objects::Step step; (step = objects_.next(object)) != Objects::Step::More;) {
     rapidjson::Document document;
-    document.Parse(body_.data() + begin, end - begin);
+    if (step == Objects::Step::Object) document.Parse(object.data(), object.size());
     try {
-      if (document.HasParseError()) throw settings::FormatError("not JSON");
-      const List list = read_list(document, "discovery's list");
-      revision_ = list.revision;
-      pace_.heard();
-      core_.list(list.complete ? MemberList::Kind::Full : MemberList::Kind::Changes, list.members);
+      if (step == Objects::Step::Broken || document.HasParseError()) throw settings::FormatError("not JSON");
+      apply(read_list(document, "discovery's list"));
     } catch (const settings::FormatError& error) {
       // What was missed cannot be known: the whole list is asked for again.
       revision_ = 0;
       return again(error.what());
     }
   }
-  body_.erase(0, begin);
-  if (body_.size() > kLineMost) again("a line is too long");
+}
+
+void Watch::apply(List list) {
+  newest_.take(list, std::exchange(first_, false));
+  revision_ = newest_.revision();
+  told_.clear();
+  pace_.heard();
+  core_.list(list.complete ? MemberList::Kind::Full : MemberList::Kind::Changes, list.members);
 }
 
 } // namespace gorsebeam::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "list.h"
+#include "newest.h"
+#include "objects.h"
 #include "pace.h"
 
 #include "net/stream.h"
@@ -15,7 +17,8 @@
 
 class Watch : public net::Stream::Events {
 public:
-  Watch(broker::Core& core, std::string address, std::int64_t revision, Pace pace);
+  // `known`: the list as last held.
+  Watch(broker::Core& core, std::string address, List known, Pace pace);
   void start();
   void stop();
   void follow(const std::string& address); // goes over to it; the list as held goes on meanwhile
@@ -27,18 +30,20 @@
   void take();
   bool head();
   bool chunk();
-  void lines();
+  void lists();
+  void apply(List list);
   void again(const std::string& why, bool silent = false);
 
   broker::Core& core_;
   std::string address_;
-  std::int64_t revision_;
+  std::int64_t revision_; // up to which the next call need not tell; 0: everything, please
   std::shared_ptr<net::Stream> stream_;
   net::Timer silence_, retry_;
   Pace pace_;
-  bool head_read_ = false, chunked_ = false;
+  Newest newest_;
+  Objects objects_; // of the answer
+  bool head_read_ = false, chunked_ = false, first_ = false; // first_: of this watch's lists
   std::string told_; // why it ended, as last logged
-  std::string body_; // of the answer, up to the line not yet whole
 };
 
 } // namespace gorsebeam::discovery
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -112,9 +112,8 @@
       [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
              const config::pb::Limits* limits) { run(contracts, members, limits); });
   if (!plan_.file.site.postgres_listed) {
-    postgres_->core.list(MemberList::Kind::Remembered, config.known.members);
     watch_ = std::make_unique<discovery::Watch>(
-        postgres_->core, config.discovery, config.known.revision,
+        postgres_->core, config.discovery, config.known,
         discovery::Pace(config.profile.settings.routers,
                         config.profile.settings.discovery == Discovery::Asked, config.seed));
     watch_->start();
