Refuse settings out of their range, by file, line and field, before anything is made of them

Seen, by reading: times below zero, no gateways at all (a bound of discovery's waits), attempts below one (read as four billion), times of 292 years (sums overflow) and numbers below zero were taken as they came; too few descriptors or too little memory were silently raised to 64 and 16 MB, so that a gateway with 48 descriptors would have used more than it has; a limit on open files below 24 made the share of descriptors wrap round (gateway.cpp, share_out).

Now each field has its range, and a value beyond it ends the start with one message; 48 descriptors are enough for both fronts. The library's own check of its settings is as before. Test: twelve bad settings, each refused by its field.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -47,10 +47,9 @@
     if (!net::parse_address(body.text(field), 0)) body.wrong(field, "an address and a port");
   config.seed = seed_of(body.text("seed"));
   if (body.find("limits")) {
-    const std::int64_t sockets = body.object("limits").integer("sockets", 1024);
-    const std::int64_t memory = body.object("limits").integer("memory_mb", 192);
-    config.memory_mb = static_cast<std::size_t>(std::clamp<std::int64_t>(memory, 16, 1 << 20));
-    config.sockets = static_cast<std::size_t>(std::clamp<std::int64_t>(sockets, 64, 1 << 20));
+    const Reader limits = body.object("limits");
+    config.memory_mb = static_cast<std::size_t>(limits.within("memory_mb", 16, 1 << 20, 192));
+    config.sockets = static_cast<std::size_t>(limits.within("sockets", kSocketsLeast, 1 << 20, 1024));
   }
   if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
   config.profile = settings::read_profile(body.object("settings"));
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,8 @@
 
 namespace gorsebeam::config {
 
+constexpr std::size_t kSocketsLeast = 48; // two fronts with a few connections each, and what is kept spare
+
 struct Config {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,6 +29,9 @@
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
+  if (sockets < config::kSocketsLeast)
+    throw settings::FormatError("the limit on open files is " + std::to_string(sockets) + ": raise it to " +
+                                std::to_string(config::kSocketsLeast) + " at least");
   sockets = std::min(sockets, kSocketsMost);
   const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
   fronts.crowded = std::max<std::size_t>(use / 20, 1);
--- a/src/settings/json.h
+++ b/src/settings/json.h
@@ -57,12 +57,28 @@
     const Json* found = find(name);
     return found ? integer(name, *found) : fallback;
   }
+  std::int64_t within(const char* name, std::int64_t least, std::int64_t most, std::int64_t fallback) const {
+    const std::int64_t value = integer(name, fallback);
+    if (value < least || value > most)
+      wrong(name, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return value;
+  }
+  // Nanoseconds, up to eleven days: sums of a few cannot overflow.
+  std::int64_t time(const char* name, std::int64_t fallback) const {
+    return within(name, 0, 1'000'000'000'000'000, fallback);
+  }
+  std::int64_t time(const char* name) const { return need(name), time(name, 0); }
   double number(const char* name, double fallback) const {
     const Json* found = find(name);
     if (!found) return fallback;
     if (!found->IsNumber()) wrong(name, "a number");
     return found->GetDouble();
   }
+  double amount(const char* name, double fallback) const { // zero or more
+    const double value = number(name, fallback);
+    if (!(value >= 0)) wrong(name, "a number of zero or more");
+    return value;
+  }
   bool truth(const char* name, bool fallback = false) const {
     const Json* found = find(name);
     if (!found) return fallback;
@@ -84,9 +100,7 @@
   }
   Reader object(const char* name) const { return {need(name), where_ + "." + name}; }
   std::uint32_t small(const char* name) const { // a whole number below 2^32
-    const std::int64_t value = integer(name);
-    if (value < 0 || value > 0xffffffffLL) wrong(name, "a whole number below 2^32");
-    return static_cast<std::uint32_t>(value);
+    return need(name), static_cast<std::uint32_t>(within(name, 0, 0xffffffffLL, 0));
   }
 
   [[noreturn]] void wrong(const std::string& name, const std::string& wanted) const {
--- a/tests/stories/files.cpp
+++ b/tests/stories/files.cpp
@@ -7,7 +7,9 @@
 #include "settings/json.h"
 
 #include <csignal>
+#include <cstring>
 #include <fstream>
+#include <iterator>
 
 using namespace stage;
 
@@ -112,6 +114,33 @@
   CHECK(run_program({"check", "--config", write(folder, "d.json", "{\"name\":\"n0\",\n\"listen\":7}")},
                     output) == 1);
   CHECK(output.find("d.json: line 2: ") != std::string::npos && output.find("'listen'") != std::string::npos);
+  // Settings out of their range: each ends the start with one message, before anything is made of them.
+  std::ifstream good(config);
+  const std::string text{std::istreambuf_iterator<char>(good), {}};
+  const struct {
+    const char *from, *to, *field;
+  } settings[] = {{"\"aim\":2000000000", "\"aim\":0", "'aim'"},
+                  {"\"give_up\":3000000000", "\"give_up\":1000000000", "'give_up'"},
+                  {"\"window\":2000000000", "\"window\":-1", "'window'"},
+                  {"\"worth\":1", "\"worth\":-1", "'worth'"},
+                  {"\"lag_allowed\":[0", "\"lag_allowed\":[-5", "'lag_allowed'"},
+                  {"\"send_cap\":6", "\"send_cap\":0", "'send_cap'"},
+                  {"\"dial_timeout\":250000000", "\"dial_timeout\":9223372036854775807", "'dial_timeout'"},
+                  {"\"cold_from\":0.5", "\"cold_from\":1.5", "'cold_from'"},
+                  {"\"tick\":1000000", "\"tick\":-1", "'tick'"},
+                  {"\"tick\":1000000", "\"tick\":1,\"balancers\":0", "'balancers'"},
+                  {"\"sockets\":400", "\"sockets\":20", "'sockets'"},
+                  {"\"memory_mb\":192", "\"memory_mb\":-1", "'memory_mb'"}};
+  for (const auto& b : settings) {
+    std::string bad = text;
+    const std::size_t at = bad.find(b.from);
+    CHECK(at != std::string::npos);
+    bad.replace(at, std::strlen(b.from), b.to);
+    CHECK(run_program({"serve", "--config", write(folder, "e.json", bad)}, output) == 1);
+    if (output.find(b.field) == std::string::npos) std::fprintf(stderr, "%s: %s", b.field, output.c_str());
+    CHECK(output.find("e.json: line 1: ") != std::string::npos && output.find(b.field) != std::string::npos);
+    CHECK(output.find('\n') == output.size() - 1);
+  }
 }
 
 // What can never become an answer is known as such from what has come, not when the waiting is over; a report that cannot
