Force each crossing on real sockets, and mend the four faults that it showed

Seen, by forcing what comes between two steps at both fronts: - whether an answer of over 256 KiB was one depended on how many reads it came in (upstream/pool.cpp, received): a whole one of 400 KB passed where it came at once; - a PostgreSQL Terminate and a MongoDB message that wants no answer closed the connection at once, where what lay behind them made the close a reset that could take an earlier answer with it: now they linger as all last words do; - a probe was decided for a member told to leave, and its connection opened, before the moment of writing ended it (rules.cpp, probe).

Agent, the stand-in of discovery, moves to the stage. Beside them drawn histories of the module: 300 seeds, nothing to a member told to leave, no two attempts out, nothing for clients that left, no repeat that a class forbids.

--- a/src/mongo/front.cpp
+++ b/src/mongo/front.cpp
@@ -162,7 +162,7 @@
     if (m.operation != kOpMsg) return reject("only OP_MSG is served");
     if (!read_op_msg(m.payload, msg)) return reject("a message is malformed");
     // Nothing may be said to one that wants no answer, not even that it failed: every request has a final answer.
-    if (msg.flags & kMoreToCome) return close();
+    if (msg.flags & kMoreToCome) return close_when_written();
     command(msg.body);
   }
 
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -81,7 +81,7 @@
     if (skip_to_sync_ && m.type != 'S' && m.type != 'X') return stream_->input().consume(m.whole.size());
     switch (m.type) {
     case 'Q': return query(m);
-    case 'X': return close();
+    case 'X': return close_when_written(); // an answer may still be on its way, with bytes behind this
     case 'S':
       skip_to_sync_ = false;
       stream_->write({ready_});
@@ -111,7 +111,7 @@
     case Framing::Whole: break;
     }
     const std::uint32_t version = read_u32(body.data());
-    if (version == kCancelRequest) return close();
+    if (version == kCancelRequest) return close_when_written();
     if (version == kSslRequest || version == kGssRequest) {
       stream_->write({"N"});
       return stream_->input().consume(used);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -963,7 +963,7 @@
   }
 
   bool probe(MemberRow& m, Nanos gap = kProbeGap, bool must = false) {
-    if (!s_.probes || m.probing || (!must && probes_ < 1)) return false;
+    if (!s_.probes || m.probing || !usable(m) || (!must && probes_ < 1)) return false;
     if (m.probed_at != kUnknown && now_ - m.probed_at < gap) return false;
     if (!must) probes_ -= 1;
     m.probing = true, m.probed_at = now_;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -140,13 +140,15 @@
     Answer answer;
     const Step step = wire_->answer(in, false, errand_.probe, answer, used);
     const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
-    if (step == Step::More && in.size() <= pool_.limits_.answer_bytes && roomy) {
+    // Also of a whole one, so that it does not matter in how many reads it came.
+    const bool fits = (step == Step::Done ? used : in.size()) <= pool_.limits_.answer_bytes;
+    if (step == Step::More && fits && roomy) {
       // Guards against a length that does not fit: an answer that began and does not go on is none.
       begun_ = true;
       timer_.at(std::min(errand_.until, net::now() + kStall));
       return;
     }
-    if (step != Step::Done) {
+    if (step != Step::Done || !fits) {
       net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
       return fail(Result::Error); // the request was whole: it may have run
     }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,9 +3,13 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cmath>
+#include <iterator>
 #include <map>
+#include <random>
 #include <set>
+#include <string>
 
 namespace {
 
@@ -540,6 +544,120 @@
   EXPECT_FALSE(may(keyed)) << "its time is up";
 }
 
+// Histories drawn by seeds, and what may never be seen in them: anything to a member told to leave, two attempts of a request
+// out at once, an attempt for a client that left or was answered, a repeat that its class does not allow.
+TEST(Rules, InDrawnHistoriesNoAttemptOrProbeBreaksARule) {
+  struct Asked {
+    std::size_t index = 0;
+    bool over = false;                   // answered, or its client left
+    std::map<std::uint32_t, MemberId> out; // attempts by their number
+    std::optional<Nanos> ran;            // since when it may have run
+  };
+  std::size_t sends = 0, repeats = 0, probes = 0, left = 0;
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto below = [&random](std::uint64_t n) { return random() % n; };
+    Bench b;
+    std::map<std::string, Asked> asked;
+    std::map<MemberId, MemberState> state;
+    const auto audit = [&] {
+      for (const Action& action : b.actions) {
+        if (const auto* probe = std::get_if<Probe>(&action)) {
+          ++probes;
+          EXPECT_EQ(state[probe->member], MemberState::Up);
+        } else if (const auto* send = std::get_if<Send>(&action)) {
+          Asked& a = asked[send->id];
+          ++sends, repeats += b.attempts[send->id] > 1;
+          EXPECT_EQ(state[send->member], MemberState::Up);
+          EXPECT_FALSE(a.over);
+          EXPECT_TRUE(a.out.empty());
+          EXPECT_LE(b.attempts[send->id], 4U);
+          EXPECT_TRUE(!a.ran || (a.index != kWrite && (a.index != kKeyed || b.now - *a.ran < 1500 * ms)));
+          a.out[b.attempts[send->id] - 1] = send->member;
+        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+          Asked& a = asked[refuse->id];
+          EXPECT_FALSE(a.over || (a.ran && a.index >= kWrite));
+          a.over = true;
+        } else if (const auto* fail = std::get_if<Fail>(&action)) {
+          EXPECT_FALSE(asked[fail->id].over);
+          asked[fail->id].over = true;
+        }
+      }
+      b.actions.clear();
+    };
+    b.settle();
+    for (const MemberId id : {1U, 2U, 3U, 4U}) state[id] = MemberState::Up;
+    audit();
+    for (int step = 0; step < 300; ++step) {
+      b.now += below(30) * ms;
+      switch (below(8)) {
+      case 0:
+      case 1: {
+        const std::size_t index = below(6);
+        asked["r" + std::to_string(b.next)].index = index; // named before it acts
+        b.ask(index, below(3));
+        break;
+      }
+      case 2:
+      case 3:
+      case 4: // one that is out ends, somehow
+        for (auto& [id, a] : asked) {
+          if (a.out.empty() || below(2)) continue;
+          const auto [number, member] = *a.out.begin();
+          a.out.clear();
+          const Result result = std::array{Result::Ok,    Result::Ok,      Result::Miss,         Result::Error, Result::Full,
+                                           Result::Reset, Result::Timeout, Result::NoConnection, Result::NotSent}[below(9)];
+          const bool ran = result == Result::Error || result == Result::Reset || result == Result::Timeout;
+          if (ran && !a.ran) a.ran = b.now - 10 * ms;
+          a.over |= result == Result::Ok;
+          b.end(id, member, result, a.over, 10 * ms, number);
+          break;
+        }
+        break;
+      case 5: { // a client leaves, and what was out for it is withdrawn
+        const auto one = asked.empty() ? asked.end() : std::next(asked.begin(), static_cast<long>(below(asked.size())));
+        if (one == asked.end() || one->second.over) break;
+        one->second.over = true, ++left;
+        b.give(ClientGone{one->first});
+        break;
+      }
+      case 6: { // lists, in part or whole
+        const MemberId id = static_cast<MemberId>(1 + below(4));
+        Member m = Bench::member(id);
+        m.state = std::array{MemberState::Up, MemberState::Draining, MemberState::Removed}[below(3)];
+        m.started_at = m.state == MemberState::Up && below(2) ? b.now - 5 * ms : 0;
+        if (below(2) || m.state == MemberState::Removed) {
+          state[id] = m.state;
+          b.list({m}, MemberList::Kind::Changes);
+        } else {
+          std::vector<Member> all{m};
+          state[id] = m.state;
+          for (auto& [other, was] : state)
+            if (other != id && was != MemberState::Removed) {
+              was = below(4) ? MemberState::Up : MemberState::Removed;
+              if (was == MemberState::Up) all.push_back(Bench::member(other));
+            }
+          b.list(all);
+        }
+        break;
+      }
+      default: {
+        const MemberId id = static_cast<MemberId>(1 + below(4));
+        if (below(2))
+          b.probed(id, id == 1, static_cast<Nanos>(below(1500)) * ms);
+        else
+          b.handle(TimerDue{});
+      }
+      }
+      audit();
+    }
+  }
+  EXPECT_GT(sends, 10'000U); // or nothing was shown
+  EXPECT_GT(repeats, 1'000U);
+  EXPECT_GT(probes, 1'000U);
+  EXPECT_GT(left, 1'000U);
+}
+
 TEST(Rules, AMemberAbsentFromAFullListGetsNothingNew) {
   Bench b;
   b.settle();
--- a/tests/stories/protocols.cpp
+++ b/tests/stories/protocols.cpp
@@ -118,6 +118,11 @@
     case Fault::Garbage: return "no protocol at all, and more of it than a head";
     case Fault::Short: return pg_row(value).substr(0, 60);
     case Fault::Huge: return pg_row(value).substr(0, 31) + "D\xc0" + std::string(3, '\0') + "and so on";
+    case Fault::Endless: {
+      std::string all = pg_row(value);
+      while (all.size() < 400'000) all += pg('S', std::string("part\0and so on\0", 15));
+      return all;
+    }
     case Fault::Copied: return pg_row(value) + status + pg('Z', "I") + pg_row("a copy") + pg('Z', "I");
     case Fault::BadReport:
       return pg_row(value) + status + pg('S', std::string("gauges\0x0=nonsense,x1=7q\0", 26)) +
@@ -128,6 +133,11 @@
     default: return pg_row(value) + status + pg('Z', "I");
     }
   }
+
+  std::string member_notice() const override {
+    const std::string z(1, '\0');
+    return pg('N', "SNOTICE" + z + "C00000" + z + "Mscripted" + z + z);
+  }
 };
 
 // ---- MongoDB
@@ -231,6 +241,10 @@
     case Fault::Full: return error(462);
     case Fault::Short: return little(90) + little(1) + little(last_) + little(2013) + little(0);
     case Fault::Huge: return little(0xc0000000) + little(1) + little(last_) + little(2013) + "and so on";
+    case Fault::Endless: {
+      const std::string text(400'000, 'x');
+      return mongo_message(Writer().real("ok", 1).text("value", text).take(), last_);
+    }
     case Fault::Garbage: return little(24) + little(1) + little(last_) + little(2013) + "nonsense";
     default: break;
     }
@@ -246,6 +260,10 @@
         last_);
   }
 
+  std::string member_notice() const override {
+    return mongo_message(Writer().real("ok", 1).text("value", "unasked").take(), last_);
+  }
+
 private:
   mutable std::uint32_t last_ = 0; // the number of the message that is answered next
 };
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -4,10 +4,12 @@
 
 #include <glib-unix.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -72,6 +74,7 @@
       std::string reply;
       if (!stage.protocol.member_message(input, member.standing, ask, reply)) return;
       if (ask) reply = serve(*ask);
+      member.probes += !ask && greeted;
       if (!std::exchange(greeted, true) && member.holds_greetings) greeting = std::exchange(reply, "");
       if (!stream->open()) return;
       if (!reply.empty()) stream->write({reply});
@@ -93,9 +96,10 @@
     stage.attempts.back().may_have_run = fault != Fault::Miss && fault != Fault::Full;
     if (fault == Fault::Silent) return "";
     over();
-    if (fault == Fault::Reset) stream->close();
-    return fault == Fault::Reset ? ""
-                                 : stage.protocol.member_answer(fault, member.standing, "by " + member.name);
+    if (fault == Fault::Reset) return stream->close(), "";
+    std::string value = "by " + member.name;
+    value.resize(std::max(value.size(), member.value_bytes), '.');
+    return stage.protocol.member_answer(fault, member.standing, value);
   }
 
   void over() {
@@ -136,6 +140,11 @@
       link->stream->write({std::exchange(link->greeting, "")});
 }
 
+void Member::say(const std::string& bytes) {
+  for (const auto& link : links_)
+    if (link->stream->open()) link->stream->write({bytes});
+}
+
 void Member::drop_connections() {
   for (const auto& link : links_) link->stream->close(), link->over();
 }
@@ -171,6 +180,61 @@
   return final;
 }
 
+// ---- discovery's agent
+
+Agent::Agent()
+    : listener([this](SocketHandle socket) {
+        asked.clear();
+        ++calls;
+        fd_ = g_socket_get_fd(socket.get());
+        stream = Stream::adopt(std::move(socket), *this);
+      }) {
+  std::string why;
+  CHECK(listener.listen("127.0.0.1:0", why));
+}
+
+void Agent::received() {
+  asked.append(stream->input().view());
+  stream->input().consume(stream->input().size());
+}
+
+void Agent::send(const std::string& line) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+  stream->write({size, line, "\r\n"});
+}
+
+std::string Agent::text(const Stage& stage, int revision) {
+  std::string text = "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
+  for (const auto& m : stage.members)
+    text += std::string(m == stage.members[0] ? "" : ",") + "{\"id\":\"s-0000000" + m->name.back() +
+            "\",\"host_port\":\"" + m->address + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" +
+            (m->state == "up" ? "ready" : m->state) + "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
+            (m->listed_primary ? "master" : "replica") + "\"}";
+  return text + "]}\n";
+}
+
+void Agent::list(const Stage& stage, int revision) {
+  const std::string line = text(stage, revision);
+  send(line.substr(0, 40)); // a line may come in pieces
+  send(line.substr(40));
+}
+
+void Agent::call() {
+  until([this] { return asked.find("\r\n\r\n") != std::string::npos; }, "the watch");
+}
+
+void Agent::welcome() {
+  call();
+  stream->write({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"});
+}
+
+void Agent::reset() {
+  const linger at_once{1, 0};
+  CHECK(setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) == 0);
+  stream->close();
+}
+
 // ---- the stage
 
 std::string temporary_folder() {
@@ -179,21 +243,22 @@
   return name;
 }
 
-std::string write_config(const std::string& folder, const std::string& discovery, int dial_ms) {
+std::string write_config(const std::string& folder, const std::string& discovery, const Site& site) {
   const std::string path = folder + "/config.json";
-  const auto service = [](const char* name, const char* effect) {
-    return std::string(R"({"name":")") + name + R"(","aim":2000000000,"give_up":3000000000,"effect":")" +
-           effect + R"(","group":"cell","window":2000000000,"worth":1,"late_worth":0})";
+  const auto service = [&site](const char* name, const char* effect) {
+    return std::string(R"({"name":")") + name + R"(","aim":)" + std::to_string(site.aim_ms) +
+           R"(000000,"give_up":)" + std::to_string(site.aim_ms + 1000) + R"(000000,"effect":")" + effect + R"(","group":"cell","window":)" +
+           std::to_string(site.window_ms) + R"(000000,"worth":1,"late_worth":0})";
   };
   std::ofstream(path)
-      << R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" << discovery
+      << R"({"name":"n0","listen":")" << site.listen << R"(","discovery":")" << discovery
       << R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":192,"sockets":400},)"
       << R"("known":{"revision":0,"complete":true,"members":[]},"settings":{"classes":[)"
       << service("any", "free") << ',' << service("session", "free") << ',' << service("save", "guarded")
       << ',' << service("once", "single_shot")
       << R"(],"extra":{"read_level":["eventual","causal","mutate","mutate"],"lag_allowed":[0,0,0,0],)"
       << R"("list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
-      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << dial_ms << R"(000000,"keepalive":30000000000,)"
+      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << site.dial_ms << R"(000000,"keepalive":30000000000,)"
       << R"("retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":0.5,)"
       << R"("drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
   return path;
@@ -233,15 +298,18 @@
         "the inventory");
 }
 
-void Stage::set_dial_ms(int ms) { write_config(folder_, "127.0.0.1:9", ms); }
+void Stage::set_site(const Site& site) {
+  site_ = site;
+  write_config(folder_, "127.0.0.1:9", site_);
+}
 
 void Stage::use_discovery(const std::string& agent) {
   std::ofstream(folder_ + "/gateway.textproto") << "";
-  write_config(folder_, agent);
+  write_config(folder_, agent, site_);
 }
 
 void Stage::reload(const std::string& agent, const std::string& told) {
-  write_config(folder_, agent);
+  write_config(folder_, agent, site_);
   take_log();
   const std::size_t before = log.size();
   signal(SIGHUP);
@@ -250,6 +318,9 @@
 }
 
 void Stage::start() {
+  CHECK(!pid_ || exited_);
+  if (log_fd_ >= 0) close(log_fd_);
+  log.clear(), exited_ = false;
   const std::string config = folder_ + "/config.json", file = folder_ + "/gateway.textproto";
   const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",      "--config", config.c_str(),
                              "--file",          file.c_str(), nullptr};
@@ -257,8 +328,7 @@
       nullptr, const_cast<gchar**>(arguments), nullptr,
       static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr, nullptr,
       &pid_, nullptr, nullptr, &log_fd_, nullptr));
-  on_stage = this;
-  std::atexit(clear_stage);
+  if (!std::exchange(on_stage, this)) std::atexit(clear_stage);
   g_unix_set_fd_nonblocking(log_fd_, TRUE, nullptr);
   g_child_watch_add(
       pid_,
@@ -303,6 +373,18 @@
   if (!exited_) kill(pid_, number);
 }
 
+void Stage::freeze() {
+  signal(SIGSTOP);
+  until(
+      [this] {
+        std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+        const std::string text{std::istreambuf_iterator<char>(stat), {}};
+        const std::size_t name = text.rfind(") ");
+        return name != std::string::npos && text.compare(name + 2, 1, "T") == 0;
+      },
+      "the program to stand still");
+}
+
 std::size_t Stage::threads() const {
   const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(pid_) + "/task");
   return static_cast<std::size_t>(std::distance(begin(tasks), end(tasks)));
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -5,6 +5,7 @@
 #include "net/listener.h"
 #include "net/stream.h"
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
@@ -32,8 +33,9 @@
 void pass(int ms); // lets so much time go by
 
 // Spoilt ones: Garbage is no protocol; Short claims more than comes; Huge claims 3 GB; Copied is good, with a second
-// answer right behind; BadReport is good, with a report and a position that cannot be.
-enum class Fault { Serve, Miss, Error, Full, Reset, Silent, Garbage, Short, Huge, Copied, BadReport };
+// answer right behind; BadReport is good, with a report and a position that cannot be; Endless goes on, in the
+// protocol's words, beyond what an answer may hold.
+enum class Fault { Serve, Miss, Error, Full, Reset, Silent, Garbage, Short, Huge, Copied, BadReport, Endless };
 enum class Final { Served, Refused, Failed };
 
 struct Ask { // one request as a client writes it, and as a member reads it
@@ -61,6 +63,7 @@
   virtual bool member_message(std::string& in, const Standing& standing, std::optional<Ask>& ask,
                               std::string& reply) const = 0;
   virtual std::string member_answer(Fault fault, const Standing& standing, const std::string& value) const = 0;
+  virtual std::string member_notice() const = 0; // a whole message that nobody asked for
 };
 const Protocol& postgres();
 const Protocol& mongo();
@@ -74,12 +77,15 @@
   bool listed_primary;
   Standing standing;
   int requests = 0;
+  int probes = 0;               // written behind a greeting
+  std::size_t value_bytes = 0;  // its values are that long at least
   bool holds_greetings = false; // a new connection gets no answer to its greeting until they are given
   std::size_t greetings_held() const;
   void give_greetings();   // and none is held from then on
   int forgets_ms = 0;      // resets a connection that rested for so long at its next message, if set
   int forgotten = 0;       // how often it did
   int connections() const; // open ones
+  void say(const std::string& bytes); // unasked, on each open connection
   void drop_connections(); // ends those that are open, and goes on listening
   void die();              // resets its connections and refuses new ones
 
@@ -103,6 +109,7 @@
   }
   void hang_up() { stream_->close(); }
   bool flushed() const { return stream_->all_written(); }
+  void deaf(bool deaf) { stream_->pause_reading(deaf); } // reads nothing, not even the end, until it is no more
   void half_close() { stream_->shut(); } // its sending side ends; it goes on reading
   std::string value; // the last one served
   std::string input; // bytes not taken for an answer
@@ -117,6 +124,13 @@
   std::shared_ptr<gorsebeam::net::Stream> stream_;
 };
 
+struct Site { // what the platform's configuration says
+  int dial_ms = 250;    // the longest that a connection to a member may take
+  int window_ms = 2000; // for which a keyed class's group drops repeats
+  int aim_ms = 2000;    // of each class; a second later its clients give up
+  std::string listen = "127.0.0.1:0";
+};
+
 class Stage {
 public:
   // Members of group 0 in the order given, the first listed as primary; `primary` tells who is.
@@ -127,11 +141,15 @@
   std::unique_ptr<Client> stranger();           // connected, no more
   void write_file(const std::string& more);     // the operators' file, with so much more in it
   void write_inventory();                       // with the members' states; a running program reads it again
-  void set_dial_ms(int ms); // before start: the longest that a connection to a member may take
+  void set_site(const Site& site); // before start
   void use_discovery(const std::string& agent); // before start: the list comes from there, not from a file
   // Writes a configuration, has it read again and waits for the log line.
   void reload(const std::string& agent, const std::string& told);
   void signal(int number);
+  // From when it returns to go_on the program does nothing, and what comes for it waits in the kernel.
+  void freeze();
+  void go_on() { signal(SIGCONT); }
+  const std::string& address() const { return address_; } // of the front
   std::size_t threads() const; // of the program, now
   void take_address(); // where the program says last that it listens
   void await_log(const std::string& text, std::size_t from = 0);
@@ -157,14 +175,37 @@
 private:
   void take_log();
   std::string folder_, address_;
+  Site site_;
   GPid pid_ = 0;
   int log_fd_ = -1, status_ = 0;
   bool exited_ = false;
 };
 
+// Discovery's agent, as a stand-in: one watch at a time, chunked, an object a line.
+class Agent : gorsebeam::net::Stream::Events {
+public:
+  Agent();
+  void send(const std::string& line); // as a chunk
+  // The list of group 0, as the stage's members stand.
+  static std::string text(const Stage& stage, int revision);
+  void list(const Stage& stage, int revision);
+  void welcome(); // awaits the call and begins a chunked answer
+  void call();    // awaits it, no more
+  void reset();   // breaks the connection under the answer
+  std::string asked;
+  std::shared_ptr<gorsebeam::net::Stream> stream;
+  int calls = 0;
+  gorsebeam::net::Listener listener;
+
+private:
+  void received() override;
+  void ended(const std::string&) override {}
+  int fd_ = -1;
+};
+
 // Runs the program to its end; for files that it must refuse.
 int run_program(const std::vector<std::string>& arguments, std::string& output);
-std::string write_config(const std::string& folder, const std::string& discovery, int dial_ms = 250);
+std::string write_config(const std::string& folder, const std::string& discovery, const Site& site = {});
 std::string temporary_folder();
 
 } // namespace stage
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -126,105 +126,6 @@
   finish(stage);
 }
 
-// Members whose connections are gone, and come up only when told to; what is asked waits for one of them.
-void hold_greetings(Stage& stage) {
-  for (const auto& member : stage.members) member->holds_greetings = true, member->drop_connections();
-}
-Member& awaited(Stage& stage) {
-  Member* found = nullptr;
-  until(
-      [&] {
-        for (const auto& member : stage.members)
-          if (member->greetings_held() > 0) found = member.get();
-        return found != nullptr;
-      },
-      "a connection to wait for its greeting");
-  return *found;
-}
-void give_greetings(Stage& stage) {
-  for (const auto& member : stage.members) member->give_greetings();
-}
-
-// A request's connection comes up only after its member was told to leave: nothing is written to it, and the request goes to
-// another. The same for a write that has its primary to go to and no other: it ends in time, unsent.
-void late_connection(const Protocol& protocol) {
-  for (const bool write : {false, true}) {
-    Stage stage(protocol, 3, 0);
-    stage.set_dial_ms(20'000);
-    stage.start();
-    const auto client = stage.client();
-    reads_served(*client, "a", 12);
-    hold_greetings(stage);
-    client->ask(write ? save("late") : read("late"));
-    Member& leaving = awaited(stage);
-    leaving.state = "draining";
-    stage.write_inventory();
-    const int before = leaving.requests;
-    give_greetings(stage);
-    CHECK(client->answer() == (write ? Final::Refused : Final::Served));
-    CHECK(leaving.requests == before);
-    CHECK(write || attempts_of(stage, "late") == 1);
-    finish(stage);
-  }
-}
-
-// A client leaves while its request waits for a connection: seen at once, and nothing of it is sent on, whatever lies behind
-// the request and however the client left.
-void client_leaves(const Protocol& protocol) {
-  for (const std::size_t behind : {0, 20'000, 300'000}) {
-    for (const bool half : {false, true}) {
-      Stage stage(protocol, 2, 0);
-      stage.set_dial_ms(20'000);
-      stage.start();
-      const auto client = stage.client();
-      reads_served(*client, "a", 8);
-      hold_greetings(stage);
-      const auto leaver = stage.client();
-      std::string bytes = protocol.client_ask(read("left-0"));
-      for (int i = 1; bytes.size() < behind; ++i) bytes += protocol.client_ask(read("left-" + std::to_string(i)));
-      leaver->write(bytes);
-      awaited(stage);
-      until([&] { return leaver->flushed(); }, "all to be written");
-      half ? leaver->half_close() : leaver->hang_up();
-      if (half)
-        until([&] { return leaver->ended_by_gateway; }, "the gateway to end its side");
-      else
-        for (int i = 0; i < 40; ++i) // the gateway's loop has gone round so often since, and read all it reads
-          CHECK(client->answer_to({"u" + std::to_string(i), "unheard-of", "", 2000, false}) == Final::Failed);
-      give_greetings(stage);
-      reads_served(*client, "b", 12);
-      for (const auto& a : stage.attempts) CHECK(a.ask.id.compare(0, 5, "left-") != 0);
-      CHECK(leaver->answers.empty());
-      finish(stage);
-    }
-  }
-}
-
-// After SIGTERM the door is closed: what comes on a connection that is still open for a request in hand is refused and not
-// sent on. Neither a second SIGTERM nor SIGHUP opens it again. What was in hand has its answer, and the program ends.
-void door_closed(const Protocol& protocol) {
-  Stage stage(protocol, 2, 0);
-  stage.start();
-  const auto client = stage.client(), resting = stage.client();
-  CHECK(client->answer_to(read("before")) == Final::Served && resting->answer_to(read("rests")) == Final::Served);
-  stage.script = {Fault::Silent};
-  client->ask(read("in-hand", 2500));
-  until([&] { return attempts_of(stage, "in-hand") == 1; }, "the request to go out");
-  stage.signal(SIGTERM);
-  until([&] { return resting->ended_by_gateway; }, "the door to be closed");
-  CHECK(resting->end == "closed by the peer");
-  stage.signal(SIGTERM);
-  stage.signal(SIGHUP);
-  stage.await_log("reload: kept all as it was: this gateway is stopping");
-  const auto refused = stage.stranger();
-  until([&] { return refused->ended_by_gateway; }, "a new connection to be refused");
-  client->ask(read("late"));
-  CHECK(client->answer() == Final::Refused && client->answer() == Final::Refused);
-  CHECK(attempts_of(stage, "late") == 0);
-  CHECK(stage.exit_code() == 0 && client->end == "closed by the peer");
-  stage.check_rules();
-}
-
 // A member that is told to drain gets nothing new after 250 ms; what was asked meanwhile is served elsewhere.
 void drains(const Protocol& protocol) {
   Stage stage(protocol, 3, 0);
@@ -489,45 +390,6 @@
   finish(stage);
 }
 
-// Discovery's agent, as a stand-in: one watch at a time, chunked, an object a line.
-struct Agent : gorsebeam::net::Stream::Events {
-  Agent() {
-    std::string why;
-    CHECK(listener.listen("127.0.0.1:0", why));
-  }
-  void received() override {
-    asked.append(stream->input().view());
-    stream->input().consume(stream->input().size());
-  }
-  void ended(const std::string&) override {}
-  void send(const std::string& line) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-    stream->write({size, line, "\r\n"});
-  }
-  void list(const Stage& stage, int revision) {
-    std::string text = "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
-    for (const auto& m : stage.members)
-      text += std::string(m == stage.members[0] ? "" : ",") + "{\"id\":\"s-0000000" + m->name.back() +
-              "\",\"host_port\":\"" + m->address + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" +
-              (m->state == "up" ? "ready" : m->state) + "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
-              (m->listed_primary ? "master" : "replica") + "\"}";
-    text += "]}\n";
-    send(text.substr(0, 40)); // a line may come in pieces
-    send(text.substr(40));
-  }
-  void welcome() {
-    until([this] { return asked.find("\r\n\r\n") != std::string::npos; }, "the watch");
-    stream->write({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"});
-  }
-  std::string asked;
-  std::shared_ptr<gorsebeam::net::Stream> stream;
-  gorsebeam::net::Listener listener{[this](gorsebeam::net::SocketHandle socket) {
-    asked.clear();
-    stream = gorsebeam::net::Stream::adopt(std::move(socket), *this);
-  }};
-};
-
 // The list comes by a watch; a change is heeded; a broken line, or a watch that broke or fell silent, is asked for
 // again, and a list as held goes on meanwhile.
 void discovery(const Protocol& protocol) {
@@ -598,9 +460,6 @@
   const std::map<std::string, void (*)(const Protocol&)> stories{{"faults", faults},
                                                                  {"turned_away", turned_away},
                                                                  {"own_writes", own_writes},
-                                                                 {"late_connection", late_connection},
-                                                                 {"client_leaves", client_leaves},
-                                                                 {"door_closed", door_closed},
                                                                  {"drains", drains},
                                                                  {"dies", dies},
                                                                  {"rests", rests},
