Prove a thin read's replica whatever a probe costs, as far as primaries are pressed

At fault: rules.cpp, on(Request), a share by the price alone, as if a read at a primary cost nothing.

Now the share is the larger of the former and of how far primaries' answers are from roomy.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -393,14 +393,13 @@
       if (tried(job, *gathered)) return {};
       return hashed(job, {{*gathered, 1}});
     }
-    const double pressed = std::min(1.0, std::max(0.0, 2 * mean_of(false) / kRoomy - 1));
     std::vector<std::pair<MemberId, double>> pool;
     bool replicas = false;
     std::vector<MemberId> open; // not set aside, whatever their position
     for (const MemberId id : groups_[job.request.group].members) {
       const MemberRow& m = rows_.at(id);
       if (!usable(m) || m.set_aside || tried(job, id)) continue;
-      const double weight = part(group, id, gathered == id) * (group.primary == id ? pressed : 1);
+      const double weight = part(group, id, gathered == id) * (group.primary == id ? pressed(false) : 1);
       if (group.primary == id) {
         if (!group.doubted && weight > 0) pool.emplace_back(id, weight);
         continue;
@@ -456,6 +455,9 @@
       crowd->sum += std::min(part_of_aim, 2.0), crowd->n += 1; // late is late
   }
 
+  // How far a role's members are from roomy: 1 where answers take all that is roomy, 0 up to half of it.
+  double pressed(bool primaries) { return std::clamp(2 * mean_of(primaries) / kRoomy - 1, 0.0, 1.0); }
+
   // How slowly a role's members answer, as a part of the aims, one of them left out.
   double mean_of(bool primaries, const Crowd& but = {}) {
     double sum = -but.sum, n = -but.n;
@@ -764,7 +766,8 @@
     Group& group = groups_[request.group];
     if (c.level == ReadLevel::Bounded) group.thin = std::exchange(group.read_at, now_) < now_ - c.bound;
     const bool alone = group.thin && (c.level == ReadLevel::Bounded || c.level == ReadLevel::Session);
-    const double share = alone ? kProofCost / std::max(s_.probe_price, kProofCost) : kProbeShare;
+    const double cost = std::max(kProofCost, pressed(true));
+    const double share = alone ? cost / std::max(s_.probe_price, cost) : kProbeShare;
     probes_ = std::min(probes_ + share, kProbeBurst);
     if (within_budget(job)) {
       if (c.level != ReadLevel::Write) keep_heard(group, c);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -172,6 +172,32 @@
   }
 }
 
+// A read far apart from the last one of its group, where a probe is dear: it goes to the primary unproven but for a share. Where
+// primaries take as much of their aims as is roomy, each such read asks a replica first, whatever a probe costs.
+TEST(Admission, ThinReadsLeaveAPressedPrimaryAlone) {
+  const auto to_replicas = [](Nanos primary_takes) {
+    Settings s = settings();
+    s.probe_price = 0.4;
+    Bench b(s);
+    b.settle();
+    int served = 0;
+    for (int i = 0; i < 40; ++i) {
+      for (int write = 0; write < 3; ++write) b.end(b.ask(kWrite), 1, Result::Ok, true, primary_takes);
+      b.now += 1100 * ms; // no proof holds any more
+      const std::string read = b.ask(kBounded);
+      const std::vector<Probe> probes = b.all<Probe>();
+      for (const Probe& probe : probes) b.probed(probe.member, false, 10 * ms);
+      if (!b.sent()) continue;
+      served += *b.sent() != 1U;
+      b.end(read, *b.sent(), Result::Ok, true, 5 * ms);
+    }
+    return served;
+  };
+  // Of 40: ten at once and a tenth for each request; or whoever comes while the primary is known to be pressed.
+  EXPECT_LE(to_replicas(20 * ms), 22);
+  EXPECT_GE(to_replicas(600 * ms), 26);
+}
+
 // A hundred routers with no probes left to their share, whose groups' primary drains: each read asks every member once
 // and goes to whoever shows itself as the new primary, with no write to find it first.
 TEST(Admission, AReadOfAGroupWithoutAPrimaryFindsTheNewOneAmongManyRouters) {
