Let writes that are out bind a session's reads where the site says that answers count unheard

That an answer counts 100 ms after its writing, come or not, is a term of the protocol on sockets; on the simulator's wire an answer counts once it came, and the module sent session reads to primaries for nothing. At fault: the bound stood in the module as a constant (sessions.h).

Now it is a setting, answers_known_after; the gateway gives the protocol's figure, the adapter none.

--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -58,6 +58,8 @@
   Nanos ask_within = 0; // Asked only: how old an unasked list may grow
   ListRole list_role = ListRole::None;
   TokenMode tokens = TokenMode::Remembered;
+  // So long after its writing what an answer tells counts as known, come or not; nothing: once it came.
+  std::optional<Nanos> answers_known_after;
   Checks checks = Checks::None;
   Nanos check_wait = 0;
   ReportVia reports = ReportVia::None;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -17,6 +17,8 @@
 using settings::FormatError;
 using settings::Reader;
 
+constexpr Nanos kAnswersKnown = 100'000'000; // of the protocol on sockets, where answers may be lost on the way
+
 std::uint64_t seed_of(const std::string& text) {
   std::uint64_t seed = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
@@ -53,6 +55,7 @@
   }
   if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
   config.profile = settings::read_profile(body.object("settings"));
+  config.profile.settings.answers_known_after = kAnswersKnown;
   try {
     Router(config.profile.settings, config.seed); // the module's own checks, before anything listens
   } catch (const std::invalid_argument& error) { throw FormatError(error.what()); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -888,10 +888,9 @@
     const bool ran = outcome.result == Result::Error || outcome.result == Result::Timeout ||
                      outcome.result == Result::Reset || outcome.result == Result::Cancelled;
     if (const auto session = writer(job)) {
-      std::optional<Nanos> commit = outcome.commit ? outcome.commit : outcome.position;
-      if (ran || (outcome.result == Result::Ok && !commit)) commit = now_; // told nothing: at the latest now
-      if (!ran && outcome.result != Result::Ok) commit.reset();
-      writes_.ended(*session, a.sent_at, commit, now_);
+      using End = sessions::Writes::End;
+      const End end = ran ? End::Unknown : outcome.result == Result::Ok ? End::Answered : End::NeverRan;
+      writes_.ended(*session, a.sent_at, end, outcome.commit ? outcome.commit : outcome.position, now_);
     }
     if (ran && job.may_have_run == kUnknown) {
       job.may_have_run = a.sent_at;
@@ -1014,7 +1013,7 @@
   std::map<GroupId, Group> groups_;
   std::map<std::uint64_t, Job> jobs_;                  // by arrival
   std::unordered_map<std::string, std::uint64_t> ids_; // looked up only
-  sessions::Writes writes_;
+  sessions::Writes writes_{s_.answers_known_after};
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
   double copies_ = kCopyBurst;
--- a/src/sessions/sessions.cpp
+++ b/src/sessions/sessions.cpp
@@ -4,16 +4,19 @@
 
 namespace gorsebeam::sessions {
 
-void Writes::sent(std::uint64_t session, Nanos now) { out_[session].insert(now); }
+void Writes::sent(std::uint64_t session, Nanos now) {
+  if (known_after_) out_[session].insert(now);
+}
 
-void Writes::ended(std::uint64_t session, Nanos sent_at, std::optional<Nanos> commit, Nanos now) {
+void Writes::ended(std::uint64_t session, Nanos sent_at, End end, std::optional<Nanos> commit, Nanos now) {
   const auto out = out_.find(session);
   if (out != out_.end()) {
     const auto one = out->second.find(sent_at);
     if (one != out->second.end()) out->second.erase(one);
     if (out->second.empty()) out_.erase(out);
   }
-  if (!commit) return;
+  if (end == End::NeverRan || (end == End::Unknown && !known_after_)) return;
+  if (end == End::Unknown || !commit) commit = now; // nothing was told of it: at the latest now
   const auto [written, fresh] = written_.try_emplace(session, *commit);
   if (fresh) order_.push_back(session);
   written->second = std::max(written->second, *commit);
@@ -31,8 +34,8 @@
   const auto found = written_.find(session);
   const Nanos ended = found == written_.end() ? floor_ : found->second;
   const auto out = out_.find(session);
-  const bool known = out != out_.end() && *out->second.begin() < now - kKnown;
-  return known ? std::max(ended, now - kKnown) : ended;
+  if (out == out_.end() || *out->second.begin() >= now - *known_after_) return ended;
+  return std::max(ended, now - *known_after_);
 }
 
 } // namespace gorsebeam::sessions
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -336,9 +336,11 @@
 // A write's answer may be lost or held up on the way while its member has committed it: what the session reads from then on
 // must see it, also where the write ended without an answer, or with one whose commit was spoilt.
 TEST(Admission, ASessionReadNeedsWhatItsWriteMayHaveDone) {
-  const auto reads = [](std::optional<Result> end, bool keyed, Nanos since = 30 * ms) {
+  const auto reads = [](std::optional<Result> end, bool keyed, Nanos since = 30 * ms,
+                        std::optional<Nanos> known_after = 100 * ms) {
     Settings s = settings();
     s.tokens = TokenMode::Remembered;
+    s.answers_known_after = known_after;
     Bench b(s);
     b.settle();
     const std::string id = b.ask(keyed ? kKeyed : kWrite, 9);
@@ -358,6 +360,9 @@
   EXPECT_EQ(reads(Result::Timeout, false), 1U);
   EXPECT_EQ(reads(Result::Error, false), 1U);
   EXPECT_EQ(reads(Result::Ok, true), 1U) << "served, and its commit not told";
+  EXPECT_NE(reads(std::nullopt, true, 500 * ms, {}), 1U) << "where only what came counts";
+  EXPECT_NE(reads(Result::Reset, false, 500 * ms, {}), 1U);
+  EXPECT_EQ(reads(Result::Ok, true, 500 * ms, {}), 1U);
   EXPECT_NE(reads(Result::NotSent, false), 1U) << "it never ran";
   EXPECT_NE(reads(Result::Full, false), 1U) << "it never ran";
 }
