--- a/src/discovery/newest.cpp
+++ b/src/discovery/newest.cpp
@@ -27,7 +27,8 @@
     Member& member = listed.member;
     named.insert(listed.name);
     const auto held = told_.find(listed.name);
-    const bool older = held != told_.end() && held->second.count == count_ && list.revision < held->second.revision;
+    const bool older =
+        held != told_.end() && held->second.count == count_ && list.revision < held->second.revision;
     if (older && !newest) continue;
     if (older || (held != told_.end() && still_leaving(held->second, member))) {
       Told& told = held->second;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -41,9 +41,9 @@
   net::Timer silence_, retry_;
   Pace pace_;
   Newest newest_;
-  Objects objects_; // of the answer
+  Objects objects_;                                          // of the answer
   bool head_read_ = false, chunked_ = false, first_ = false; // first_: of this watch's lists
-  std::string told_; // why it ended, as last logged
+  std::string told_;                                         // why it ended, as last logged
 };
 
 } // namespace gorsebeam::discovery
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -13,7 +13,7 @@
 constexpr Nanos kOwed = 2 * kSecond + kSecond / 2; // an error or a close is due 3 s after connecting
 constexpr Nanos kUnread = 5 * kSecond;             // an answer not taken for longer than any deadline
 constexpr std::size_t kStepsAtOnce = 16;           // messages of one connection in one turn of the loop
-constexpr std::size_t kAheadMost = 8 * 1024;       // bytes read behind a request in hand where memory is short
+constexpr std::size_t kAheadMost = 8 * 1024; // bytes read behind a request in hand where memory is short
 } // namespace
 
 std::uint64_t hash_name(std::string_view name) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,9 +38,9 @@
 constexpr double kCopyShare = 0.02;  // second copies, as a share of requests: bounds the load they add
 constexpr double kCopyBurst = 20;    // copies that may go at once: one member's requests in hand
 constexpr double kErrorShare = 0.25; // a member failing this share of its requests is set aside
-constexpr Nanos kForget = 60'000 * kMs;        // what is known of a member that is gone is kept for so long
-constexpr Nanos kHandOver = 1000 * kMs;        // a role that is handed over is taken up sooner
-constexpr Nanos kStaleNews = 2000 * kMs;       // age given to a role whose news bears no date
+constexpr Nanos kForget = 60'000 * kMs;  // what is known of a member that is gone is kept for so long
+constexpr Nanos kHandOver = 1000 * kMs;  // a role that is handed over is taken up sooner
+constexpr Nanos kStaleNews = 2000 * kMs; // age given to a role whose news bears no date
 constexpr double kProbeShare = 0.1; // probes, as a share of this router's own requests: bounds their cost
 constexpr double kProofCost = 0.04; // of its worth, for probes on behalf of a read that uses a proof alone
 constexpr double kProbeBurst = 10;  // probes that may go at once: a group's members, and some more
@@ -676,8 +676,7 @@
     }
     if (s_.discovery == Discovery::Asked && list.kind == MemberList::Kind::Remembered) watch_at_ = now_;
     std::set<MemberId> seen;
-    for (const Member& entry : list.members)
-      seen.insert(entry.id), take_entry(entry, list);
+    for (const Member& entry : list.members) seen.insert(entry.id), take_entry(entry, list);
     if (list.kind != MemberList::Kind::Changes)
       for (auto& [id, m] : rows_)
         if (!seen.count(id)) leave(m, MemberState::Removed);
--- a/src/sessions/sessions.h
+++ b/src/sessions/sessions.h
@@ -18,8 +18,8 @@
 
 class Writes {
 public:
-  static constexpr Nanos kNone = INT64_MIN;       // nothing was written
-  static constexpr std::size_t kMost = 100'000;   // sessions remembered; older ones fold into one floor
+  static constexpr Nanos kNone = INT64_MIN;          // nothing was written
+  static constexpr std::size_t kMost = 100'000;      // sessions remembered; older ones fold into one floor
   static constexpr Nanos kRemember = 60'000'000'000; // and for so long: no replica in use is further behind
 
   // `known_after`: so long after its writing an answer counts as known, come or not; nothing: once it came, and then
@@ -35,8 +35,8 @@
 
 private:
   std::optional<Nanos> known_after_;
-  std::unordered_map<std::uint64_t, Nanos> written_; // looked up only
-  std::deque<std::uint64_t> order_;                  // of their first writes
+  std::unordered_map<std::uint64_t, Nanos> written_;            // looked up only
+  std::deque<std::uint64_t> order_;                             // of their first writes
   std::unordered_map<std::uint64_t, std::multiset<Nanos>> out_; // when sent; ended by each attempt's one end
   Nanos floor_ = kNone;
 };
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -74,8 +74,9 @@
   Newest newest;
   EXPECT_EQ(taken(newest, 40, true, {member("a", up), member("b", up)}, true), "all a+ b+");
   EXPECT_EQ(taken(newest, 44, false, {member("a", draining)}), " a~");
-  EXPECT_EQ(taken(newest, 42, false, {member("a", up), member("b", draining)}), " b~"); // of b it is the newest
-  EXPECT_EQ(taken(newest, 43, true, {member("a", up), member("c", up)}), " c+");        // and b is not gone
+  EXPECT_EQ(taken(newest, 42, false, {member("a", up), member("b", draining)}),
+            " b~");                                                              // of b it is the newest
+  EXPECT_EQ(taken(newest, 43, true, {member("a", up), member("c", up)}), " c+"); // and b is not gone
   EXPECT_EQ(taken(newest, 45, false, {member("a", gone)}), " a-");
   EXPECT_EQ(taken(newest, 44, false, {member("a", draining)}), "");
   EXPECT_EQ(taken(newest, 45, false, {member("a", gone)}), " a-"); // told again, it is the same
@@ -88,12 +89,15 @@
 TEST(Newest, InAnotherCountWhoWasToldToLeaveIsBackOnlyByAStartOrALaterWord) {
   for (const bool moved : {true, false}) {
     Newest newest;
-    taken(newest, 40, true, {member("a", draining, 5), member("b", draining, 5), member("c", up), member("d", up)}, true);
+    taken(newest, 40, true,
+          {member("a", draining, 5), member("b", draining, 5), member("c", up), member("d", up)}, true);
     EXPECT_EQ(taken(newest, 41, false, {member("d", gone)}), " d-");
-    EXPECT_EQ(taken(newest, 42, true, {member("a", draining, 5), member("b", draining, 5), member("d", gone)}),
-              "all a~ b~ d-"); // c is left out
+    EXPECT_EQ(
+        taken(newest, 42, true, {member("a", draining, 5), member("b", draining, 5), member("d", gone)}),
+        "all a~ b~ d-"); // c is left out
     if (moved) newest.recount();
-    EXPECT_EQ(taken(newest, 7, true, {member("a", up, 5), member("b", up, 6), member("c", up), member("d", up)}, true),
+    EXPECT_EQ(taken(newest, 7, true,
+                    {member("a", up, 5), member("b", up, 6), member("c", up), member("d", up)}, true),
               "all a~ b+ c+ d-");
     EXPECT_EQ(newest.revision(), 7);
     EXPECT_EQ(taken(newest, 7, true, {member("a", up, 5)}), "all a~"); // no later word
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -579,7 +579,8 @@
 TEST(Rules, WhatWasDecidedHoldsAtTheMomentOfWritingOrIsNotWritten) {
   Bench b;
   b.settle();
-  const std::string bounded = b.ask(kBounded), any = b.ask(kAny), gone = b.ask(kAny), keyed = b.ask(kKeyed, 1);
+  const std::string bounded = b.ask(kBounded), any = b.ask(kAny), gone = b.ask(kAny),
+                    keyed = b.ask(kKeyed, 1);
   const auto to = [&b](const std::string& id) {
     for (const auto& [name, member] : b.went)
       if (name == id) return member;
@@ -614,9 +615,9 @@
 TEST(Rules, InDrawnHistoriesNoAttemptOrProbeBreaksARule) {
   struct Asked {
     std::size_t index = 0;
-    bool over = false;                   // answered, or its client left
+    bool over = false;                     // answered, or its client left
     std::map<std::uint32_t, MemberId> out; // attempts by their number
-    std::optional<Nanos> ran;            // since when it may have run
+    std::optional<Nanos> ran;              // since when it may have run
   };
   std::size_t sends = 0, repeats = 0, beside = 0, probes = 0, left = 0;
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
@@ -676,8 +677,9 @@
           if (a.out.empty() || below(2)) continue;
           const auto [number, member] = *a.out.begin();
           a.out.erase(a.out.begin());
-          const Result result = std::array{Result::Ok,    Result::Ok,      Result::Miss,         Result::Error, Result::Full,
-                                           Result::Reset, Result::Timeout, Result::NoConnection, Result::NotSent}[below(9)];
+          const Result result =
+              std::array{Result::Ok,    Result::Ok,      Result::Miss,         Result::Error,  Result::Full,
+                         Result::Reset, Result::Timeout, Result::NoConnection, Result::NotSent}[below(9)];
           const bool ran = result == Result::Error || result == Result::Reset || result == Result::Timeout;
           if (ran && !a.ran) a.ran = b.now - 10 * ms;
           a.over |= result == Result::Ok;
@@ -686,7 +688,8 @@
         }
         break;
       case 5: { // a client leaves, and what was out for it is withdrawn
-        const auto one = asked.empty() ? asked.end() : std::next(asked.begin(), static_cast<long>(below(asked.size())));
+        const auto one =
+            asked.empty() ? asked.end() : std::next(asked.begin(), static_cast<long>(below(asked.size())));
         if (one == asked.end() || one->second.over) break;
         one->second.over = true, ++left;
         b.give(ClientGone{one->first});
--- a/tests/stories/control.cpp
+++ b/tests/stories/control.cpp
@@ -18,9 +18,6 @@
 
 namespace {
 
-Ask read(const std::string& id, int wait_ms = 2000) { return {id, "any", "", wait_ms, false}; }
-Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
-
 std::string control(const std::vector<std::string>& addresses, const std::string& more = "") {
   std::string text =
       "control_service { node: 'gw-1' cluster: 'palermo' reconnect_most_ms: 100 silence_ms: 500 "
--- a/tests/stories/crossings.cpp
+++ b/tests/stories/crossings.cpp
@@ -9,24 +9,6 @@
 
 namespace {
 
-Ask read(const std::string& id, int wait_ms = 2000) { return {id, "any", "", wait_ms, false}; }
-Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
-
-int attempts_of(const Stage& stage, const std::string& id) {
-  int count = 0;
-  for (const auto& a : stage.attempts) count += a.ask.id == id;
-  return count;
-}
-
-void reads_served(Client& client, const std::string& name, int count) {
-  for (int i = 0; i < count; ++i) CHECK(client.answer_to(read(name + std::to_string(i))) == Final::Served);
-}
-
-void finish(Stage& stage) {
-  stage.check_rules();
-  CHECK(stage.running());
-}
-
 // The gateway's loop has gone round, and read all that it reads: `client` was declined so often since.
 void loop_goes_round(Client& client, const std::string& name) {
   for (int i = 0; i < 40; ++i)
@@ -88,7 +70,8 @@
       hold_greetings(stage);
       const auto leaver = stage.client();
       std::string bytes = protocol.client_ask(read("left-0"));
-      for (int i = 1; bytes.size() < behind; ++i) bytes += protocol.client_ask(read("left-" + std::to_string(i)));
+      for (int i = 1; bytes.size() < behind; ++i)
+        bytes += protocol.client_ask(read("left-" + std::to_string(i)));
       leaver->write(bytes);
       awaited(stage);
       until([&] { return leaver->flushed(); }, "all to be written");
@@ -112,7 +95,8 @@
   Stage stage(protocol, 2, 0);
   stage.start();
   const auto client = stage.client(), resting = stage.client();
-  CHECK(client->answer_to(read("before")) == Final::Served && resting->answer_to(read("rests")) == Final::Served);
+  CHECK(client->answer_to(read("before")) == Final::Served &&
+        resting->answer_to(read("rests")) == Final::Served);
   stage.script = {Fault::Silent};
   client->ask(read("in-hand", 2500));
   until([&] { return attempts_of(stage, "in-hand") == 1; }, "the request to go out");
@@ -295,9 +279,11 @@
     const std::string notice = protocol.member_notice();
     for (int round = 0; round < 5; ++round) {
       stage.freeze(); // so that the bytes are there when the next request is
-      for (const auto& member : stage.members) member->say(half ? notice.substr(0, notice.size() / 2) : notice);
+      for (const auto& member : stage.members)
+        member->say(half ? notice.substr(0, notice.size() / 2) : notice);
       const std::string id = "b" + std::to_string(round);
-      client->ask(round % 2 ? read(id) : Ask{id, "once", "key", 2500, true}); // served, as it met no broken connection
+      client->ask(round % 2 ? read(id)
+                            : Ask{id, "once", "key", 2500, true}); // served, as it met no broken connection
       until([&] { return client->flushed(); }, "the request to be written");
       stage.go_on();
       CHECK(client->answer() == Final::Served && client->value.compare(0, 4, "by m") == 0);
@@ -340,7 +326,8 @@
     const auto fresh = stage.client();
     fresh->ask(read("fresh"));
     until([&] { return resting->flushed() && fresh->flushed(); }, "both to be written");
-    crossed = !resting->ended_by_gateway && !fresh->ended_by_gateway; // else the door was faster on a busy machine
+    crossed =
+        !resting->ended_by_gateway && !fresh->ended_by_gateway; // else the door was faster on a busy machine
     stage.go_on();
     if (crossed)
       for (Client* client : {resting.get(), fresh.get()}) {
@@ -470,20 +457,14 @@
 } // namespace
 
 int main(int, char** arguments) {
-  const std::map<std::string, void (*)(const Protocol&)> stories{{"late_connection", late_connection},
-                                                                 {"late_repeat", late_repeat},
-                                                                 {"late_probe", late_probe},
-                                                                 {"late_dial", late_dial},
-                                                                 {"short_window", short_window},
-                                                                 {"client_leaves", client_leaves},
-                                                                 {"waiting_leaves", waiting_leaves},
-                                                                 {"burst_leaves", burst_leaves},
-                                                                 {"resting_bytes", resting_bytes},
-                                                                 {"endless", endless},
-                                                                 {"door_closed", door_closed},
-                                                                 {"bytes_at_the_door", bytes_at_the_door},
-                                                                 {"half_written", half_written},
-                                                                 {"lists", lists}};
+  const std::map<std::string, void (*)(const Protocol&)> stories{
+      {"late_connection", late_connection}, {"late_repeat", late_repeat},
+      {"late_probe", late_probe},           {"late_dial", late_dial},
+      {"short_window", short_window},       {"client_leaves", client_leaves},
+      {"waiting_leaves", waiting_leaves},   {"burst_leaves", burst_leaves},
+      {"resting_bytes", resting_bytes},     {"endless", endless},
+      {"door_closed", door_closed},         {"bytes_at_the_door", bytes_at_the_door},
+      {"half_written", half_written},       {"lists", lists}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -247,8 +247,9 @@
   const std::string path = folder + "/config.json";
   const auto service = [&site](const char* name, const char* effect) {
     return std::string(R"({"name":")") + name + R"(","aim":)" + std::to_string(site.aim_ms) +
-           R"(000000,"give_up":)" + std::to_string(site.aim_ms + 1000) + R"(000000,"effect":")" + effect + R"(","group":"cell","window":)" +
-           std::to_string(site.window_ms) + R"(000000,"worth":1,"late_worth":0})";
+           R"(000000,"give_up":)" + std::to_string(site.aim_ms + 1000) + R"(000000,"effect":")" + effect +
+           R"(","group":"cell","window":)" + std::to_string(site.window_ms) +
+           R"(000000,"worth":1,"late_worth":0})";
   };
   std::ofstream(path)
       << R"({"name":"n0","listen":")" << site.listen << R"(","discovery":")" << discovery
@@ -258,7 +259,8 @@
       << ',' << service("once", "single_shot")
       << R"(],"extra":{"read_level":["eventual","causal","mutate","mutate"],"lag_allowed":[0,0,0,0],)"
       << R"("list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
-      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << site.dial_ms << R"(000000,"keepalive":30000000000,)"
+      << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << site.dial_ms
+      << R"(000000,"keepalive":30000000000,)"
       << R"("retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":0.5,)"
       << R"("drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
   return path;
@@ -356,7 +358,7 @@
 
 void Stage::take_log() {
   char buffer[4096];
-  for (ssize_t got; (got = read(log_fd_, buffer, sizeof buffer)) > 0;)
+  for (ssize_t got; (got = ::read(log_fd_, buffer, sizeof buffer)) > 0;)
     log.append(buffer, static_cast<std::size_t>(got));
 }
 
@@ -426,6 +428,24 @@
   rmdir(folder_.c_str());
 }
 
+Ask read(const std::string& id, int wait_ms) { return {id, "any", "", wait_ms, false}; }
+Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
+
+int attempts_of(const Stage& stage, const std::string& id) {
+  int count = 0;
+  for (const auto& a : stage.attempts) count += a.ask.id == id;
+  return count;
+}
+
+void reads_served(Client& client, const std::string& name, int count) {
+  for (int i = 0; i < count; ++i) CHECK(client.answer_to(read(name + std::to_string(i))) == Final::Served);
+}
+
+void finish(Stage& stage) {
+  stage.check_rules();
+  CHECK(stage.running());
+}
+
 int run_program(const std::vector<std::string>& arguments, std::string& output) {
   std::vector<const char*> list{GORSEBEAM_PROGRAM};
   for (const std::string& a : arguments) list.push_back(a.c_str());
--- a/tests/stories/stage.h
+++ b/tests/stories/stage.h
@@ -109,7 +109,8 @@
   }
   void hang_up() { stream_->close(); }
   bool flushed() const { return stream_->all_written(); }
-  void deaf(bool deaf) { stream_->pause_reading(deaf); } // reads nothing, not even the end, until it is no more
+  // Deaf, it reads nothing, not even the end.
+  void deaf(bool deaf) { stream_->pause_reading(deaf); }
   void half_close() { stream_->shut(); } // its sending side ends; it goes on reading
   std::string value; // the last one served
   std::string input; // bytes not taken for an answer
@@ -203,6 +204,13 @@
   int fd_ = -1;
 };
 
+// Questions as most stories ask them, and what is told of them.
+Ask read(const std::string& id, int wait_ms = 2000);
+Ask save(const std::string& id);
+int attempts_of(const Stage& stage, const std::string& id);
+void reads_served(Client& client, const std::string& name, int count);
+void finish(Stage& stage); // the rules held, and the program still runs
+
 // Runs the program to its end; for files that it must refuse.
 int run_program(const std::vector<std::string>& arguments, std::string& output);
 std::string write_config(const std::string& folder, const std::string& discovery, const Site& site = {});
--- a/tests/stories/stories.cpp
+++ b/tests/stories/stories.cpp
@@ -8,26 +8,8 @@
 
 namespace {
 
-Ask read(const std::string& id, int wait_ms = 2000) { return {id, "any", "", wait_ms, false}; }
-Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
-
-int attempts_of(const Stage& stage, const std::string& id) {
-  int count = 0;
-  for (const auto& a : stage.attempts) count += a.ask.id == id;
-  return count;
-}
-
-void reads_served(Client& client, const std::string& name, int count) {
-  for (int i = 0; i < count; ++i) CHECK(client.answer_to(read(name + std::to_string(i))) == Final::Served);
-}
-
 constexpr int kSome = -1; // as many attempts as it takes, within the rules
 
-void finish(Stage& stage) {
-  stage.check_rules();
-  CHECK(stage.running());
-}
-
 // One shared script of faults: what became of each request must be the same whatever the wire.
 void faults(const Protocol& protocol) {
   struct Line {
