--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -68,7 +68,7 @@
   bool probes = true;
   double probe_price = 0.24; // what one costs, in parts of a request's worth; 0: nothing
   bool cancels = false;
-  bool second_copies = false;
+  bool hedging = false; // a second copy of a late read may go out beside the first
   bool retry_after = false;
   Nanos max_retry_after = 0;
   std::uint32_t max_attempts = 1;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,8 +35,8 @@
 constexpr double kEnough = 30;       // answers whose mean errs by a fifth: fewer tell little of a crowd
 constexpr double kUsual = 0.21;      // the part of their aims that answers take with no crowd
 constexpr double kPooled = 4;        // answers of its own from which on a member counts more than its pool
-constexpr double kCopyShare = 0.02;  // second copies, as a share of requests: bounds the load they add
-constexpr double kCopyBurst = 20;    // copies that may go at once: one member's requests in hand
+constexpr double kHedgeShare = 0.02; // hedges, as a share of requests: bounds the load they add
+constexpr double kHedgeBurst = 20;   // hedges that may go at once: one member's requests in hand
 constexpr double kErrorShare = 0.25; // a member failing this share of its requests is set aside
 constexpr Nanos kForget = 60'000 * kMs;  // what is known of a member that is gone is kept for so long
 constexpr Nanos kHandOver = 1000 * kMs;  // a role that is handed over is taken up sooner
@@ -126,7 +126,7 @@
   std::vector<Attempt> attempts;
   Nanos may_have_run = kUnknown; // when the first attempt that may have run was sent
   MemberId ran_at = 0;
-  bool closed = false, copied = false;
+  bool closed = false, hedged = false;
   Nanos not_before = 0, look_at = kNever;
   int out = 0;
 };
@@ -490,7 +490,7 @@
   void advance(Job& job) {
     if (job.closed || (now_ < job.not_before && now_ < job.end)) return;
     const RequestClass& c = s_.classes[job.request.class_index];
-    if (job.out > 0) return second_copy(job);
+    if (job.out > 0) return hedge(job);
     if (now_ >= job.end || job.attempts.size() >= attempts_of(job)) return give_up(job);
     if (!repeatable(job)) return give_up(job);
     if (c.level == ReadLevel::Write || c.level == ReadLevel::Fresh) return to_primary(job);
@@ -569,20 +569,20 @@
     send(job, *best, false);
   }
 
-  // An attempt is late. Where copies may run side by side one goes to another replica: at once if the member
-  // was set aside, else within a small share of all requests.
-  void second_copy(Job& job) {
+  // An attempt is late. Where the site allows it a hedge, a second copy, goes to another replica: at once if
+  // the member was set aside, else within a small share of all requests.
+  void hedge(Job& job) {
     const RequestClass& c = s_.classes[job.request.class_index];
     const Attempt& last = job.attempts.back();
-    if (c.effect == Effect::Unsafe || job.copied || !last.out || c.level == ReadLevel::Fresh) return;
+    if (c.effect == Effect::Unsafe || job.hedged || !last.out || c.level == ReadLevel::Fresh) return;
     if (c.level == ReadLevel::Write || job.attempts.size() >= attempts_of(job)) return;
     const bool bad = rows_.at(last.member).set_aside;
-    if (!s_.second_copies || !last.overdue || (!bad && copies_ < 1)) return;
+    if (!s_.hedging || !last.overdue || (!bad && hedges_ < 1)) return;
     if (now_ + static_cast<Nanos>(work_of(job)) > job.end) return;
     const auto id = choose_replica(job);
     if (!id || !send(job, *id, false)) return;
-    if (!bad) copies_ -= 1;
-    job.copied = true;
+    if (!bad) hedges_ -= 1;
+    job.hedged = true;
   }
 
   double value_of(const Job& job) const { return s_.classes[job.request.class_index].worth / work_of(job); }
@@ -639,7 +639,7 @@
     if (it == rows_.end() || job.attempts.size() >= attempts_of(job)) return false;
     MemberRow& m = it->second;
     const bool safe = s_.classes[job.request.class_index].effect == Effect::Safe;
-    if (job.out > 0 && (!s_.second_copies || !safe)) return false;
+    if (job.out > 0 && (!s_.hedging || !safe)) return false;
     if (!may_go(job, m) || !cold_room(m, job)) return false; // no cold member pushed over
     if (trial) m.trial_out = true;
     job.attempts.push_back({id, now_, need_of(job), true, false, trial});
@@ -761,7 +761,7 @@
     }
     for (ClassStat& stat : stats_) stat.seen *= 1 - kStep;
     stats_[request.class_index].seen += 1;
-    copies_ = std::min(copies_ + kCopyShare, kCopyBurst);
+    hedges_ = std::min(hedges_ + kHedgeShare, kHedgeBurst);
     Group& group = groups_[request.group];
     if (c.level == ReadLevel::Bounded) group.thin = std::exchange(group.read_at, now_) < now_ - c.bound;
     const bool alone = group.thin && (c.level == ReadLevel::Bounded || c.level == ReadLevel::Session);
@@ -990,7 +990,7 @@
     phase_ = 0;
     job.look_at = job.out == 0 ? pulse : kNever;
     for (const Attempt& a : job.attempts) {
-      if (!a.out || (a.overdue && (job.closed || job.copied || !safe))) continue;
+      if (!a.out || (a.overdue && (job.closed || job.hedged || !safe))) continue;
       const Nanos late = a.sent_at + overdue_after(job, a.member);
       job.look_at = std::min(job.look_at, a.overdue ? pulse : std::max(late, now_ + s_.tick));
     }
@@ -1015,7 +1015,7 @@
   sessions::Writes writes_{s_.answers_known_after};
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
-  double copies_ = kCopyBurst;
+  double hedges_ = kHedgeBurst;
   std::uint64_t next_ = 0;
   double probes_ = kProbeBurst;
   std::set<std::pair<Nanos, std::uint64_t>> due_; // when each request is looked at next
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -88,7 +88,7 @@
   s.probes = limits.truth("probes");
   if (profile.find("prices")) s.probe_price = profile.object("prices").amount("probe", s.probe_price);
   s.cancels = limits.truth("cancel");
-  s.second_copies = limits.truth("parallel_tries");
+  s.hedging = limits.truth("parallel_tries");
   s.retry_after = limits.truth("retry_after");
   s.max_retry_after = limits.time("max_retry_after", 0);
   s.max_attempts = static_cast<std::uint32_t>(limits.within("send_cap", 1, kAttemptsMost, 1));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -369,7 +369,7 @@
 
 TEST(Admission, TwoTimeOutsInARowSetAsideAndAnAnswerBetweenDoesNot) {
   Settings s = settings();
-  s.second_copies = true;
+  s.hedging = true;
   Bench b(s);
   b.settle();
   std::map<std::string, MemberId> out;
@@ -625,7 +625,7 @@
     const auto below = [&random](std::uint64_t n) { return random() % n; };
     const bool copies = seed % 2; // a second one may go beside a late first
     Settings s = settings();
-    s.second_copies = copies;
+    s.hedging = copies;
     Bench b(s);
     std::map<std::string, Asked> asked;
     std::map<MemberId, MemberState> state;
