--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -1,5 +1,6 @@
-// What configuration from a control service costs: the time from a push to the change in force, by the number of members;
-// and the tail of request times while versions are applied, against none, in turns within one run.
+// What configuration from a control service costs: the time from a push to the change in force, by
+// the number of members; and the tail of request times while versions are applied, against none, in
+// turns within one run.
 #include "control/service.h"
 
 #include <algorithm>
@@ -15,17 +16,20 @@
 
 // Turns the loop without rest, as the stage's own waits look every 5 ms only.
 void spin(const std::function<bool()>& condition) {
-  while (!condition()) g_main_context_iteration(nullptr, FALSE);
+  while (!condition())
+    g_main_context_iteration(nullptr, FALSE);
 }
 
-double ms_since(gint64 start) { return static_cast<double>(g_get_monotonic_time() - start) / 1000; }
+double ms_since(gint64 start) {
+  return static_cast<double>(g_get_monotonic_time() - start) / 1000;
+}
 
 double at(std::vector<double> values, double share) {
   std::sort(values.begin(), values.end());
   return values.empty()
              ? 0
-             : values[std::min(values.size() - 1,
-                               static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+             : values[std::min(values.size() - 1, static_cast<std::size_t>(
+                                                      share * static_cast<double>(values.size())))];
 }
 
 pb::Members members(const Stage& stage, std::uint64_t generation, int more) {
@@ -36,9 +40,10 @@
     one.set_name(member->name), one.set_address(member->address);
     one.set_role(member->listed_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
   }
-  for (int i = 0; i < more; ++i) { // in other groups, draining, so that nobody probes them
+  for (int i = 0; i < more; ++i) {  // in other groups, draining, so that nobody probes them
     pb::Member& one = *m.add_postgres();
-    one.set_name("crowd-" + std::to_string(i)), one.set_address("127.0.0.1:" + std::to_string(1 + i % 60000));
+    one.set_name("crowd-" + std::to_string(i)),
+        one.set_address("127.0.0.1:" + std::to_string(1 + i % 60000));
     one.set_group(1000 + static_cast<unsigned>(i) / 4), one.set_state(pb::Member::DRAINING);
   }
   return m;
@@ -51,38 +56,49 @@
     pb::Team& team = *c.add_team();
     team.set_name(t == 0 ? "portal" : "team-" + std::to_string(t));
     team.mutable_budget()->set_per_second(1e6);
-    for (const char* name : {"any", "save"}) team.add_class_()->set_name(name);
+    for (const char* name : {"any", "save"})
+      team.add_class_()->set_name(name);
   }
   return c;
 }
 
-} // namespace
+}  // namespace
 
 int main() {
   Stage stage(postgres(), 3, 0);
   Service service;
   stage.write_file("control_service { node: 'bench' address: '" + service.address() + "' }");
   stage.start();
-  until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  until(
+      [&] {
+        return service.heard().size() >= 3;
+      },
+      "the subscriptions");
   std::uint64_t generation = 0;
 
-  // A push is in force at the latest when a request is answered that came in after its acknowledgement: one loop does
-  // both. The pause of 50 ms between runs is waited out before.
-  std::printf(
-      "push to in force, ms: members, median, least, most of 9 (each changes every member or none)\n");
+  // A push is in force at the latest when a request is answered that came in after its
+  // acknowledgement: one loop does both. The pause of 50 ms between runs is waited out before.
+  std::printf("push to in force, ms: members, median, least, most of 9 (each changes every member "
+              "or none)\n");
   const auto client = stage.client();
   for (const int count : {10, 1000, 10000}) {
     std::vector<double> took;
     for (int i = 0; i < 9; ++i) {
       pass(120);
       pb::Members m = members(stage, ++generation, count - 3);
-      for (int j = 3; j < m.postgres_size(); ++j) m.mutable_postgres(j)->set_size(1 + i % 2); // all differ
+      for (int j = 3; j < m.postgres_size(); ++j)
+        m.mutable_postgres(j)->set_size(1 + i % 2);  // all differ
       const gint64 start = g_get_monotonic_time();
       const std::string nonce = service.push(m, "v");
-      spin([&] { return service.heard().back().nonce == nonce; });
-      if (!service.heard().back().error.empty()) return 1;
+      spin([&] {
+        return service.heard().back().nonce == nonce;
+      });
+      if (!service.heard().back().error.empty())
+        return 1;
       client->ask({"p" + std::to_string(generation), "any", "", 2000, false});
-      spin([&] { return !client->answers.empty(); });
+      spin([&] {
+        return !client->answers.empty();
+      });
       client->answers.pop_front();
       took.push_back(ms_since(start));
     }
@@ -91,10 +107,12 @@
   }
   service.answer(service.push(members(stage, ++generation, 0), "few"));
 
-  // Turns of one second with and without 50 versions a second, four clients asking at a steady pace of 400 a second.
+  // Turns of one second with and without 50 versions a second, four clients asking at a steady pace
+  // of 400 a second.
   std::vector<double> times[2];
   std::vector<std::unique_ptr<Client>> clients;
-  for (int i = 0; i < 16; ++i) clients.push_back(stage.client());
+  for (int i = 0; i < 16; ++i)
+    clients.push_back(stage.client());
   int number = 0;
   std::uint64_t version = 0;
   for (int turn = 0; turn < 20; ++turn) {
@@ -108,13 +126,16 @@
         g_usleep(20'000);
       }
     });
+
     struct Out {
       Client* client;
       gint64 due;
     };
+
     std::vector<Out> out;
     std::vector<Client*> free;
-    for (const auto& c : clients) free.push_back(c.get());
+    for (const auto& c : clients)
+      free.push_back(c.get());
     spin([&] {
       const gint64 now = g_get_monotonic_time();
       for (std::size_t i = 0; i < out.size();) {
@@ -122,7 +143,7 @@
           ++i;
           continue;
         }
-        times[applies].push_back(ms_since(out[i].due)); // from when it should have gone out
+        times[applies].push_back(ms_since(out[i].due));  // from when it should have gone out
         out[i].client->answers.pop_front();
         free.push_back(out[i].client);
         out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
@@ -139,9 +160,9 @@
   }
   for (const int applies : {0, 1})
     std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
-                applies ? "50 versions a second" : "none", times[applies].size(), at(times[applies], 0.5),
-                at(times[applies], 0.9), at(times[applies], 0.99), at(times[applies], 0.999),
-                at(times[applies], 1));
+                applies ? "50 versions a second" : "none", times[applies].size(),
+                at(times[applies], 0.5), at(times[applies], 0.9), at(times[applies], 0.99),
+                at(times[applies], 0.999), at(times[applies], 1));
   std::printf("ratio of p99: %.3f\n", at(times[1], 0.99) / at(times[0], 0.99));
   stage.check_rules();
 }
--- a/bench/control_stand.cpp
+++ b/bench/control_stand.cpp
@@ -1,4 +1,5 @@
-// The stand-in control service by itself, for trying things by hand: prints its address and stands for argument-1 seconds.
+// The stand-in control service by itself, for trying things by hand: prints its address and stands
+// for argument-1 seconds.
 #include "control/service.h"
 
 #include <cstdlib>
--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -1,5 +1,6 @@
-// What a control service may send: bytes of HTTP/2, of gRPC's framing, and of xDS's messages, through everything that
-// reads them in the gateway, up to the version machine. The first byte tells at which of the three the rest comes in.
+// What a control service may send: bytes of HTTP/2, of gRPC's framing, and of xDS's messages,
+// through everything that reads them in the gateway, up to the version machine. The first byte
+// tells at which of the three the rest comes in.
 #include "grpc/session.h"
 #include "versions/versions.h"
 #include "xds/xds.h"
@@ -22,21 +23,29 @@
 // A machine that holds its promise whatever is offered: what runs fits together.
 class Taker {
 public:
-  Taker() : machine_(settings(), [this](const versions::Bodies& b) { return judge(b); }) {
-    machine_.file_at_start({xds::version_of(config::pb::Contracts()), xds::version_of(config::pb::Members()),
+  Taker()
+      : machine_(settings(), [this](const versions::Bodies& b) {
+          return judge(b);
+        }) {
+    machine_.file_at_start({xds::version_of(config::pb::Contracts()),
+                            xds::version_of(config::pb::Members()),
                             xds::version_of(config::pb::Limits())});
     machine_.begin(1, actions_);
     machine_.connected(1, actions_);
   }
+
   void message(const std::string& bytes) {
     const auto offer = xds::read_response(bytes, site_);
-    if (!offer) return;
+    if (!offer)
+      return;
     actions_.clear();
     machine_.offered(++now_, *offer, actions_);
     for (const versions::Action& action : actions_) {
-      if (const auto* ask = std::get_if<versions::Ask>(&action)) xds::request(*ask, "node", "cluster");
+      if (const auto* ask = std::get_if<versions::Ask>(&action))
+        xds::request(*ask, "node", "cluster");
       if (const auto* run = std::get_if<versions::Run>(&action)) {
-        if (judge(run->bodies)) std::abort();
+        if (judge(run->bodies))
+          std::abort();
         config::contracts_of(xds::contracts_of(run->bodies[0]), site_.classes);
         config::members_of(xds::members_of(run->bodies[1]).postgres());
       }
@@ -49,21 +58,26 @@
     s.addresses = {"127.0.0.1:1"};
     return s;
   }
+
   std::optional<versions::Misfit> judge(const versions::Bodies& b) const {
-    const auto fault = config::check_together(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
-    if (!fault) return std::nullopt;
+    const auto fault =
+        config::check_together(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
+    if (!fault)
+      return std::nullopt;
     return versions::Misfit{fault->text(), fault->reference};
   }
+
   config::Site site_ = site();
   versions::Machine machine_;
   versions::Actions actions_;
   versions::Nanos now_ = 1;
 };
 
-} // namespace
+}  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  if (size == 0) return 0;
+  if (size == 0)
+    return 0;
   const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
   Taker taker;
   std::string message;
@@ -71,18 +85,22 @@
     taker.message(std::string(bytes));
   } else if (data[0] % 3 == 1) {
     grpc::Reader reader;
-    for (std::size_t at = 0; at < bytes.size(); at += 7) { // in pieces
+    for (std::size_t at = 0; at < bytes.size(); at += 7) {  // in pieces
       reader.feed(bytes.substr(at, 7));
-      while (reader.next(message) == grpc::Reader::Step::Whole) taker.message(message);
+      while (reader.next(message) == grpc::Reader::Step::Whole)
+        taker.message(message);
     }
   } else {
     grpc::Session session("127.0.0.1:1", xds::kPath);
     std::int64_t now = 0;
-    while (!session.output().empty()) {}
+    while (!session.output().empty()) {
+    }
     for (std::size_t at = 0; at < bytes.size() && session.fault().empty(); at += 64) {
       session.feed(bytes.substr(at, 64), now += 1'000'000);
-      while (session.next(message)) taker.message(message);
-      while (!session.output().empty()) {}
+      while (session.next(message))
+        taker.message(message);
+      while (!session.output().empty()) {
+      }
     }
   }
   return 0;
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -15,14 +15,17 @@
   try {
     while (std::getline(std::cin, text)) {
       ++number;
-      if (text.empty()) continue;
+      if (text.empty())
+        continue;
       session.line(text, reply);
-      if (reply.empty() || session.inside_batch()) continue;
+      if (reply.empty() || session.inside_batch())
+        continue;
       std::cout << reply << std::flush;
       reply.clear();
     }
     if (session.inside_batch()) {
-      std::cerr << "gorsebeam_adapter: the input ended inside a batch, after line " << number << '\n';
+      std::cerr << "gorsebeam_adapter: the input ended inside a batch, after line " << number
+                << '\n';
       return 1;
     }
   } catch (const std::exception& error) {
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -15,8 +15,10 @@
 
 class Session {
 public:
-  // Takes one line; appends the reply's lines, ending with the one that ends a reply, once a batch is whole.
+  // Takes one line; appends the reply's lines, ending with the one that ends a reply, once a batch
+  // is whole.
   void line(const std::string& text, std::string& reply);
+
   bool inside_batch() const { return open_; }
 
 private:
@@ -24,6 +26,7 @@
     Router router;
     settings::Profile profile;
   };
+
   using Reader = settings::Reader;
 
   void event(const std::string& name, const Reader& body, std::string& reply);
@@ -36,7 +39,7 @@
   Nanos now_ = 0;
   std::map<std::int64_t, Instance> instances_;
   std::array<std::vector<Member>, 16> lists_;
-  std::vector<Action> actions_; // kept to spare allocations
+  std::vector<Action> actions_;  // kept to spare allocations
 };
 
-} // namespace gorsebeam::adapter
+}  // namespace gorsebeam::adapter
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -6,25 +6,30 @@
 namespace gorsebeam::admission {
 namespace {
 constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kIdleLeast = 2050 * kMs;  // the platform's clients may count on 2 s where there is no need
-constexpr Nanos kSilentLeast = 200 * kMs; // one that never asked makes room for others after this
-constexpr Nanos kOnceLeast = 100 * kMs;   // of uses again, nine in ten came sooner on the recorded days
+constexpr Nanos kIdleLeast =
+    2050 * kMs;  // the platform's clients may count on 2 s where there is no need
+constexpr Nanos kSilentLeast = 200 * kMs;  // one that never asked makes room for others after this
+constexpr Nanos kOnceLeast =
+    100 * kMs;  // of uses again, nine in ten came sooner on the recorded days
 constexpr Nanos kPressedLeast = 50 * kMs;
 
 bool older(const Idle& a, const Idle& b) {
-  return std::tuple(a.answered > 0, a.since, a.index) < std::tuple(b.answered > 0, b.since, b.index);
+  return std::tuple(a.answered > 0, a.since, a.index) <
+         std::tuple(b.answered > 0, b.since, b.index);
 }
-} // namespace
+}  // namespace
 
 std::vector<std::size_t> room_for_new(std::vector<Idle> idle, Nanos now) {
   std::sort(idle.begin(), idle.end(), older);
   std::vector<std::size_t> order;
   for (const Idle& one : idle)
-    if (now - one.since >= kPressedLeast) order.push_back(one.index);
+    if (now - one.since >= kPressedLeast)
+      order.push_back(one.index);
   return order;
 }
 
-std::vector<Close> retire(std::vector<Idle> idle, Nanos now, std::size_t connected, std::size_t most) {
+std::vector<Close> retire(std::vector<Idle> idle, Nanos now, std::size_t connected,
+                          std::size_t most) {
   std::sort(idle.begin(), idle.end(), older);
   std::vector<Close> silent, rested, once;
   for (const Idle& one : idle) {
@@ -41,6 +46,8 @@
   return silent;
 }
 
-Nanos again(std::size_t connected, std::size_t most) { return connected > most / 2 ? 50 * kMs : 200 * kMs; }
+Nanos again(std::size_t connected, std::size_t most) {
+  return connected > most / 2 ? 50 * kMs : 200 * kMs;
+}
 
-} // namespace gorsebeam::admission
+}  // namespace gorsebeam::admission
--- a/src/budgets/ledger.cpp
+++ b/src/budgets/ledger.cpp
@@ -25,7 +25,8 @@
 
 Nanos Ledger::charge(const std::string& team, Nanos now) {
   const auto found = buckets_.find(team);
-  if (found == buckets_.end()) return 0;
+  if (found == buckets_.end())
+    return 0;
   Bucket& bucket = found->second;
   const double filled = static_cast<double>(now - bucket.at) / kSecond * bucket.rate.per_second;
   bucket.left = std::min(bucket.rate.burst, bucket.left + filled);
@@ -34,7 +35,8 @@
     bucket.left -= 1;
     return 0;
   }
-  return std::max<Nanos>(1, static_cast<Nanos>((1 - bucket.left) / bucket.rate.per_second * kSecond));
+  return std::max<Nanos>(1,
+                         static_cast<Nanos>((1 - bucket.left) / bucket.rate.per_second * kSecond));
 }
 
-} // namespace gorsebeam::budgets
+}  // namespace gorsebeam::budgets
--- a/src/budgets/ledger.h
+++ b/src/budgets/ledger.h
@@ -1,6 +1,6 @@
-// Budgets of teams at this gateway: a bucket for each that fills at its rate and holds its burst. Pure: time comes in.
-// Beyond a budget the module refuses the request; how long until the next one fits is told from here. Kept per team of
-// the contracts in force and no longer.
+// Budgets of teams at this gateway: a bucket for each that fills at its rate and holds its burst.
+// Pure: time comes in. Beyond a budget the module refuses the request; how long until the next one
+// fits is told from here. Kept per team of the contracts in force and no longer.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -11,16 +11,19 @@
 namespace gorsebeam::budgets {
 
 struct Rate {
-  double per_second = 0; // above 0
-  double burst = 1;      // at least 1
+  double per_second = 0;  // above 0
+  double burst = 1;       // at least 1
 };
 
 class Ledger {
 public:
-  // Replaces all rates. A team that stays keeps what is left of its bucket, at most the new burst; a new one is full.
+  // Replaces all rates. A team that stays keeps what is left of its bucket, at most the new burst;
+  // a new one is full.
   void set(std::map<std::string, Rate> rates, Nanos now);
-  // Takes one request off the team's budget. 0: it fits; else how long until one would, and nothing was taken.
+  // Takes one request off the team's budget. 0: it fits; else how long until one would, and nothing
+  // was taken.
   Nanos charge(const std::string& team, Nanos now);
+
   std::size_t size() const { return buckets_.size(); }
 
 private:
@@ -29,7 +32,8 @@
     double left = 0;
     Nanos at = 0;
   };
+
   std::map<std::string, Bucket> buckets_;
 };
 
-} // namespace gorsebeam::budgets
+}  // namespace gorsebeam::budgets
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -17,7 +17,8 @@
 using settings::FormatError;
 using settings::Reader;
 
-constexpr Nanos kAnswersKnown = 100'000'000; // of the protocol on sockets, where answers may be lost on the way
+constexpr Nanos kAnswersKnown =
+    100'000'000;  // of the protocol on sockets, where answers may be lost on the way
 
 std::uint64_t seed_of(const std::string& text) {
   std::uint64_t seed = 0;
@@ -27,13 +28,15 @@
   return seed;
 }
 
-// JSON keeps no lines, so the field that a message names, in quotes, is looked for in the text: where it first stands
-// as a key; line 1 where it is missing.
+// JSON keeps no lines, so the field that a message names, in quotes, is looked for in the text:
+// where it first stands as a key; line 1 where it is missing.
 std::size_t line_of_field(const std::string& text, const std::string& message) {
   const std::size_t open = message.find('\''), close = message.find('\'', open + 1);
-  if (open == std::string::npos || close == std::string::npos) return 1;
+  if (open == std::string::npos || close == std::string::npos)
+    return 1;
   const std::size_t at = text.find('"' + message.substr(open + 1, close - open - 1) + '"');
-  if (at == std::string::npos) return 1;
+  if (at == std::string::npos)
+    return 1;
   return static_cast<std::size_t>(
              std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n')) +
          1;
@@ -46,34 +49,42 @@
   config.listen = body.text("listen");
   config.discovery = body.text("discovery");
   for (const char* field : {"listen", "discovery"})
-    if (!net::parse_address(body.text(field), 0)) body.wrong(field, "an address and a port");
+    if (!net::parse_address(body.text(field), 0))
+      body.wrong(field, "an address and a port");
   config.seed = seed_of(body.text("seed"));
   if (body.find("limits")) {
     const Reader limits = body.object("limits");
     config.memory_mb = static_cast<std::size_t>(limits.within("memory_mb", 16, 1 << 20, 192));
-    config.sockets = static_cast<std::size_t>(limits.within("sockets", kSocketsLeast, 1 << 20, 1024));
+    config.sockets =
+        static_cast<std::size_t>(limits.within("sockets", kSocketsLeast, 1 << 20, 1024));
   }
-  if (body.find("known")) config.known = discovery::read_list(body.need("known"), "known");
+  if (body.find("known"))
+    config.known = discovery::read_list(body.need("known"), "known");
   config.profile = settings::read_profile(body.object("settings"));
   config.profile.settings.answers_known_after = kAnswersKnown;
   try {
-    Router(config.profile.settings, config.seed); // the module's own checks, before anything listens
-  } catch (const std::invalid_argument& error) { throw FormatError(error.what()); }
+    Router(config.profile.settings,
+           config.seed);  // the module's own checks, before anything listens
+  } catch (const std::invalid_argument& error) {
+    throw FormatError(error.what());
+  }
   for (const char* field : {"listen", "limits", "settings"}) {
     const settings::Json* value = body.find(field);
     rapidjson::StringBuffer text;
     rapidjson::Writer<rapidjson::StringBuffer> writer(text);
-    if (value) value->Accept(writer);
+    if (value)
+      value->Accept(writer);
     config.fixed.append(text.GetString(), text.GetSize()) += '\n';
   }
   return config;
 }
 
-} // namespace
+}  // namespace
 
 Config read_config(const std::string& path) {
   std::ifstream file(path);
-  if (!file) throw FormatError(path + ": cannot be read");
+  if (!file)
+    throw FormatError(path + ": cannot be read");
   const std::string text{std::istreambuf_iterator<char>(file), {}};
   rapidjson::Document document;
   document.Parse(text.data(), text.size());
@@ -91,4 +102,4 @@
   }
 }
 
-} // namespace gorsebeam::config
+}  // namespace gorsebeam::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,18 +9,19 @@
 
 namespace gorsebeam::config {
 
-constexpr std::size_t kSocketsLeast = 48; // two fronts with a few connections each, and what is kept spare
+constexpr std::size_t kSocketsLeast =
+    48;  // two fronts with a few connections each, and what is kept spare
 
 struct Config {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
-  std::string fixed; // all that only a new start takes up, as text
+  std::string fixed;  // all that only a new start takes up, as text
   discovery::List known;
   settings::Profile profile;
 };
 
-Config read_config(const std::string& path); // throws settings::FormatError naming file and field
+Config read_config(const std::string& path);  // throws settings::FormatError naming file and field
 
-} // namespace gorsebeam::config
+}  // namespace gorsebeam::config
--- a/src/config/file.cpp
+++ b/src/config/file.cpp
@@ -26,24 +26,28 @@
 class Collector : public google::protobuf::io::ErrorCollector {
 public:
   void AddError(int line, int, const std::string& message) override {
-    if (!text.empty()) return;
+    if (!text.empty())
+      return;
     at = line;
     text = message;
   }
+
   int at = 0;
   std::string text;
 };
 
 std::string read_text(const std::string& path) {
   std::ifstream file(path);
-  if (!file) throw FormatError(path + ": cannot be read; give a file that can");
+  if (!file)
+    throw FormatError(path + ": cannot be read; give a file that can");
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
 // A field's name from the parser's message, where it quotes one.
 std::string quoted(const std::string& message) {
   const std::size_t close = message.rfind('"');
-  const std::size_t open = close == std::string::npos || close == 0 ? close : message.rfind('"', close - 1);
+  const std::size_t open =
+      close == std::string::npos || close == 0 ? close : message.rfind('"', close - 1);
   return open == std::string::npos ? "text" : message.substr(open + 1, close - open - 1);
 }
 
@@ -64,29 +68,37 @@
 
   // `from`: the field of the file that the fault's path starts at.
   [[noreturn]] void wrong(const char* from, Fault fault) const {
-    if (*from) fault.at.insert(fault.at.begin(), {from, -1});
+    if (*from)
+      fault.at.insert(fault.at.begin(), {from, -1});
     const TextFormat::ParseInfoTree* tree = &places_;
     const google::protobuf::Descriptor* type = gateway.GetDescriptor();
     int line = 0;
     std::string field = fault.at.empty() ? "file" : fault.at.back().first;
     for (const auto& [name, index] : fault.at) {
       const FieldDescriptor* step = type ? type->FindFieldByName(name) : nullptr;
-      if (!tree || !step) break;
+      if (!tree || !step)
+        break;
       const auto place = tree->GetLocation(step, step->is_repeated() ? std::max(index, 0) : -1);
-      if (place.line >= 0) line = place.line;
+      if (place.line >= 0)
+        line = place.line;
       type = step->message_type();
-      tree = type ? tree->GetTreeForNested(step, step->is_repeated() ? std::max(index, 0) : -1) : nullptr;
+      tree = type ? tree->GetTreeForNested(step, step->is_repeated() ? std::max(index, 0) : -1)
+                  : nullptr;
     }
     throw settings::field_error(path_, static_cast<std::size_t>(line) + 1, field, fault.what);
   }
 
-  std::string beside(const std::string& name) const { // a path is meant from this file's folder
+  std::string beside(const std::string& name) const {  // a path is meant from this file's folder
     const std::size_t slash = path_.rfind('/');
-    return name.empty() || name[0] == '/' || slash == std::string::npos ? name
-                                                                        : path_.substr(0, slash + 1) + name;
+    return name.empty() || name[0] == '/' || slash == std::string::npos
+               ? name
+               : path_.substr(0, slash + 1) + name;
   }
+
   const std::string& text() const { return text_; }
+
   const std::string& path() const { return path_; }
+
   pb::Gateway gateway;
 
 private:
@@ -106,40 +118,51 @@
 class Differences : public Reporter {
 public:
   Differences(const Message& before, const Message& after) : before_(before), after_(after) {}
+
   std::vector<std::string> lines;
+
   // What is handed over is the innermost message; the paths start at the roots.
   void ReportAdded(const Message&, const Message&, const Fields& path) override {
     lines.push_back(place(after_, path, false) + ": added" + value(after_, path, false));
   }
+
   void ReportDeleted(const Message&, const Message&, const Fields& path) override {
     lines.push_back(place(before_, path, true) + ": removed" + value(before_, path, true));
   }
+
   void ReportModified(const Message&, const Message&, const Fields& path) override {
-    if (path.back().field->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) return; // told by its fields
+    if (path.back().field->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE)
+      return;  // told by its fields
     lines.push_back(place(before_, path, true) + ":" + value(before_, path, true) + " ->" +
                     value(after_, path, false));
   }
 
 private:
   const Message &before_, &after_;
+
   static const Message& step(const Message& in, const Fields::value_type& f, bool old) {
     const auto* reflection = in.GetReflection();
-    return f.field->is_repeated() ? reflection->GetRepeatedMessage(in, f.field, old ? f.index : f.new_index)
-                                  : reflection->GetMessage(in, f.field);
+    return f.field->is_repeated()
+               ? reflection->GetRepeatedMessage(in, f.field, old ? f.index : f.new_index)
+               : reflection->GetMessage(in, f.field);
   }
+
   static std::string place(const Message& root, const Fields& path, bool old) {
     const Message* in = &root;
     std::string text;
     for (const auto& f : path) {
       const bool nested = f.field->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
-      if (nested) in = &step(*in, f, old);
+      if (nested)
+        in = &step(*in, f, old);
       const std::string name = nested && f.field->is_repeated() ? name_of(*in) : "";
       text += text.empty() ? "" : name.empty() ? "." : " ";
       text += f.field->name();
-      if (!name.empty()) text += " '" + name + "'";
+      if (!name.empty())
+        text += " '" + name + "'";
     }
     return text;
   }
+
   static std::string value(const Message& root, const Fields& path, bool old) {
     const Message* in = &root;
     for (const auto& f : path) {
@@ -148,15 +171,15 @@
         continue;
       }
       std::string text;
-      TextFormat::PrintFieldValueToString(*in, f.field,
-                                          f.field->is_repeated() ? (old ? f.index : f.new_index) : -1, &text);
+      TextFormat::PrintFieldValueToString(
+          *in, f.field, f.field->is_repeated() ? (old ? f.index : f.new_index) : -1, &text);
       return " " + text;
     }
     return "";
   }
 };
 
-} // namespace
+}  // namespace
 
 File read_file(const std::string& path, const std::map<std::string, std::size_t>* classes) {
   const Reading reading(path);
@@ -176,35 +199,42 @@
                             "'" + g.mongo().listen() +
                                 "' is no numeric address and port; write it as 127.0.0.1:27017"});
   const auto take = [&](const std::string& inventory, const char* front, auto* members) {
-    if (inventory.empty()) return;
+    if (inventory.empty())
+      return;
     if (!members->empty())
-      reading.wrong(front,
-                    {{{"inventory", -1}}, "stands beside members of the same front; keep one of them"});
+      reading.wrong(front, {{{"inventory", -1}},
+                            "stands beside members of the same front; keep one of them"});
     list_members(inventory::read(reading.beside(inventory)), *members);
   };
   take(g.postgres().inventory(), "postgres", file.members.mutable_postgres());
   take(g.mongo().inventory(), "mongo", file.members.mutable_mongo());
   file.site.postgres_listed = !file.members.postgres().empty();
-  if (const auto fault = check(g.contracts(), file.site)) reading.wrong("contracts", *fault);
-  if (const auto fault = check(file.members, file.site)) reading.wrong("members", *fault);
-  if (const auto fault = check(g.limits(), file.site)) reading.wrong("limits", *fault);
+  if (const auto fault = check(g.contracts(), file.site))
+    reading.wrong("contracts", *fault);
+  if (const auto fault = check(file.members, file.site))
+    reading.wrong("members", *fault);
+  if (const auto fault = check(g.limits(), file.site))
+    reading.wrong("limits", *fault);
   if (const auto fault = check_together(g.contracts(), file.members, file.site))
     reading.wrong("contracts", *fault);
   if (g.has_control_service())
-    if (const auto fault = check(g.control_service())) reading.wrong("control_service", *fault);
+    if (const auto fault = check(g.control_service()))
+      reading.wrong("control_service", *fault);
   if (!g.state_folder().empty() && g.state_folder()[0] != '/')
     reading.wrong("", {{{"state_folder", -1}}, "is no absolute path; start it with /"});
   return file;
 }
 
 std::string formatted(const std::string& path) {
-  const Reading reading(path); // what cannot be read is not formatted
+  const Reading reading(path);  // what cannot be read is not formatted
   // Tokens as they stand: comments are kept, which a printer of messages would lose.
   std::string out, line;
   int level = 0;
   const auto end_line = [&] {
-    while (!line.empty() && line.back() == ' ') line.pop_back();
-    if (!line.empty()) out += std::string(static_cast<std::size_t>(level) * 2, ' ') + line + '\n';
+    while (!line.empty() && line.back() == ' ')
+      line.pop_back();
+    if (!line.empty())
+      out += std::string(static_cast<std::size_t>(level) * 2, ' ') + line + '\n';
     line.clear();
   };
   const std::string& text = reading.text();
@@ -215,31 +245,38 @@
       // A field's value may stand on the next line; a line is ended by what starts the next field.
       const std::size_t last = line.find_last_not_of(' ');
       const bool open = last == std::string::npos || line[last] == ':' || list > 0;
-      if (!open) end_line();
-      if (++newlines == 2 && line.empty() && !out.empty()) out += '\n'; // one empty line stays one
+      if (!open)
+        end_line();
+      if (++newlines == 2 && line.empty() && !out.empty())
+        out += '\n';  // one empty line stays one
       ++i;
       continue;
     }
     if (c == ' ' || c == '\t' || c == '\r' || c == ';' || (c == ',' && list == 0)) {
-      if ((c == ' ' || c == '\t') && !line.empty() && line.back() != ' ') line += ' ';
-      if (c == ';' || c == ',') end_line();
+      if ((c == ' ' || c == '\t') && !line.empty() && line.back() != ' ')
+        line += ' ';
+      if (c == ';' || c == ',')
+        end_line();
       ++i;
       continue;
     }
     newlines = 0;
     if (c == '#') {
       const std::size_t end = std::min(text.find('\n', i), text.size());
-      if (!line.empty() && line.back() != ' ') line += ' ';
+      if (!line.empty() && line.back() != ' ')
+        line += ' ';
       line += text.substr(i, end - i);
       end_line();
       i = end;
     } else if (c == '"' || c == '\'') {
       std::size_t end = i + 1;
-      while (end < text.size() && text[end] != c) end += text[end] == '\\' ? 2 : 1;
+      while (end < text.size() && text[end] != c)
+        end += text[end] == '\\' ? 2 : 1;
       line += text.substr(i, end + 1 - i);
       i = end + 1;
     } else if (c == '{' || c == '<') {
-      while (!line.empty() && (line.back() == ' ' || line.back() == ':')) line.pop_back();
+      while (!line.empty() && (line.back() == ' ' || line.back() == ':'))
+        line.pop_back();
       line += " {";
       end_line();
       ++level, ++i;
@@ -249,7 +286,8 @@
       line = "}";
       end_line();
     } else if (c == ':') {
-      while (!line.empty() && line.back() == ' ') line.pop_back();
+      while (!line.empty() && line.back() == ' ')
+        line.pop_back();
       line += ": ";
       ++i;
     } else if (c == '[' || c == ']') {
@@ -257,22 +295,26 @@
       line += c;
       ++i;
     } else if (c == ',') {
-      while (!line.empty() && line.back() == ' ') line.pop_back();
+      while (!line.empty() && line.back() == ' ')
+        line.pop_back();
       line += ", ";
       ++i;
     } else {
       std::size_t end = i;
-      while (end < text.size() && !std::strchr(" \t\r\n;,#\"'{}<>:[]", text[end])) ++end;
+      while (end < text.size() && !std::strchr(" \t\r\n;,#\"'{}<>:[]", text[end]))
+        ++end;
       // A name after a whole value starts a field of its own.
       const std::size_t colon = line.find(": ");
       const bool whole = list == 0 && colon != std::string::npos && colon + 2 < line.size();
-      if (whole && line.back() == ' ') end_line();
+      if (whole && line.back() == ' ')
+        end_line();
       line += text.substr(i, end - i);
       i = end;
     }
   }
   end_line();
-  while (out.size() > 1 && out[out.size() - 2] == '\n') out.pop_back();
+  while (out.size() > 1 && out[out.size() - 2] == '\n')
+    out.pop_back();
   return out;
 }
 
@@ -299,4 +341,4 @@
   return found.lines;
 }
 
-} // namespace gorsebeam::config
+}  // namespace gorsebeam::config
--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -15,10 +15,13 @@
   versions::Settings settings;
   const config::pb::ControlService& service = file.gateway.control_service();
   settings.addresses.assign(service.address().begin(), service.address().end());
-  if (service.reconnect_most_ms()) settings.reconnect_most = service.reconnect_most_ms() * kMs;
+  if (service.reconnect_most_ms())
+    settings.reconnect_most = service.reconnect_most_ms() * kMs;
   settings.reconnect_first = std::min(settings.reconnect_first, settings.reconnect_most);
-  if (service.silence_ms()) settings.silence = service.silence_ms() * kMs;
-  if (service.hold_ms()) settings.hold = service.hold_ms() * kMs;
+  if (service.silence_ms())
+    settings.silence = service.silence_ms() * kMs;
+  if (service.hold_ms())
+    settings.hold = service.hold_ms() * kMs;
   settings.dial_most = std::min(settings.dial_most, settings.silence);
   settings.seed = seed;
   return settings;
@@ -28,13 +31,15 @@
     : site_(file.site), file_(file.gateway), seed_(seed), run_(std::move(run)),
       machine_(settings_of(file, seed),
                [this](const versions::Bodies& bodies) -> std::optional<versions::Misfit> {
-                 const auto fault =
-                     config::check_together(xds::contracts_of(bodies[0]), xds::members_of(bodies[1]), site_);
-                 if (!fault) return std::nullopt;
+                 const auto fault = config::check_together(xds::contracts_of(bodies[0]),
+                                                           xds::members_of(bodies[1]), site_);
+                 if (!fault)
+                   return std::nullopt;
                  return versions::Misfit{fault->text(), fault->reference};
                }),
       channel_(*this), writer_([](const std::string& why) {
-        if (!why.empty()) net::log_line("state", "the last good version could not be kept: " + why);
+        if (!why.empty())
+          net::log_line("state", "the last good version could not be kept: " + why);
       }),
       timer_([this] {
         machine_.tick(net::now(), actions_);
@@ -43,13 +48,15 @@
   machine_.file_at_start(versions_of(file));
 }
 
-std::array<versions::Version, versions::kTypes> Client::versions_of(const config::File& file) const {
+std::array<versions::Version, versions::kTypes>
+Client::versions_of(const config::File& file) const {
   return {xds::version_of(file.gateway.contracts()), xds::version_of(file.members),
           xds::version_of(file.gateway.limits())};
 }
 
 void Client::start() {
-  if (file_.has_control_service() && !file_.state_folder().empty()) load();
+  if (file_.has_control_service() && !file_.state_folder().empty())
+    load();
   machine_.begin(net::now(), actions_);
   perform();
 }
@@ -60,17 +67,21 @@
   const auto good = state::load(file_.state_folder(), why);
   if (good) {
     auto kept = state::kept_of(*good, site_, why);
-    if (kept) why = machine_.stored(std::move(*kept));
+    if (kept)
+      why = machine_.stored(std::move(*kept));
     if (why.empty()) {
       std::string text;
-      for (const auto type : {versions::Type::Contracts, versions::Type::Members, versions::Type::Limits})
+      for (const auto type :
+           {versions::Type::Contracts, versions::Type::Members, versions::Type::Limits})
         if (machine_.kept(type).running.source != "file")
           text += std::string(text.empty() ? "" : ", ") + versions::name_of(type) + " version " +
                   machine_.kept(type).running.version;
-      return net::log_line("state", "serving from the last good version" + (text.empty() ? "" : ": " + text));
+      return net::log_line("state", "serving from the last good version" +
+                                        (text.empty() ? "" : ": " + text));
     }
   }
-  if (!why.empty()) net::log_line("state", "the last good version was passed over: " + why);
+  if (!why.empty())
+    net::log_line("state", "the last good version was passed over: " + why);
 }
 
 void Client::stop() {
@@ -90,7 +101,8 @@
 }
 
 void Client::store() {
-  if (!file_.has_control_service() || file_.state_folder().empty()) return;
+  if (!file_.has_control_service() || file_.state_folder().empty())
+    return;
   const state::v1::LastGood good = state::good_of(machine_);
   if (good.contracts().held() || good.members().held() || good.limits().held())
     writer_.save(file_.state_folder(), state::packed(good));
@@ -101,7 +113,9 @@
   perform();
 }
 
-void Client::heard() { machine_.heard(net::now()); }
+void Client::heard() {
+  machine_.heard(net::now());
+}
 
 void Client::message(std::string_view bytes) {
   const auto offer = xds::read_response(bytes, site_);
@@ -121,9 +135,12 @@
 
 void Client::note(const versions::Note& note) {
   net::Fields fields;
-  if (note.type) fields.emplace_back("type", versions::name_of(*note.type));
-  if (!note.version.empty()) fields.emplace_back("version", note.version);
-  if (!note.nonce.empty()) fields.emplace_back("nonce", note.nonce);
+  if (note.type)
+    fields.emplace_back("type", versions::name_of(*note.type));
+  if (!note.version.empty())
+    fields.emplace_back("version", note.version);
+  if (!note.nonce.empty())
+    fields.emplace_back("nonce", note.nonce);
   switch (note.kind) {
   case versions::Note::Kind::Lost:
     fields.emplace_back("address", machine_.address());
@@ -131,22 +148,28 @@
   case versions::Note::Kind::Found:
     fields.emplace_back("address", machine_.address());
     return net::log_line("control", "found again", fields);
-  case versions::Note::Kind::Offered: return net::log_line("offered", "a version", fields);
-  case versions::Note::Kind::Accepted: return net::log_line("accepted", note.text, fields);
-  case versions::Note::Kind::TurnedDown: return net::log_line("refused", note.text, fields);
-  case versions::Note::Kind::Held: return net::log_line("held", note.text, fields);
+  case versions::Note::Kind::Offered:
+    return net::log_line("offered", "a version", fields);
+  case versions::Note::Kind::Accepted:
+    return net::log_line("accepted", note.text, fields);
+  case versions::Note::Kind::TurnedDown:
+    return net::log_line("refused", note.text, fields);
+  case versions::Note::Kind::Held:
+    return net::log_line("held", note.text, fields);
   }
 }
 
 // What the machine asks for may bring it new events at once; they are taken in turn.
 void Client::perform() {
-  if (performing_) return;
+  if (performing_)
+    return;
   performing_ = true;
   while (!actions_.empty()) {
     versions::Actions actions;
     actions.swap(actions_);
     for (const versions::Action& action : actions) {
-      if (stopped_) break;
+      if (stopped_)
+        break;
       if (const auto* dial = std::get_if<versions::Dial>(&action)) {
         if (!channel_.dial(dial->address, xds::kPath))
           machine_.lost(net::now(), "no connection can be opened", actions_);
@@ -155,7 +178,8 @@
       } else if (std::holds_alternative<versions::Ping>(action)) {
         channel_.ping();
       } else if (const auto* ask = std::get_if<versions::Ask>(&action)) {
-        channel_.send(xds::request(*ask, file_.control_service().node(), file_.control_service().cluster()));
+        channel_.send(
+            xds::request(*ask, file_.control_service().node(), file_.control_service().cluster()));
       } else if (const auto* run = std::get_if<versions::Run>(&action)) {
         run_(run->changed[0] ? &xds::contracts_of(run->bodies[0]) : nullptr,
              run->changed[1] ? &xds::members_of(run->bodies[1]) : nullptr,
@@ -169,7 +193,8 @@
   }
   performing_ = false;
   const Nanos due = machine_.due();
-  if (!stopped_ && due != versions::Machine::kNever) timer_.at(due);
+  if (!stopped_ && due != versions::Machine::kNever)
+    timer_.at(due);
 }
 
-} // namespace gorsebeam::control
+}  // namespace gorsebeam::control
--- a/src/control/client.h
+++ b/src/control/client.h
@@ -1,6 +1,7 @@
-// The one way in for what an operator configures: the file at the start, the file read again, and what a control
-// service pushes all go through the version machine, and what it runs is handed on. Carries between the machine, the
-// gRPC channel, the state folder and the log; with no control service nothing is connected or written.
+// The one way in for what an operator configures: the file at the start, the file read again, and
+// what a control service pushes all go through the version machine, and what it runs is handed on.
+// Carries between the machine, the gRPC channel, the state folder and the log; with no control
+// service nothing is connected or written.
 #pragma once
 
 #include "config/file.h"
@@ -22,7 +23,7 @@
                                  const config::pb::Limits*)>;
   Client(const config::File& file, std::uint64_t seed, Run run);
   void start();
-  void stop(); // no new versions; what runs goes on
+  void stop();  // no new versions; what runs goes on
   // The file, read again. Not empty: why nothing was changed.
   std::string follow(const config::File& file);
 
@@ -51,4 +52,4 @@
   net::Timer timer_;
 };
 
-} // namespace gorsebeam::control
+}  // namespace gorsebeam::control
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -17,9 +17,10 @@
     broker::Listed listed;
     listed.name = entry.text("id");
     Member& member = listed.member;
-    member.state = choose<MemberState>(
-        entry.text("phase"), "phase",
-        {{"ready", MemberState::Up}, {"draining", MemberState::Draining}, {"gone", MemberState::Removed}});
+    member.state = choose<MemberState>(entry.text("phase"), "phase",
+                                       {{"ready", MemberState::Up},
+                                        {"draining", MemberState::Draining},
+                                        {"gone", MemberState::Removed}});
     listed.address = entry.text("host_port", "");
     if (member.state != MemberState::Removed && !net::parse_address(listed.address))
       entry.wrong("host_port", "an address and a port");
@@ -33,4 +34,4 @@
   return list;
 }
 
-} // namespace gorsebeam::discovery
+}  // namespace gorsebeam::discovery
--- a/src/discovery/list.h
+++ b/src/discovery/list.h
@@ -14,6 +14,7 @@
   std::vector<broker::Listed> members;
 };
 
-List read_list(const settings::Json& value, const std::string& where); // throws settings::FormatError
+List read_list(const settings::Json& value,
+               const std::string& where);  // throws settings::FormatError
 
-} // namespace gorsebeam::discovery
+}  // namespace gorsebeam::discovery
--- a/src/discovery/newest.cpp
+++ b/src/discovery/newest.cpp
@@ -11,14 +11,16 @@
   newest_ = 0;
 }
 
-// Of two counts: told to leave in the other, and since then neither started again nor named by a later list.
+// Of two counts: told to leave in the other, and since then neither started again nor named by a
+// later list.
 bool Newest::still_leaving(const Told& told, const Member& member) const {
   const bool left = told.state != MemberState::Up && !told.left_out && told.count != count_;
   return left && member.state == MemberState::Up && member.started_at <= told.started_at;
 }
 
 void Newest::take(List& list, bool first) {
-  if (list.complete && first && list.revision < newest_) recount();
+  if (list.complete && first && list.revision < newest_)
+    recount();
   const bool newest = list.revision >= newest_;
   newest_ = std::max(newest_, list.revision);
   std::set<std::string> named;
@@ -27,13 +29,14 @@
     Member& member = listed.member;
     named.insert(listed.name);
     const auto held = told_.find(listed.name);
-    const bool older =
-        held != told_.end() && held->second.count == count_ && list.revision < held->second.revision;
-    if (older && !newest) continue;
+    const bool older = held != told_.end() && held->second.count == count_ &&
+                       list.revision < held->second.revision;
+    if (older && !newest)
+      continue;
     if (older || (held != told_.end() && still_leaving(held->second, member))) {
       Told& told = held->second;
       member.state = told.state;
-      told.count = count_, told.revision = list.revision + 1; // until a later word
+      told.count = count_, told.revision = list.revision + 1;  // until a later word
     } else {
       told_[listed.name] = {count_, list.revision, member.state, member.started_at};
     }
@@ -42,7 +45,8 @@
   list.members = std::move(news);
   if (list.complete && newest)
     for (auto& [name, told] : told_)
-      if (!named.count(name)) told = {count_, list.revision, MemberState::Removed, told.started_at, true};
+      if (!named.count(name))
+        told = {count_, list.revision, MemberState::Removed, told.started_at, true};
   list.complete &= newest;
   forget_gone();
 }
@@ -50,11 +54,14 @@
 void Newest::forget_gone() {
   std::vector<std::pair<std::int64_t, std::string>> gone;
   for (const auto& [name, told] : told_)
-    if (told.state == MemberState::Removed) gone.push_back({told.revision, name});
-  if (gone.size() <= kGoneMost) return;
+    if (told.state == MemberState::Removed)
+      gone.push_back({told.revision, name});
+  if (gone.size() <= kGoneMost)
+    return;
   std::sort(gone.begin(), gone.end());
   gone.resize(gone.size() - kGoneMost);
-  for (const auto& [revision, name] : gone) told_.erase(name);
+  for (const auto& [revision, name] : gone)
+    told_.erase(name);
 }
 
-} // namespace gorsebeam::discovery
+}  // namespace gorsebeam::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -11,13 +11,18 @@
 namespace {
 
 constexpr std::size_t kHeadMost = 16 * 1024;
-constexpr std::size_t kSizeMost = 64; // bytes that tell the size of a chunk
+constexpr std::size_t kSizeMost = 64;  // bytes that tell the size of a chunk
 
-} // namespace
+}  // namespace
 
 Watch::Watch(broker::Core& core, std::string address, List known, Pace pace)
-    : core_(core), address_(std::move(address)), revision_(known.revision),
-      silence_([this] { again("silent", true); }), retry_([this] { start(); }), pace_(pace) {
+    : core_(core), address_(std::move(address)), revision_(known.revision), silence_([this] {
+        again("silent", true);
+      }),
+      retry_([this] {
+        start();
+      }),
+      pace_(pace) {
   newest_.take(known, true);
   core_.list(MemberList::Kind::Remembered, known.members);
 }
@@ -28,18 +33,22 @@
   objects_.clear();
   silence_.after(pace_.silence());
   stream_ = net::Stream::connect(address_, *this);
-  if (!stream_) again("no socket");
+  if (!stream_)
+    again("no socket");
 }
 
 void Watch::stop() {
   silence_.stop();
   retry_.stop();
-  if (stream_) stream_->close();
+  if (stream_)
+    stream_->close();
 }
 
-// Guards against a revision of the old address that the new one counts otherwise: the whole list is asked for.
+// Guards against a revision of the old address that the new one counts otherwise: the whole list is
+// asked for.
 void Watch::follow(const std::string& address) {
-  if (address == address_) return;
+  if (address == address_)
+    return;
   stop();
   address_ = address;
   revision_ = 0;
@@ -51,7 +60,8 @@
 
 void Watch::again(const std::string& why, bool silent) {
   // Told once for each cause while the agent stays away.
-  if (why != told_) net::log_line("discovery", "watch ended: " + why);
+  if (why != told_)
+    net::log_line("discovery", "watch ended: " + why);
   told_ = why;
   stop();
   retry_.after(pace_.next(silent));
@@ -59,32 +69,40 @@
 
 void Watch::connected() {
   const std::string request = "GET /api/targets?watch=1&from=" + std::to_string(revision_) +
-                              " HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: application/json\r\n\r\n";
+                              " HTTP/1.1\r\nHost: " + address_ +
+                              "\r\nAccept: application/json\r\n\r\n";
   stream_->write({request});
 }
 
-void Watch::ended(const std::string& why) { again(why); }
+void Watch::ended(const std::string& why) {
+  again(why);
+}
 
 void Watch::received() {
   take();
-  if (stream_->open()) silence_.after(pace_.silence()); // by what has come of it so far
+  if (stream_->open())
+    silence_.after(pace_.silence());  // by what has come of it so far
 }
 
 void Watch::take() {
-  if (!head_read_ && !head()) return;
+  if (!head_read_ && !head())
+    return;
   if (!chunked_) {
     objects_.add(stream_->input().view());
     stream_->input().consume(stream_->input().size());
   }
-  while (chunked_ && stream_->open() && chunk()) {}
-  if (stream_->open()) lists();
+  while (chunked_ && stream_->open() && chunk()) {
+  }
+  if (stream_->open())
+    lists();
 }
 
 bool Watch::head() {
   const std::string_view in = stream_->input().view();
   const std::size_t end = in.find("\r\n\r\n");
   if (end == std::string_view::npos) {
-    if (in.size() > kHeadMost) again("the answer's head is too long");
+    if (in.size() > kHeadMost)
+      again("the answer's head is too long");
     return false;
   }
   if (in.substr(0, 9) != "HTTP/1.1 " || in.substr(9, 3) != "200") {
@@ -92,7 +110,8 @@
     return false;
   }
   std::string lower(in.substr(0, end));
-  for (char& c : lower) c = g_ascii_tolower(c);
+  for (char& c : lower)
+    c = g_ascii_tolower(c);
   chunked_ = lower.find("transfer-encoding: chunked") != std::string::npos;
   stream_->input().consume(end + 4);
   head_read_ = true;
@@ -104,7 +123,8 @@
   const std::string_view in = stream_->input().view();
   const std::size_t line = in.find("\r\n");
   if (line == std::string_view::npos) {
-    if (in.size() > kSizeMost) again("a malformed chunk");
+    if (in.size() > kSizeMost)
+      again("a malformed chunk");
     return false;
   }
   std::size_t size = 0;
@@ -113,10 +133,12 @@
     again("a malformed chunk");
     return false;
   }
-  if (in.size() < line + 2 + size + 2) return false;
+  if (in.size() < line + 2 + size + 2)
+    return false;
   if (size == 0) {
     lists();
-    if (stream_->open()) again("the answer ended");
+    if (stream_->open())
+      again("the answer ended");
     return false;
   }
   objects_.add(in.substr(line + 2, size));
@@ -128,9 +150,11 @@
   std::string_view object;
   for (Objects::Step step; (step = objects_.next(object)) != Objects::Step::More;) {
     rapidjson::Document document;
-    if (step == Objects::Step::Object) document.Parse(object.data(), object.size());
+    if (step == Objects::Step::Object)
+      document.Parse(object.data(), object.size());
     try {
-      if (step == Objects::Step::Broken || document.HasParseError()) throw settings::FormatError("not JSON");
+      if (step == Objects::Step::Broken || document.HasParseError())
+        throw settings::FormatError("not JSON");
       apply(read_list(document, "discovery's list"));
     } catch (const settings::FormatError& error) {
       // What was missed cannot be known: the whole list is asked for again.
@@ -148,4 +172,4 @@
   core_.list(list.complete ? MemberList::Kind::Full : MemberList::Kind::Changes, list.members);
 }
 
-} // namespace gorsebeam::discovery
+}  // namespace gorsebeam::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -21,7 +21,7 @@
   Watch(broker::Core& core, std::string address, List known, Pace pace);
   void start();
   void stop();
-  void follow(const std::string& address); // goes over to it; the list as held goes on meanwhile
+  void follow(const std::string& address);  // goes over to it; the list as held goes on meanwhile
 
 private:
   void connected() override;
@@ -36,14 +36,14 @@
 
   broker::Core& core_;
   std::string address_;
-  std::int64_t revision_; // up to which the next call need not tell; 0: everything, please
+  std::int64_t revision_;  // up to which the next call need not tell; 0: everything, please
   std::shared_ptr<net::Stream> stream_;
   net::Timer silence_, retry_;
   Pace pace_;
   Newest newest_;
-  Objects objects_;                                          // of the answer
-  bool head_read_ = false, chunked_ = false, first_ = false; // first_: of this watch's lists
-  std::string told_;                                         // why it ended, as last logged
+  Objects objects_;                                           // of the answer
+  bool head_read_ = false, chunked_ = false, first_ = false;  // first_: of this watch's lists
+  std::string told_;                                          // why it ended, as last logged
 };
 
-} // namespace gorsebeam::discovery
+}  // namespace gorsebeam::discovery
--- a/src/duties/duties.cpp
+++ b/src/duties/duties.cpp
@@ -10,22 +10,24 @@
 namespace gorsebeam::duties {
 namespace {
 
-constexpr int kLapsesMost = 5;          // a gateway that flaps is shunned for at most 32 leases
-constexpr int kForgottenAfter = 10;     // leases without an ask
-constexpr std::size_t kAsksMost = 8;    // remembered without an answer: two leases' worth
-constexpr std::uint64_t kDeafAfter = 5; // asks without an answer: a lease's worth
+constexpr int kLapsesMost = 5;           // a gateway that flaps is shunned for at most 32 leases
+constexpr int kForgottenAfter = 10;      // leases without an ask
+constexpr std::size_t kAsksMost = 8;     // remembered without an answer: two leases' worth
+constexpr std::uint64_t kDeafAfter = 5;  // asks without an answer: a lease's worth
 
-} // namespace
+}  // namespace
 
 bool is_name(const std::string& text) {
   return !text.empty() && text.size() <= kNameMost &&
          std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
-                  c == '_' || c == '-' || c == '~';
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                  c == '.' || c == '_' || c == '-' || c == '~';
          });
 }
 
-std::string name_of(const std::string& holder) { return holder.substr(0, holder.find('~')); }
+std::string name_of(const std::string& holder) {
+  return holder.substr(0, holder.find('~'));
+}
 
 // ---- the table
 
@@ -37,12 +39,16 @@
   std::istringstream words(body);
   std::string what, duty, holder;
   Token over = 0;
-  if (!(words >> what >> duty >> over) || what != "grant" || !is_name(duty)) return "";
+  if (!(words >> what >> duty >> over) || what != "grant" || !is_name(duty))
+    return "";
   words >> holder;
-  if (!holder.empty() && !is_name(holder)) return "";
+  if (!holder.empty() && !is_name(holder))
+    return "";
   const auto found = grants_.find(duty);
-  if ((found == grants_.end() ? 0 : found->second.token) != over || index <= over) return "";
-  if (found == grants_.end() && grants_.size() >= kDutiesMost) return "";
+  if ((found == grants_.end() ? 0 : found->second.token) != over || index <= over)
+    return "";
+  if (found == grants_.end() && grants_.size() >= kDutiesMost)
+    return "";
   grants_[duty] = {holder, index};
   return duty;
 }
@@ -70,7 +76,8 @@
     if (!(words >> duty >> token) || !is_name(duty) || table.grants_.size() >= kDutiesMost)
       return std::nullopt;
     words >> holder;
-    if (!holder.empty() && !is_name(holder)) return std::nullopt;
+    if (!holder.empty() && !is_name(holder))
+      return std::nullopt;
     table.grants_[duty] = {holder, token};
   }
   return table;
@@ -80,11 +87,13 @@
 
 Keeper::Keeper(Settings settings) : s_(std::move(settings)) {}
 
-// Earlier leaders may have renewed any lease up to our election, for asks that they had heard by then.
+// Earlier leaders may have renewed any lease up to our election, for asks that they had heard by
+// then.
 void Keeper::lead(Nanos now, const Table& table) {
   stop();
   table_ = &table;
-  for (const std::string& duty : s_.duties) leases_[duty].until = now + span();
+  for (const std::string& duty : s_.duties)
+    leases_[duty].until = now + span();
   due_ = now + s_.lease / 4;
 }
 
@@ -97,32 +106,37 @@
 }
 
 void Keeper::asked(Nanos now, const Ask& ask) {
-  if (!table_ || !is_name(ask.from)) return;
+  if (!table_ || !is_name(ask.from))
+    return;
   Gateway& gateway = gateways_[ask.from];
   gateway.zone = ask.zone, gateway.heard_at = now;
   gateway.leaving |=
-      ask.leaving; // a start that left does not come back; what comes late from it says nothing
+      ask.leaving;  // a start that left does not come back; what comes late from it says nothing
   gateway.deaf = ask.number > ask.heard + kDeafAfter;
   if (gateway.leaving) {
     waiting_.erase(ask.from);
     for (auto& [duty, lease] : leases_)
-      if (table_->at(duty).holder == ask.from) lease.until = std::min(lease.until, now);
+      if (table_->at(duty).holder == ask.from)
+        lease.until = std::min(lease.until, now);
     due_ = now;
     return;
   }
   // An older ask that waits is dropped: what it would have brought, the newer brings for longer.
   Waiting& waiting = waiting_[ask.from];
-  if (waiting.ask.number < ask.number) waiting = {ask, now, 0};
-  due_ = std::min(due_, now + s_.lease / 50); // those that come meanwhile are confirmed together
+  if (waiting.ask.number < ask.number)
+    waiting = {ask, now, 0};
+  due_ = std::min(due_, now + s_.lease / 50);  // those that come meanwhile are confirmed together
 }
 
 void Keeper::confirming(std::uint64_t number) {
   for (auto& [name, waiting] : waiting_)
-    if (waiting.round == 0) waiting.round = number;
+    if (waiting.round == 0)
+      waiting.round = number;
 }
 
 void Keeper::confirmed(Nanos now, std::uint64_t number, KeeperActions& actions) {
-  if (!table_) return;
+  if (!table_)
+    return;
   for (auto at = waiting_.begin(); at != waiting_.end();) {
     const auto next = std::next(at);
     const Waiting& waiting = at->second;
@@ -133,7 +147,8 @@
       for (auto& [duty, lease] : leases_) {
         const Grant& grant = table_->at(duty);
         // One that a successor was proposed for, or that is to go elsewhere, is not renewed.
-        if (deaf || grant.holder != waiting.ask.from || lease.proposed || !lease.wish.empty()) continue;
+        if (deaf || grant.holder != waiting.ask.from || lease.proposed || !lease.wish.empty())
+          continue;
         lease.until = std::max(lease.until, waiting.heard_at + span());
         answer.held.emplace_back(duty, grant.token);
       }
@@ -147,7 +162,8 @@
 
 void Keeper::applied(Nanos now, const std::string& duty) {
   const auto lease = leases_.find(duty);
-  if (!table_ || lease == leases_.end()) return;
+  if (!table_ || lease == leases_.end())
+    return;
   lease->second = {};
   // Told at its next ask; if it does not ask, the duty goes on to another.
   lease->second.until = table_->at(duty).holder.empty() ? now : now + span();
@@ -155,23 +171,27 @@
 
 void Keeper::move(const std::string& duty, const std::string& to) {
   const auto lease = leases_.find(duty);
-  if (table_ && lease != leases_.end() && name_of(table_->at(duty).holder) != to) lease->second.wish = to;
+  if (table_ && lease != leases_.end() && name_of(table_->at(duty).holder) != to)
+    lease->second.wish = to;
 }
 
 bool Keeper::fit(Nanos now, const std::string& holder) const {
   const auto found = gateways_.find(holder);
-  if (found == gateways_.end()) return false;
+  if (found == gateways_.end())
+    return false;
   const Gateway& gateway = found->second;
   return !gateway.leaving && !gateway.deaf && now - gateway.heard_at <= s_.lease / 2;
 }
 
-// The gateway with the fewest duties, of those in the zone with the fewest; one that flaps only if there is no other.
+// The gateway with the fewest duties, of those in the zone with the fewest; one that flaps only if
+// there is no other.
 std::optional<std::string> Keeper::place(Nanos now, const std::string& duty) const {
   std::map<std::string, int> own, zones;
   for (const auto& [name, lease] : leases_) {
     const std::string& holder = table_->at(name).holder;
     const auto gateway = gateways_.find(holder);
-    if (name == duty || gateway == gateways_.end()) continue;
+    if (name == duty || gateway == gateways_.end())
+      continue;
     ++own[holder], ++zones[gateway->second.zone];
   }
   const auto count = [](const auto& of, const std::string& name) {
@@ -180,19 +200,24 @@
   };
   std::optional<std::pair<std::tuple<bool, int, int, XXH64_hash_t>, std::string>> best;
   for (const auto& [name, gateway] : gateways_) {
-    if (!fit(now, name)) continue;
+    if (!fit(now, name))
+      continue;
     const auto flap = flaps_.find(name_of(name));
-    const std::string tie = duty + ' ' + name; // spread over the gateways, the same at every leader
+    const std::string tie =
+        duty + ' ' + name;  // spread over the gateways, the same at every leader
     std::tuple key(flap != flaps_.end() && now < flap->second.shunned_until, count(own, name),
                    count(zones, gateway.zone), XXH3_64bits(tie.data(), tie.size()));
-    if (!best || key < best->first) best.emplace(key, name);
+    if (!best || key < best->first)
+      best.emplace(key, name);
   }
-  if (!best) return std::nullopt;
+  if (!best)
+    return std::nullopt;
   return best->second;
 }
 
 void Keeper::tick(Nanos now, KeeperActions& actions) {
-  if (!table_ || now < due_) return;
+  if (!table_ || now < due_)
+    return;
   due_ = now + s_.lease / 4;
   const Nanos forgotten = now - kForgottenAfter * s_.lease;
   for (auto at = gateways_.begin(); at != gateways_.end();)
@@ -205,10 +230,12 @@
       continue;
     }
     // A proposal that was lost with a full log, or for which another was faster, is made again.
-    if (lease.proposed && now - lease.proposed_at < s_.lease) continue;
+    if (lease.proposed && now - lease.proposed_at < s_.lease)
+      continue;
     const Grant& grant = table_->at(duty);
     // A holder that asks again may have the duty on, under its token, if nobody was to follow it.
-    if (!lease.proposed && lease.wish.empty() && fit(now, grant.holder)) continue;
+    if (!lease.proposed && lease.wish.empty() && fit(now, grant.holder))
+      continue;
     const auto holder = gateways_.find(grant.holder);
     const bool left = holder != gateways_.end() && holder->second.leaving;
     if (!lease.proposed && lease.wish.empty() && !grant.holder.empty() && !left) {
@@ -218,13 +245,18 @@
     }
     auto to = place(now, duty);
     for (const auto& [name, gateway] : gateways_)
-      if (!lease.wish.empty() && name_of(name) == lease.wish && fit(now, name)) to = name;
-    if (!to) continue;
+      if (!lease.wish.empty() && name_of(name) == lease.wish && fit(now, name))
+        to = name;
+    if (!to)
+      continue;
     lease.proposed = true, lease.proposed_at = now;
     actions.push_back(Propose{Table::command(duty, *to, grant.token)});
   }
-  const auto unasked = [](const auto& waiting) { return waiting.second.round == 0; };
-  if (std::any_of(waiting_.begin(), waiting_.end(), unasked)) actions.push_back(Confirm{});
+  const auto unasked = [](const auto& waiting) {
+    return waiting.second.round == 0;
+  };
+  if (std::any_of(waiting_.begin(), waiting_.end(), unasked))
+    actions.push_back(Confirm{});
 }
 
 // ---- every gateway's side
@@ -247,24 +279,28 @@
   }
   if (!leaving_ && now >= ask_at_) {
     sent_[++asked_] = now;
-    if (sent_.size() > kAsksMost) sent_.erase(sent_.begin());
+    if (sent_.size() > kAsksMost)
+      sent_.erase(sent_.begin());
     ask_at_ = now + beat();
     actions.push_back(Ask{self_, zone_, asked_, answered_, false});
   }
   due_ = ask_at_;
-  for (const auto& [duty, held] : held_) due_ = std::min(due_, held.until);
+  for (const auto& [duty, held] : held_)
+    due_ = std::min(due_, held.until);
 }
 
 void Holder::answered(Nanos now, const Answer& answer, HolderActions& actions) {
   const auto sent = sent_.find(answer.number);
   // Reordered, doubled, or of another: what a newer answer told stands.
-  if (answer.to != self_ || leaving_ || sent == sent_.end() || answer.number <= answered_) return;
+  if (answer.to != self_ || leaving_ || sent == sent_.end() || answer.number <= answered_)
+    return;
   answered_ = answer.number;
   const Nanos until = sent->second + s_.lease - s_.drift();
   sent_.erase(sent_.begin(), std::next(sent));
   std::map<std::string, Held> held;
   if (now < until)
-    for (const auto& [duty, token] : answer.held) held[duty] = {token, until};
+    for (const auto& [duty, token] : answer.held)
+      held[duty] = {token, until};
   for (const auto& [duty, old] : held_) {
     const auto now_held = held.find(duty);
     if (now_held == held.end() || now_held->second.token != old.token)
@@ -281,7 +317,8 @@
 
 void Holder::leave(Nanos, HolderActions& actions) {
   leaving_ = true;
-  for (const auto& [duty, held] : held_) actions.push_back(Ended{duty, held.token, false});
+  for (const auto& [duty, held] : held_)
+    actions.push_back(Ended{duty, held.token, false});
   held_.clear();
   due_ = ask_at_ = kNever;
   actions.push_back(Ask{self_, zone_, ++asked_, answered_, true});
@@ -289,17 +326,20 @@
 
 std::optional<Token> Holder::may(Nanos now, const std::string& duty) const {
   const auto found = held_.find(duty);
-  if (found == held_.end() || now >= found->second.until) return std::nullopt;
+  if (found == held_.end() || now >= found->second.until)
+    return std::nullopt;
   return found->second.token;
 }
 
 bool Fence::pass(const std::string& duty, Token token) {
   const auto found = highest_.find(duty);
-  if (found == highest_.end() && highest_.size() >= kDutiesMost) return false;
+  if (found == highest_.end() && highest_.size() >= kDutiesMost)
+    return false;
   Token& highest = highest_[duty];
-  if (token < highest) return false;
+  if (token < highest)
+    return false;
   highest = token;
   return true;
 }
 
-} // namespace gorsebeam::duties
+}  // namespace gorsebeam::duties
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -9,16 +9,19 @@
 namespace {
 constexpr Nanos kSecond = 1'000'000'000;
 constexpr Nanos kSweep = kSecond / 20;
-constexpr Nanos kLinger = kSecond / 4;             // after the last words; a client hangs up long before
-constexpr Nanos kOwed = 2 * kSecond + kSecond / 2; // an error or a close is due 3 s after connecting
-constexpr Nanos kUnread = 5 * kSecond;             // an answer not taken for longer than any deadline
-constexpr std::size_t kStepsAtOnce = 16;           // messages of one connection in one turn of the loop
-constexpr std::size_t kAheadMost = 8 * 1024; // bytes read behind a request in hand where memory is short
-} // namespace
+constexpr Nanos kLinger = kSecond / 4;  // after the last words; a client hangs up long before
+constexpr Nanos kOwed =
+    2 * kSecond + kSecond / 2;            // an error or a close is due 3 s after connecting
+constexpr Nanos kUnread = 5 * kSecond;    // an answer not taken for longer than any deadline
+constexpr std::size_t kStepsAtOnce = 16;  // messages of one connection in one turn of the loop
+constexpr std::size_t kAheadMost =
+    8 * 1024;  // bytes read behind a request in hand where memory is short
+}  // namespace
 
 std::uint64_t hash_name(std::string_view name) {
   std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (const char c : name) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  for (const char c : name)
+    h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
   return h;
 }
 
@@ -34,28 +37,35 @@
       }) {}
 
 void Connection::received() {
-  if (closing_) return stream_->input().consume(stream_->input().size()); // nobody heeds what follows
-  // Bounds what a client can make us hold: behind a request in hand its next ones wait in the kernel.
-  // While there is room more is read, so that a client that sends much and leaves is seen to leave; beyond, its end is
-  // heeded without reading on.
+  if (closing_)
+    return stream_->input().consume(stream_->input().size());  // nobody heeds what follows
+  // Bounds what a client can make us hold: behind a request in hand its next ones wait in the
+  // kernel. While there is room more is read, so that a client that sends much and leaves is seen
+  // to leave; beyond, its end is heeded without reading on.
   const bool roomy = net::buffered() <= front_.limits().buffered / 2;
-  const std::size_t most = busy_ ? request_size_ + (roomy ? front_.limits().message_bytes : kAheadMost)
-                                 : front_.limits().message_bytes + 1024;
-  if (stream_->input().size() > most) stream_->pause_reading(true, busy_);
+  const std::size_t most =
+      busy_ ? request_size_ + (roomy ? front_.limits().message_bytes : kAheadMost)
+            : front_.limits().message_bytes + 1024;
+  if (stream_->input().size() > most)
+    stream_->pause_reading(true, busy_);
   run();
-  if (stream_->open() && !busy_) front_.relieve();
+  if (stream_->open() && !busy_)
+    front_.relieve();
 }
 
 void Connection::flushed() {
   since_ = net::now();
-  if (closing_) return linger();
+  if (closing_)
+    return linger();
   run();
 }
 
-// Answers may come while the request is being begun, so parsing is a loop here and not a recursion. Bounded: hundreds
-// of commands written at once must not hold up the other connections; the rest goes on in the next turn.
+// Answers may come while the request is being begun, so parsing is a loop here and not a recursion.
+// Bounded: hundreds of commands written at once must not hold up the other connections; the rest
+// goes on in the next turn.
 void Connection::run() {
-  if (running_) return;
+  if (running_)
+    return;
   running_ = true;
   std::size_t steps = 0;
   while (!busy_ && !closing_ && stream_->open() && stream_->all_written()) {
@@ -67,12 +77,16 @@
     }
     const std::size_t before = stream_->input().size();
     parse();
-    if (stream_->input().size() < before) since_ = net::now(), spoke_ = true;
-    if (!busy_ && stream_->input().size() == before) break;
-    if (stream_->input().size() == 0) break;
+    if (stream_->input().size() < before)
+      since_ = net::now(), spoke_ = true;
+    if (!busy_ && stream_->input().size() == before)
+      break;
+    if (stream_->input().size() == 0)
+      break;
   }
   running_ = false;
-  if (!busy_ && stream_->open() && !closing_) stream_->pause_reading(!stream_->all_written());
+  if (!busy_ && stream_->open() && !closing_)
+    stream_->pause_reading(!stream_->all_written());
 }
 
 bool Connection::begin(Request request, std::size_t size) {
@@ -92,7 +106,8 @@
   const bool taken = front_.core().take(std::move(request), *this);
   starting_ = false;
   busy_ &= taken;
-  if (busy_) request_ = std::move(id);
+  if (busy_)
+    request_ = std::move(id);
   return taken;
 }
 
@@ -101,24 +116,32 @@
   answered_times_ = std::min<std::size_t>(answered_times_ + 1, 2);
   request_.clear();
   since_ = net::now();
-  if (front_.stopping() && stream_->input().size() == 0) return close_when_written();
-  if (!starting_) run();
+  if (front_.stopping() && stream_->input().size() == 0)
+    return close_when_written();
+  if (!starting_)
+    run();
 }
 
 const char* Connection::overdue(Nanos now) const {
-  if (busy_) return nullptr;
-  if (!stream_->all_written()) return now - since_ > kUnread ? "an answer was not taken" : nullptr;
-  if (stream_->input().size() > 0) return now - since_ > kOwed ? "a message did not end" : nullptr;
+  if (busy_)
+    return nullptr;
+  if (!stream_->all_written())
+    return now - since_ > kUnread ? "an answer was not taken" : nullptr;
+  if (stream_->input().size() > 0)
+    return now - since_ > kOwed ? "a message did not end" : nullptr;
   return !spoke_ && now - since_ > kOwed && !unread() ? "nothing was said" : nullptr;
 }
 
 void Connection::turn_away(const char* why) {
-  if (!closing_ && stream_->all_written()) farewell(why);
-  if (stream_->open() && !lingering_) close();
+  if (!closing_ && stream_->all_written())
+    farewell(why);
+  if (stream_->open() && !lingering_)
+    close();
 }
 
 void Connection::abandon() {
-  if (busy_) front_.core().gone(request_);
+  if (busy_)
+    front_.core().gone(request_);
   busy_ = false;
   retire();
 }
@@ -131,13 +154,15 @@
 void Connection::close_when_written() {
   closing_ = true;
   since_ = net::now();
-  if (stream_->all_written()) linger();
+  if (stream_->all_written())
+    linger();
 }
 
-// Guards the last words: a close with bytes unread, or bytes that come after it, is a reset to the client, which may
-// then never read what it was told; its request would be lost.
+// Guards the last words: a close with bytes unread, or bytes that come after it, is a reset to the
+// client, which may then never read what it was told; its request would be lost.
 void Connection::linger() {
-  if (lingering_ || !stream_->open()) return;
+  if (lingering_ || !stream_->open())
+    return;
   lingering_ = true;
   since_ = net::now();
   stream_->input().release();
@@ -147,31 +172,48 @@
 }
 
 void Connection::close() {
-  if (busy_) front_.core().gone(request_);
+  if (busy_)
+    front_.core().gone(request_);
   busy_ = false;
   stream_->close();
   front_.remove(this);
 }
 
-void Connection::ended(const std::string&) { close(); }
+void Connection::ended(const std::string&) {
+  close();
+}
 
 Front::Front(broker::Core& core, const Limits& limits, Make make)
     : core_(core), limits_(limits), make_(std::move(make)), listener_(new_listener()),
-      reaper_([this] { removed_.clear(); }), sweep_([this] { stop_accepting(); }), tidy_([this] { tidy(); }),
-      linger_([this] { end_lingering(); }) {
+      reaper_([this] {
+        removed_.clear();
+      }),
+      sweep_([this] {
+        stop_accepting();
+      }),
+      tidy_([this] {
+        tidy();
+      }),
+      linger_([this] {
+        end_lingering();
+      }) {
   tidy_.after(admission::again(0, limits_.connections));
 }
 
 std::unique_ptr<net::Listener> Front::new_listener() {
-  return std::make_unique<net::Listener>([this](net::SocketHandle socket) { accepted(std::move(socket)); });
+  return std::make_unique<net::Listener>([this](net::SocketHandle socket) {
+    accepted(std::move(socket));
+  });
 }
 
 bool Front::listen(const std::string& address, std::string& why) {
   auto fresh = new_listener();
-  if (!fresh->listen(address, why)) return false;
-  listener_->close(); // takes in what the kernel has accepted
+  if (!fresh->listen(address, why))
+    return false;
+  listener_->close();  // takes in what the kernel has accepted
   listener_ = std::move(fresh);
-  if (connections_.size() >= limits_.connections + limits_.crowded) listener_->pause(true);
+  if (connections_.size() >= limits_.connections + limits_.crowded)
+    listener_->pause(true);
   return true;
 }
 
@@ -186,17 +228,21 @@
   auto connection = make_(*this, std::move(socket));
   connection->crowded_ = crowded;
   if (crowded)
-    net::log_line("front", "turned a client away: " + std::to_string(connections_.size()) + " are connected");
+    net::log_line("front", "turned a client away: " + std::to_string(connections_.size()) +
+                               " are connected");
   Connection* key = connection.get();
   connections_[key] = std::move(connection);
-  // Guards the spare descriptors: beyond the ones to be turned away in words, clients wait in the kernel.
-  if (connections_.size() >= limits_.connections + limits_.crowded) listener_->pause(true);
+  // Guards the spare descriptors: beyond the ones to be turned away in words, clients wait in the
+  // kernel.
+  if (connections_.size() >= limits_.connections + limits_.crowded)
+    listener_->pause(true);
 }
 
 std::vector<admission::Idle> Front::idle(std::vector<Connection*>& which) const {
   std::vector<admission::Idle> idle;
   for (const auto& [connection, owned] : connections_) {
-    if (!connection->idle() || connection->unread()) continue;
+    if (!connection->idle() || connection->unread())
+      continue;
     idle.push_back({which.size(), connection->since(), connection->answered_times()});
     which.push_back(connection);
   }
@@ -206,7 +252,8 @@
 bool Front::evict() {
   std::vector<Connection*> which;
   const std::vector<std::size_t> order = admission::room_for_new(idle(which), net::now());
-  if (order.empty()) return false;
+  if (order.empty())
+    return false;
   which[order.front()]->retire();
   return true;
 }
@@ -216,25 +263,33 @@
   const Nanos now = net::now();
   std::vector<std::pair<const char*, Connection*>> late;
   for (const auto& [connection, owned] : connections_)
-    if (const char* why = connection->overdue(now)) late.emplace_back(why, connection);
-  for (const auto& [why, connection] : late) connection->turn_away(why);
+    if (const char* why = connection->overdue(now))
+      late.emplace_back(why, connection);
+  for (const auto& [why, connection] : late)
+    connection->turn_away(why);
   std::vector<Connection*> which;
   for (const admission::Close& close :
        admission::retire(idle(which), now, connections_.size(), limits_.connections)) {
-    if (connections_.size() <= close.above) continue;
+    if (connections_.size() <= close.above)
+      continue;
     Connection* connection = which[close.index];
-    if (connection->answered_times() == 0) connection->crowded_ = true; // told why, in the protocol's words
-    connection->answered_times() == 0 ? connection->turn_away("too many connections") : connection->retire();
+    if (connection->answered_times() == 0)
+      connection->crowded_ = true;  // told why, in the protocol's words
+    connection->answered_times() == 0 ? connection->turn_away("too many connections")
+                                      : connection->retire();
   }
   tidy_.after(admission::again(connections_.size(), limits_.connections));
 }
 
 void Front::relieve() {
-  if (net::buffered() <= limits_.buffered) return;
+  if (net::buffered() <= limits_.buffered)
+    return;
   Connection* largest = nullptr;
   for (const auto& [connection, owned] : connections_)
-    if (!largest || connection->held() > largest->held()) largest = connection;
-  if (!largest || largest->held() == 0) return;
+    if (!largest || connection->held() > largest->held())
+      largest = connection;
+  if (!largest || largest->held() == 0)
+    return;
   net::log_line("front", "memory is short: closed a connection that holds " +
                              std::to_string(largest->held()) + " bytes of a message");
   largest->turn_away("memory is short");
@@ -242,37 +297,48 @@
 
 void Front::linger(Connection* connection) {
   const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
+  if (found == connections_.end())
+    return;
   lingering_.push_back(std::move(found->second));
   connections_.erase(found);
   // Bounds the descriptors: the one that has had most time to take its last words goes.
   // Nothing new takes their place once the door is closed.
-  if (lingering_.size() > limits_.lingering && !stopping_) lingering_.front()->close();
-  if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
-  if (listener_->open() && !stopping_) listener_->pause(false);
+  if (lingering_.size() > limits_.lingering && !stopping_)
+    lingering_.front()->close();
+  if (!lingering_.empty())
+    linger_.at(lingering_.front()->since() + kLinger);
+  if (listener_->open() && !stopping_)
+    listener_->pause(false);
 }
 
 void Front::end_lingering() {
   const Nanos now = net::now();
-  while (!lingering_.empty() && now - lingering_.front()->since() >= kLinger) lingering_.front()->close();
-  if (!lingering_.empty()) linger_.at(lingering_.front()->since() + kLinger);
+  while (!lingering_.empty() && now - lingering_.front()->since() >= kLinger)
+    lingering_.front()->close();
+  if (!lingering_.empty())
+    linger_.at(lingering_.front()->since() + kLinger);
 }
 
 void Front::remove(Connection* connection) {
   if (connection->lingering()) {
-    const auto at = std::find_if(lingering_.begin(), lingering_.end(),
-                                 [connection](const auto& owned) { return owned.get() == connection; });
-    if (at == lingering_.end()) return;
+    const auto at =
+        std::find_if(lingering_.begin(), lingering_.end(), [connection](const auto& owned) {
+          return owned.get() == connection;
+        });
+    if (at == lingering_.end())
+      return;
     removed_.push_back(std::move(*at));
     lingering_.erase(at);
     return reaper_.after(0);
   }
   const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
+  if (found == connections_.end())
+    return;
   removed_.push_back(std::move(found->second));
   connections_.erase(found);
   reaper_.after(0);
-  if (listener_->open() && !stopping_) listener_->pause(false);
+  if (listener_->open() && !stopping_)
+    listener_->pause(false);
 }
 
 void Front::stop_accepting() {
@@ -280,9 +346,12 @@
   listener_->close();
   std::vector<Connection*> idle;
   for (const auto& [connection, owned] : connections_)
-    if (connection->idle() && !connection->unread()) idle.push_back(connection);
-  for (Connection* connection : idle) connection->retire();
-  if (!connections_.empty()) sweep_.after(kSweep);
+    if (connection->idle() && !connection->unread())
+      idle.push_back(connection);
+  for (Connection* connection : idle)
+    connection->retire();
+  if (!connections_.empty())
+    sweep_.after(kSweep);
 }
 
-} // namespace gorsebeam::front
+}  // namespace gorsebeam::front
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,33 +19,36 @@
 constexpr Nanos kMs = 1'000'000;
 // After SIGTERM new connections go on coming for up to 0.4 s; only then the door is closed.
 constexpr Nanos kStillAccepting = 550 * kMs;
-constexpr Nanos kLongestLeast = 3000 * kMs; // the longest deadline counts as 3 s where it is shorter
+constexpr Nanos kLongestLeast =
+    3000 * kMs;  // the longest deadline counts as 3 s where it is shorter
 constexpr std::size_t kSocketsMost = 1024;
 
-// Descriptors and buffers: what is allowed less spare ones, for the listeners, discovery, logs and accepted
-// connections that are to be turned away, shared among the fronts; half of each share for clients, half for members.
+// Descriptors and buffers: what is allowed less spare ones, for the listeners, discovery, logs and
+// accepted connections that are to be turned away, shared among the fronts; half of each share for
+// clients, half for members.
 void share_out(std::size_t sockets, std::size_t memory_mb, std::size_t paths, front::Limits& fronts,
                upstream::Limits& pools) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
   if (sockets < config::kSocketsLeast)
-    throw settings::FormatError("the limit on open files is " + std::to_string(sockets) + ": raise it to " +
-                                std::to_string(config::kSocketsLeast) + " at least");
+    throw settings::FormatError("the limit on open files is " + std::to_string(sockets) +
+                                ": raise it to " + std::to_string(config::kSocketsLeast) +
+                                " at least");
   sockets = std::min(sockets, kSocketsMost);
   const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
   fronts.crowded = std::max<std::size_t>(use / 20, 1);
   fronts.lingering = std::max<std::size_t>(use / 20, 1);
   fronts.connections = use / 2 - fronts.crowded - fronts.lingering;
   pools.connections = use - use / 2;
-  // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent messages, so that
-  // answers always find room.
+  // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent
+  // messages, so that answers always find room.
   fronts.buffered = (memory_mb << 20) / 8;
   pools.buffered = (memory_mb << 20) / 4;
   pools.per_member = std::max<std::size_t>(4, pools.connections / 3);
 }
 
-} // namespace
+}  // namespace
 
 Plan read_plan(const std::string& config, const std::string& file) {
   Plan plan;
@@ -53,7 +56,8 @@
   plan.file_path = file;
   plan.config = config::read_config(config);
   plan.file.site.classes = plan.config.profile.classes;
-  if (!file.empty()) plan.file = config::read_file(file, &plan.config.profile.classes);
+  if (!file.empty())
+    plan.file = config::read_file(file, &plan.config.profile.classes);
   return plan;
 }
 
@@ -65,7 +69,8 @@
   };
   fronts.connections = at_most(fronts.connections, limits.client_connections());
   fronts.buffered = at_most(fronts.buffered, static_cast<std::size_t>(limits.buffered_mib()) << 20);
-  if (limits.message_kib()) fronts.message_bytes = static_cast<std::size_t>(limits.message_kib()) << 10;
+  if (limits.message_kib())
+    fronts.message_bytes = static_cast<std::size_t>(limits.message_kib()) << 10;
   pools.connections = at_most(pools.connections, limits.member_connections());
   pools.per_member = std::min(pools.per_member, std::max<std::size_t>(4, pools.connections / 3));
   front.set_limits(fronts);
@@ -75,11 +80,13 @@
 Gateway::Gateway(Plan plan)
     : plan_(std::move(plan)), loop_(g_main_loop_new(nullptr, FALSE)), door_([this] {
         postgres_->front.stop_accepting();
-        if (mongo_) mongo_->front.stop_accepting();
+        if (mongo_)
+          mongo_->front.stop_accepting();
         empty_.after(0);
       }),
       empty_([this] {
-        if (postgres_->done() && (!mongo_ || mongo_->done())) return g_main_loop_quit(loop_);
+        if (postgres_->done() && (!mongo_ || mongo_->done()))
+          return g_main_loop_quit(loop_);
         empty_.after(20 * kMs);
       }),
       last_([this] {
@@ -91,7 +98,8 @@
   front::Limits fronts;
   upstream::Limits pools;
   share_out(plan_.config.sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
-  if (profile.settings.connect_timeout > 0) pools.connect_timeout = profile.settings.connect_timeout;
+  if (profile.settings.connect_timeout > 0)
+    pools.connect_timeout = profile.settings.connect_timeout;
   pools.keepalive = profile.keepalive;
   const std::uint64_t seed = plan_.config.seed;
   postgres_ = std::make_unique<Path>(profile, seed, postgres::make_wire, pools, fronts,
@@ -102,7 +110,8 @@
 }
 
 Gateway::~Gateway() {
-  if (watch_) watch_->stop();
+  if (watch_)
+    watch_->stop();
   g_main_loop_unref(loop_);
 }
 
@@ -110,10 +119,12 @@
   const config::Config& config = plan_.config;
   const config::pb::Gateway& file = plan_.file.gateway;
   take_up(file);
-  control_ = std::make_unique<control::Client>(
-      plan_.file, config.seed,
-      [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
-             const config::pb::Limits* limits) { run(contracts, members, limits); });
+  control_ = std::make_unique<control::Client>(plan_.file, config.seed,
+                                               [this](const config::pb::Contracts* contracts,
+                                                      const config::pb::Members* members,
+                                                      const config::pb::Limits* limits) {
+                                                 run(contracts, members, limits);
+                                               });
   if (!plan_.file.site.postgres_listed) {
     watch_ = std::make_unique<discovery::Watch>(
         postgres_->core, config.discovery, config.known,
@@ -122,7 +133,8 @@
     watch_->start();
   }
   control_->start();
-  const auto listen = [&why](front::Front& front, const std::string& address, const char* protocol) {
+  const auto listen = [&why](front::Front& front, const std::string& address,
+                             const char* protocol) {
     if (!front.listen(address, why)) {
       why = "cannot listen on " + address + ": " + why;
       return false;
@@ -135,12 +147,14 @@
 }
 
 void Gateway::stop() {
-  if (std::exchange(stopping_, true)) return;
+  if (std::exchange(stopping_, true))
+    return;
   net::log_line("stop", "asked to: serving until all is answered");
   control_->stop();
   door_.after(kStillAccepting);
   Nanos longest = kLongestLeast;
-  for (const RequestClass& c : plan_.config.profile.settings.classes) longest = std::max(longest, c.deadline);
+  for (const RequestClass& c : plan_.config.profile.settings.classes)
+    longest = std::max(longest, c.deadline);
   last_.after(longest + kStillAccepting);
 }
 
@@ -148,67 +162,84 @@
   net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
                                                                    : net::LogFormat::Text);
   const config::pb::Shapes& shapes = file.shapes();
-  shapes_ = !shapes.postgres() ? nullptr
-                               : std::make_shared<const gorsebeam::shapes::Sql>(std::set<std::string>(
-                                     shapes.read_function().begin(), shapes.read_function().end()));
+  shapes_ = !shapes.postgres()
+                ? nullptr
+                : std::make_shared<const gorsebeam::shapes::Sql>(std::set<std::string>(
+                      shapes.read_function().begin(), shapes.read_function().end()));
 }
 
 std::string Gateway::waits_for_start(const Plan& fresh) const {
   if (fresh.file.gateway.has_mongo() != (mongo_ != nullptr))
-    return "the second front is turned on or off at the start only, as the descriptors are shared out then; "
+    return "the second front is turned on or off at the start only, as the descriptors are shared "
+           "out then; "
            "restart";
   if (fresh.file.site.postgres_listed != plan_.file.site.postgres_listed)
-    return "whether PostgreSQL's members come from discovery or from a list is settled at the start; restart";
+    return "whether PostgreSQL's members come from discovery or from a list is settled at the "
+           "start; restart";
   return "";
 }
 
-// Everything is read and checked before anything changes. Members keep what is known of them, as the module knows them
-// by their names; open requests never notice.
+// Everything is read and checked before anything changes. Members keep what is known of them, as
+// the module knows them by their names; open requests never notice.
 void Gateway::reload() {
-  const auto kept = [](const std::string& why) { net::log_line("reload", "kept all as it was: " + why); };
+  const auto kept = [](const std::string& why) {
+    net::log_line("reload", "kept all as it was: " + why);
+  };
   // Guards the end against an address that would be listened on anew.
-  if (stopping_) return kept("this gateway is stopping");
+  if (stopping_)
+    return kept("this gateway is stopping");
   Plan fresh;
   try {
     fresh = read_plan(plan_.config_path, plan_.file_path);
-  } catch (const std::exception& error) { return kept(error.what()); }
+  } catch (const std::exception& error) {
+    return kept(error.what());
+  }
   std::string why = waits_for_start(fresh);
-  if (!why.empty()) return kept(plan_.file_path + ": " + why);
+  if (!why.empty())
+    return kept(plan_.file_path + ": " + why);
   const config::pb::Gateway& file = fresh.file.gateway;
   // Last of what can fail, as it changes something.
   const bool moves = mongo_ && file.mongo().listen() != plan_.file.gateway.mongo().listen();
   if (moves && !mongo_->front.listen(file.mongo().listen(), why))
     return kept("cannot listen on " + file.mongo().listen() + ": " + why);
-  if (moves) net::log_line("start", "MongoDB on " + mongo_->front.address());
+  if (moves)
+    net::log_line("start", "MongoDB on " + mongo_->front.address());
   take_up(file);
   if (fresh.config.fixed != plan_.config.fixed)
-    net::log_line("reload", "the platform's limits, settings and listening address wait for the next start");
-  if (watch_) watch_->follow(fresh.config.discovery);
+    net::log_line("reload",
+                  "the platform's limits, settings and listening address wait for the next start");
+  if (watch_)
+    watch_->follow(fresh.config.discovery);
   why = control_->follow(fresh.file);
   plan_.file.gateway = fresh.file.gateway;
-  if (!why.empty()) return net::log_line("reload", "contracts, members and limits kept as they were: " + why);
+  if (!why.empty())
+    return net::log_line("reload", "contracts, members and limits kept as they were: " + why);
   net::log_line("reload", "read again; discovery is " + fresh.config.discovery);
 }
 
 void Gateway::run(const config::pb::Contracts* contracts, const config::pb::Members* members,
                   const config::pb::Limits* limits) {
   if (contracts)
-    terms_.set(
-        std::make_shared<broker::Contracts>(config::contracts_of(*contracts, plan_.config.profile.classes)),
-        net::now());
+    terms_.set(std::make_shared<broker::Contracts>(
+                   config::contracts_of(*contracts, plan_.config.profile.classes)),
+               net::now());
   if (members && plan_.file.site.postgres_listed)
     postgres_->core.list(MemberList::Kind::Full, config::members_of(members->postgres()));
-  if (members && mongo_) mongo_->core.list(MemberList::Kind::Full, config::members_of(members->mongo()));
-  if (limits) postgres_->limit(*limits);
-  if (limits && mongo_) mongo_->limit(*limits);
+  if (members && mongo_)
+    mongo_->core.list(MemberList::Kind::Full, config::members_of(members->mongo()));
+  if (limits)
+    postgres_->limit(*limits);
+  if (limits && mongo_)
+    mongo_->limit(*limits);
 }
 
 int Gateway::run() {
-  const net::Signals signals({SIGHUP, SIGTERM, SIGINT},
-                             [this](int number) { number == SIGHUP ? reload() : stop(); });
+  const net::Signals signals({SIGHUP, SIGTERM, SIGINT}, [this](int number) {
+    number == SIGHUP ? reload() : stop();
+  });
   g_main_loop_run(loop_);
   net::log_line("stop", "done");
   return 0;
 }
 
-} // namespace gorsebeam::gateway
+}  // namespace gorsebeam::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,21 +19,24 @@
 struct Plan {
   config::Config config;
   config::File file;
-  std::string config_path, file_path; // read again on SIGHUP
+  std::string config_path, file_path;  // read again on SIGHUP
 };
-Plan read_plan(const std::string& config, const std::string& file); // throws settings::FormatError
+
+Plan read_plan(const std::string& config, const std::string& file);  // throws settings::FormatError
 
 // One protocol's way through: a front on a core of its own, with its own members.
 class Path {
 public:
   Path(const settings::Profile& profile, std::uint64_t seed, upstream::WireFactory wire,
        const upstream::Limits& pool, const front::Limits& limits, front::Front::Make make)
-      : core(profile.settings, seed), pool_(core, wire, pool), pool_share_(pool), front_share_(limits),
-        front(core, limits, std::move(make)) {
+      : core(profile.settings, seed), pool_(core, wire, pool), pool_share_(pool),
+        front_share_(limits), front(core, limits, std::move(make)) {
     core.attach(pool_);
   }
+
   // What the operator allows, within the path's own share.
   void limit(const config::pb::Limits& limits);
+
   bool done() const { return front.empty() && core.open_requests() == 0; }
 
   broker::Core core;
@@ -53,15 +56,16 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
   ~Gateway();
-  bool start(std::string& why); // false: a front cannot listen
-  int run();                    // until it is asked to stop and all is answered
+  bool start(std::string& why);  // false: a front cannot listen
+  int run();                     // until it is asked to stop and all is answered
 
 private:
   void stop();
-  // All files, on SIGHUP. Follows discovery's address and what the operator configures; a bad file is told of and
-  // changes nothing.
+  // All files, on SIGHUP. Follows discovery's address and what the operator configures; a bad file
+  // is told of and changes nothing.
   void reload();
-  void take_up(const config::pb::Gateway& file); // what the file alone settles: the log's form, shapes
+  void
+  take_up(const config::pb::Gateway& file);  // what the file alone settles: the log's form, shapes
   // Why a file that is fine by itself cannot be followed by a running process; empty: it can.
   std::string waits_for_start(const Plan& fresh) const;
   // The one place where a version comes into force: contracts, members and limits; null: as it was.
@@ -71,7 +75,7 @@
   Plan plan_;
   GMainLoop* loop_;
   broker::Terms terms_;
-  std::shared_ptr<const gorsebeam::shapes::Sql> shapes_; // null: statements are not parsed
+  std::shared_ptr<const gorsebeam::shapes::Sql> shapes_;  // null: statements are not parsed
   std::unique_ptr<Path> postgres_, mongo_;
   std::unique_ptr<discovery::Watch> watch_;
   std::unique_ptr<control::Client> control_;
@@ -79,4 +83,4 @@
   bool stopping_ = false;
 };
 
-} // namespace gorsebeam::gateway
+}  // namespace gorsebeam::gateway
--- a/src/grpc/channel.cpp
+++ b/src/grpc/channel.cpp
@@ -12,13 +12,15 @@
 }
 
 void Channel::close() {
-  if (stream_) stream_->close();
+  if (stream_)
+    stream_->close();
   stream_.reset();
   session_.reset();
 }
 
 void Channel::fail(const std::string& why) {
-  if (!open()) return;
+  if (!open())
+    return;
   close();
   events_.down(why);
 }
@@ -30,37 +32,43 @@
 }
 
 void Channel::send(std::string_view message) {
-  if (!session_) return;
+  if (!session_)
+    return;
   session_->send(message);
   pump();
 }
 
 void Channel::ping() {
-  if (!session_) return;
+  if (!session_)
+    return;
   session_->ping();
   pump();
 }
 
 void Channel::pump() {
   while (session_ && stream_ &&
-         stream_->all_written()) { // what the kernel does not take goes on when it has gone
+         stream_->all_written()) {  // what the kernel does not take goes on when it has gone
     const std::string_view bytes = session_->output();
-    if (bytes.empty()) return;
+    if (bytes.empty())
+      return;
     stream_->write({bytes});
   }
 }
 
 void Channel::received() {
-  const auto session = session_; // a message may end the channel, or dial it anew
+  const auto session = session_;  // a message may end the channel, or dial it anew
   session->feed(stream_->input().view(), net::now());
   stream_->input().consume(stream_->input().size());
   events_.heard();
   std::string message;
-  while (session_ == session && session->next(message)) events_.message(message);
-  if (session_ != session) return;
+  while (session_ == session && session->next(message))
+    events_.message(message);
+  if (session_ != session)
+    return;
   pump();
   const std::string fault = session->fault();
-  if (!fault.empty()) fail(fault);
+  if (!fault.empty())
+    fail(fault);
 }
 
-} // namespace gorsebeam::grpc
+}  // namespace gorsebeam::grpc
--- a/src/inventory/inventory.cpp
+++ b/src/inventory/inventory.cpp
@@ -16,7 +16,7 @@
          path.compare(path.size() - ending.size(), ending.size(), ending) == 0;
 }
 
-} // namespace
+}  // namespace
 
 void Rows::wrong(std::size_t line, const std::string& field, const std::string& what) const {
   throw settings::field_error(path_, line, field, what);
@@ -39,7 +39,8 @@
   };
   const auto number = [&](const char* field, double fallback, double least, double most) {
     const std::string value = text(field);
-    if (value.empty()) return fallback;
+    if (value.empty())
+      return fallback;
     char* end = nullptr;
     const double read = std::strtod(value.c_str(), &end);
     if (*end != '\0' || !std::isfinite(read) || read < least || read > most)
@@ -49,15 +50,20 @@
   broker::Listed listed;
   Member& member = listed.member;
   listed.name = text("name");
-  if (listed.name.empty()) bad("name", "is missing");
-  if (!names_.insert(listed.name).second) bad("name", "'" + listed.name + "' stands twice");
+  if (listed.name.empty())
+    bad("name", "is missing");
+  if (!names_.insert(listed.name).second)
+    bad("name", "'" + listed.name + "' stands twice");
   listed.address = text("address");
-  if (listed.address.empty()) bad("address", "is missing");
+  if (listed.address.empty())
+    bad("address", "is missing");
   if (!net::parse_address(listed.address))
     bad("address", "'" + listed.address + "' is no numeric address and port");
   const std::string group = text("group");
-  const auto [end, fault] = std::from_chars(group.data(), group.data() + group.size(), member.group);
-  if (group.empty()) bad("group", "is missing");
+  const auto [end, fault] =
+      std::from_chars(group.data(), group.data() + group.size(), member.group);
+  if (group.empty())
+    bad("group", "is missing");
   if (fault != std::errc() || end != group.data() + group.size())
     bad("group", "'" + group + "' is no whole number");
   member.zone = text("zone");
@@ -86,8 +92,9 @@
     read_yaml(path, rows);
   else
     throw settings::FormatError(path + ": an inventory's name ends in .csv, .yaml or .yml");
-  if (rows.members.empty()) throw settings::FormatError(path + ": names no member");
+  if (rows.members.empty())
+    throw settings::FormatError(path + ": names no member");
   return std::move(rows.members);
 }
 
-} // namespace gorsebeam::inventory
+}  // namespace gorsebeam::inventory
--- a/src/inventory/yaml.cpp
+++ b/src/inventory/yaml.cpp
@@ -17,10 +17,14 @@
   explicit Tree(Rows& rows) : rows_(rows) {}
 
   void group(const std::string& name, const YAML::Node& node, Row inherited, int depth) {
-    if (node.IsNull()) return;
-    if (!node.IsMap()) rows_.wrong(line_of(node), name, "is not a map");
-    if (depth > kDeepest) rows_.wrong(line_of(node), name, "is nested too deeply");
-    if (node["vars"]) variables(node["vars"], "vars", inherited);
+    if (node.IsNull())
+      return;
+    if (!node.IsMap())
+      rows_.wrong(line_of(node), name, "is not a map");
+    if (depth > kDeepest)
+      rows_.wrong(line_of(node), name, "is nested too deeply");
+    if (node["vars"])
+      variables(node["vars"], "vars", inherited);
     for (const auto& entry : node) {
       const std::string key = scalar(entry.first, name);
       if (key == "hosts")
@@ -34,25 +38,31 @@
 
 private:
   std::string scalar(const YAML::Node& node, const std::string& field) const {
-    if (!node.IsScalar()) rows_.wrong(line_of(node), field, "is not a plain value");
+    if (!node.IsScalar())
+      rows_.wrong(line_of(node), field, "is not a plain value");
     return node.Scalar();
   }
 
   void children(const YAML::Node& node, const Row& inherited, int depth) {
-    if (!node.IsMap()) rows_.wrong(line_of(node), "children", "is not a map");
-    for (const auto& child : node) group(scalar(child.first, "children"), child.second, inherited, depth + 1);
+    if (!node.IsMap())
+      rows_.wrong(line_of(node), "children", "is not a map");
+    for (const auto& child : node)
+      group(scalar(child.first, "children"), child.second, inherited, depth + 1);
   }
 
   void hosts(const YAML::Node& node, const Row& inherited) {
-    if (!node.IsMap()) rows_.wrong(line_of(node), "hosts", "is not a map");
+    if (!node.IsMap())
+      rows_.wrong(line_of(node), "hosts", "is not a map");
     for (const auto& host : node) {
       Row row = inherited;
       const std::size_t line = line_of(host.first);
       row["name"] = {scalar(host.first, "hosts"), line};
-      if (!host.second.IsNull()) variables(host.second, row["name"].text, row);
+      if (!host.second.IsNull())
+        variables(host.second, row["name"].text, row);
       if (!row.count("address") && row.count("ansible_host")) {
         const Field port = row.count("ansible_port") ? row["ansible_port"] : Field{"", line};
-        if (port.text.empty()) rows_.wrong(line, "ansible_port", "is missing");
+        if (port.text.empty())
+          rows_.wrong(line, "ansible_port", "is missing");
         row["address"] = {row["ansible_host"].text + ":" + port.text, row["ansible_host"].line};
       }
       rows_.add(row, line);
@@ -61,7 +71,8 @@
 
   // Variables that are not ours belong to the tool and are left alone; a nearer one wins.
   void variables(const YAML::Node& node, const std::string& name, Row& row) const {
-    if (!node.IsMap()) rows_.wrong(line_of(node), name, "is not a map");
+    if (!node.IsMap())
+      rows_.wrong(line_of(node), name, "is not a map");
     for (const auto& entry : node) {
       const std::string key = scalar(entry.first, name);
       if (Rows::known(key) || key == "ansible_host" || key == "ansible_port")
@@ -72,12 +83,13 @@
   Rows& rows_;
 };
 
-} // namespace
+}  // namespace
 
 void read_yaml(const std::string& path, Rows& rows) {
   try {
     const YAML::Node root = YAML::LoadFile(path);
-    if (!root.IsMap()) rows.wrong(1, "all", "is missing");
+    if (!root.IsMap())
+      rows.wrong(1, "all", "is missing");
     for (const auto& entry : root) {
       const std::string name = entry.first.IsScalar() ? entry.first.Scalar() : "";
       Tree(rows).group(name, entry.second, {}, 0);
@@ -89,4 +101,4 @@
   }
 }
 
-} // namespace gorsebeam::inventory
+}  // namespace gorsebeam::inventory
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,34 +20,40 @@
 int serve(gorsebeam::gateway::Plan plan) {
   gorsebeam::gateway::Gateway gateway(std::move(plan));
   std::string why;
-  if (gateway.start(why)) return gateway.run();
+  if (gateway.start(why))
+    return gateway.run();
   std::cerr << "gorsebeam: " << why << '\n';
   return 1;
 }
 
-// ---- `gorsebeam config ...`: files and state, and nothing that runs. Status 0: fine, or the same; 1: different, or
-// wrong; 2: cannot be read.
+// ---- `gorsebeam config ...`: files and state, and nothing that runs. Status 0: fine, or the same;
+// 1: different, or wrong; 2: cannot be read.
 
 int show(const std::string& folder) {
   namespace state = gorsebeam::state;
   std::string why;
   const auto good = state::load(folder, why);
   if (!good) {
-    std::cerr << "gorsebeam: " << (why.empty() ? folder + ": holds no last good version" : why) << '\n';
+    std::cerr << "gorsebeam: " << (why.empty() ? folder + ": holds no last good version" : why)
+              << '\n';
     return 2;
   }
-  const auto part = [](const char* name, const state::v1::Part& p, const google::protobuf::Message& value) {
-    if (!p.held()) return;
+  const auto part = [](const char* name, const state::v1::Part& p,
+                       const google::protobuf::Message& value) {
+    if (!p.held())
+      return;
     const std::time_t at = static_cast<std::time_t>(p.accepted_unix_ms() / 1000);
     char when[32];
     std::strftime(when, sizeof when, "%Y-%m-%dT%H:%M:%SZ", std::gmtime(&at));
     std::string text;
     google::protobuf::TextFormat::PrintToString(value, &text);
     std::cout << "# " << name << ": version " << p.version() << ", generation " << p.generation()
-              << " (newest " << p.newest() << "), from " << p.source() << ", accepted " << when << '\n'
+              << " (newest " << p.newest() << "), from " << p.source() << ", accepted " << when
+              << '\n'
               << name << " {\n";
     std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);) std::cout << "  " << line << '\n';
+    for (std::string line; std::getline(lines, line);)
+      std::cout << "  " << line << '\n';
     std::cout << "}\n";
   };
   part("contracts", good->contracts(), good->contracts_value());
@@ -60,7 +66,8 @@
   namespace config = gorsebeam::config;
   const std::string what = words.empty() ? "" : words[0];
   const std::size_t files = words.empty() ? 0 : words.size() - 1;
-  if (what == "show" && given.count("state") && files == 0) return show(given["state"].as<std::string>());
+  if (what == "show" && given.count("state") && files == 0)
+    return show(given["state"].as<std::string>());
   try {
     // With the platform's configuration at hand the classes are checked too.
     std::optional<std::map<std::string, std::size_t>> classes;
@@ -80,7 +87,8 @@
     }
     if (what == "diff" && files == 2) {
       const auto lines = config::differences(read(words[1]), read(words[2]));
-      for (const std::string& line : lines) std::cout << line << '\n';
+      for (const std::string& line : lines)
+        std::cout << line << '\n';
       return lines.empty() ? 0 : 1;
     }
   } catch (const std::exception& error) {
@@ -91,7 +99,7 @@
   return 2;
 }
 
-} // namespace
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("gorsebeam",
@@ -100,11 +108,13 @@
                         cxxopts::value<std::string>()->default_value(""))(
       "words", "what config does: check FILE, fmt FILE, diff OLD NEW, or show with --state",
       cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "config", "the platform's configuration; else what RELAY_CONFIG names", cxxopts::value<std::string>())(
-      "file",
-      "the operators' file: contracts, budgets, the second front, a control service; none: none of them",
-      cxxopts::value<std::string>())("state", "a state folder, for config show",
-                                     cxxopts::value<std::string>())("h,help", "this text");
+      "config", "the platform's configuration; else what RELAY_CONFIG names",
+      cxxopts::value<std::string>())("file",
+                                     "the operators' file: contracts, budgets, the second front, a "
+                                     "control service; none: none of them",
+                                     cxxopts::value<std::string>())(
+      "state", "a state folder, for config show", cxxopts::value<std::string>())("h,help",
+                                                                                 "this text");
   options.parse_positional({"command", "words"});
   options.positional_help("serve|check|config ...|version");
   try {
@@ -119,8 +129,10 @@
       return 0;
     }
     std::vector<std::string> words;
-    if (given.count("words")) words = given["words"].as<std::vector<std::string>>();
-    if (command == "config") return config_command(words, given);
+    if (given.count("words"))
+      words = given["words"].as<std::vector<std::string>>();
+    if (command == "config")
+      return config_command(words, given);
     if ((command != "serve" && command != "check") || !words.empty()) {
       std::cerr << "gorsebeam: no command '" << command << (words.empty() ? "" : " " + words[0])
                 << "'; there are serve, check, config and version\n";
@@ -134,9 +146,10 @@
       std::cerr << "gorsebeam: no configuration: give --config FILE or set RELAY_CONFIG\n";
       return 2;
     }
-    auto plan =
-        gorsebeam::gateway::read_plan(config, given.count("file") ? given["file"].as<std::string>() : "");
-    if (command == "serve") return serve(std::move(plan));
+    auto plan = gorsebeam::gateway::read_plan(
+        config, given.count("file") ? given["file"].as<std::string>() : "");
+    if (command == "serve")
+      return serve(std::move(plan));
     std::cout << "gorsebeam: the files are fine\n";
     return 0;
   } catch (const std::exception& error) {
--- a/src/mongo/front.h
+++ b/src/mongo/front.h
@@ -10,4 +10,4 @@
 // `terms` outlives the front.
 front::Front::Make make_connection(broker::Terms& terms);
 
-} // namespace gorsebeam::mongo
+}  // namespace gorsebeam::mongo
--- a/src/mongo/wire.cpp
+++ b/src/mongo/wire.cpp
@@ -32,21 +32,23 @@
             .document("driver", Writer().text("name", "gorsebeam").text("version", "1").take())
             .document("os", Writer().text("type", "Linux").take())
             .take();
-    return op_msg(Writer().small("hello", 1).text("$db", "admin").document("client", client).take(), ++id_,
-                  0);
+    return op_msg(Writer().small("hello", 1).text("$db", "admin").document("client", client).take(),
+                  ++id_, 0);
   }
 
   Step welcome(std::string_view in, std::size_t& used, bool& turned_away) override {
     std::string_view document, sections;
     const Step step = reply(in, document, sections, used);
-    if (step != Step::Done || is_ok(document)) return step;
+    if (step != Step::Done || is_ok(document))
+      return step;
     turned_away = code_of(document) == kRateLimitExceeded;
     return Step::Broken;
   }
 
   broker::Parts request(const broker::Parts& body) override {
     std::size_t size = 0;
-    for (const std::string_view part : body) size += part.size();
+    for (const std::string_view part : body)
+      size += part.size();
     head_ = header(size, ++id_, 0, kOpMsg);
     broker::Parts parts{head_};
     parts.insert(parts.end(), body.begin(), body.end());
@@ -58,11 +60,13 @@
     return {head_};
   }
 
-  Step answer(std::string_view in, bool, bool to_probe, Answer& answer, std::size_t& used) override {
+  Step answer(std::string_view in, bool, bool to_probe, Answer& answer,
+              std::size_t& used) override {
     answer = Answer{};
     std::string_view document, sections;
     const Step step = reply(in, document, sections, used);
-    if (step != Step::Done) return step;
+    if (step != Step::Done)
+      return step;
     if (to_probe) {
       read_hello(document, answer);
       return Step::Done;
@@ -70,13 +74,20 @@
     const std::int32_t code = is_ok(document) ? 0 : code_of(document);
     read_position(document, answer);
     switch (code) {
-    case kNotWritablePrimary: answer.role = Role::Replica; [[fallthrough]];
+    case kNotWritablePrimary:
+      answer.role = Role::Replica;
+      [[fallthrough]];
     // Turned away untouched: no primary, or too far behind.
     case kNotPrimaryNoSecondaryOk:
     case kNotPrimaryOrSecondary:
-    case kSnapshotUnavailable: answer.result = Result::Miss; return Step::Done;
-    case kRateLimitExceeded: answer.result = Result::Full; return Step::Done;
-    default: break;
+    case kSnapshotUnavailable:
+      answer.result = Result::Miss;
+      return Step::Done;
+    case kRateLimitExceeded:
+      answer.result = Result::Full;
+      return Step::Done;
+    default:
+      break;
     }
     answer.result = is_ok(document) ? Result::Ok : Result::Error;
     answer.value = {sections};
@@ -84,15 +95,19 @@
   }
 
 private:
-  // A whole reply to our last message. A checksum is left off what is passed on, as the heads are written anew.
+  // A whole reply to our last message. A checksum is left off what is passed on, as the heads are
+  // written anew.
   Step reply(std::string_view in, std::string_view& document, std::string_view& sections,
              std::size_t& used) const {
     Message m;
     const Framing framing = read_message(in, kMessageMost, m);
-    if (framing != Framing::Whole) return framing == Framing::More ? Step::More : Step::Broken;
+    if (framing != Framing::Whole)
+      return framing == Framing::More ? Step::More : Step::Broken;
     OpMsg msg;
-    if (m.operation != kOpMsg || m.answers != id_ || !read_op_msg(m.payload, msg)) return Step::Broken;
-    if (msg.flags & kMoreToCome) return Step::Broken; // replies without a request: never asked for
+    if (m.operation != kOpMsg || m.answers != id_ || !read_op_msg(m.payload, msg))
+      return Step::Broken;
+    if (msg.flags & kMoreToCome)
+      return Step::Broken;  // replies without a request: never asked for
     document = msg.body, sections = msg.sections, used = m.size;
     return Step::Done;
   }
@@ -110,20 +125,26 @@
     answer.result = Result::Ok;
     answer.report.primary = primary;
     const auto last = find(document, "lastWrite");
-    const auto date = last && last->type == '\x03' ? find(last->value, "lastWriteDate") : std::nullopt;
-    if (!date || date->type != '\x09') return;
+    const auto date =
+        last && last->type == '\x03' ? find(last->value, "lastWriteDate") : std::nullopt;
+    if (!date || date->type != '\x09')
+      return;
     const auto ms = static_cast<std::int64_t>(read_u64(date->value.data()));
-    if (ms > 0 && ms < kSecondsMost * 1000) answer.report.position = ms * kMs;
+    if (ms > 0 && ms < kSecondsMost * 1000)
+      answer.report.position = ms * kMs;
   }
 
-  // operationTime: its seconds are Unix time. The member has applied all up to them; a write's commit lies somewhere
-  // within that second, so what must see it must see the next one. Guards against a demoted primary's being taken
-  // for more current than it is, and against a session's reading from before its write.
+  // operationTime: its seconds are Unix time. The member has applied all up to them; a write's
+  // commit lies somewhere within that second, so what must see it must see the next one. Guards
+  // against a demoted primary's being taken for more current than it is, and against a session's
+  // reading from before its write.
   static void read_position(std::string_view document, Answer& answer) {
     const auto time = find(document, "operationTime");
-    if (!time || time->type != '\x11') return;
+    if (!time || time->type != '\x11')
+      return;
     const auto seconds = static_cast<std::int64_t>(read_u64(time->value.data()) >> 32);
-    if (seconds <= 0 || seconds > kSecondsMost) return;
+    if (seconds <= 0 || seconds > kSecondsMost)
+      return;
     answer.position = seconds * kSecond;
     answer.commit = (seconds + 1) * kSecond;
   }
@@ -132,8 +153,10 @@
   std::string head_;
 };
 
-} // namespace
+}  // namespace
 
-std::unique_ptr<upstream::Wire> make_wire() { return std::make_unique<MongoWire>(); }
+std::unique_ptr<upstream::Wire> make_wire() {
+  return std::make_unique<MongoWire>();
+}
 
-} // namespace gorsebeam::mongo
+}  // namespace gorsebeam::mongo
--- a/src/mongo/wire.h
+++ b/src/mongo/wire.h
@@ -7,4 +7,4 @@
 
 std::unique_ptr<upstream::Wire> make_wire();
 
-} // namespace gorsebeam::mongo
+}  // namespace gorsebeam::mongo
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -7,10 +7,10 @@
 namespace {
 constexpr int kBacklog = 512;
 constexpr int kAcceptsAtOnce = 16;
-} // namespace
+}  // namespace
 
 bool Listener::listen(const std::string& text, std::string& why) {
-  const AddressHandle address = parse_address(text, 0); // port 0: any free one
+  const AddressHandle address = parse_address(text, 0);  // port 0: any free one
   if (!address) {
     why = "'" + text + "' is no address and port";
     return false;
@@ -34,8 +34,10 @@
 }
 
 std::string Listener::address() const {
-  const AddressHandle address(socket_ ? g_socket_get_local_address(socket_.get(), nullptr) : nullptr);
-  if (!address) return "";
+  const AddressHandle address(socket_ ? g_socket_get_local_address(socket_.get(), nullptr)
+                                      : nullptr);
+  if (!address)
+    return "";
   auto* inet = G_INET_SOCKET_ADDRESS(address.get());
   gchar* host = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
   std::string text = std::string(host) + ":" + std::to_string(g_inet_socket_address_get_port(inet));
@@ -44,21 +46,26 @@
 }
 
 void Listener::pause(bool pause) {
-  if (pause || !socket_) return source_.reset();
-  if (source_) return;
+  if (pause || !socket_)
+    return source_.reset();
+  if (source_)
+    return;
   source_.watch(socket_.get(), G_IO_IN, &Listener::on_ready, this);
 }
 
 void Listener::close() {
-  while (socket_ && accept_one()) {}
+  while (socket_ && accept_one()) {
+  }
   source_.reset();
-  if (socket_) g_socket_close(socket_.get(), nullptr);
+  if (socket_)
+    g_socket_close(socket_.get(), nullptr);
   socket_.reset();
 }
 
 gboolean Listener::on_ready(GSocket*, GIOCondition, gpointer self) {
   auto* listener = static_cast<Listener*>(self);
-  for (int i = 0; i < kAcceptsAtOnce && listener->source_ && listener->accept_one(); ++i) {}
+  for (int i = 0; i < kAcceptsAtOnce && listener->source_ && listener->accept_one(); ++i) {
+  }
   return listener->source_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
@@ -67,11 +74,12 @@
   SocketHandle socket(g_socket_accept(socket_.get(), nullptr, &raw));
   const ErrorHandle error(raw);
   if (!socket) {
-    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) log_line("accept", error->message);
+    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+      log_line("accept", error->message);
     return false;
   }
   accepted_(std::move(socket));
   return true;
 }
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -11,11 +11,14 @@
 class Listener {
 public:
   using Accepted = std::function<void(SocketHandle)>;
+
   explicit Listener(Accepted accepted) : accepted_(std::move(accepted)) {}
-  bool listen(const std::string& address, std::string& why); // false: could not, and why
-  std::string address() const;                               // where it listens, the port as it was given out
+
+  bool listen(const std::string& address, std::string& why);  // false: could not, and why
+  std::string address() const;  // where it listens, the port as it was given out
   void pause(bool pause);
-  void close(); // takes in first what the kernel has accepted already
+  void close();  // takes in first what the kernel has accepted already
+
   bool open() const { return socket_ != nullptr; }
 
 private:
@@ -26,4 +29,4 @@
   SourceHandle source_;
 };
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -16,7 +16,8 @@
 
 spdlog::logger& logger() {
   static const auto made = [] {
-    auto l = std::make_shared<spdlog::logger>("gorsebeam", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto l = std::make_shared<spdlog::logger>("gorsebeam",
+                                              std::make_shared<spdlog::sinks::stderr_sink_st>());
     l->set_pattern("%v");
     l->flush_on(spdlog::level::info);
     return l;
@@ -24,14 +25,16 @@
   return *made;
 }
 
-// A value stands bare where it is one word, else in quotes; nothing that a peer sends starts a line of its own.
+// A value stands bare where it is one word, else in quotes; nothing that a peer sends starts a line
+// of its own.
 std::string word(const std::string& value) {
   std::string clean;
   bool bare = !value.empty();
   for (const char c : value) {
     const bool control = static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
     bare &= !control && c != ' ' && c != '"' && c != '=';
-    if (c == '"') clean += '\\';
+    if (c == '"')
+      clean += '\\';
     clean += control ? '?' : c;
   }
   return bare ? clean : '"' + clean + '"';
@@ -39,7 +42,8 @@
 
 std::string plain(std::string text) {
   for (char& c : text)
-    if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) c = ' ';
+    if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)
+      c = ' ';
   return text;
 }
 
@@ -70,30 +74,37 @@
   return buffer.GetString();
 }
 
-} // namespace
+}  // namespace
 
-void set_log_format(LogFormat wanted) { format = wanted; }
+void set_log_format(LogFormat wanted) {
+  format = wanted;
+}
 
 void log_line(const char* kind, const std::string& text, const Fields& fields) {
   struct Recent {
     gint64 since = 0;
     int lines = 0, left_out = 0;
   };
-  static std::map<std::string, Recent> kinds; // kinds are literals: a few
+
+  static std::map<std::string, Recent> kinds;  // kinds are literals: a few
   Recent& recent = kinds[kind];
   const gint64 now = g_get_monotonic_time();
-  if (recent.since == 0 || now - recent.since >= G_USEC_PER_SEC) recent.since = now, recent.lines = 0;
+  if (recent.since == 0 || now - recent.since >= G_USEC_PER_SEC)
+    recent.since = now, recent.lines = 0;
   if (++recent.lines > kLogBurst) {
     ++recent.left_out;
     return;
   }
   const int left_out = recent.left_out;
   recent.left_out = 0;
-  if (format == LogFormat::Json) return logger().info("{}", json(kind, text, fields, left_out));
+  if (format == LogFormat::Json)
+    return logger().info("{}", json(kind, text, fields, left_out));
   std::string line = std::string("gorsebeam: ") + kind + ": " + plain(text);
-  for (const auto& [name, value] : fields) line += std::string(" ") + name + "=" + word(value);
-  if (left_out > 0) line += " (" + std::to_string(left_out) + " such lines left out before)";
+  for (const auto& [name, value] : fields)
+    line += std::string(" ") + name + "=" + word(value);
+  if (left_out > 0)
+    line += " (" + std::to_string(left_out) + " such lines left out before)";
   logger().info("{}", line);
 }
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -1,5 +1,5 @@
-// Signals as events of the main loop, with no thread of their own: GLib's take one, which on a platform that lets one
-// thread run at a time can hold a lock while the other waits for it.
+// Signals as events of the main loop, with no thread of their own: GLib's take one, which on a
+// platform that lets one thread run at a time can hold a lock while the other waits for it.
 #pragma once
 
 #include "handles.h"
@@ -9,11 +9,12 @@
 
 namespace gorsebeam::net {
 
-// One at a time in a process. While it stands, each of the signals is told from the main loop, several of one kind that
-// came together once; what was set for them before holds again after.
+// One at a time in a process. While it stands, each of the signals is told from the main loop,
+// several of one kind that came together once; what was set for them before holds again after.
 class Signals {
 public:
-  Signals(const std::vector<int>& numbers, std::function<void(int)> told); // throws std::runtime_error
+  Signals(const std::vector<int>& numbers,
+          std::function<void(int)> told);  // throws std::runtime_error
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
   ~Signals();
@@ -27,4 +28,4 @@
   SourceHandle source_;
 };
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -14,34 +14,40 @@
 namespace gorsebeam::net {
 namespace {
 
-constexpr std::size_t kReadSize = 4 * 1024; // at least; doubles while a message goes on
+constexpr std::size_t kReadSize = 4 * 1024;  // at least; doubles while a message goes on
 std::size_t buffered_bytes = 0;
 constexpr std::size_t kVectorsMost = 16;
-// The peer's end, also behind bytes not read. GLib has no name for it and hands the bit on to poll as it is.
+// The peer's end, also behind bytes not read. GLib has no name for it and hands the bit on to poll
+// as it is.
 constexpr auto kPeerEnd = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR | POLLRDHUP);
 
 bool would_block(const ErrorHandle& error) {
   return g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
 }
 
-} // namespace
+}  // namespace
 
 AddressHandle parse_address(const std::string& text, unsigned least_port) {
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return nullptr;
+  if (colon == std::string::npos)
+    return nullptr;
   guint64 port = 0;
   if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, least_port, 65535, &port, nullptr))
     return nullptr;
   const std::string host = text.substr(0, colon);
-  return AddressHandle(g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
+  return AddressHandle(
+      g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
 }
 
-std::size_t buffered() { return buffered_bytes; }
+std::size_t buffered() {
+  return buffered_bytes;
+}
 
 // An empty buffer is given back at once: hundreds of connections stand idle, and memory is short.
 void Input::consume(std::size_t count) {
   begin_ += count;
-  if (begin_ >= end_) release();
+  if (begin_ >= end_)
+    release();
 }
 
 void Input::release() {
@@ -70,15 +76,18 @@
 
 std::shared_ptr<Stream> Stream::connect(const std::string& text, Events& events) {
   const AddressHandle address = parse_address(text);
-  if (!address) return nullptr;
+  if (!address)
+    return nullptr;
   GError* raw = nullptr;
   SocketHandle socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
                                    G_SOCKET_PROTOCOL_TCP, &raw));
   ErrorHandle error(raw);
-  if (!socket) return nullptr;
+  if (!socket)
+    return nullptr;
   std::shared_ptr<Stream> stream(new Stream(std::move(socket), events));
   raw = nullptr;
-  // Also where it fails at once the end is told from the main loop, by the source, never from in here.
+  // Also where it fails at once the end is told from the main loop, by the source, never from in
+  // here.
   g_socket_connect(stream->socket_.get(), address.get(), nullptr, &raw);
   error.reset(raw);
   stream->connecting_ = true;
@@ -92,13 +101,16 @@
   return stream;
 }
 
-Stream::~Stream() { close(); }
+Stream::~Stream() {
+  close();
+}
 
 void Stream::close() {
   in_.reset();
   out_.reset();
   end_.reset();
-  if (socket_) g_socket_close(socket_.get(), nullptr);
+  if (socket_)
+    g_socket_close(socket_.get(), nullptr);
   socket_.reset();
   buffered_bytes -= output_.size();
   std::string().swap(output_);
@@ -106,23 +118,29 @@
 }
 
 void Stream::shut() {
-  if (socket_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+  if (socket_)
+    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
 void Stream::watch_in() {
-  if (in_ || paused_ || !socket_ || connecting_) return;
+  if (in_ || paused_ || !socket_ || connecting_)
+    return;
   in_.watch(socket_.get(), G_IO_IN, &Stream::on_in, this);
 }
 
 void Stream::watch_out() {
-  if (out_ || !socket_) return;
+  if (out_ || !socket_)
+    return;
   out_.watch(socket_.get(), G_IO_OUT, &Stream::on_out, this);
 }
 
 void Stream::pause_reading(bool pause, bool heed_end) {
-  if (!pause || !heed_end) end_.reset();
-  if (pause && heed_end && !end_ && socket_) end_.watch(socket_.get(), kPeerEnd, &Stream::on_end, this);
-  if (paused_ == pause) return;
+  if (!pause || !heed_end)
+    end_.reset();
+  if (pause && heed_end && !end_ && socket_)
+    end_.watch(socket_.get(), kPeerEnd, &Stream::on_end, this);
+  if (paused_ == pause)
+    return;
   paused_ = pause;
   if (pause)
     in_.reset();
@@ -135,12 +153,14 @@
 }
 
 bool Stream::readable() const {
-  return socket_ && g_socket_condition_check(socket_.get(),
-                                             static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
+  return socket_ &&
+         g_socket_condition_check(socket_.get(),
+                                  static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
 }
 
 // Whatever is thrown while one connection is served ends that connection and nothing else.
-template <typename F> void Stream::guarded(F&& step) {
+template <typename F>
+void Stream::guarded(F&& step) {
   try {
     step();
   } catch (const std::exception& error) {
@@ -152,7 +172,9 @@
 gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
   auto* stream = static_cast<Stream*>(self);
   const auto keep = stream->shared_from_this();
-  stream->guarded([&] { stream->read_some(); });
+  stream->guarded([&] {
+    stream->read_some();
+  });
   return stream->in_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
@@ -160,7 +182,9 @@
   auto* stream = static_cast<Stream*>(self);
   const auto keep = stream->shared_from_this();
   stream->end_.reset();
-  stream->guarded([&] { stream->events_->left(); });
+  stream->guarded([&] {
+    stream->events_->left();
+  });
   return G_SOURCE_REMOVE;
 }
 
@@ -178,7 +202,8 @@
       stream->connecting_ = false;
       stream->out_.reset();
       stream->watch_in();
-      if (!stream->all_written()) stream->watch_out(); // what was written before it was up
+      if (!stream->all_written())
+        stream->watch_out();  // what was written before it was up
       stream->events_->connected();
       return;
     }
@@ -188,7 +213,8 @@
 }
 
 void Stream::fail(const std::string& why) {
-  if (!socket_) return;
+  if (!socket_)
+    return;
   close();
   events_->ended(why);
 }
@@ -198,15 +224,19 @@
   GError* raw = nullptr;
   const gssize got = g_socket_receive(socket_.get(), room, input_.room_size(), nullptr, &raw);
   const ErrorHandle error(raw);
-  if (got < 0 && would_block(error)) return;
-  if (got < 0) return fail(error->message);
-  if (got == 0) return fail("closed by the peer");
+  if (got < 0 && would_block(error))
+    return;
+  if (got < 0)
+    return fail(error->message);
+  if (got == 0)
+    return fail("closed by the peer");
   input_.filled(static_cast<std::size_t>(got));
   events_->received();
 }
 
 void Stream::write(const Parts& parts) {
-  if (!socket_) return;
+  if (!socket_)
+    return;
   if (!all_written() || connecting_ || parts.size() > kVectorsMost) {
     keep_rest(parts, 0);
     return watch_out();
@@ -218,12 +248,15 @@
     total += parts[i].size();
   }
   GError* raw = nullptr;
-  const gssize sent = g_socket_send_message(socket_.get(), nullptr, vectors, static_cast<gint>(parts.size()),
-                                            nullptr, 0, G_SOCKET_MSG_NONE, nullptr, &raw);
+  const gssize sent =
+      g_socket_send_message(socket_.get(), nullptr, vectors, static_cast<gint>(parts.size()),
+                            nullptr, 0, G_SOCKET_MSG_NONE, nullptr, &raw);
   const ErrorHandle error(raw);
   const std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
-  if (done == total && sent >= 0) return;
-  // The rest waits; a broken connection is told from the main loop, when its source finds it broken.
+  if (done == total && sent >= 0)
+    return;
+  // The rest waits; a broken connection is told from the main loop, when its source finds it
+  // broken.
   keep_rest(parts, done);
   watch_out();
 }
@@ -239,12 +272,16 @@
 
 void Stream::write_some() {
   GError* raw = nullptr;
-  const gssize sent = g_socket_send(socket_.get(), output_.data() + written_, pending(), nullptr, &raw);
+  const gssize sent =
+      g_socket_send(socket_.get(), output_.data() + written_, pending(), nullptr, &raw);
   const ErrorHandle error(raw);
-  if (sent < 0 && would_block(error)) return;
-  if (sent < 0) return fail(error->message);
+  if (sent < 0 && would_block(error))
+    return;
+  if (sent < 0)
+    return fail(error->message);
   written_ += static_cast<std::size_t>(sent);
-  if (!all_written()) return;
+  if (!all_written())
+    return;
   written_ = 0;
   buffered_bytes -= output_.size();
   std::string().swap(output_);
@@ -252,4 +289,4 @@
   events_->flushed();
 }
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -15,7 +15,8 @@
 
 constexpr std::int64_t kMicrosecond = 1000, kMillisecond = 1000 * kMicrosecond;
 
-std::int64_t offset() { // microseconds from the monotonic clock to Unix time, fixed at the first call
+std::int64_t
+offset() {  // microseconds from the monotonic clock to Unix time, fixed at the first call
   static const std::int64_t fixed = g_get_real_time() - g_get_monotonic_time();
   return fixed;
 }
@@ -31,14 +32,14 @@
 
 GSourceFuncs kQueueSource = {prepare, due, dispatch, nullptr, nullptr, nullptr};
 
-// Guards against a wake-up of the loop by itself at each setting, as a source's own ready time has it: two in five of
-// all waits ended for nothing else.
+// Guards against a wake-up of the loop by itself at each setting, as a source's own ready time has
+// it: two in five of all waits ended for nothing else.
 Queue& queue() {
   static Queue& one = *[] {
     GSource* source = g_source_new(&kQueueSource, sizeof(GSource));
     g_source_attach(source, nullptr);
-    g_source_unref(source); // the loop's
-    return new Queue;       // for as long as the process: timers may outlive whatever else is static
+    g_source_unref(source);  // the loop's
+    return new Queue;  // for as long as the process: timers may outlive whatever else is static
   }();
   return one;
 }
@@ -52,28 +53,35 @@
 gboolean prepare(GSource*, gint* wait) {
   const auto& timers = queue().timers;
   *wait = -1;
-  if (timers.empty()) return FALSE;
+  if (timers.empty())
+    return FALSE;
   const std::int64_t left = timers.begin()->first.first - now();
-  *wait = static_cast<gint>(std::clamp<std::int64_t>((left + kMillisecond - 1) / kMillisecond, 0, G_MAXINT));
+  *wait = static_cast<gint>(
+      std::clamp<std::int64_t>((left + kMillisecond - 1) / kMillisecond, 0, G_MAXINT));
   return left <= 0;
 }
 
-// What is due now, each once: an action may set, stop or end any timer, and what it sets waits for the next round.
+// What is due now, each once: an action may set, stop or end any timer, and what it sets waits for
+// the next round.
 gboolean dispatch(GSource*, GSourceFunc, gpointer) {
   auto& timers = queue().timers;
   std::vector<Timer::Place> places;
   const std::int64_t time = now();
-  for (auto at = timers.begin(); at != timers.end() && at->first.first <= time; ++at) places.push_back(at->first);
+  for (auto at = timers.begin(); at != timers.end() && at->first.first <= time; ++at)
+    places.push_back(at->first);
   for (const Timer::Place& place : places) {
     const auto found = timers.find(place);
-    if (found != timers.end()) found->second->fire();
+    if (found != timers.end())
+      found->second->fire();
   }
   return G_SOURCE_CONTINUE;
 }
 
-} // namespace
+}  // namespace
 
-std::int64_t now() { return (offset() + g_get_monotonic_time()) * kMicrosecond; }
+std::int64_t now() {
+  return (offset() + g_get_monotonic_time()) * kMicrosecond;
+}
 
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
@@ -85,15 +93,18 @@
 }
 
 void Timer::stop() {
-  if (std::exchange(set_, false)) queue().timers.erase(place_);
+  if (std::exchange(set_, false))
+    queue().timers.erase(place_);
 }
 
 void Timer::fire() {
   stop();
-  const auto action = action_; // the action may end the timer's owner
+  const auto action = action_;  // the action may end the timer's owner
   try {
     action();
-  } catch (const std::exception& error) { log_line("timer", std::string("exception: ") + error.what()); }
+  } catch (const std::exception& error) {
+    log_line("timer", std::string("exception: ") + error.what());
+  }
 }
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/src/postgres/front.cpp
+++ b/src/postgres/front.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
-constexpr std::uint64_t kDeadlineMost = 3'600'000; // ms
+constexpr std::uint64_t kDeadlineMost = 3'600'000;  // ms
 constexpr std::size_t kStartupMost = 10'000;
 
 // A session is named by its key: as a number where it is one in hex, else by its hash.
@@ -27,10 +27,12 @@
 public:
   PgConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms,
                const std::shared_ptr<const shapes::Sql>& shapes)
-      : Connection(front, std::move(socket)), terms_(terms), shapes_(shapes), ready_(message('Z', "I")) {}
+      : Connection(front, std::move(socket)), terms_(terms), shapes_(shapes),
+        ready_(message('Z', "I")) {}
 
   broker::Parts body(Nanos left) override {
-    // The statement stands in the input until it is answered; only the waiting time is written anew.
+    // The statement stands in the input until it is answered; only the waiting time is written
+    // anew.
     const std::string_view text = stream_->input().view().substr(5, query_size_);
     left_ = std::to_string(std::max<Nanos>(left / kMs, 1));
     return {text.substr(0, deadline_at_), left_, text.substr(deadline_at_ + deadline_size_)};
@@ -47,7 +49,9 @@
     finish({error("ERROR", "53300", "refused: try again", wait), ready_});
   }
 
-  void failed() override { finish({error("ERROR", "08007", "failed: the effect is not known"), ready_}); }
+  void failed() override {
+    finish({error("ERROR", "08007", "failed: the effect is not known"), ready_});
+  }
 
 private:
   void finish(const broker::Parts& parts) {
@@ -71,17 +75,24 @@
   }
 
   void parse() override {
-    if (!started_) return start();
+    if (!started_)
+      return start();
     Message m;
     switch (read_message(stream_->input().view(), front_.limits().message_bytes, m)) {
-    case Framing::More: return;
-    case Framing::Malformed: return reject("08P01", "a message is malformed or too long");
-    case Framing::Whole: break;
+    case Framing::More:
+      return;
+    case Framing::Malformed:
+      return reject("08P01", "a message is malformed or too long");
+    case Framing::Whole:
+      break;
     }
-    if (skip_to_sync_ && m.type != 'S' && m.type != 'X') return stream_->input().consume(m.whole.size());
+    if (skip_to_sync_ && m.type != 'S' && m.type != 'X')
+      return stream_->input().consume(m.whole.size());
     switch (m.type) {
-    case 'Q': return query(m);
-    case 'X': return close_when_written(); // an answer may still be on its way, with bytes behind this
+    case 'Q':
+      return query(m);
+    case 'X':
+      return close_when_written();  // an answer may still be on its way, with bytes behind this
     case 'S':
       skip_to_sync_ = false;
       stream_->write({ready_});
@@ -96,9 +107,11 @@
       // The extended protocol: told once, then nothing is heeded until the client synchronizes.
       skip_to_sync_ = m.type != 'F';
       stream_->write({error("ERROR", "0A000", "only simple queries are served")});
-      if (m.type == 'F') stream_->write({ready_});
+      if (m.type == 'F')
+        stream_->write({ready_});
       return stream_->input().consume(m.whole.size());
-    default: return reject("08P01", "unknown message type");
+    default:
+      return reject("08P01", "unknown message type");
     }
   }
 
@@ -106,29 +119,39 @@
     std::string_view body;
     std::size_t used = 0;
     switch (read_startup(stream_->input().view(), kStartupMost, body, used)) {
-    case Framing::More: return;
-    case Framing::Malformed: return reject("08P01", "the startup message is malformed");
-    case Framing::Whole: break;
+    case Framing::More:
+      return;
+    case Framing::Malformed:
+      return reject("08P01", "the startup message is malformed");
+    case Framing::Whole:
+      break;
     }
     const std::uint32_t version = read_u32(body.data());
-    if (version == kCancelRequest) return close_when_written();
+    if (version == kCancelRequest)
+      return close_when_written();
     if (version == kSslRequest || version == kGssRequest) {
       stream_->write({"N"});
       return stream_->input().consume(used);
     }
-    if (version >> 16 != 3) return reject("0A000", "only version 3 of the protocol is served");
-    if (crowded()) return reject("53300", "too many connections");
+    if (version >> 16 != 3)
+      return reject("0A000", "only version 3 of the protocol is served");
+    if (crowded())
+      return reject("53300", "too many connections");
     user_ = startup_parameter(body, "user").value_or("");
-    if (user_.empty()) return reject("28000", "the startup message names no user");
-    if (!terms_.knows(user_)) return reject("28000", "no contract with the team '" + user_ + "'");
+    if (user_.empty())
+      return reject("28000", "the startup message names no user");
+    if (!terms_.knows(user_))
+      return reject("28000", "no contract with the team '" + user_ + "'");
     started_ = true;
     std::string hello = message('R', std::string_view("\0\0\0\0", 4));
     for (const std::string_view status :
          {std::string_view("server_version\0"
                            "15.0\0",
                            20),
-          std::string_view("server_encoding\0UTF8\0", 21), std::string_view("client_encoding\0UTF8\0", 21),
-          std::string_view("DateStyle\0ISO, MDY\0", 19), std::string_view("integer_datetimes\0on\0", 21),
+          std::string_view("server_encoding\0UTF8\0", 21),
+          std::string_view("client_encoding\0UTF8\0", 21),
+          std::string_view("DateStyle\0ISO, MDY\0", 19),
+          std::string_view("integer_datetimes\0on\0", 21),
           std::string_view("standard_conforming_strings\0on\0", 31)})
       hello += message('S', status);
     hello += message('K', std::string_view("\0\0\0\1\0\0\0\0", 8));
@@ -140,7 +163,8 @@
     if (m.body.empty() || m.body.back() != '\0')
       return reject("08P01", "a query does not end in a zero byte");
     const std::string_view text = m.body.substr(0, m.body.size() - 1);
-    if (text.find('\0') != std::string_view::npos) return reject("08P01", "a query holds a zero byte");
+    if (text.find('\0') != std::string_view::npos)
+      return reject("08P01", "a query holds a zero byte");
     if (is_blank(text)) {
       stream_->write({message('I', ""), ready_});
       return stream_->input().consume(m.whole.size());
@@ -149,21 +173,27 @@
     const auto found = terms_.classes().find(std::string(s.service_class));
     const auto deadline = whole_number(s.deadline, kDeadlineMost);
     const auto group = whole_number(s.group, 0xffffffffu);
-    if (s.several) return decline(m, "42601", "a query holds one statement");
-    if (s.id.empty()) return decline(m, "42601", "the statement's comment holds no id");
+    if (s.several)
+      return decline(m, "42601", "a query holds one statement");
+    if (s.id.empty())
+      return decline(m, "42601", "the statement's comment holds no id");
     if (found == terms_.classes().end())
       return decline(m, "42601", "the statement's comment names no known class");
     if (!deadline || *deadline == 0)
       return decline(m, "42601", "the statement's comment holds no time to wait");
-    if (!group) return decline(m, "42601", "the statement's comment names no cluster");
+    if (!group)
+      return decline(m, "42601", "the statement's comment names no cluster");
     const RequestClass& c = front_.core().settings().classes[found->second];
-    // Guards the rules on repeats: a write under a reading class would be repeated as if it changed nothing.
+    // Guards the rules on repeats: a write under a reading class would be repeated as if it changed
+    // nothing.
     shapes::Verdict verdict_of_text{s.select ? shapes::Effect::Read : shapes::Effect::Write, ""};
-    if (shapes_) verdict_of_text = shapes_->classify(text);
+    if (shapes_)
+      verdict_of_text = shapes_->classify(text);
     const bool reads = verdict_of_text.effect == shapes::Effect::Read;
     // A class is the caller's word: a write under a reading one would go to a replica.
     if (shapes_ && !reads && c.level != ReadLevel::Write)
-      return decline(m, "25006", "the statement may write, and its class reads: " + verdict_of_text.why);
+      return decline(m, "25006",
+                     "the statement may write, and its class reads: " + verdict_of_text.why);
     if (!shapes_ && s.select != (c.level != ReadLevel::Write))
       return decline(m, "42601", "the statement does not fit its class");
     if (c.effect == Effect::Keyed && s.idempotency.empty())
@@ -173,14 +203,16 @@
     request.class_index = found->second;
     request.deadline = net::now() + static_cast<Nanos>(*deadline) * kMs;
     request.group = static_cast<GroupId>(*group);
-    if (c.level == ReadLevel::Write || c.level == ReadLevel::Session) request.session = session_of(s.key);
+    if (c.level == ReadLevel::Write || c.level == ReadLevel::Session)
+      request.session = session_of(s.key);
     if (const auto after = whole_number(s.after, 9'000'000'000'000ULL))
       request.token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
     request.retry = s.retry == "1";
     const auto verdict = terms_.apply(user_, net::now(), request);
-    if (verdict != broker::Terms::Verdict::Fine) return decline(m, "42501", broker::words(verdict));
+    if (verdict != broker::Terms::Verdict::Fine)
+      return decline(m, "42501", broker::words(verdict));
     if (shapes_ && verdict_of_text.effect == shapes::Effect::Unknown)
-      request.attempts = 1; // may not be repeated
+      request.attempts = 1;  // may not be repeated
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
@@ -196,12 +228,13 @@
   std::size_t query_size_ = 0, deadline_at_ = 0, deadline_size_ = 0;
 };
 
-} // namespace
+}  // namespace
 
-front::Front::Make make_connection(broker::Terms& terms, const std::shared_ptr<const shapes::Sql>& shapes) {
+front::Front::Make make_connection(broker::Terms& terms,
+                                   const std::shared_ptr<const shapes::Sql>& shapes) {
   return [&terms, &shapes](front::Front& front, net::SocketHandle socket) {
     return std::make_unique<PgConnection>(front, std::move(socket), terms, shapes);
   };
 }
 
-} // namespace gorsebeam::postgres
+}  // namespace gorsebeam::postgres
--- a/src/postgres/front.h
+++ b/src/postgres/front.h
@@ -10,8 +10,9 @@
 
 namespace gorsebeam::postgres {
 
-// `terms` and `shapes` outlive the front. Where `shapes` holds something, statements are parsed: what is not known to read
-// only goes out under a writing class alone.
-front::Front::Make make_connection(broker::Terms& terms, const std::shared_ptr<const shapes::Sql>& shapes);
+// `terms` and `shapes` outlive the front. Where `shapes` holds something, statements are parsed:
+// what is not known to read only goes out under a writing class alone.
+front::Front::Make make_connection(broker::Terms& terms,
+                                   const std::shared_ptr<const shapes::Sql>& shapes);
 
-} // namespace gorsebeam::postgres
+}  // namespace gorsebeam::postgres
--- a/src/postgres/wire.cpp
+++ b/src/postgres/wire.cpp
@@ -14,20 +14,22 @@
 using broker::Answer;
 using upstream::Step;
 
-constexpr std::size_t kMessageMost = 128 * 1024; // a value holds at most 64 KiB
-constexpr Nanos kAhead = 2'000'000'000;          // a position further ahead of our clock cannot be one
-constexpr double kSecondsMost = 1e11;            // a report's position below this is in seconds
+constexpr std::size_t kMessageMost = 128 * 1024;  // a value holds at most 64 KiB
+constexpr Nanos kAhead = 2'000'000'000;  // a position further ahead of our clock cannot be one
+constexpr double kSecondsMost = 1e11;    // a report's position below this is in seconds
 
 std::optional<double> number(std::string_view text) {
   const std::string copy(text.substr(0, 64));
   char* end = nullptr;
   const double value = std::strtod(copy.c_str(), &end);
-  if (copy.empty() || *end != '\0' || !std::isfinite(value)) return std::nullopt;
+  if (copy.empty() || *end != '\0' || !std::isfinite(value))
+    return std::nullopt;
   return value;
 }
 
-std::optional<Nanos> position_at(double ms) { // Unix ms, as the module's clock counts
-  if (ms < 0 || ms * 1e6 > static_cast<double>(net::now() + kAhead)) return std::nullopt;
+std::optional<Nanos> position_at(double ms) {  // Unix ms, as the module's clock counts
+  if (ms < 0 || ms * 1e6 > static_cast<double>(net::now() + kAhead))
+    return std::nullopt;
   return static_cast<Nanos>(std::floor(ms * 1e6));
 }
 
@@ -36,10 +38,11 @@
   return ms ? position_at(*ms) : std::nullopt;
 }
 
-// "x0=1767225600.123,x1=0": a report's position is a Unix time in seconds, while an answer's is in milliseconds; one too
-// large to be seconds is taken as milliseconds. Guards against a member whose first report is not made yet: its zeros
-// would tell every gateway that starts that no group has a primary, and prove no position. Guards against a spoilt
-// report: one that cannot be read whole is ignored whole, and the answer stands.
+// "x0=1767225600.123,x1=0": a report's position is a Unix time in seconds, while an answer's is in
+// milliseconds; one too large to be seconds is taken as milliseconds. Guards against a member whose
+// first report is not made yet: its zeros would tell every gateway that starts that no group has a
+// primary, and prove no position. Guards against a spoilt report: one that cannot be read whole is
+// ignored whole, and the answer stands.
 void read_gauges(std::string_view text, Report& report) {
   Report read;
   while (!text.empty()) {
@@ -47,32 +50,42 @@
     const std::string_view pair = text.substr(0, comma), name = pair.substr(0, pair.find('='));
     text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
     const auto value = number(pair.substr(std::min(pair.size(), name.size() + 1)));
-    if (!value) return;
-    if (name == "x0" && *value == 0) return;
-    if (name == "x0" && !(read.position = position_at(*value < kSecondsMost ? *value * 1000 : *value))) return;
-    if (name == "x1") read.primary = *value > 0.5;
+    if (!value)
+      return;
+    if (name == "x0" && *value == 0)
+      return;
+    if (name == "x0" &&
+        !(read.position = position_at(*value < kSecondsMost ? *value * 1000 : *value)))
+      return;
+    if (name == "x1")
+      read.primary = *value > 0.5;
   }
   report = read;
 }
 
-// Whether a DataRow of `size` bytes, of which the first six stand in `head`, is one column that fills it.
+// Whether a DataRow of `size` bytes, of which the first six stand in `head`, is one column that
+// fills it.
 bool fits_row(std::string_view head, std::size_t size) {
-  if (head[0] != 0 || head[1] != 1) return false;
+  if (head[0] != 0 || head[1] != 1)
+    return false;
   const std::uint32_t length = read_u32(head.data() + 2);
-  return size == 6 + static_cast<std::size_t>(length == 0xffffffffu ? 0 : length); // or null
+  return size == 6 + static_cast<std::size_t>(length == 0xffffffffu ? 0 : length);  // or null
 }
 
-// Guards against noise that would be waited for to its end: what has come of a message shows that it is none of an
-// answer's.
+// Guards against noise that would be waited for to its end: what has come of a message shows that
+// it is none of an answer's.
 bool hopeless(std::string_view in, std::string_view types) {
-  if (in.empty()) return false;
-  if (types.find(in[0]) == std::string_view::npos) return true;
+  if (in.empty())
+    return false;
+  if (types.find(in[0]) == std::string_view::npos)
+    return true;
   return in[0] == 'D' && in.size() >= 11 && !fits_row(in.substr(5), read_u32(in.data() + 1) - 4);
 }
 
 // The one column of a DataRow. False: not one column, or its length is off.
 bool read_row(std::string_view body, std::string_view& value) {
-  if (body.size() < 6 || !fits_row(body, body.size())) return false;
+  if (body.size() < 6 || !fits_row(body, body.size()))
+    return false;
   value = body.substr(6);
   return true;
 }
@@ -81,7 +94,8 @@
 public:
   std::string greeting() override {
     std::string body = u32(kVersion3);
-    for (const char* word : {"user", "gorsebeam", "database", "crm"}) body.append(word).push_back('\0');
+    for (const char* word : {"user", "gorsebeam", "database", "crm"})
+      body.append(word).push_back('\0');
     body.push_back('\0');
     return u32(static_cast<std::uint32_t>(body.size() + 4)) + body;
   }
@@ -96,16 +110,19 @@
         turned_away = error_field(m.body, 'C') == "53300";
         return Step::Broken;
       }
-      if (m.type == 'R' && (m.body.size() < 4 || read_u32(m.body.data()) != 0)) return Step::Broken;
-      if (m.type != 'Z') continue;
+      if (m.type == 'R' && (m.body.size() < 4 || read_u32(m.body.data()) != 0))
+        return Step::Broken;
+      if (m.type != 'Z')
+        continue;
       used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
       return Step::Done;
     }
   }
 
   broker::Parts request(const broker::Parts& body) override {
-    std::size_t size = 5; // the length itself, and the end of the text
-    for (const std::string_view part : body) size += part.size();
+    std::size_t size = 5;  // the length itself, and the end of the text
+    for (const std::string_view part : body)
+      size += part.size();
     head_ = 'Q' + u32(static_cast<std::uint32_t>(size));
     broker::Parts parts{head_};
     parts.insert(parts.end(), body.begin(), body.end());
@@ -118,7 +135,8 @@
     return {head_};
   }
 
-  Step answer(std::string_view in, bool ended, bool to_probe, Answer& answer, std::size_t& used) override {
+  Step answer(std::string_view in, bool ended, bool to_probe, Answer& answer,
+              std::size_t& used) override {
     answer = Answer{};
     std::string_view description, row, complete, code;
     bool rows_off = false, ready = false;
@@ -127,7 +145,8 @@
       const Framing framing = read_message(rest, kMessageMost, m);
       if (framing == Framing::Malformed || (framing == Framing::More && hopeless(rest, "TDCESNZ")))
         return Step::Broken;
-      if (framing == Framing::More) break;
+      if (framing == Framing::More)
+        break;
       used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
       std::string_view name, value;
       switch (m.type) {
@@ -136,36 +155,53 @@
         description = m.whole;
         break;
       case 'D':
-        rows_off |= !row.empty() || description.empty() || !complete.empty() || !read_row(m.body, value);
+        rows_off |=
+            !row.empty() || description.empty() || !complete.empty() || !read_row(m.body, value);
         row = m.whole;
-        if (to_probe && !rows_off) read_gauges(value, answer.report);
+        if (to_probe && !rows_off)
+          read_gauges(value, answer.report);
+        break;
+      case 'C':
+        complete = m.whole;
         break;
-      case 'C': complete = m.whole; break;
       case 'E':
-        if (m.body.empty() || m.body.back() != '\0') return Step::Broken; // its code proves nothing
+        if (m.body.empty() || m.body.back() != '\0')
+          return Step::Broken;  // its code proves nothing
         code = error_field(m.body, 'C').value_or("XX000");
         break;
       case 'S':
-        if (!read_status(m.body, name, value)) break; // tells nothing; the answer stands
-        if (name == "part" && value == "master") answer.role = Role::Primary;
-        if (name == "part" && value == "replica") answer.role = Role::Replica;
-        if (name == "caught_up_to") answer.position = position_of(value);
-        if (name == "gauges") read_gauges(value, answer.report);
+        if (!read_status(m.body, name, value))
+          break;  // tells nothing; the answer stands
+        if (name == "part" && value == "master")
+          answer.role = Role::Primary;
+        if (name == "part" && value == "replica")
+          answer.role = Role::Replica;
+        if (name == "caught_up_to")
+          answer.position = position_of(value);
+        if (name == "gauges")
+          read_gauges(value, answer.report);
+        break;
+      case 'N':
         break;
-      case 'N': break;
-      case 'Z': ready = true; break;
-      default: return Step::Broken;
+      case 'Z':
+        ready = true;
+        break;
+      default:
+        return Step::Broken;
       }
     }
-    // Whole without ReadyForQuery only where the connection ended after the answer: a fatal error needs none.
-    if (!ready && !(ended && (!code.empty() || !complete.empty()))) return Step::More;
+    // Whole without ReadyForQuery only where the connection ended after the answer: a fatal error
+    // needs none.
+    if (!ready && !(ended && (!code.empty() || !complete.empty())))
+      return Step::More;
     if (!code.empty()) {
       answer.result = code == "25006" || code == "72000"   ? Result::Miss
                       : code == "53300" || code == "57P03" ? Result::Full
                                                            : Result::Error;
       return Step::Done;
     }
-    if (rows_off || description.empty() || row.empty() || complete.empty()) return Step::Broken;
+    if (rows_off || description.empty() || row.empty() || complete.empty())
+      return Step::Broken;
     answer.result = Result::Ok;
     answer.value = {description, row, complete};
     return Step::Done;
@@ -175,8 +211,10 @@
   std::string head_;
 };
 
-} // namespace
+}  // namespace
 
-std::unique_ptr<upstream::Wire> make_wire() { return std::make_unique<PgWire>(); }
+std::unique_ptr<upstream::Wire> make_wire() {
+  return std::make_unique<PgWire>();
+}
 
-} // namespace gorsebeam::postgres
+}  // namespace gorsebeam::postgres
--- a/src/postgres/wire.h
+++ b/src/postgres/wire.h
@@ -7,4 +7,4 @@
 
 std::unique_ptr<upstream::Wire> make_wire();
 
-} // namespace gorsebeam::postgres
+}  // namespace gorsebeam::postgres
--- a/src/settings/check.h
+++ b/src/settings/check.h
@@ -5,6 +5,6 @@
 
 namespace gorsebeam::settings {
 
-void check(const Settings& settings); // throws std::invalid_argument naming the field that is off
+void check(const Settings& settings);  // throws std::invalid_argument naming the field that is off
 
-} // namespace gorsebeam::settings
+}  // namespace gorsebeam::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -12,12 +12,12 @@
 
 struct Profile {
   Settings settings;
-  std::map<std::string, std::size_t> classes; // by name
+  std::map<std::string, std::size_t> classes;  // by name
   std::map<std::string, std::size_t> tenants;
-  Nanos zero = 0;      // where the simulator's positions are reckoned from
-  Nanos keepalive = 0; // an idle connection is closed by the member after this
+  Nanos zero = 0;       // where the simulator's positions are reckoned from
+  Nanos keepalive = 0;  // an idle connection is closed by the member after this
 };
 
-Profile read_profile(const Reader& profile); // throws FormatError
+Profile read_profile(const Reader& profile);  // throws FormatError
 
-} // namespace gorsebeam::settings
+}  // namespace gorsebeam::settings
--- a/src/shapes/sql.cpp
+++ b/src/shapes/sql.cpp
@@ -14,23 +14,30 @@
 using Names = std::set<std::string_view>;
 
 // Nodes that read and hide nothing; their parts are walked.
-const Names kNodes = {
-    "A_ArrayExpr",      "A_Const",       "A_Expr",    "A_Indices",       "A_Indirection",  "A_Star",
-    "BitString",        "BoolExpr",      "Boolean",   "BooleanTest",     "CaseExpr",       "CaseWhen",
-    "CoalesceExpr",     "CollateClause", "ColumnRef", "CommonTableExpr", "Float",          "FuncCall",
-    "GroupingFunc",     "GroupingSet",   "Integer",   "JoinExpr",        "List",           "MinMaxExpr",
-    "NamedArgExpr",     "NullTest",      "ParamRef",  "RangeFunction",   "RangeSubselect", "RangeTableSample",
-    "RangeVar",         "ResTarget",     "RowExpr",   "SelectStmt",      "SetToDefault",   "SortBy",
-    "SQLValueFunction", "String",        "SubLink",   "TypeCast",        "TypeName",       "VariableShowStmt",
-    "WindowDef"};
+const Names kNodes = {"A_ArrayExpr",      "A_Const",        "A_Expr",
+                      "A_Indices",        "A_Indirection",  "A_Star",
+                      "BitString",        "BoolExpr",       "Boolean",
+                      "BooleanTest",      "CaseExpr",       "CaseWhen",
+                      "CoalesceExpr",     "CollateClause",  "ColumnRef",
+                      "CommonTableExpr",  "Float",          "FuncCall",
+                      "GroupingFunc",     "GroupingSet",    "Integer",
+                      "JoinExpr",         "List",           "MinMaxExpr",
+                      "NamedArgExpr",     "NullTest",       "ParamRef",
+                      "RangeFunction",    "RangeSubselect", "RangeTableSample",
+                      "RangeVar",         "ResTarget",      "RowExpr",
+                      "SelectStmt",       "SetToDefault",   "SortBy",
+                      "SQLValueFunction", "String",         "SubLink",
+                      "TypeCast",         "TypeName",       "VariableShowStmt",
+                      "WindowDef"};
 
 // Statements known to write, or to leave something behind in the session or the cluster.
-const Names kWrites = {"InsertStmt",        "UpdateStmt",        "DeleteStmt",      "MergeStmt",
-                       "TruncateStmt",      "CallStmt",          "DoStmt",          "LockStmt",
-                       "NotifyStmt",        "ListenStmt",        "UnlistenStmt",    "CopyStmt",
-                       "VacuumStmt",        "CreateStmt",        "DropStmt",        "AlterTableStmt",
-                       "IndexStmt",         "GrantStmt",         "VariableSetStmt", "TransactionStmt",
-                       "CreateTableAsStmt", "RefreshMatViewStmt"};
+const Names kWrites = {
+    "InsertStmt",        "UpdateStmt",        "DeleteStmt",      "MergeStmt",
+    "TruncateStmt",      "CallStmt",          "DoStmt",          "LockStmt",
+    "NotifyStmt",        "ListenStmt",        "UnlistenStmt",    "CopyStmt",
+    "VacuumStmt",        "CreateStmt",        "DropStmt",        "AlterTableStmt",
+    "IndexStmt",         "GrantStmt",         "VariableSetStmt", "TransactionStmt",
+    "CreateTableAsStmt", "RefreshMatViewStmt"};
 
 // Built-in functions that are immutable or stable, and touch nothing outside the query.
 const Names kFunctions = {"abs",
@@ -267,21 +274,31 @@
 class Walk {
 public:
   explicit Walk(const std::set<std::string>& functions) : functions_(functions) {}
+
   Verdict verdict{Effect::Read, ""};
 
   void node(const Json& value, int depth) {
-    if (verdict.effect == Effect::Write) return;
-    if (depth > kDepthMost) return no(Effect::Unknown, "it is nested too deep");
+    if (verdict.effect == Effect::Write)
+      return;
+    if (depth > kDepthMost)
+      return no(Effect::Unknown, "it is nested too deep");
     if (value.IsArray())
-      for (const Json& part : value.GetArray()) node(part, depth + 1);
-    if (!value.IsObject()) return;
+      for (const Json& part : value.GetArray())
+        node(part, depth + 1);
+    if (!value.IsObject())
+      return;
     for (const auto& member : value.GetObject()) {
       const std::string_view name(member.name.GetString(), member.name.GetStringLength());
-      if (name.empty()) continue;
-      if (name[0] >= 'A' && name[0] <= 'Z') typed(name, member.value);
-      if (name == "intoClause") no(Effect::Write, "SELECT INTO");
-      if (name == "lockingClause") no(Effect::Write, "FOR UPDATE or FOR SHARE");
-      if (name == "typeName") type(member.value); // stands without its node's name
+      if (name.empty())
+        continue;
+      if (name[0] >= 'A' && name[0] <= 'Z')
+        typed(name, member.value);
+      if (name == "intoClause")
+        no(Effect::Write, "SELECT INTO");
+      if (name == "lockingClause")
+        no(Effect::Write, "FOR UPDATE or FOR SHARE");
+      if (name == "typeName")
+        type(member.value);  // stands without its node's name
       node(member.value, depth + 1);
     }
   }
@@ -289,67 +306,86 @@
 private:
   // The worst that was found counts, and of that the first.
   void no(Effect effect, std::string why) {
-    if (verdict.effect == Effect::Write || (verdict.effect == Effect::Unknown && effect == Effect::Unknown))
+    if (verdict.effect == Effect::Write ||
+        (verdict.effect == Effect::Unknown && effect == Effect::Unknown))
       return;
     verdict = {effect, std::move(why)};
   }
 
   void typed(std::string_view name, const Json& value) {
-    if (kWrites.count(name)) return no(Effect::Write, std::string(name));
-    if (!kNodes.count(name)) return no(Effect::Unknown, std::string(name) + " is not known to read only");
-    if (name == "FuncCall") listed(value, "funcname", kFunctions, &functions_, "function ");
-    if (name == "A_Expr") listed(value, "name", kOperators, nullptr, "operator ");
-    if (name == "SubLink" || name == "SortBy") // ANY and ALL with an operator, ORDER BY ... USING
+    if (kWrites.count(name))
+      return no(Effect::Write, std::string(name));
+    if (!kNodes.count(name))
+      return no(Effect::Unknown, std::string(name) + " is not known to read only");
+    if (name == "FuncCall")
+      listed(value, "funcname", kFunctions, &functions_, "function ");
+    if (name == "A_Expr")
+      listed(value, "name", kOperators, nullptr, "operator ");
+    if (name == "SubLink" || name == "SortBy")  // ANY and ALL with an operator, ORDER BY ... USING
       for (const char* field : {"operName", "useOp"})
-        if (value.HasMember(field)) listed(value, field, kOperators, nullptr, "operator ");
-    if (name == "TypeName") type(value);
+        if (value.HasMember(field))
+          listed(value, field, kOperators, nullptr, "operator ");
+    if (name == "TypeName")
+      type(value);
   }
 
   void type(const Json& value) { listed(value, "names", kTypes, nullptr, "type "); }
 
   // Names as they stand: bare, or in pg_catalog; others only where the operator says so.
-  void listed(const Json& value, const char* field, const Names& known, const std::set<std::string>* own,
-              const char* what) {
+  void listed(const Json& value, const char* field, const Names& known,
+              const std::set<std::string>* own, const char* what) {
     const auto found = value.IsObject() ? value.FindMember(field) : Json::ConstMemberIterator();
-    if (!value.IsObject() || found == value.MemberEnd() || !found->value.IsArray()) return;
+    if (!value.IsObject() || found == value.MemberEnd() || !found->value.IsArray())
+      return;
     std::vector<std::string> parts;
     for (const Json& part : found->value.GetArray()) {
       const auto text = part.IsObject() ? part.FindMember("String") : Json::ConstMemberIterator();
       const bool named = part.IsObject() && text != part.MemberEnd() && text->value.IsObject() &&
                          text->value.HasMember("sval") && text->value["sval"].IsString();
-      if (!named) return no(Effect::Unknown, std::string(what) + "of no plain name");
+      if (!named)
+        return no(Effect::Unknown, std::string(what) + "of no plain name");
       parts.emplace_back(text->value["sval"].GetString());
     }
     std::string whole;
-    for (const std::string& part : parts) whole += (whole.empty() ? "" : ".") + part;
+    for (const std::string& part : parts)
+      whole += (whole.empty() ? "" : ".") + part;
     const bool built_in = parts.size() == 1 || (parts.size() == 2 && parts[0] == "pg_catalog");
-    if ((built_in && known.count(parts.back())) || (own && own->count(whole))) return;
+    if ((built_in && known.count(parts.back())) || (own && own->count(whole)))
+      return;
     no(Effect::Unknown, what + whole + " is not known to read only");
   }
 
   const std::set<std::string>& functions_;
 };
 
-} // namespace
+}  // namespace
 
 Verdict Sql::classify(std::string_view statement) const {
-  if (statement.size() > kStatementMost) return {Effect::Unknown, "it is longer than 64 KiB"};
-  if (statement.find('\0') != std::string_view::npos) return {Effect::Unknown, "it holds a zero byte"};
+  if (statement.size() > kStatementMost)
+    return {Effect::Unknown, "it is longer than 64 KiB"};
+  if (statement.find('\0') != std::string_view::npos)
+    return {Effect::Unknown, "it holds a zero byte"};
   const std::string text(statement);
   const PgQueryParseResult result = pg_query_parse(text.c_str());
+
   struct Free {
     PgQueryParseResult result;
+
     ~Free() { pg_query_free_parse_result(result); }
   } const owned{result};
-  if (result.error) return {Effect::Unknown, std::string("it cannot be parsed: ") + result.error->message};
+
+  if (result.error)
+    return {Effect::Unknown, std::string("it cannot be parsed: ") + result.error->message};
   rapidjson::Document tree;
   tree.Parse<rapidjson::kParseIterativeFlag>(result.parse_tree);
-  if (tree.HasParseError() || !tree.IsObject() || !tree.HasMember("stmts") || !tree["stmts"].IsArray())
+  if (tree.HasParseError() || !tree.IsObject() || !tree.HasMember("stmts") ||
+      !tree["stmts"].IsArray())
     return {Effect::Unknown, "its tree cannot be read"};
-  if (tree["stmts"].Empty()) return {Effect::Unknown, "it holds no statement"};
+  if (tree["stmts"].Empty())
+    return {Effect::Unknown, "it holds no statement"};
   Walk walk(read_functions_);
   walk.node(tree["stmts"], 0);
   return walk.verdict;
 }
 
-} // namespace gorsebeam::shapes
+}  // namespace gorsebeam::shapes
--- a/src/state/folder.cpp
+++ b/src/state/folder.cpp
@@ -25,18 +25,24 @@
 class File {
 public:
   File(const std::string& path, int flags) : fd_(::open(path.c_str(), flags | O_CLOEXEC, 0640)) {}
+
   File(const File&) = delete;
   File& operator=(const File&) = delete;
+
   ~File() {
-    if (fd_ >= 0) ::close(fd_);
+    if (fd_ >= 0)
+      ::close(fd_);
   }
+
   int get() const { return fd_; }
 
 private:
   int fd_;
 };
 
-std::string because(const std::string& what) { return what + ": " + std::strerror(errno); }
+std::string because(const std::string& what) {
+  return what + ": " + std::strerror(errno);
+}
 
 std::string checksum(const char* bytes, std::size_t size) {
   XXH64_canonical_t canonical;
@@ -45,21 +51,25 @@
 }
 
 template <typename Message>
-std::optional<std::string> take(const v1::Part& part, const Message& value, const config::Site& site,
-                                std::optional<versions::Kept>& into) {
-  if (!part.held()) return std::nullopt;
-  if (const auto fault = config::check_unknown(value)) return fault->text();
-  if (const auto fault = config::check(value, site)) return fault->text();
+std::optional<std::string> take(const v1::Part& part, const Message& value,
+                                const config::Site& site, std::optional<versions::Kept>& into) {
+  if (!part.held())
+    return std::nullopt;
+  if (const auto fault = config::check_unknown(value))
+    return fault->text();
+  if (const auto fault = config::check(value, site))
+    return fault->text();
   versions::Kept kept;
   kept.running = xds::version_of(value);
   kept.running.version = part.version(), kept.running.source = part.source();
-  kept.running.generation = part.generation(), kept.running.accepted_at = part.accepted_unix_ms() * kMs;
+  kept.running.generation = part.generation(),
+  kept.running.accepted_at = part.accepted_unix_ms() * kMs;
   kept.newest = std::max(part.newest(), part.generation());
   into = std::move(kept);
   return std::nullopt;
 }
 
-} // namespace
+}  // namespace
 
 std::string packed(const v1::LastGood& good) {
   const std::string bytes = good.SerializeAsString();
@@ -93,7 +103,8 @@
   good.set_schema(kSchema);
   const auto part = [&](Type type, v1::Part* part) {
     const versions::Kept& kept = machine.kept(type);
-    if (kept.running.source == "file") return false;
+    if (kept.running.source == "file")
+      return false;
     part->set_held(true);
     part->set_version(kept.running.version), part->set_source(kept.running.source);
     part->set_accepted_unix_ms(kept.running.accepted_at / kMs);
@@ -112,18 +123,24 @@
 std::optional<Kept> kept_of(const v1::LastGood& good, const config::Site& site, std::string& why) {
   Kept kept;
   auto fault = take(good.contracts(), good.contracts_value(), site, kept[0]);
-  if (!fault) fault = take(good.members(), good.members_value(), site, kept[1]);
-  if (!fault) fault = take(good.limits(), good.limits_value(), site, kept[2]);
-  if (!fault) return kept;
+  if (!fault)
+    fault = take(good.members(), good.members_value(), site, kept[1]);
+  if (!fault)
+    fault = take(good.limits(), good.limits_value(), site, kept[2]);
+  if (!fault)
+    return kept;
   why = "it does not fit here any more: " + *fault;
   return std::nullopt;
 }
 
 std::optional<v1::LastGood> load(const std::string& folder, std::string& why) {
   const std::string path = folder + "/" + kName;
+
   struct stat info {};
+
   if (::stat(path.c_str(), &info) != 0) {
-    if (errno != ENOENT) why = because(path);
+    if (errno != ENOENT)
+      why = because(path);
     return std::nullopt;
   }
   if (!S_ISREG(info.st_mode) || static_cast<std::size_t>(info.st_size) > kSizeMost) {
@@ -137,7 +154,8 @@
   }
   const std::string bytes{std::istreambuf_iterator<char>(file), {}};
   auto good = unpacked(bytes, why);
-  if (!good) why = path + ": " + why;
+  if (!good)
+    why = path + ": " + why;
   return good;
 }
 
@@ -145,10 +163,12 @@
   const std::string path = folder + "/" + kName, fresh = path + ".new";
   {
     const File file(fresh, O_WRONLY | O_CREAT | O_TRUNC);
-    if (file.get() < 0) return because(fresh);
+    if (file.get() < 0)
+      return because(fresh);
     for (std::size_t done = 0; done < bytes.size();) {
       const ssize_t written = ::write(file.get(), bytes.data() + done, bytes.size() - done);
-      if (written < 0 && errno == EINTR) continue;
+      if (written < 0 && errno == EINTR)
+        continue;
       if (written <= 0) {
         const std::string why = because(fresh);
         ::unlink(fresh.c_str());
@@ -156,16 +176,19 @@
       }
       done += static_cast<std::size_t>(written);
     }
-    if (::fsync(file.get()) != 0) return because(fresh);
+    if (::fsync(file.get()) != 0)
+      return because(fresh);
   }
-  if (::rename(fresh.c_str(), path.c_str()) != 0) return because(path);
+  if (::rename(fresh.c_str(), path.c_str()) != 0)
+    return because(path);
   const File folder_file(folder, O_RDONLY | O_DIRECTORY);
-  if (folder_file.get() < 0 || ::fsync(folder_file.get()) != 0) return because(folder);
+  if (folder_file.get() < 0 || ::fsync(folder_file.get()) != 0)
+    return because(folder);
   return "";
 }
 
 struct Writer::Job {
-  Writer* writer; // null: it is gone
+  Writer* writer;  // null: it is gone
   std::string folder, bytes, why;
 };
 
@@ -181,16 +204,20 @@
   const auto finished = [](GObject*, GAsyncResult* result, gpointer) {
     auto* job = static_cast<Job*>(g_task_get_task_data(G_TASK(result)));
     Writer* writer = job->writer;
-    if (!writer) return;
+    if (!writer)
+      return;
     writer->out_ = nullptr;
     writer->done_(job->why);
-    if (!writer->next_) return;
+    if (!writer->next_)
+      return;
     auto next = std::move(*writer->next_);
     writer->next_.reset();
     writer->start(next.first, std::move(next.second));
   };
   GTask* task = g_task_new(nullptr, nullptr, finished, nullptr);
-  g_task_set_task_data(task, out_, [](gpointer job) { delete static_cast<Job*>(job); });
+  g_task_set_task_data(task, out_, [](gpointer job) {
+    delete static_cast<Job*>(job);
+  });
   g_task_run_in_thread(task, [](GTask* own, gpointer, gpointer data, GCancellable*) {
     auto* job = static_cast<Job*>(data);
     job->why = state::save(job->folder, job->bytes);
@@ -200,7 +227,8 @@
 }
 
 Writer::~Writer() {
-  if (out_) out_->writer = nullptr;
+  if (out_)
+    out_->writer = nullptr;
 }
 
-} // namespace gorsebeam::state
+}  // namespace gorsebeam::state
--- a/src/state/folder.h
+++ b/src/state/folder.h
@@ -1,4 +1,5 @@
-// The last good version in the operator's state folder: written whole or not at all, read whole or passed over.
+// The last good version in the operator's state folder: written whole or not at all, read whole or
+// passed over.
 #pragma once
 
 #include "config/check.h"
@@ -15,9 +16,9 @@
 
 namespace gorsebeam::state {
 
-constexpr std::uint32_t kSchema = 1; // what this program writes, and the newest that it reads
+constexpr std::uint32_t kSchema = 1;  // what this program writes, and the newest that it reads
 constexpr const char* kName = "last-good";
-constexpr std::size_t kSizeMost = 64 << 20; // bytes; a larger file is passed over
+constexpr std::size_t kSizeMost = 64 << 20;  // bytes; a larger file is passed over
 
 using Kept = std::array<std::optional<versions::Kept>, versions::kTypes>;
 
@@ -25,21 +26,25 @@
 std::string packed(const v1::LastGood& good);
 std::optional<v1::LastGood> unpacked(const std::string& bytes, std::string& why);
 
-v1::LastGood good_of(const versions::Machine& machine); // the parts that a control service pushed
-// The parts, checked as if they had been pushed now. Nothing, and why: one of them does not do any more.
+v1::LastGood good_of(const versions::Machine& machine);  // the parts that a control service pushed
+// The parts, checked as if they had been pushed now. Nothing, and why: one of them does not do any
+// more.
 std::optional<Kept> kept_of(const v1::LastGood& good, const config::Site& site, std::string& why);
 
 // Nothing with no `why`: there is no file.
 std::optional<v1::LastGood> load(const std::string& folder, std::string& why);
-// Blocking: a temporary file beside it, fsync, rename, fsync of the folder. Empty: done; else why not.
+// Blocking: a temporary file beside it, fsync, rename, fsync of the folder. Empty: done; else why
+// not.
 std::string save(const std::string& folder, const std::string& bytes);
 
-// Saves beside the loop, in GLib's pool of threads, as a disk may stall; one at a time, and of those that come
-// meanwhile only the newest.
+// Saves beside the loop, in GLib's pool of threads, as a disk may stall; one at a time, and of
+// those that come meanwhile only the newest.
 class Writer {
 public:
-  using Done = std::function<void(const std::string& why)>; // empty: it is on disk; on the loop
+  using Done = std::function<void(const std::string& why)>;  // empty: it is on disk; on the loop
+
   explicit Writer(Done done) : done_(std::move(done)) {}
+
   ~Writer();
   Writer(const Writer&) = delete;
   Writer& operator=(const Writer&) = delete;
@@ -53,4 +58,4 @@
   std::optional<std::pair<std::string, std::string>> next_;
 };
 
-} // namespace gorsebeam::state
+}  // namespace gorsebeam::state
