--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -10,23 +10,26 @@
 namespace gorsebeam::upstream {
 
 namespace {
-constexpr Nanos kStall = 150'000'000;           // between two pieces of one answer
-constexpr std::size_t kAnswerSmall = 16 * 1024; // an answer up to this is read on even while memory is short
-constexpr Nanos kRestFirst = 25'000'000;        // a rest shorter than this is none
-constexpr double kRestEnough = 8;               // uses after such a rest that tell
-constexpr double kRestWorse = 0.1;              // share of them broken, beyond that of connections not rested
-constexpr double kRestSpan = 20e9;              // ns over which this fades: then it is tried anew
+constexpr Nanos kStall = 150'000'000;  // between two pieces of one answer
+constexpr std::size_t kAnswerSmall =
+    16 * 1024;  // an answer up to this is read on even while memory is short
+constexpr Nanos kRestFirst = 25'000'000;  // a rest shorter than this is none
+constexpr double kRestEnough = 8;         // uses after such a rest that tell
+constexpr double kRestWorse = 0.1;  // share of them broken, beyond that of connections not rested
+constexpr double kRestSpan = 20e9;  // ns over which this fades: then it is tried anew
 
 std::size_t span_of(Nanos rest, std::size_t count) {
   std::size_t at = 0;
-  for (Nanos edge = kRestFirst; at + 1 < count && rest >= edge; edge *= 2) ++at;
+  for (Nanos edge = kRestFirst; at + 1 < count && rest >= edge; edge *= 2)
+    ++at;
   return at;
 }
-} // namespace
+}  // namespace
 
 void Rests::fade() {
   const double kept = std::exp(-static_cast<double>(net::now() - faded_at_) / kRestSpan);
-  for (Span& span : spans_) span.used *= kept, span.broke *= kept;
+  for (Span& span : spans_)
+    span.used *= kept, span.broke *= kept;
   faded_at_ = net::now();
 }
 
@@ -55,10 +58,13 @@
   enum class State { Dialing, Greeting, Idle, Writing, Waiting };
 
   Link(Pool& pool, MemberId member, const std::string& address)
-      : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] { due(); }), address_(address),
-        stream_(net::Stream::connect(address, *this)) {}
+      : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] {
+          due();
+        }),
+        address_(address), stream_(net::Stream::connect(address, *this)) {}
 
   bool good() const { return stream_ && stream_->open(); }
+
   bool quiet() const { return good() && stream_->input().size() == 0 && !stream_->readable(); }
 
   void assign(const Errand& errand) {
@@ -66,19 +72,21 @@
     busy_ = true;
     if (state_ == State::Idle)
       write();
-    else // being opened: both limits hold
+    else  // being opened: both limits hold
       timer_.at(std::min(net::now() + pool_.limits_.connect_timeout, errand.until));
   }
 
-  void withdraw() { // the call is gone: what is not written yet will not be
+  void withdraw() {  // the call is gone: what is not written yet will not be
     errand_.call = nullptr;
-    if (state_ != State::Dialing && state_ != State::Greeting) return;
+    if (state_ != State::Dialing && state_ != State::Greeting)
+      return;
     finish(result_only(Result::NotSent), true);
   }
 
   void close() {
     timer_.stop();
-    if (stream_) stream_->close();
+    if (stream_)
+      stream_->close();
   }
 
   // Ends the errand with what is known, and the connection with it.
@@ -91,38 +99,46 @@
   }
 
   const MemberId member;
+
   Nanos idle_since() const { return idle_since_; }
 
 private:
   void connected() override {
     const std::string greeting = wire_->greeting();
-    if (greeting.empty()) return ready();
+    if (greeting.empty())
+      return ready();
     state_ = State::Greeting;
     stream_->write({greeting});
   }
 
   void ready() {
     state_ = State::Idle;
-    if (busy_) return write();
+    if (busy_)
+      return write();
     rest();
   }
 
   void write() {
-    // Every byte to a member is written here. Guards against a connection that came up late: by now the member may be
-    // leaving, or a repeat or a proof be too old.
+    // Every byte to a member is written here. Guards against a connection that came up late: by now
+    // the member may be leaving, or a repeat or a proof be too old.
     const Nanos left = errand_.until - net::now();
-    const bool holds = errand_.probe ? pool_.core_.may_probe(member) : pool_.core_.may_write(errand_.attempt);
-    if (left <= 0 || !holds) return finish(result_only(Result::NotSent), true);
+    const bool holds =
+        errand_.probe ? pool_.core_.may_probe(member) : pool_.core_.may_write(errand_.attempt);
+    if (left <= 0 || !holds)
+      return finish(result_only(Result::NotSent), true);
     state_ = State::Writing;
     begun_ = false;
-    if (idle_since_ > 0) rested_ = net::now() - idle_since_;
+    if (idle_since_ > 0)
+      rested_ = net::now() - idle_since_;
     timer_.at(errand_.until);
     stream_->write(errand_.probe ? wire_->probe() : wire_->request(errand_.call->body(left)));
-    if (stream_->all_written()) flushed();
+    if (stream_->all_written())
+      flushed();
   }
 
   void flushed() override {
-    if (state_ == State::Writing) state_ = State::Waiting;
+    if (state_ == State::Writing)
+      state_ = State::Waiting;
   }
 
   void received() override {
@@ -131,12 +147,15 @@
     if (state_ == State::Greeting) {
       bool turned_away = false;
       const Step step = wire_->welcome(in, used, turned_away);
-      if (step == Step::More) return;
-      if (step == Step::Broken || turned_away) return fail(turned_away ? Result::Full : Result::NoConnection);
+      if (step == Step::More)
+        return;
+      if (step == Step::Broken || turned_away)
+        return fail(turned_away ? Result::Full : Result::NoConnection);
       stream_->input().consume(used);
       return ready();
     }
-    if (state_ == State::Idle || state_ == State::Dialing) return pool_.drop(this); // nothing was asked
+    if (state_ == State::Idle || state_ == State::Dialing)
+      return pool_.drop(this);  // nothing was asked
     Answer answer;
     const Step step = wire_->answer(in, false, errand_.probe, answer, used);
     const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
@@ -150,15 +169,17 @@
     }
     if (step != Step::Done || !fits) {
       net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
-      return fail(Result::Error); // the request was whole: it may have run
+      return fail(Result::Error);  // the request was whole: it may have run
     }
     // An answer to what was not yet sent whole: heard, but the connection is of no further use.
     finish(answer, state_ == State::Waiting && stream_->input().size() == used, used);
   }
 
   void ended(const std::string&) override {
-    if (!busy_) return pool_.drop(this);
-    if (state_ != State::Waiting) return fail(Result::NoConnection, true);
+    if (!busy_)
+      return pool_.drop(this);
+    if (state_ != State::Waiting)
+      return fail(Result::NoConnection, true);
     Answer answer;
     std::size_t used = 0;
     if (wire_->answer(stream_->input().view(), true, errand_.probe, answer, used) == Step::Done)
@@ -167,41 +188,53 @@
   }
 
   void due() {
-    if (!busy_) return pool_.drop(this); // idle for long enough
-    if (state_ == State::Waiting && begun_ && net::now() < errand_.until) return fail(Result::Error);
-    if (state_ == State::Waiting) return fail(Result::Timeout);
-    // Not written whole, so it never ran; at the request's own end this tells nothing of the member.
+    if (!busy_)
+      return pool_.drop(this);  // idle for long enough
+    if (state_ == State::Waiting && begun_ && net::now() < errand_.until)
+      return fail(Result::Error);
+    if (state_ == State::Waiting)
+      return fail(Result::Timeout);
+    // Not written whole, so it never ran; at the request's own end this tells nothing of the
+    // member.
     const bool over = net::now() >= errand_.until && state_ != State::Writing && !errand_.probe;
     fail(over ? Result::NotSent : Result::NoConnection);
   }
 
-  // The errand's one end. Guards the rule on second attempts: a connection that is not kept is closed before the
-  // module hears of the end and may send again. A kept one is idle by then, so that the next send finds it.
+  // The errand's one end. Guards the rule on second attempts: a connection that is not kept is
+  // closed before the module hears of the end and may send again. A kept one is idle by then, so
+  // that the next send finds it.
   void finish(const Answer& answer, bool keep, std::size_t used = 0, bool broken = false) {
     const Errand errand = std::exchange(errand_, Errand{});
-    if (const Nanos rested = std::exchange(rested_, 0)) pool_.rests_.count(rested, broken && !begun_);
+    if (const Nanos rested = std::exchange(rested_, 0))
+      pool_.rests_.count(rested, broken && !begun_);
     busy_ = false;
     timer_.stop();
     const broker::Core::Hold hold(pool_.core_);
-    if (!keep && stream_) stream_->close();
+    if (!keep && stream_)
+      stream_->close();
     pool_.report(member, errand, answer);
-    if (!keep) return pool_.drop(this);
-    if (used) stream_->input().consume(used);
-    if (state_ == State::Writing || state_ == State::Waiting) state_ = State::Idle;
+    if (!keep)
+      return pool_.drop(this);
+    if (used)
+      stream_->input().consume(used);
+    if (state_ == State::Writing || state_ == State::Waiting)
+      state_ = State::Idle;
     if (state_ == State::Idle)
       rest();
     else
-      timer_.after(pool_.limits_.connect_timeout); // still being opened, for whoever comes next
+      timer_.after(pool_.limits_.connect_timeout);  // still being opened, for whoever comes next
   }
 
   void rest() {
     // It was removed meanwhile, or is elsewhere: this connection leads to where it was.
-    if (pool_.hosts_[member].address != address_) return pool_.drop(this);
+    if (pool_.hosts_[member].address != address_)
+      return pool_.drop(this);
     idle_since_ = net::now();
-    // Guards against a request that crosses the member's own close, which ends as a reset: retired well
-    // before the member would.
+    // Guards against a request that crosses the member's own close, which ends as a reset: retired
+    // well before the member would.
     const Nanos keepalive = pool_.limits_.keepalive;
-    if (keepalive > 0) timer_.after(keepalive - std::min<Nanos>(keepalive / 4, 3'000'000'000));
+    if (keepalive > 0)
+      timer_.after(keepalive - std::min<Nanos>(keepalive / 4, 3'000'000'000));
     pool_.hosts_[member].idle.push_back(this);
   }
 
@@ -212,37 +245,46 @@
   std::shared_ptr<net::Stream> stream_;
   State state_ = State::Dialing;
   Errand errand_;
-  bool busy_ = false, begun_ = false; // an errand is in hand; some of its answer has come
-  Nanos idle_since_ = 0;              // when it was last laid by, if ever
-  Nanos rested_ = 0;                  // how long before this errand
+  bool busy_ = false, begun_ = false;  // an errand is in hand; some of its answer has come
+  Nanos idle_since_ = 0;               // when it was last laid by, if ever
+  Nanos rested_ = 0;                   // how long before this errand
 };
 
 Pool::Pool(broker::Core& core, WireFactory wire, const Limits& limits)
-    : core_(core), wire_(wire), limits_(limits), reaper_([this] { dropped_.clear(); }) {}
+    : core_(core), wire_(wire), limits_(limits), reaper_([this] {
+        dropped_.clear();
+      }) {}
 
 Pool::~Pool() {
-  for (auto& [link, owned] : links_) owned->close();
+  for (auto& [link, owned] : links_)
+    owned->close();
 }
 
 void Pool::listed(MemberId member, const std::string& address) {
   Host& host = hosts_[member];
-  if (host.address == address) return;
+  if (host.address == address)
+    return;
   host.address = address;
-  while (!host.idle.empty()) drop(host.idle.back()); // they lead to where it was
+  while (!host.idle.empty())
+    drop(host.idle.back());  // they lead to where it was
 }
 
 void Pool::removed(MemberId member) {
   const auto host = hosts_.find(member);
-  if (host == hosts_.end()) return;
-  host->second.address.clear(); // nothing new goes there; the last connection takes the entry with it
+  if (host == hosts_.end())
+    return;
+  host->second.address
+      .clear();  // nothing new goes there; the last connection takes the entry with it
   const std::vector<Link*> idle = host->second.idle;
-  for (Link* link : idle) drop(link);
+  for (Link* link : idle)
+    drop(link);
   forget(member);
 }
 
 void Pool::forget(MemberId member) {
   const auto host = hosts_.find(member);
-  if (host != hosts_.end() && host->second.links == 0 && host->second.address.empty()) hosts_.erase(host);
+  if (host != hosts_.end() && host->second.links == 0 && host->second.address.empty())
+    hosts_.erase(host);
 }
 
 void Pool::send(AttemptId attempt, MemberId member, broker::Call& call, Nanos until) {
@@ -261,7 +303,8 @@
   Host& host = hosts_[member];
   Link* link = take_idle(host);
   if (!link) {
-    if (!make_room(member)) return report(member, errand, Link::result_only(Result::NotSent));
+    if (!make_room(member))
+      return report(member, errand, Link::result_only(Result::NotSent));
     auto fresh = std::make_unique<Link>(*this, member, host.address);
     if (!fresh->good()) {
       forget(member);
@@ -271,12 +314,13 @@
     links_[link] = std::move(fresh);
     ++host.links;
   }
-  if (errand.attempt) attempts_[errand.attempt] = link;
+  if (errand.attempt)
+    attempts_[errand.attempt] = link;
   link->assign(errand);
 }
 
-// The one used last, if nothing has come on it since: bytes or an end mean that the member gave it up. The rest
-// go when it has rested for too long, as they have for longer.
+// The one used last, if nothing has come on it since: bytes or an end mean that the member gave it
+// up. The rest go when it has rested for too long, as they have for longer.
 Pool::Link* Pool::take_idle(Host& host) {
   const Nanos limit = rests_.limit();
   while (!host.idle.empty()) {
@@ -290,16 +334,20 @@
   return nullptr;
 }
 
-// Bounds descriptors: over the limit the connection idle longest, of any member, is closed for the new one.
+// Bounds descriptors: over the limit the connection idle longest, of any member, is closed for the
+// new one.
 bool Pool::make_room(MemberId member) {
-  if (hosts_[member].links >= limits_.per_member) return false;
-  if (links_.size() < limits_.connections) return true;
+  if (hosts_[member].links >= limits_.per_member)
+    return false;
+  if (links_.size() < limits_.connections)
+    return true;
   Link* oldest = nullptr;
   for (auto& [id, host] : hosts_)
     if (!host.idle.empty() && (!oldest || host.idle.front()->idle_since() < oldest->idle_since()))
       oldest = host.idle.front();
   if (!oldest) {
-    net::log_line("upstream", "all connections to members are in use: " + std::to_string(links_.size()));
+    net::log_line("upstream",
+                  "all connections to members are in use: " + std::to_string(links_.size()));
     return false;
   }
   drop(oldest);
@@ -307,25 +355,30 @@
 }
 
 void Pool::report(MemberId member, const Errand& errand, const Answer& answer) {
-  if (errand.probe) return core_.probed(member, answer);
-  if (!errand.attempt) return;
+  if (errand.probe)
+    return core_.probed(member, answer);
+  if (!errand.attempt)
+    return;
   attempts_.erase(errand.attempt);
   core_.ended(errand.attempt, answer);
 }
 
 void Pool::cancel(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
-  if (found != attempts_.end()) found->second->fail(Result::Cancelled);
+  if (found != attempts_.end())
+    found->second->fail(Result::Cancelled);
 }
 
 void Pool::withdraw(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
-  if (found != attempts_.end()) found->second->withdraw();
+  if (found != attempts_.end())
+    found->second->withdraw();
 }
 
 void Pool::drop(Link* link) {
   const auto found = links_.find(link);
-  if (found == links_.end()) return;
+  if (found == links_.end())
+    return;
   link->close();
   Host& host = hosts_[link->member];
   host.idle.erase(std::remove(host.idle.begin(), host.idle.end(), link), host.idle.end());
@@ -336,4 +389,4 @@
   reaper_.after(0);
 }
 
-} // namespace gorsebeam::upstream
+}  // namespace gorsebeam::upstream
--- a/src/versions/versions.cpp
+++ b/src/versions/versions.cpp
@@ -13,14 +13,15 @@
 Machine::Machine(Settings settings, Judge judge)
     : s_(std::move(settings)), judge_(std::move(judge)), random_(s_.seed | 1) {}
 
-std::uint64_t Machine::draw() { // xorshift64*
+std::uint64_t Machine::draw() {  // xorshift64*
   random_ ^= random_ >> 12, random_ ^= random_ << 25, random_ ^= random_ >> 27;
   return random_ * 0x2545F4914F6CDD1DULL;
 }
 
 Bodies Machine::running() const {
   Bodies bodies;
-  for (std::size_t i = 0; i < kTypes; ++i) bodies[i] = types_[i].kept.running.body;
+  for (std::size_t i = 0; i < kTypes; ++i)
+    bodies[i] = types_[i].kept.running.body;
   return bodies;
 }
 
@@ -37,10 +38,12 @@
     if (kept[i] && kept[i]->newest >= types_[i].kept.newest)
       bodies[i] = kept[i]->running.body;
     else
-      kept[i].reset(); // the file's is newer
-  if (const auto misfit = judge_(bodies)) return misfit->why;
+      kept[i].reset();  // the file's is newer
+  if (const auto misfit = judge_(bodies))
+    return misfit->why;
   for (std::size_t i = 0; i < kTypes; ++i) {
-    if (!kept[i]) continue;
+    if (!kept[i])
+      continue;
     types_[i].told = kept[i]->running.version;
     types_[i].kept = std::move(*kept[i]);
   }
@@ -49,8 +52,9 @@
 
 void Machine::begin(Nanos now, Actions& actions) {
   run(now, actions);
-  actions.pop_back(); // what rests on disk rests there already
-  if (!s_.addresses.empty()) dial(now, actions);
+  actions.pop_back();  // what rests on disk rests there already
+  if (!s_.addresses.empty())
+    dial(now, actions);
 }
 
 std::string Machine::file(Nanos now, std::array<Version, kTypes> versions, Actions& actions) {
@@ -59,31 +63,39 @@
   for (std::size_t i = 0; i < kTypes; ++i) {
     const Kept& kept = types_[i].kept;
     taken[i] = kept.running.source == "file" || versions[i].generation > kept.newest;
-    if (taken[i]) bodies[i] = versions[i].body;
+    if (taken[i])
+      bodies[i] = versions[i].body;
   }
-  if (const auto misfit = judge_(bodies)) return misfit->why;
+  if (const auto misfit = judge_(bodies))
+    return misfit->why;
   bool differs = false;
   for (std::size_t i = 0; i < kTypes; ++i) {
-    if (!taken[i]) continue;
+    if (!taken[i])
+      continue;
     Kept& kept = types_[i].kept;
     differs |= kept.running.print != versions[i].print;
     kept.newest = std::max(kept.newest, versions[i].generation);
     kept.running = std::move(versions[i]);
     kept.running.accepted_at = now;
   }
-  if (differs) run(now, actions); // an operator waits for it
-  settle(now, actions);           // what was held may fit now
+  if (differs)
+    run(now, actions);   // an operator waits for it
+  settle(now, actions);  // what was held may fit now
   return "";
 }
 
 void Machine::follow(Nanos now, Settings settings, Actions& actions) {
   const bool moved = settings.addresses != s_.addresses;
   s_ = std::move(settings);
-  if (!moved) return;
-  if (state_ == State::Dialing || state_ == State::Streaming) actions.emplace_back(HangUp{});
-  for (PerType& type : types_) type.held.reset();
+  if (!moved)
+    return;
+  if (state_ == State::Dialing || state_ == State::Streaming)
+    actions.emplace_back(HangUp{});
+  for (PerType& type : types_)
+    type.held.reset();
   state_ = State::Off, at_ = kNever, next_address_ = 0, failures_ = 0;
-  if (!s_.addresses.empty()) dial(now, actions);
+  if (!s_.addresses.empty())
+    dial(now, actions);
 }
 
 void Machine::dial(Nanos now, Actions& actions) {
@@ -96,14 +108,16 @@
 // Exponential with full jitter: many gateways that lost one service must not come back as one.
 void Machine::wait(Nanos now) {
   const int doublings = std::min(failures_++, 30);
-  const Nanos most = s_.reconnect_first > s_.reconnect_most >> doublings ? s_.reconnect_most
-                                                                         : s_.reconnect_first << doublings;
+  const Nanos most = s_.reconnect_first > s_.reconnect_most >> doublings
+                         ? s_.reconnect_most
+                         : s_.reconnect_first << doublings;
   state_ = State::Waiting;
   at_ = now + static_cast<Nanos>(draw() % static_cast<std::uint64_t>(std::max<Nanos>(most, 1) + 1));
 }
 
 void Machine::connected(Nanos now, Actions& actions) {
-  if (state_ != State::Dialing) return;
+  if (state_ != State::Dialing)
+    return;
   state_ = State::Streaming;
   at_ = kNever, heard_at_ = now, pinged_ = false;
   for (std::size_t i = 0; i < kTypes; ++i) {
@@ -114,12 +128,16 @@
   }
 }
 
-void Machine::heard(Nanos now) { heard_at_ = now, pinged_ = false; }
+void Machine::heard(Nanos now) {
+  heard_at_ = now, pinged_ = false;
+}
 
 void Machine::lost(Nanos now, const std::string& why, Actions& actions) {
-  if (state_ != State::Dialing && state_ != State::Streaming) return;
+  if (state_ != State::Dialing && state_ != State::Streaming)
+    return;
   // What was held cannot be answered any more; the next stream offers it again.
-  for (PerType& type : types_) type.held.reset();
+  for (PerType& type : types_)
+    type.held.reset();
   Note note;
   note.kind = Note::Kind::Lost, note.text = why;
   actions.emplace_back(std::move(note));
@@ -127,48 +145,60 @@
   wait(now);
 }
 
-// Why an offer may not replace what runs; empty: it may. The service's own versions have no order, generations do.
+// Why an offer may not replace what runs; empty: it may. The service's own versions have no order,
+// generations do.
 std::string Machine::out_of_order(const PerType& type, const Offer& offer) const {
-  const std::string generation = std::to_string(offer.generation), newest = std::to_string(type.kept.newest);
-  if (offer.generation == 0) return "it has no generation; number changes from 1";
+  const std::string generation = std::to_string(offer.generation),
+                    newest = std::to_string(type.kept.newest);
+  if (offer.generation == 0)
+    return "it has no generation; number changes from 1";
   if (offer.rolls_back != 0) {
-    if (offer.rolls_back >= type.kept.newest) return "";
+    if (offer.rolls_back >= type.kept.newest)
+      return "";
     return "it rolls back generation " + std::to_string(offer.rolls_back) + ", but " + newest +
            " is the newest accepted";
   }
-  if (offer.generation > type.kept.newest) return "";
+  if (offer.generation > type.kept.newest)
+    return "";
   if (offer.generation < type.kept.newest)
     return "generation " + generation + " is older than " + newest + ", the newest accepted";
-  if (type.kept.running.generation < type.kept.newest) return "generation " + generation + " was rolled back";
+  if (type.kept.running.generation < type.kept.newest)
+    return "generation " + generation + " was rolled back";
   return "generation " + generation + " came before with other content";
 }
 
 void Machine::offered(Nanos now, const Offer& offer, Actions& actions) {
-  if (state_ != State::Streaming) return;
+  if (state_ != State::Streaming)
+    return;
   heard(now);
   Note note;
   note.kind = Note::Kind::Offered;
   note.type = offer.type, note.version = offer.version, note.nonce = offer.nonce;
   actions.emplace_back(std::move(note));
-  if (!offer.type) return turn_down(offer, "type " + offer.type_url + " is not known here", actions);
+  if (!offer.type)
+    return turn_down(offer, "type " + offer.type_url + " is not known here", actions);
   PerType& type = of(*offer.type);
   if (type.held) {
     const Held old = std::move(*type.held);
     type.held.reset();
-    turn_down(old.offer, "version " + offer.version + " came before what it refers to: " + old.why, actions);
+    turn_down(old.offer, "version " + offer.version + " came before what it refers to: " + old.why,
+              actions);
   }
-  if (!offer.fault.empty()) return turn_down(offer, offer.fault, actions);
+  if (!offer.fault.empty())
+    return turn_down(offer, offer.fault, actions);
   if (offer.generation != 0 && offer.generation == type.kept.running.generation &&
       offer.print == type.kept.running.print) {
-    type.held = Held{offer, now, ""}; // it is what runs
+    type.held = Held{offer, now, ""};  // it is what runs
     accept(now, *offer.type, actions);
     return;
   }
   const std::string order = out_of_order(type, offer);
-  if (!order.empty()) return turn_down(offer, order, actions);
+  if (!order.empty())
+    return turn_down(offer, order, actions);
   type.held = Held{offer, now + s_.hold, ""};
   settle(now, actions);
-  if (!type.held) return;
+  if (!type.held)
+    return;
   Bodies bodies = running();
   bodies[static_cast<std::size_t>(*offer.type)] = offer.body;
   const auto misfit = judge_(bodies);
@@ -189,20 +219,30 @@
   std::vector<unsigned> sets;
   for (unsigned set = 1; set < 1u << kTypes; ++set) {
     bool all_held = true;
-    for (std::size_t i = 0; i < kTypes; ++i) all_held &= !(set >> i & 1) || types_[i].held.has_value();
-    if (all_held) sets.push_back(set);
+    for (std::size_t i = 0; i < kTypes; ++i)
+      all_held &= !(set >> i & 1) || types_[i].held.has_value();
+    if (all_held)
+      sets.push_back(set);
   }
-  const auto size = [](unsigned set) { return (set & 1) + (set >> 1 & 1) + (set >> 2 & 1); };
-  std::stable_sort(sets.begin(), sets.end(), [&](unsigned a, unsigned b) { return size(a) > size(b); });
+  const auto size = [](unsigned set) {
+    return (set & 1) + (set >> 1 & 1) + (set >> 2 & 1);
+  };
+  std::stable_sort(sets.begin(), sets.end(), [&](unsigned a, unsigned b) {
+    return size(a) > size(b);
+  });
   for (const unsigned set : sets) {
     Bodies bodies = running();
     for (std::size_t i = 0; i < kTypes; ++i)
-      if (set >> i & 1) bodies[i] = types_[i].held->offer.body;
-    if (judge_(bodies)) continue;
-    bool differs = false; // run only once all are in place
+      if (set >> i & 1)
+        bodies[i] = types_[i].held->offer.body;
+    if (judge_(bodies))
+      continue;
+    bool differs = false;  // run only once all are in place
     for (std::size_t i = 0; i < kTypes; ++i)
-      if (set >> i & 1) differs |= accept(now, static_cast<Type>(i), actions);
-    if (differs) changed(now, actions);
+      if (set >> i & 1)
+        differs |= accept(now, static_cast<Type>(i), actions);
+    if (differs)
+      changed(now, actions);
     return;
   }
 }
@@ -218,13 +258,14 @@
   type.kept.running.version = type.told = offer.version;
   const bool rests = same && type.kept.running.source != "file";
   type.kept.running.source = address_;
-  if (same && !rests) actions.emplace_back(Store{});
+  if (same && !rests)
+    actions.emplace_back(Store{});
   if (!same) {
     type.kept.running.body = offer.body;
     type.kept.running.print = offer.print;
     type.kept.running.accepted_at = now;
   }
-  failures_ = 0; // a service that gives something good is worth coming back to at once
+  failures_ = 0;  // a service that gives something good is worth coming back to at once
   if (std::exchange(was_lost_, false)) {
     Note found;
     found.kind = Note::Kind::Found;
@@ -251,7 +292,8 @@
 // Many versions in a burst run as one: only the newest need be applied.
 void Machine::changed(Nanos now, Actions& actions) {
   dirty_ = true;
-  if (ran_at_ < 0 || now - ran_at_ >= s_.run_pause) run(now, actions);
+  if (ran_at_ < 0 || now - ran_at_ >= s_.run_pause)
+    run(now, actions);
 }
 
 void Machine::run(Nanos now, Actions& actions) {
@@ -269,24 +311,31 @@
 
 Nanos Machine::due() const {
   Nanos due = at_;
-  if (dirty_) due = std::min(due, ran_at_ + s_.run_pause);
-  if (state_ != State::Streaming) return due;
+  if (dirty_)
+    due = std::min(due, ran_at_ + s_.run_pause);
+  if (state_ != State::Streaming)
+    return due;
   due = std::min(due, heard_at_ + s_.silence * (pinged_ ? 2 : 1));
   for (const PerType& type : types_)
-    if (type.held) due = std::min(due, type.held->until);
+    if (type.held)
+      due = std::min(due, type.held->until);
   return due;
 }
 
 void Machine::tick(Nanos now, Actions& actions) {
-  if (dirty_ && now - ran_at_ >= s_.run_pause) run(now, actions);
-  if (state_ == State::Waiting && now >= at_) return dial(now, actions);
+  if (dirty_ && now - ran_at_ >= s_.run_pause)
+    run(now, actions);
+  if (state_ == State::Waiting && now >= at_)
+    return dial(now, actions);
   if (state_ == State::Dialing && now >= at_) {
     actions.emplace_back(HangUp{});
     return lost(now, "it did not come up in time", actions);
   }
-  if (state_ != State::Streaming) return;
+  if (state_ != State::Streaming)
+    return;
   for (PerType& type : types_) {
-    if (!type.held || now < type.held->until) continue;
+    if (!type.held || now < type.held->until)
+      continue;
     const Held held = std::move(*type.held);
     type.held.reset();
     turn_down(held.offer, held.why + "; nothing brought it in time", actions);
@@ -300,4 +349,4 @@
   }
 }
 
-} // namespace gorsebeam::versions
+}  // namespace gorsebeam::versions
--- a/src/xds/xds.cpp
+++ b/src/xds/xds.cpp
@@ -14,49 +14,61 @@
 namespace pb = config::pb;
 using versions::Type;
 constexpr const char* kTypeRoot = "type.googleapis.com/";
-constexpr std::size_t kErrorMost = 2000; // bytes of a reason sent back
-constexpr int kInvalidArgument = 3;      // google.rpc.Code
+constexpr std::size_t kErrorMost = 2000;  // bytes of a reason sent back
+constexpr int kInvalidArgument = 3;       // google.rpc.Code
 
-template <typename Message> std::string url_of() { return kTypeRoot + Message::descriptor()->full_name(); }
+template <typename Message>
+std::string url_of() {
+  return kTypeRoot + Message::descriptor()->full_name();
+}
 
 // All resources of a type are one set: merged, checked, and numbered alike.
 template <typename Message>
-void read_set(const v3::DiscoveryResponse& response, const config::Site& site, versions::Offer& offer) {
+void read_set(const v3::DiscoveryResponse& response, const config::Site& site,
+              versions::Offer& offer) {
   auto merged = std::make_shared<Message>();
   if (response.resources().empty())
     offer.fault = "it holds no resource; one that is empty on purpose says so";
   for (int i = 0; i < response.resources_size() && offer.fault.empty(); ++i) {
     const std::string place = "resource " + std::to_string(i + 1) + ": ";
     Message later;
-    Message& one = i == 0 ? *merged : later; // a set in one resource is not copied
+    Message& one = i == 0 ? *merged : later;  // a set in one resource is not copied
     if (response.resources(i).type_url() != offer.type_url)
-      offer.fault = place + "is of type " + response.resources(i).type_url() + ", not of the response's";
+      offer.fault =
+          place + "is of type " + response.resources(i).type_url() + ", not of the response's";
     else if (!one.ParseFromString(response.resources(i).value()))
       offer.fault = place + "cannot be read";
     else if (const auto unknown = config::check_unknown(one))
       offer.fault = place + unknown->text();
-    else if (i > 0 && (one.generation() != offer.generation || one.rolls_back() != offer.rolls_back))
+    else if (i > 0 &&
+             (one.generation() != offer.generation || one.rolls_back() != offer.rolls_back))
       offer.fault = place + "is of another generation than the first; a response holds one";
     else {
       offer.generation = one.generation(), offer.rolls_back = one.rolls_back();
-      if (i > 0) merged->MergeFrom(one);
+      if (i > 0)
+        merged->MergeFrom(one);
     }
   }
-  if (!offer.fault.empty()) return;
+  if (!offer.fault.empty())
+    return;
   merged->set_generation(offer.generation);
   merged->set_rolls_back(offer.rolls_back);
-  if (const auto fault = config::check(*merged, site)) offer.fault = fault->text();
+  if (const auto fault = config::check(*merged, site))
+    offer.fault = fault->text();
   offer.print = print_of(*merged);
   offer.body = std::move(merged);
 }
 
-} // namespace
+}  // namespace
 
 std::string type_url(Type type) {
   switch (type) {
-  case Type::Contracts: return url_of<pb::Contracts>();
-  case Type::Members: return url_of<pb::Members>();
-  default: return url_of<pb::Limits>();
+  case Type::Contracts:
+    return url_of<pb::Contracts>();
+  case Type::Members:
+    return url_of<pb::Members>();
+  default:
+    return url_of<pb::Limits>();
   }
 }
 
@@ -64,7 +76,8 @@
   std::unique_ptr<google::protobuf::Message> content(message.New());
   content->CopyFrom(message);
   for (const char* field : {"generation", "rolls_back"})
-    content->GetReflection()->ClearField(content.get(), content->GetDescriptor()->FindFieldByName(field));
+    content->GetReflection()->ClearField(content.get(),
+                                         content->GetDescriptor()->FindFieldByName(field));
   std::string bytes;
   {
     google::protobuf::io::StringOutputStream stream(&bytes);
@@ -77,22 +90,31 @@
 
 std::optional<versions::Offer> read_response(std::string_view bytes, const config::Site& site) {
   v3::DiscoveryResponse response;
-  if (!response.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  if (!response.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return std::nullopt;
   versions::Offer offer;
   offer.type_url = response.type_url().substr(0, 200);
   offer.version = response.version_info().substr(0, 200);
   offer.nonce = response.nonce().substr(0, 200);
   for (const Type type : {Type::Contracts, Type::Members, Type::Limits})
-    if (offer.type_url == type_url(type)) offer.type = type;
-  if (!offer.type) return offer;
+    if (offer.type_url == type_url(type))
+      offer.type = type;
+  if (!offer.type)
+    return offer;
   if (response.resources_size() > kResourcesMost) {
     offer.fault = "it holds more than 1000 resources";
     return offer;
   }
   switch (*offer.type) {
-  case Type::Contracts: read_set<pb::Contracts>(response, site, offer); break;
-  case Type::Members: read_set<pb::Members>(response, site, offer); break;
-  case Type::Limits: read_set<pb::Limits>(response, site, offer); break;
+  case Type::Contracts:
+    read_set<pb::Contracts>(response, site, offer);
+    break;
+  case Type::Members:
+    read_set<pb::Members>(response, site, offer);
+    break;
+  case Type::Limits:
+    read_set<pb::Limits>(response, site, offer);
+    break;
   }
   return offer;
 }
@@ -117,11 +139,13 @@
 const pb::Contracts& contracts_of(const versions::Body& body) {
   return *static_cast<const pb::Contracts*>(body.get());
 }
+
 const pb::Members& members_of(const versions::Body& body) {
   return *static_cast<const pb::Members*>(body.get());
 }
+
 const pb::Limits& limits_of(const versions::Body& body) {
   return *static_cast<const pb::Limits*>(body.get());
 }
 
-} // namespace gorsebeam::xds
+}  // namespace gorsebeam::xds
--- a/src/xds/xds.h
+++ b/src/xds/xds.h
@@ -1,5 +1,6 @@
-// The xDS transport protocol, version 3, state of the world: what its messages mean here. Pure: bytes in, values out.
-// Source: the published "xDS REST and gRPC protocol"; schema/gorsebeam/xds/v3 holds its messages.
+// The xDS transport protocol, version 3, state of the world: what its messages mean here. Pure:
+// bytes in, values out. Source: the published "xDS REST and gRPC protocol"; schema/gorsebeam/xds/v3
+// holds its messages.
 #pragma once
 
 #include "config/check.h"
@@ -13,11 +14,12 @@
 
 constexpr const char* kPath =
     "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
-constexpr int kResourcesMost = 1000; // in one response
+constexpr int kResourcesMost = 1000;  // in one response
 
 std::string type_url(versions::Type type);
 
-// A response as the machine takes it, checked by itself; nothing: no such message, and the stream is of no use.
+// A response as the machine takes it, checked by itself; nothing: no such message, and the stream
+// is of no use.
 std::optional<versions::Offer> read_response(std::string_view bytes, const config::Site& site);
 
 // The bytes of a request. The node is told on the first of a stream.
@@ -30,7 +32,9 @@
 const config::pb::Contracts& contracts_of(const versions::Body& body);
 const config::pb::Members& members_of(const versions::Body& body);
 const config::pb::Limits& limits_of(const versions::Body& body);
-template <typename Message> versions::Version version_of(Message message) { // the file's
+
+template <typename Message>
+versions::Version version_of(Message message) {  // the file's
   versions::Version version;
   version.generation = message.generation();
   version.print = print_of(message);
@@ -38,4 +42,4 @@
   return version;
 }
 
-} // namespace gorsebeam::xds
+}  // namespace gorsebeam::xds
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -17,7 +17,9 @@
 struct Wire {
   Session session;
   std::string reply;
+
   void operator()(const std::string& text) { session.line(text, reply); }
+
   void start() {
     (*this)(R"({"TURN":{"time":1000000}})");
     (*this)(kStart);
@@ -25,10 +27,13 @@
     (*this)(R"({"VIEW":{"router_id":4,"kind":"disk","buffer":2,"seq_no":1}})");
     (*this)(R"({"END":{}})");
   }
+
   std::string fault(const std::string& text) {
     try {
       (*this)(text);
-    } catch (const WireError& error) { return error.what(); }
+    } catch (const WireError& error) {
+      return error.what();
+    }
     return "";
   }
 };
@@ -51,7 +56,8 @@
       R"({"ORDER":{"router_id":4,"op_id":"abc","tier_class":"look","valid_until":400000000,"partition_no":3,"new":1}})");
   wire(R"({"END":{}})");
   EXPECT_NE(
-      wire.reply.find(R"({"CALL_OUT":{"router_id":4,"op_id":"abc","give_up_after":398000000,"node":55}})"),
+      wire.reply.find(
+          R"({"CALL_OUT":{"router_id":4,"op_id":"abc","give_up_after":398000000,"node":55}})"),
       std::string::npos)
       << wire.reply;
 }
@@ -63,10 +69,12 @@
   EXPECT_NE(wire.fault(R"({"END":{}})").find("outside a batch"), std::string::npos);
   wire(R"({"TURN":{"time":3000000}})");
   EXPECT_NE(wire.fault(R"({"TICK_DUE":{"router_id":9}})").find("router 9"), std::string::npos);
-  EXPECT_NE(wire.fault(R"({"STATUS_BACK":{"router_id":4,"code":"GOOD"}})").find("'node'"), std::string::npos);
+  EXPECT_NE(wire.fault(R"({"STATUS_BACK":{"router_id":4,"code":"GOOD"}})").find("'node'"),
+            std::string::npos);
   EXPECT_NE(wire.fault(R"({"STATUS_BACK":{"router_id":4,"node":55,"code":"FINE"}})").find("FINE"),
             std::string::npos);
-  EXPECT_NE(wire.fault(R"({"VANISHED":{"router_id":4,"op_id":7}})").find("op_id"), std::string::npos);
+  EXPECT_NE(wire.fault(R"({"VANISHED":{"router_id":4,"op_id":7}})").find("op_id"),
+            std::string::npos);
   EXPECT_NE(wire.fault(R"({"PARTY":{"router_id":4}})").find("PARTY"), std::string::npos);
 }
 
@@ -78,4 +86,4 @@
   EXPECT_NE(wire.fault(R"({"TICK_DUE":{"router_id":4}})").find("router 4"), std::string::npos);
 }
 
-} // namespace
+}  // namespace
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -14,23 +14,29 @@
 constexpr std::int64_t ms = 1'000'000;
 using agreement::Message;
 
-struct Three { // voters a, b, c; messages arrive at once, the disk answers at once unless `slow`
+struct Three {  // voters a, b, c; messages arrive at once, the disk answers at once unless `slow`
   std::map<std::string, std::unique_ptr<agreement::Voter>> voters;
   std::map<std::string, std::optional<agreement::Kept>> disks;
   std::set<std::string> cut, slow, regressed;
   std::int64_t now = 0;
 
   Three() {
-    for (const char* name : {"a", "b", "c"}) start(name, agreement::Kept{});
+    for (const char* name : {"a", "b", "c"})
+      start(name, agreement::Kept{});
   }
+
   void start(const std::string& name, std::optional<agreement::Kept> kept) {
     agreement::Settings settings{name, {"a", "b", "c"}};
     settings.seed = std::hash<std::string>()(name), settings.log_most = 4;
     disks[name] = kept;
     voters[name] = std::make_unique<agreement::Voter>(settings, kept);
-    step(name, [&](auto& voter, auto& out) { voter.begin(now, out); });
+    step(name, [&](auto& voter, auto& out) {
+      voter.begin(now, out);
+    });
   }
+
   using Event = std::function<void(agreement::Voter&, agreement::Actions&)>;
+
   void step(const std::string& name, const Event& event) {
     agreement::Actions actions;
     event(*voters.at(name), actions);
@@ -39,30 +45,43 @@
         disks[name] = save->kept;
         saved(name, save->number);
       } else if (const auto* send = std::get_if<agreement::Send>(&action)) {
-        if (!cut.count(name) && !cut.count(send->message.to)) wire.push_back(send->message);
+        if (!cut.count(name) && !cut.count(send->message.to))
+          wire.push_back(send->message);
       } else if (const auto* who = std::get_if<agreement::Regressed>(&action)) {
         regressed.insert(who->voter);
       }
     }
   }
+
   void saved(const std::string& name, std::uint64_t number) {
-    step(name, [&](auto& voter, auto& out) { voter.saved(now, number, out); });
+    step(name, [&](auto& voter, auto& out) {
+      voter.saved(now, number, out);
+    });
   }
+
   void pass(std::int64_t time) {
     for (const std::int64_t end = now + time; now < end; now += 10 * ms) {
       for (const auto& [name, voter] : voters)
-        if (voter->due() <= now) step(name, [&](auto& voter, auto& out) { voter.tick(now, out); });
+        if (voter->due() <= now)
+          step(name, [&](auto& voter, auto& out) {
+            voter.tick(now, out);
+          });
       for (; !wire.empty(); wire.pop_front()) {
         const Message message = wire.front();
-        step(message.to, [&](auto& voter, auto& out) { voter.received(now, message, out); });
+        step(message.to, [&](auto& voter, auto& out) {
+          voter.received(now, message, out);
+        });
       }
     }
   }
+
   std::string leader() const {
     for (const auto& [name, voter] : voters)
-      if (voter->role() == agreement::Voter::Role::Leader) return name;
+      if (voter->role() == agreement::Voter::Role::Leader)
+        return name;
     return "";
   }
+
   std::deque<Message> wire;
 };
 
@@ -84,7 +103,8 @@
 TEST(Agreement, NothingIsPromisedBeforeItRests) {
   Three three;
   three.slow = {"b", "c"};
-  three.pass(10'000 * ms); // a campaigns, and no vote is told; nor does another lead by its own alone
+  three.pass(10'000 *
+             ms);  // a campaigns, and no vote is told; nor does another lead by its own alone
   EXPECT_EQ(three.leader(), "");
 }
 
@@ -94,7 +114,9 @@
   const std::string leader = three.leader(), other = leader == "a" ? "b" : "a";
   const auto old = three.disks[other];
   for (int i = 0; i < 3; ++i) {
-    three.step(leader, [&](auto& voter, auto& out) { voter.propose(three.now, "x", out); });
+    three.step(leader, [&](auto& voter, auto& out) {
+      voter.propose(three.now, "x", out);
+    });
     three.pass(500 * ms);
   }
   three.start(other, old);
@@ -110,7 +132,8 @@
   three.cut = {leader};
   three.pass(20'000 * ms);
   EXPECT_EQ(three.voters[other]->role(), agreement::Voter::Role::Mute);
-  for (const auto& [name, voter] : three.voters) EXPECT_NE(voter->role(), agreement::Voter::Role::Leader);
+  for (const auto& [name, voter] : three.voters)
+    EXPECT_NE(voter->role(), agreement::Voter::Role::Leader);
 }
 
 TEST(Agreement, ALogThatNobodyTakesIsBounded) {
@@ -120,8 +143,9 @@
   three.cut = {leader};
   std::size_t taken = 0;
   for (int i = 0; i < 100; ++i)
-    three.step(leader,
-               [&](auto& voter, auto& out) { taken += voter.propose(three.now, "x", out).has_value(); });
+    three.step(leader, [&](auto& voter, auto& out) {
+      taken += voter.propose(three.now, "x", out).has_value();
+    });
   EXPECT_LE(taken, 8u);
 }
 
@@ -129,7 +153,7 @@
   duties::Table table;
   EXPECT_EQ(table.apply(5, duties::Table::command("d", "a~1", 0)), "d");
   EXPECT_EQ(table.apply(6, duties::Table::command("d", "b~1", 0)), "");
-  EXPECT_EQ(table.apply(7, "grant d 5 b~1\nrm"), "d"); // what follows the line says nothing
+  EXPECT_EQ(table.apply(7, "grant d 5 b~1\nrm"), "d");  // what follows the line says nothing
   EXPECT_EQ(table.at("d").holder, "b~1");
   EXPECT_EQ(duties::Table::unpacked(table.packed())->at("d").token, 7u);
   EXPECT_FALSE(duties::Table::unpacked("d x"));
@@ -153,10 +177,11 @@
     keeper.confirming(std::uint64_t(now / ms + 1));
     keeper.confirmed(now, std::uint64_t(now / ms + 1), actions);
     for (const auto& action : actions)
-      if (const auto* propose = std::get_if<duties::Propose>(&action)) successor = propose->body;
+      if (const auto* propose = std::get_if<duties::Propose>(&action))
+        successor = propose->body;
   }
   EXPECT_EQ(successor, duties::Table::command("d", "well~1", 1));
 }
 
-} // namespace
-} // namespace gorsebeam
+}  // namespace
+}  // namespace gorsebeam
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -32,7 +32,8 @@
                        request.error_detail().message(), request.node().id()});
     }
     const std::lock_guard<std::mutex> lock(mutex);
-    if (call_ == call) call_ = nullptr, context_ = nullptr;
+    if (call_ == call)
+      call_ = nullptr, context_ = nullptr;
     return status_;
   }
 
@@ -54,15 +55,20 @@
   CHECK(self_->server && self_->port > 0);
 }
 
-Service::~Service() { go_away(); }
+Service::~Service() {
+  go_away();
+}
 
 void Service::go_away() {
-  if (!self_->server) return;
+  if (!self_->server)
+    return;
   self_->server->Shutdown(std::chrono::system_clock::now());
   self_->server.reset();
 }
 
-std::string Service::address() const { return "127.0.0.1:" + std::to_string(self_->port); }
+std::string Service::address() const {
+  return "127.0.0.1:" + std::to_string(self_->port);
+}
 
 int Service::streams() const {
   const std::lock_guard<std::mutex> lock(self_->mutex);
@@ -83,11 +89,13 @@
                           const std::string& version, const std::string& type_url) {
   xds::DiscoveryResponse response;
   response.set_version_info(version);
-  for (const auto* resource : resources) response.add_resources()->PackFrom(*resource);
+  for (const auto* resource : resources)
+    response.add_resources()->PackFrom(*resource);
   response.set_type_url(!type_url.empty() ? type_url : response.resources(0).type_url());
   const std::lock_guard<std::mutex> lock(self_->mutex);
   response.set_nonce("n" + std::to_string(++self_->nonces));
-  if (self_->call_) self_->call_->Write(response);
+  if (self_->call_)
+    self_->call_->Write(response);
   return response.nonce();
 }
 
@@ -95,10 +103,15 @@
   const auto find = [&] {
     std::vector<Heard> found;
     for (const Heard& h : heard())
-      if (h.nonce == nonce) found.push_back(h);
+      if (h.nonce == nonce)
+        found.push_back(h);
     return found;
   };
-  stage::until([&] { return !find().empty(); }, ("the answer to " + nonce).c_str());
+  stage::until(
+      [&] {
+        return !find().empty();
+      },
+      ("the answer to " + nonce).c_str());
   CHECK(find().size() == 1);
   return find()[0].error;
 }
@@ -115,18 +128,25 @@
 struct Cable::Pair {
   struct End : Stream::Events {
     explicit End(Pair& pair, bool service) : pair(pair), service(service) {}
+
     Pair& pair;
-    bool service; // the side that the service is on
+    bool service;  // the side that the service is on
     std::shared_ptr<Stream> stream;
+
     void received() override { pair.carry(*this); }
+
     void ended(const std::string&) override { pair.end(); }
   };
+
   Pair(Cable::Self& cable, SocketHandle socket, const std::string& to) : cable(cable) {
     near.stream = Stream::adopt(std::move(socket), near);
     far.stream = Stream::connect(to, far);
   }
+
   void carry(End& from);
+
   void end() { near.stream->close(), far.stream->close(); }
+
   Cable::Self& cable;
   End near{*this, false}, far{*this, true};
 };
@@ -146,13 +166,18 @@
 void Cable::Pair::carry(End& from) {
   std::string bytes(from.stream->input().view());
   from.stream->input().consume(bytes.size());
-  if (cable.silent) return;
+  if (cable.silent)
+    return;
   const bool cut = from.service && cable.left && bytes.size() >= *cable.left;
-  if (cut) bytes.resize(*cable.left);
-  if (from.service && cable.left) *cable.left -= bytes.size();
+  if (cut)
+    bytes.resize(*cable.left);
+  if (from.service && cable.left)
+    *cable.left -= bytes.size();
   End& to = from.service ? near : far;
-  if (!bytes.empty()) to.stream->write({bytes});
-  if (cut) cable.left.reset(), end();
+  if (!bytes.empty())
+    to.stream->write({bytes});
+  if (cut)
+    cable.left.reset(), end();
 }
 
 Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
@@ -160,11 +185,24 @@
   std::string why;
   CHECK(self_->listener.listen("127.0.0.1:0", why));
 }
+
 Cable::~Cable() = default;
-std::string Cable::address() const { return self_->listener.address(); }
-void Cable::cut_after(std::size_t bytes) { self_->left = bytes; }
-void Cable::silence(bool on) { self_->silent = on; }
-int Cable::connections() const { return self_->connections; }
+
+std::string Cable::address() const {
+  return self_->listener.address();
+}
+
+void Cable::cut_after(std::size_t bytes) {
+  self_->left = bytes;
+}
+
+void Cable::silence(bool on) {
+  self_->silent = on;
+}
+
+int Cable::connections() const {
+  return self_->connections;
+}
 
 // ---- the script
 
@@ -173,7 +211,9 @@
       : script(script), stream(Stream::adopt(std::move(socket), *this)) {
     stream->write({bytes});
   }
+
   void received() override { stream->input().consume(stream->input().size()); }
+
   void ended(const std::string&) override;
   Script::Self& script;
   std::shared_ptr<Stream> stream;
@@ -188,32 +228,49 @@
   }};
 };
 
-void Script::Link::ended(const std::string&) { ++script.ended; }
+void Script::Link::ended(const std::string&) {
+  ++script.ended;
+}
 
 Script::Script(std::string bytes) : self_(std::make_unique<Self>()) {
   self_->bytes = std::move(bytes);
   std::string why;
   CHECK(self_->listener.listen("127.0.0.1:0", why));
 }
+
 Script::~Script() = default;
-std::string Script::address() const { return self_->listener.address(); }
-int Script::connections() const { return static_cast<int>(self_->links.size()); }
-int Script::ended() const { return self_->ended; }
+
+std::string Script::address() const {
+  return self_->listener.address();
+}
+
+int Script::connections() const {
+  return static_cast<int>(self_->links.size());
+}
+
+int Script::ended() const {
+  return self_->ended;
+}
 
 std::string frame(int type, int flags, int stream, const std::string& payload) {
   std::string bytes;
-  for (int shift = 16; shift >= 0; shift -= 8) bytes += static_cast<char>(payload.size() >> shift & 0xff);
+  for (int shift = 16; shift >= 0; shift -= 8)
+    bytes += static_cast<char>(payload.size() >> shift & 0xff);
   bytes += static_cast<char>(type), bytes += static_cast<char>(flags);
-  for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(stream >> shift & 0xff);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    bytes += static_cast<char>(stream >> shift & 0xff);
   return bytes + payload;
 }
 
-std::string settings_frame() { return frame(4, 0, 0, ""); }
+std::string settings_frame() {
+  return frame(4, 0, 0, "");
+}
 
 std::string grpc_headers_frame() {
-  // HPACK: ":status 200" is entry 8 of the static table; "content-type" is 31, its value a literal without indexing.
+  // HPACK: ":status 200" is entry 8 of the static table; "content-type" is 31, its value a literal
+  // without indexing.
   const std::string type = "application/grpc";
   return frame(1, 4, 1, std::string("\x88\x0f\x10", 3) + static_cast<char>(type.size()) + type);
 }
 
-} // namespace stand_in
+}  // namespace stand_in
--- a/tests/embedding/example.cpp
+++ b/tests/embedding/example.cpp
@@ -19,7 +19,8 @@
   gorsebeam::Member replica;
   replica.id = 7;
   router.handle(0, gorsebeam::MemberList{gorsebeam::MemberList::Kind::Full, {replica}}, actions);
-  router.handle(1 * ms, gorsebeam::Probed{7, true, 1 * ms, {}}, actions); // the probe it asked for, answered
+  router.handle(1 * ms, gorsebeam::Probed{7, true, 1 * ms, {}},
+                actions);  // the probe it asked for, answered
 
   actions.clear();
   gorsebeam::Request request;
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -1,10 +1,12 @@
-// A fleet in virtual time: voters, holders, their disks, clocks and network drawn by a seed, faults by a schedule, and
-// an auditor that knows what was sent, applied and done, and nothing of how it was decided.
+// A fleet in virtual time: voters, holders, their disks, clocks and network drawn by a seed, faults
+// by a schedule, and an auditor that knows what was sent, applied and done, and nothing of how it
+// was decided.
 //
 //   simulation SEEDS [FIRST]      so many seeds; the first that breaks a rule prints a script
 //   simulation --script FILE      that script again
-//   simulation --cost GATEWAYS    messages a second with nothing going wrong, leader and others apart
-//   simulation --saboteurs SEEDS  each deliberately broken embedder is caught within so many seeds
+//   simulation --cost GATEWAYS    messages a second with nothing going wrong, leader and others
+//   apart simulation --saboteurs SEEDS  each deliberately broken embedder is caught within so many
+//   seeds
 #include "agreement/agreement.h"
 #include "duties/duties.h"
 
@@ -35,16 +37,24 @@
 
 constexpr Nanos kMs = 1'000'000, kLease = 1000 * kMs;
 constexpr Nanos kFaultsEnd = 6000 * kMs, kEnd = kFaultsEnd + 8 * kLease;
-constexpr std::int64_t kDrift = 2000; // ppm
-
-enum class Sabotage { None, PromisesUnsaved, VotesAfterLoss, LeadsAtOnce, ClockOff, FenceOff, Last };
+constexpr std::int64_t kDrift = 2000;  // ppm
+
+enum class Sabotage {
+  None,
+  PromisesUnsaved,
+  VotesAfterLoss,
+  LeadsAtOnce,
+  ClockOff,
+  FenceOff,
+  Last
+};
 const char* const kNames[] = {"none",          "promises-unsaved", "votes-after-loss",
                               "leads-at-once", "clock-off",        "fence-off"};
 
 struct Fault {
   Nanos at = 0;
-  std::string
-      kind; // kill, wipe (and kill), start, stall, wake, cut (from a to b), heal, disk (fails from a on), mend
+  std::string kind;  // kill, wipe (and kill), start, stall, wake, cut (from a to b), heal, disk
+                     // (fails from a on), mend
   int a = 0, b = 0;
 };
 
@@ -71,10 +81,15 @@
       const std::int64_t drift = sabotage_ == Sabotage::ClockOff ? 300'000 : kDrift;
       node.rate = 1 + 1e-6 * double(between(-drift, drift)) * 0.999;
       node.offset = between(0, 1'000'000) * kMs;
-      if (node.voter) voters_.push_back(node.name);
+      if (node.voter)
+        voters_.push_back(node.name);
     }
-    for (const auto& node : nodes_) start(*node);
-    for (const Fault& fault : script_.faults) later(fault.at, [this, fault] { inject(fault); });
+    for (const auto& node : nodes_)
+      start(*node);
+    for (const Fault& fault : script_.faults)
+      later(fault.at, [this, fault] {
+        inject(fault);
+      });
   }
 
   void run() {
@@ -86,15 +101,18 @@
     }
     // Progress: faults ended long ago, so each duty is done by somebody.
     std::size_t able = 0;
-    for (const auto& node : nodes_) able += node->voter && !node->wiped;
-    if (able < std::size_t(script_.voters / 2 + 1)) return;
+    for (const auto& node : nodes_)
+      able += node->voter && !node->wiped;
+    if (able < std::size_t(script_.voters / 2 + 1))
+      return;
     for (const std::string& duty : settings_.duties)
-      if (done_at_[duty] < kEnd - 2 * kLease) throw Broken{"progress: nobody does " + duty};
+      if (done_at_[duty] < kEnd - 2 * kLease)
+        throw Broken{"progress: nobody does " + duty};
   }
 
-  double leader_sent = 0, others_sent = 0; // messages between gateways
+  double leader_sent = 0, others_sent = 0;  // messages between gateways
   std::uint64_t acts = 0, turned_down = 0;
-  std::vector<Nanos> gaps; // from a holder's last act under one token to the first under the next
+  std::vector<Nanos> gaps;  // from a holder's last act under one token to the first under the next
 
 private:
   struct Node {
@@ -103,46 +121,58 @@
     bool voter = false, alive = false, stalled = false, disk_fails = false, wiped = false;
     double rate = 1;
     Nanos offset = 0;
-    std::uint64_t start = 0; // counts starts: what belongs to an earlier one is dropped
+    std::uint64_t start = 0;  // counts starts: what belongs to an earlier one is dropped
     std::unique_ptr<agreement::Voter> voted;
     std::optional<agreement::Kept> disk;
     duties::Table table;
     std::unique_ptr<duties::Keeper> keeper;
     std::unique_ptr<duties::Holder> holder;
-    Nanos voter_due = 0, keeper_due = 0, holder_due = 0; // the due times that are waited for
-    std::string answered_by;                             // who is asked first
+    Nanos voter_due = 0, keeper_due = 0, holder_due = 0;  // the due times that are waited for
+    std::string answered_by;                              // who is asked first
     bool asked_in_vain = true;
-    std::vector<std::function<void()>> waiting; // while stalled
+    std::vector<std::function<void()>> waiting;  // while stalled
+
     Nanos local(Nanos at) const { return offset + Nanos(double(at) * rate); }
+
     Nanos real(Nanos at) const {
       return Nanos(double(at - offset) / rate) + 1000;
-    } // a loop wakes late, never early
+    }  // a loop wakes late, never early
   };
+
   struct Due {
     Nanos at;
     std::uint64_t order;
     std::function<void()> what;
-    bool operator<(const Due& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+
+    bool operator<(const Due& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
   };
 
   Nanos between(Nanos least, Nanos most) {
     return std::uniform_int_distribution<Nanos>(least, most)(random_);
   }
+
   bool chance(double share) { return std::uniform_real_distribution<>(0, 1)(random_) < share; }
+
   void later(Nanos at, std::function<void()> what) {
     queue_.push({std::max(at, now_), order_++, std::move(what)});
   }
 
   Node& named(const std::string& name) {
-    return **std::find_if(nodes_.begin(), nodes_.end(), [&](const auto& node) { return node->name == name; });
+    return **std::find_if(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+      return node->name == name;
+    });
   }
 
   // On that start of the node, as soon as it runs.
   void on(Node& node, Nanos at, std::function<void()> what) {
     const std::uint64_t start = node.start;
     later(at, [this, &node, start, what = std::move(what)] {
-      if (!node.alive || node.start != start) return;
-      if (node.stalled) return node.waiting.push_back(what);
+      if (!node.alive || node.start != start)
+        return;
+      if (node.stalled)
+        return node.waiting.push_back(what);
       what();
     });
   }
@@ -154,19 +184,25 @@
     node.table = {};
     settings_.seed = random_();
     node.keeper = std::make_unique<duties::Keeper>(settings_);
-    node.holder = std::make_unique<duties::Holder>(settings_, node.name + "~" + std::to_string(node.start),
-                                                   node.number % 2 ? "east" : "west");
+    node.holder = std::make_unique<duties::Holder>(
+        settings_, node.name + "~" + std::to_string(node.start), node.number % 2 ? "east" : "west");
     node.voter_due = node.keeper_due = node.holder_due = 0;
-    holder(node, [](auto& holder, Nanos now, auto&) { holder.begin(now); });
+    holder(node, [](auto& holder, Nanos now, auto&) {
+      holder.begin(now);
+    });
     act(node);
-    if (!node.voter) return;
+    if (!node.voter)
+      return;
     agreement::Settings settings;
     settings.self = node.name, settings.voters = voters_, settings.seed = random_();
     settings.heartbeat = 100 * kMs, settings.election = 400 * kMs, settings.log_most = 8;
     auto kept = node.disk;
-    if (!kept && node.start > 1 && sabotage_ == Sabotage::VotesAfterLoss) kept = agreement::Kept{};
+    if (!kept && node.start > 1 && sabotage_ == Sabotage::VotesAfterLoss)
+      kept = agreement::Kept{};
     node.voted = std::make_unique<agreement::Voter>(settings, kept);
-    voter(node, [](auto& voter, Nanos now, auto& actions) { voter.begin(now, actions); });
+    voter(node, [](auto& voter, Nanos now, auto& actions) {
+      voter.begin(now, actions);
+    });
   }
 
   // ---- the voter
@@ -178,9 +214,13 @@
   void voter(Node& node, const VoterEvent& event) {
     agreement::Actions actions;
     event(*node.voted, node.local(now_), actions);
-    for (const agreement::Action& action : actions) perform(node, action);
-    arm(node, node.voted, node.voter_due,
-        [this](Node& due) { voter(due, [](auto& voter, Nanos now, auto& out) { voter.tick(now, out); }); });
+    for (const agreement::Action& action : actions)
+      perform(node, action);
+    arm(node, node.voted, node.voter_due, [this](Node& due) {
+      voter(due, [](auto& voter, Nanos now, auto& out) {
+        voter.tick(now, out);
+      });
+    });
   }
 
   void perform(Node& node, const agreement::Action& action) {
@@ -189,7 +229,9 @@
       ++(node.voted->role() == agreement::Voter::Role::Leader ? leader_sent : others_sent);
       Node& to = named(message.to);
       travel(node, to, [this, &to, message] {
-        voter(to, [&](auto& voter, Nanos now, auto& out) { voter.received(now, message, out); });
+        voter(to, [&](auto& voter, Nanos now, auto& out) {
+          voter.received(now, message, out);
+        });
       });
     } else if (const auto* save = std::get_if<agreement::Save>(&action)) {
       write(node, *save);
@@ -197,19 +239,25 @@
       agree(apply->entry);
       const std::string duty = node.table.apply(apply->entry.index, apply->entry.body);
       state(apply->entry.index, node.table.packed());
-      if (!duty.empty()) node.keeper->applied(node.local(now_), duty);
-      if (node.voted->role() == agreement::Voter::Role::Leader && apply->entry.term == node.voted->term() &&
-          apply->entry.body.empty()) {
+      if (!duty.empty())
+        node.keeper->applied(node.local(now_), duty);
+      if (node.voted->role() == agreement::Voter::Role::Leader &&
+          apply->entry.term == node.voted->term() && apply->entry.body.empty()) {
         const Nanos lie = sabotage_ == Sabotage::LeadsAtOnce ? 2 * kLease : 0;
-        keeper(node, [&](auto& keeper, Nanos now, auto&) { keeper.lead(now - lie, node.table); });
+        keeper(node, [&](auto& keeper, Nanos now, auto&) {
+          keeper.lead(now - lie, node.table);
+        });
       }
     } else if (const auto* restore = std::get_if<agreement::Restore>(&action)) {
       const auto table = duties::Table::unpacked(restore->snapshot.body);
-      if (!table) throw Broken{"a snapshot that cannot be read"};
+      if (!table)
+        throw Broken{"a snapshot that cannot be read"};
       node.table = *table;
       state(restore->snapshot.index, node.table.packed());
     } else if (std::get_if<agreement::Compact>(&action)) {
-      voter(node, [&](auto& voter, Nanos, auto& out) { voter.compact(node.table.packed(), out); });
+      voter(node, [&](auto& voter, Nanos, auto& out) {
+        voter.compact(node.table.packed(), out);
+      });
     } else if (const auto* became = std::get_if<agreement::Became>(&action)) {
       if (became->role == agreement::Voter::Role::Leader) {
         const auto [held, fresh] = leaders_.emplace(became->term, node.number);
@@ -219,8 +267,9 @@
         node.keeper->stop();
       }
     } else if (const auto* confirmed = std::get_if<agreement::Confirmed>(&action)) {
-      keeper(node,
-             [&](auto& keeper, Nanos now, auto& out) { keeper.confirmed(now, confirmed->number, out); });
+      keeper(node, [&](auto& keeper, Nanos now, auto& out) {
+        keeper.confirmed(now, confirmed->number, out);
+      });
     }
   }
 
@@ -230,21 +279,31 @@
     const Nanos took = between(1, 25) * kMs;
     node_disk_at_[node.number] = std::max(node_disk_at_[node.number], now_) + took;
     if (sabotage_ == Sabotage::PromisesUnsaved)
-      on(node, now_, [this, &node, number = save.number] { saved(node, number); });
+      on(node, now_, [this, &node, number = save.number] {
+        saved(node, number);
+      });
     const std::uint64_t start = node.start;
     later(node_disk_at_[node.number], [this, &node, save, fails, start] {
-      if (!node.alive || node.start != start) return;
-      if (!fails) node.disk = save.kept; // also while the process is stopped
-      if (sabotage_ == Sabotage::PromisesUnsaved) return;
+      if (!node.alive || node.start != start)
+        return;
+      if (!fails)
+        node.disk = save.kept;  // also while the process is stopped
+      if (sabotage_ == Sabotage::PromisesUnsaved)
+        return;
       on(node, now_, [this, &node, fails, number = save.number] {
-        if (!fails) return saved(node, number);
-        voter(node, [](auto& voter, Nanos now, auto& out) { voter.save_failed(now, out); });
+        if (!fails)
+          return saved(node, number);
+        voter(node, [](auto& voter, Nanos now, auto& out) {
+          voter.save_failed(now, out);
+        });
       });
     });
   }
 
   void saved(Node& node, std::uint64_t number) {
-    voter(node, [&](auto& voter, Nanos now, auto& out) { voter.saved(now, number, out); });
+    voter(node, [&](auto& voter, Nanos now, auto& out) {
+      voter.saved(now, number, out);
+    });
   }
 
   // ---- duties
@@ -253,21 +312,29 @@
     duties::KeeperActions actions;
     event(*node.keeper, node.local(now_), actions);
     arm(node, node.keeper, node.keeper_due, [this](Node& due) {
-      keeper(due, [](auto& keeper, Nanos now, auto& out) { keeper.tick(now, out); });
+      keeper(due, [](auto& keeper, Nanos now, auto& out) {
+        keeper.tick(now, out);
+      });
     });
     for (const duties::KeeperAction& action : actions) {
       if (const auto* propose = std::get_if<duties::Propose>(&action)) {
-        voter(node, [&](auto& voter, Nanos now, auto& out) { voter.propose(now, propose->body, out); });
+        voter(node, [&](auto& voter, Nanos now, auto& out) {
+          voter.propose(now, propose->body, out);
+        });
       } else if (std::get_if<duties::Confirm>(&action)) {
         std::uint64_t number = 0;
-        voter(node, [&](auto& voter, Nanos now, auto& out) { number = voter.confirm(now, out); });
+        voter(node, [&](auto& voter, Nanos now, auto& out) {
+          number = voter.confirm(now, out);
+        });
         node.keeper->confirming(number);
       } else if (const auto* answer = std::get_if<duties::Answer>(&action)) {
         Node& to = named(duties::name_of(answer->to));
         ++leader_sent;
         travel(node, to, [this, &to, from = node.name, answer = *answer] {
           to.answered_by = from, to.asked_in_vain = false;
-          holder(to, [&](auto& holder, Nanos now, auto& out) { holder.answered(now, answer, out); });
+          holder(to, [&](auto& holder, Nanos now, auto& out) {
+            holder.answered(now, answer, out);
+          });
         });
       }
     }
@@ -277,44 +344,57 @@
     duties::HolderActions actions;
     event(*node.holder, node.local(now_), actions);
     arm(node, node.holder, node.holder_due, [this](Node& due) {
-      holder(due, [](auto& holder, Nanos now, auto& out) { holder.tick(now, out); });
+      holder(due, [](auto& holder, Nanos now, auto& out) {
+        holder.tick(now, out);
+      });
     });
     for (const duties::HolderAction& action : actions) {
       const auto* ask = std::get_if<duties::Ask>(&action);
-      if (!ask) continue;
-      const bool all =
-          std::exchange(node.asked_in_vain, true); // who answered last is asked alone while it answers
+      if (!ask)
+        continue;
+      const bool all = std::exchange(node.asked_in_vain,
+                                     true);  // who answered last is asked alone while it answers
       for (const auto& to : nodes_) {
-        if (!to->voter || (!all && to->name != node.answered_by)) continue;
+        if (!to->voter || (!all && to->name != node.answered_by))
+          continue;
         ++others_sent;
         travel(node, *to, [this, &to = *to, ask = *ask] {
-          keeper(to, [&](auto& keeper, Nanos now, auto&) { keeper.asked(now, ask); });
+          keeper(to, [&](auto& keeper, Nanos now, auto&) {
+            keeper.asked(now, ask);
+          });
         });
       }
     }
   }
 
   // What falls due, once for each time that is due.
-  template <typename Part, typename Event> void arm(Node& node, Part& part, Nanos& armed, Event tick) {
+  template <typename Part, typename Event>
+  void arm(Node& node, Part& part, Nanos& armed, Event tick) {
     const Nanos due = part->due();
-    if (due == duties::kNever || due == armed) return;
+    if (due == duties::kNever || due == armed)
+      return;
     armed = due;
     on(node, node.real(due), [this, &node, &part, &armed, due, tick] {
-      if (part->due() != due) return;
+      if (part->due() != due)
+        return;
       armed = 0;
       tick(node);
     });
   }
 
-  // An act: the lease is looked at, a moment passes (in which the process may be stopped), and it goes out.
+  // An act: the lease is looked at, a moment passes (in which the process may be stopped), and it
+  // goes out.
   void act(Node& node) {
     on(node, now_ + 90 * kMs, [this, &node] {
       for (const std::string& duty : settings_.duties) {
         const auto token = node.holder->may(node.local(now_), duty);
         audit_lease(duty);
-        if (!token) continue;
+        if (!token)
+          continue;
         on(node, now_ + 2 * kMs, [this, &node, duty, token = *token] {
-          travel(node, node, [this, duty, token] { resource(duty, token); });
+          travel(node, node, [this, duty, token] {
+            resource(duty, token);
+          });
         });
       }
       act(node);
@@ -323,11 +403,14 @@
 
   void resource(const std::string& duty, duties::Token token) {
     const bool pass = sabotage_ == Sabotage::FenceOff || fence_.pass(duty, token);
-    if (!pass) return void(++turned_down);
+    if (!pass)
+      return void(++turned_down);
     ++acts;
     auto& [last, at] = accepted_[duty];
-    if (token < last) throw Broken{"fencing: " + duty + " done under a token lower than one before"};
-    if (token > last && last > 0) gaps.push_back(now_ - at);
+    if (token < last)
+      throw Broken{"fencing: " + duty + " done under a token lower than one before"};
+    if (token > last && last > 0)
+      gaps.push_back(now_ - at);
     last = token, at = now_;
     done_at_[duty] = now_;
   }
@@ -337,8 +420,10 @@
   void audit_lease(const std::string& duty) {
     std::string held;
     for (const auto& node : nodes_) {
-      if (!node->alive || !node->holder->may(node->local(now_), duty)) continue;
-      if (!held.empty()) throw Broken{"lease: " + held + " and " + node->name + " both may " + duty};
+      if (!node->alive || !node->holder->may(node->local(now_), duty))
+        continue;
+      if (!held.empty())
+        throw Broken{"lease: " + held + " and " + node->name + " both may " + duty};
       held = node->name;
     }
   }
@@ -351,43 +436,52 @@
 
   void state(agreement::Index index, const std::string& packed) {
     const auto [held, fresh] = states_.emplace(index, packed);
-    if (!fresh && held->second != packed) throw Broken{"state: two states after " + std::to_string(index)};
+    if (!fresh && held->second != packed)
+      throw Broken{"state: two states after " + std::to_string(index)};
   }
 
   // ---- the network, and what goes wrong
 
   void travel(Node& from, Node& to, std::function<void()> what) {
     const bool local = &from == &to, calm = now_ >= kFaultsEnd;
-    if (!local && (cuts_.count({from.number, to.number}) || (!calm && chance(0.02)))) return;
+    if (!local && (cuts_.count({from.number, to.number}) || (!calm && chance(0.02))))
+      return;
     const auto delay = [&] {
       return !calm && chance(0.05) ? between(1, 600) * kMs : between(200, 5000) * 1000;
     };
-    if (local) { // to the resource, which stands outside
-      if (!calm && chance(0.02)) return;
+    if (local) {  // to the resource, which stands outside
+      if (!calm && chance(0.02))
+        return;
       return later(now_ + delay(), std::move(what));
     }
-    if (!calm && chance(0.02)) arrive(to, now_ + delay(), what);
+    if (!calm && chance(0.02))
+      arrive(to, now_ + delay(), what);
     arrive(to, now_ + delay(), std::move(what));
   }
 
-  void arrive(Node& to, Nanos at, std::function<void()> what) { // at whatever start it then has
-    later(at, [this, &to, what = std::move(what)] { on(to, now_, what); });
+  void arrive(Node& to, Nanos at, std::function<void()> what) {  // at whatever start it then has
+    later(at, [this, &to, what = std::move(what)] {
+      on(to, now_, what);
+    });
   }
 
   void inject(const Fault& fault) {
     Node& node = *nodes_[std::size_t(fault.a)];
     if (fault.kind == "kill" || fault.kind == "wipe") {
       node.alive = false;
-      if (fault.kind == "wipe") node.disk.reset(), node.wiped = true;
+      if (fault.kind == "wipe")
+        node.disk.reset(), node.wiped = true;
     } else if (fault.kind == "start") {
-      if (!node.alive) start(node);
+      if (!node.alive)
+        start(node);
     } else if (fault.kind == "stall") {
       node.stalled = node.alive;
     } else if (fault.kind == "wake") {
       node.stalled = false;
       auto waiting = std::move(node.waiting);
       node.waiting.clear();
-      for (auto& what : waiting) on(node, now_, what);
+      for (auto& what : waiting)
+        on(node, now_, what);
     } else if (fault.kind == "cut") {
       cuts_.insert({fault.a, fault.b});
     } else if (fault.kind == "heal") {
@@ -418,17 +512,21 @@
   std::map<std::string, Nanos> done_at_;
 };
 
-// Faults of one seed: each that breaks something is paired with what ends it, by kFaultsEnd at the latest.
+// Faults of one seed: each that breaks something is paired with what ends it, by kFaultsEnd at the
+// latest.
 Script drawn(std::uint64_t seed) {
   std::mt19937_64 random(seed * 7919 + 1);
-  const auto below = [&](int most) { return int(random() % std::uint64_t(most)); };
+  const auto below = [&](int most) {
+    return int(random() % std::uint64_t(most));
+  };
   Script script;
   script.seed = seed;
   script.voters = below(4) ? 3 : 5;
   script.gateways = script.voters + below(3);
   bool wiped = false;
   for (int i = below(12); i >= 0; --i) {
-    const Nanos at = (1 + below(5500)) * kMs, end = std::min(at + (1 + below(4000)) * kMs, kFaultsEnd);
+    const Nanos at = (1 + below(5500)) * kMs,
+                end = std::min(at + (1 + below(4000)) * kMs, kFaultsEnd);
     const int a = below(script.gateways), b = below(script.gateways);
     switch (below(7)) {
     case 0:
@@ -441,11 +539,13 @@
       script.faults.push_back({at, "stall", a});
       script.faults.push_back({end, "wake", a});
       break;
-    case 4: // one way, both, or one from and to all
+    case 4:  // one way, both, or one from and to all
       for (int to = 0; to < script.gateways; ++to) {
-        if (to == a || (to != b && seed % 2)) continue;
+        if (to == a || (to != b && seed % 2))
+          continue;
         for (const bool back : {false, true}) {
-          if (back && below(2)) continue;
+          if (back && below(2))
+            continue;
           script.faults.push_back({at, "cut", back ? to : a, back ? a : to});
           script.faults.push_back({end, "heal", back ? to : a, back ? a : to});
         }
@@ -455,14 +555,15 @@
       script.faults.push_back({at, "disk", a});
       script.faults.push_back({end, "mend", a});
       break;
-    case 6: // one folder at most is lost: what a majority loses is gone
-      if (a >= script.voters || std::exchange(wiped, true)) break;
+    case 6:  // one folder at most is lost: what a majority loses is gone
+      if (a >= script.voters || std::exchange(wiped, true))
+        break;
       script.faults.push_back({at, "wipe", a});
       script.faults.push_back({at + 300 * kMs, "start", a});
       break;
     }
   }
-  for (int a = 0; a < script.gateways; ++a) { // what overlapped is ended all the same
+  for (int a = 0; a < script.gateways; ++a) {  // what overlapped is ended all the same
     script.faults.push_back({kFaultsEnd, "wake", a});
     script.faults.push_back({kFaultsEnd, "start", a});
   }
@@ -498,11 +599,13 @@
     world.run();
     totals.acts += world.acts, totals.turned_down += world.turned_down;
     totals.gaps.insert(totals.gaps.end(), world.gaps.begin(), world.gaps.end());
-  } catch (const Broken& broken) { return broken; }
+  } catch (const Broken& broken) {
+    return broken;
+  }
   return std::nullopt;
 }
 
-} // namespace
+}  // namespace
 
 int main(int count, char** arguments) {
   Totals totals;
@@ -519,7 +622,8 @@
       while (!broken && seed < std::strtoull(arguments[2], nullptr, 10))
         broken = play(drawn(++seed), Sabotage(s), totals);
       std::cout << kNames[s] << ": "
-                << (broken ? "caught at seed " + std::to_string(seed) + ": " + broken->rule : "NOT caught")
+                << (broken ? "caught at seed " + std::to_string(seed) + ": " + broken->rule
+                           : "NOT caught")
                 << '\n';
       all &= broken.has_value();
     }
@@ -530,16 +634,18 @@
     script.voters = 5, script.gateways = std::max(5, std::atoi(arguments[2]));
     World world(script, Sabotage::None);
     world.run();
-    std::printf("%d gateways, 5 voters, lease %.0f ms, beat of the log 100 ms: the leader sends %.1f "
-                "messages a second, "
-                "each other gateway %.1f\n",
-                script.gateways, double(kLease) / 1e6, world.leader_sent / (double(kEnd) / 1e9),
-                world.others_sent / (double(kEnd) / 1e9) / (script.gateways - 1));
+    std::printf(
+        "%d gateways, 5 voters, lease %.0f ms, beat of the log 100 ms: the leader sends %.1f "
+        "messages a second, "
+        "each other gateway %.1f\n",
+        script.gateways, double(kLease) / 1e6, world.leader_sent / (double(kEnd) / 1e9),
+        world.others_sent / (double(kEnd) / 1e9) / (script.gateways - 1));
     return 0;
   }
   const std::uint64_t seeds = count > 1 ? std::strtoull(arguments[1], nullptr, 10) : 1000;
   const std::uint64_t first = count > 2 ? std::strtoull(arguments[2], nullptr, 10) : 1;
-  // Seeds are independent: each worker takes every so manyth, and the lowest that broke a rule is told.
+  // Seeds are independent: each worker takes every so manyth, and the lowest that broke a rule is
+  // told.
   const std::size_t workers = std::max(1u, std::min(8u, std::thread::hardware_concurrency()));
   std::vector<Totals> parts(workers);
   std::map<std::uint64_t, std::string> broken;
@@ -554,7 +660,8 @@
           return;
         }
     });
-  for (std::thread& thread : threads) thread.join();
+  for (std::thread& thread : threads)
+    thread.join();
   if (!broken.empty()) {
     std::cout << "seed " << broken.begin()->first << ": " << broken.begin()->second
               << "\nthe script, for --script:\n";
@@ -571,11 +678,12 @@
                ? 0
                : double(totals.gaps[std::size_t(share * double(totals.gaps.size() - 1))]) / 1e6;
   };
-  std::printf("%llu seeds: every rule held; %llu acts, %llu turned down by their token; %zu hand-overs, ms "
-              "between acts "
-              "p50 %.0f p99 %.0f most %.0f, lease %.0f\n",
-              static_cast<unsigned long long>(seeds), static_cast<unsigned long long>(totals.acts),
-              static_cast<unsigned long long>(totals.turned_down), totals.gaps.size(), at(0.5), at(0.99),
-              at(1), double(kLease) / 1e6);
+  std::printf(
+      "%llu seeds: every rule held; %llu acts, %llu turned down by their token; %zu hand-overs, ms "
+      "between acts "
+      "p50 %.0f p99 %.0f most %.0f, lease %.0f\n",
+      static_cast<unsigned long long>(seeds), static_cast<unsigned long long>(totals.acts),
+      static_cast<unsigned long long>(totals.turned_down), totals.gaps.size(), at(0.5), at(0.99),
+      at(1), double(kLease) / 1e6);
   return 0;
 }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -61,60 +61,73 @@
   Nanos now = 1'000'000 * ms;
   std::vector<Action> actions;
   std::map<std::string, std::uint32_t> attempts;
-  std::set<std::pair<std::string, MemberId>> went; // which request to whom
+  std::set<std::pair<std::string, MemberId>> went;  // which request to whom
   int next = 0;
 
   explicit Bench(Settings s = settings()) : router(std::move(s), 42) {}
 
-  void handle(const Event& event) { // keeps what was there
+  void handle(const Event& event) {  // keeps what was there
     const std::size_t before = actions.size();
     router.handle(now, event, actions);
     for (std::size_t i = before; i < actions.size(); ++i) {
       const auto* send = std::get_if<Send>(&actions[i]);
-      if (!send) continue;
+      if (!send)
+        continue;
       ++attempts[send->id];
       went.insert({send->id, send->member});
     }
   }
+
   void give(const Event& event) {
     actions.clear();
     handle(event);
   }
+
   void after(Nanos time) {
     for (const Nanos end = now + time; now < end;) {
       now += 10 * ms;
       handle(TimerDue{});
     }
   }
-  template <typename T> std::vector<T> all() const {
+
+  template <typename T>
+  std::vector<T> all() const {
     std::vector<T> found;
     for (const Action& a : actions)
-      if (const auto* one = std::get_if<T>(&a)) found.push_back(*one);
+      if (const auto* one = std::get_if<T>(&a))
+        found.push_back(*one);
     return found;
   }
+
   static Member member(MemberId id, Nanos started = 0) {
     Member m;
     m.id = id;
     m.started_at = started;
     return m;
   }
+
   void list(std::vector<Member> members, MemberList::Kind kind = MemberList::Kind::Full) {
     give(MemberList{kind, std::move(members)});
   }
+
   void probed(MemberId id, bool primary, Nanos behind) {
     Probed p{id, true, 1 * ms, {}};
     p.report.position = now - behind;
     p.report.primary = primary;
     give(p);
   }
+
   // A group of a primary 1 and replicas 2, 3 and 4, all heard and current.
   void settle() {
     list({member(1), member(2), member(3), member(4)});
     now += 5 * ms;
     probed(1, true, 0);
-    for (const MemberId id : {2U, 3U, 4U}) probed(id, false, 20 * ms);
+    for (const MemberId id : {2U, 3U, 4U})
+      probed(id, false, 20 * ms);
   }
-  std::string ask(std::size_t index, std::optional<std::uint64_t> session = {}, Nanos token_age = 0) {
+
+  std::string ask(std::size_t index, std::optional<std::uint64_t> session = {},
+                  Nanos token_age = 0) {
     Request r;
     r.id = "r" + std::to_string(next++);
     r.class_index = index;
@@ -124,12 +137,14 @@
     give(r);
     return r.id;
   }
+
   std::optional<MemberId> sent() const {
     const auto sends = all<Send>();
     return sends.empty() ? std::nullopt : std::optional<MemberId>(sends.back().member);
   }
-  void end(const std::string& id, MemberId m, Result result, bool closed = false, Nanos took = 10 * ms,
-           std::uint32_t attempt = 0) {
+
+  void end(const std::string& id, MemberId m, Result result, bool closed = false,
+           Nanos took = 10 * ms, std::uint32_t attempt = 0) {
     Outcome o;
     o.id = id;
     o.member = m;
@@ -137,9 +152,11 @@
     o.closed = closed;
     o.elapsed = took;
     o.attempt = attempt;
-    if (result == Result::Ok || result == Result::Miss) o.role = m == 1 ? Role::Primary : Role::Replica;
+    if (result == Result::Ok || result == Result::Miss)
+      o.role = m == 1 ? Role::Primary : Role::Replica;
     give(o);
   }
+
   // Member 1 turns a write away: it is primary no more.
   void turned_away(const std::string& id, Report report = {}) {
     Outcome miss;
@@ -159,8 +176,9 @@
   EXPECT_EQ(b.sent(), 2U);
 }
 
-// Among many members a fresh router's probes go where it is asked for data, and not to those that come first by number: its
-// first reads, of groups of which nothing is known, wait for a proof and leave the primaries alone.
+// Among many members a fresh router's probes go where it is asked for data, and not to those that
+// come first by number: its first reads, of groups of which nothing is known, wait for a proof and
+// leave the primaries alone.
 TEST(MemberTable, AFreshRouterOfManyMembersProbesThoseItIsAskedFor) {
   Settings s = settings();
   s.probe_price = 0.4;
@@ -186,7 +204,8 @@
     b.give(r);
     const std::vector<Probe> probes = b.all<Probe>();
     ASSERT_FALSE(probes.empty()) << group;
-    for (const Probe& probe : probes) EXPECT_EQ((probe.member - 1) / 4, group);
+    for (const Probe& probe : probes)
+      EXPECT_EQ((probe.member - 1) / 4, group);
     EXPECT_FALSE(b.sent());
     b.probed(group * 4 + 2, false, 100 * ms);
     EXPECT_EQ(b.sent(), group * 4 + 2);
@@ -198,7 +217,7 @@
   b.list({Bench::member(1), Bench::member(2), Bench::member(3)});
   b.probed(1, true, 0);
   b.probed(2, false, 10 * ms);
-  b.probed(3, false, 1500 * ms); // beyond the bound of a second
+  b.probed(3, false, 1500 * ms);  // beyond the bound of a second
   for (std::uint64_t i = 0; i < 40; ++i) {
     const std::string id = b.ask(kBounded);
     EXPECT_EQ(b.sent(), 2U);
@@ -206,8 +225,9 @@
   }
 }
 
-// A read far apart from the last one of its group, where a probe is dear: it goes to the primary unproven but for a share. Where
-// primaries take as much of their aims as is roomy, each such read asks a replica first, whatever a probe costs.
+// A read far apart from the last one of its group, where a probe is dear: it goes to the primary
+// unproven but for a share. Where primaries take as much of their aims as is roomy, each such read
+// asks a replica first, whatever a probe costs.
 TEST(Admission, ThinReadsLeaveAPressedPrimaryAlone) {
   const auto to_replicas = [](Nanos primary_takes) {
     Settings s = settings();
@@ -216,33 +236,39 @@
     b.settle();
     int served = 0;
     for (int i = 0; i < 40; ++i) {
-      for (int write = 0; write < 3; ++write) b.end(b.ask(kWrite), 1, Result::Ok, true, primary_takes);
-      b.now += 1100 * ms; // no proof holds any more
+      for (int write = 0; write < 3; ++write)
+        b.end(b.ask(kWrite), 1, Result::Ok, true, primary_takes);
+      b.now += 1100 * ms;  // no proof holds any more
       const std::string read = b.ask(kBounded);
       const std::vector<Probe> probes = b.all<Probe>();
-      for (const Probe& probe : probes) b.probed(probe.member, false, 10 * ms);
-      if (!b.sent()) continue;
+      for (const Probe& probe : probes)
+        b.probed(probe.member, false, 10 * ms);
+      if (!b.sent())
+        continue;
       served += *b.sent() != 1U;
       b.end(read, *b.sent(), Result::Ok, true, 5 * ms);
     }
     return served;
   };
-  // Of 40: ten at once and a tenth for each request; or whoever comes while the primary is known to be pressed.
+  // Of 40: ten at once and a tenth for each request; or whoever comes while the primary is known to
+  // be pressed.
   EXPECT_LE(to_replicas(20 * ms), 22);
   EXPECT_GE(to_replicas(600 * ms), 26);
 }
 
-// A hundred routers with no probes left to their share, whose groups' primary drains: each read asks every member once
-// and goes to whoever shows itself as the new primary, with no write to find it first.
+// A hundred routers with no probes left to their share, whose groups' primary drains: each read
+// asks every member once and goes to whoever shows itself as the new primary, with no write to find
+// it first.
 TEST(Admission, AReadOfAGroupWithoutAPrimaryFindsTheNewOneAmongManyRouters) {
   std::size_t asked = 0, served = 0;
   for (int router = 0; router < 100; ++router) {
     Bench b;
     b.settle();
-    for (int i = 0; i < 6; ++i) { // spends the share: no position holds, and each read asks
+    for (int i = 0; i < 6; ++i) {  // spends the share: no position holds, and each read asks
       b.now += 5000 * ms;
       const std::string id = b.ask(kBounded);
-      for (const MemberId member : {2U, 3U, 4U, 2U, 3U, 4U}) b.probed(member, false, 4000 * ms);
+      for (const MemberId member : {2U, 3U, 4U, 2U, 3U, 4U})
+        b.probed(member, false, 4000 * ms);
       b.give(ClientGone{id});
     }
     Member leaving = Bench::member(1);
@@ -263,8 +289,8 @@
   EXPECT_LE(asked, 300U);
 }
 
-// A hundred routers with a bounded read each 1.2 s, when no proof holds any more: each read asks one replica, not all,
-// is served by it, and finds probes for that in its share.
+// A hundred routers with a bounded read each 1.2 s, when no proof holds any more: each read asks
+// one replica, not all, is served by it, and finds probes for that in its share.
 TEST(Admission, AmongManyRoutersABoundedReadAsksOneReplicaForItsProof) {
   Settings s = settings();
   s.probe_price = 0.04;
@@ -277,8 +303,10 @@
       const std::string id = b.ask(kBounded);
       const std::vector<Probe> probes = b.all<Probe>();
       asked += probes.size();
-      for (const Probe& probe : probes) b.probed(probe.member, false, 100 * ms);
-      if (!b.sent()) continue;
+      for (const Probe& probe : probes)
+        b.probed(probe.member, false, 100 * ms);
+      if (!b.sent())
+        continue;
       served += *b.sent() != 1;
       b.end(id, *b.sent(), Result::Ok, true);
     }
@@ -290,7 +318,7 @@
 TEST(Admission, AProofGrowsOldUntilItNoLongerHolds) {
   Bench b;
   b.settle();
-  b.now += 1100 * ms; // every known position is now older than the bound
+  b.now += 1100 * ms;  // every known position is now older than the bound
   b.ask(kBounded);
   EXPECT_NE(b.sent(), 2U);
   EXPECT_NE(b.sent(), 3U);
@@ -329,12 +357,13 @@
   EXPECT_FALSE(b.sent()) << "no replica is known to hold the session's write";
   b.probed(3, false, 0);
   EXPECT_EQ(b.sent(), 3U);
-  b.ask(kSession, 8); // another session wrote nothing here
+  b.ask(kSession, 8);  // another session wrote nothing here
   EXPECT_TRUE(b.sent());
 }
 
-// A write's answer may be lost or held up on the way while its member has committed it: what the session reads from then on
-// must see it, also where the write ended without an answer, or with one whose commit was spoilt.
+// A write's answer may be lost or held up on the way while its member has committed it: what the
+// session reads from then on must see it, also where the write ended without an answer, or with one
+// whose commit was spoilt.
 TEST(Admission, ASessionReadNeedsWhatItsWriteMayHaveDone) {
   const auto reads = [](std::optional<Result> end, bool keyed, Nanos since = 30 * ms,
                         std::optional<Nanos> known_after = 100 * ms) {
@@ -346,16 +375,19 @@
     const std::string id = b.ask(keyed ? kKeyed : kWrite, 9);
     EXPECT_EQ(b.sent(), 1U);
     b.now += since;
-    if (end) b.end(id, 1, *end, true); // its client has gone, or it is served
+    if (end)
+      b.end(id, 1, *end, true);  // its client has gone, or it is served
     b.now += 5 * ms;
     b.ask(kSession, 9);
     const std::optional<MemberId> read = b.sent();
-    b.ask(kSession, 8); // another session wrote nothing
+    b.ask(kSession, 8);  // another session wrote nothing
     EXPECT_TRUE(b.sent());
     return read.value_or(1U);
   };
-  EXPECT_NE(reads(std::nullopt, true, 90 * ms), 1U) << "out for less than an answer takes to count as known";
-  EXPECT_EQ(reads(std::nullopt, true, 100 * ms), 1U) << "the write is out, and may have been answered";
+  EXPECT_NE(reads(std::nullopt, true, 90 * ms), 1U)
+      << "out for less than an answer takes to count as known";
+  EXPECT_EQ(reads(std::nullopt, true, 100 * ms), 1U)
+      << "the write is out, and may have been answered";
   EXPECT_EQ(reads(Result::Reset, false), 1U);
   EXPECT_EQ(reads(Result::Timeout, false), 1U);
   EXPECT_EQ(reads(Result::Error, false), 1U);
@@ -385,7 +417,8 @@
   b.actions.clear();
   b.after(1000 * ms);
   bool noted = false;
-  for (const Note& n : b.all<Note>()) noted |= n.text.find("3 set aside: time-outs") != std::string::npos;
+  for (const Note& n : b.all<Note>())
+    noted |= n.text.find("3 set aside: time-outs") != std::string::npos;
   EXPECT_TRUE(noted);
 }
 
@@ -395,7 +428,8 @@
   std::string id;
   do {
     id = b.ask(kAny);
-    if (b.sent() != 3U) b.end(id, *b.sent(), Result::Ok, true);
+    if (b.sent() != 3U)
+      b.end(id, *b.sent(), Result::Ok, true);
   } while (b.sent() != 3U);
   b.end(id, 3, Result::NoConnection);
   EXPECT_TRUE(b.sent() && *b.sent() != 3U) << "the read goes on to another replica";
@@ -468,7 +502,7 @@
   b.ask(kWrite);
   EXPECT_FALSE(b.sent());
   b.now += 10 * ms;
-  b.probed(3, true, 0); // whoever is shown to be primary since gets what waits
+  b.probed(3, true, 0);  // whoever is shown to be primary since gets what waits
   EXPECT_EQ(b.sent(), 3U);
 }
 
@@ -483,11 +517,11 @@
   b.now += 5 * ms;
   b.turned_away(write);
   b.now += 5 * ms;
-  b.end(read, 1, Result::Ok, true, 60 * ms); // says that it is primary, as when it began
+  b.end(read, 1, Result::Ok, true, 60 * ms);  // says that it is primary, as when it began
   b.ask(kKeyed);
   EXPECT_FALSE(b.sent());
   b.now += 30 * ms;
-  b.probed(1, true, 0); // shown anew since, it is
+  b.probed(1, true, 0);  // shown anew since, it is
   EXPECT_EQ(b.sent(), 1U);
 }
 
@@ -508,7 +542,7 @@
 }
 
 TEST(Rules, EveryRequestIsAnsweredBeforeItsTimeIsUp) {
-  Bench b; // an empty list: nobody to send to
+  Bench b;  // an empty list: nobody to send to
   const std::string id = b.ask(kAny);
   b.actions.clear();
   b.after(2000 * ms);
@@ -575,7 +609,8 @@
   }
 }
 
-// A connection comes up long after the decision: what is written then is decided by what is known then.
+// A connection comes up long after the decision: what is written then is decided by what is known
+// then.
 TEST(Rules, WhatWasDecidedHoldsAtTheMomentOfWritingOrIsNotWritten) {
   Bench b;
   b.settle();
@@ -583,11 +618,15 @@
                     keyed = b.ask(kKeyed, 1);
   const auto to = [&b](const std::string& id) {
     for (const auto& [name, member] : b.went)
-      if (name == id) return member;
+      if (name == id)
+        return member;
     return MemberId{0};
   };
-  const auto may = [&](const std::string& id) { return b.router.may_write(b.now, id, to(id)); };
-  for (const std::string& id : {bounded, any, gone, keyed}) EXPECT_TRUE(may(id));
+  const auto may = [&](const std::string& id) {
+    return b.router.may_write(b.now, id, to(id));
+  };
+  for (const std::string& id : {bounded, any, gone, keyed})
+    EXPECT_TRUE(may(id));
   EXPECT_FALSE(b.router.may_write(b.now, "unknown", 1));
   EXPECT_FALSE(b.router.may_write(b.now, any, 99)) << "of no list";
   b.give(ClientGone{gone});
@@ -610,20 +649,24 @@
   EXPECT_FALSE(may(keyed)) << "its time is up";
 }
 
-// Histories drawn by seeds, and what may never be seen in them: anything to a member told to leave, two attempts of a request
-// out at once where copies are not allowed, an attempt for a client that left or was answered, a repeat that its class does not allow.
+// Histories drawn by seeds, and what may never be seen in them: anything to a member told to leave,
+// two attempts of a request out at once where copies are not allowed, an attempt for a client that
+// left or was answered, a repeat that its class does not allow.
 TEST(Rules, InDrawnHistoriesNoAttemptOrProbeBreaksARule) {
   struct Asked {
     std::size_t index = 0;
-    bool over = false;                     // answered, or its client left
-    std::map<std::uint32_t, MemberId> out; // attempts by their number
-    std::optional<Nanos> ran;              // since when it may have run
+    bool over = false;                      // answered, or its client left
+    std::map<std::uint32_t, MemberId> out;  // attempts by their number
+    std::optional<Nanos> ran;               // since when it may have run
   };
+
   std::size_t sends = 0, repeats = 0, beside = 0, probes = 0, left = 0;
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
     std::mt19937_64 random(seed);
-    const auto below = [&random](std::uint64_t n) { return random() % n; };
-    const bool copies = seed % 2; // a second one may go beside a late first
+    const auto below = [&random](std::uint64_t n) {
+      return random() % n;
+    };
+    const bool copies = seed % 2;  // a second one may go beside a late first
     Settings s = settings();
     s.hedging = copies;
     Bench b(s);
@@ -642,7 +685,8 @@
           EXPECT_TRUE(a.out.empty() || (copies && a.out.size() == 1 && a.index < kWrite));
           beside += !a.out.empty();
           EXPECT_LE(b.attempts[send->id], 4U);
-          EXPECT_TRUE(!a.ran || (a.index != kWrite && (a.index != kKeyed || b.now - *a.ran < 1500 * ms)));
+          EXPECT_TRUE(!a.ran ||
+                      (a.index != kWrite && (a.index != kKeyed || b.now - *a.ran < 1500 * ms)));
           a.out[b.attempts[send->id] - 1] = send->member;
         } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
           Asked& a = asked[refuse->id];
@@ -656,7 +700,8 @@
       b.actions.clear();
     };
     b.settle();
-    for (const MemberId id : {1U, 2U, 3U, 4U}) state[id] = MemberState::Up;
+    for (const MemberId id : {1U, 2U, 3U, 4U})
+      state[id] = MemberState::Up;
     audit();
     for (int step = 0; step < 300; ++step) {
       b.now += below(copies ? 90 : 30) * ms;
@@ -666,39 +711,45 @@
       case 0:
       case 1: {
         const std::size_t index = below(6);
-        asked["r" + std::to_string(b.next)].index = index; // named before it acts
+        asked["r" + std::to_string(b.next)].index = index;  // named before it acts
         b.ask(index, below(3));
         break;
       }
       case 2:
       case 3:
-      case 4: // one that is out ends, somehow
+      case 4:  // one that is out ends, somehow
         for (auto& [id, a] : asked) {
-          if (a.out.empty() || below(2)) continue;
+          if (a.out.empty() || below(2))
+            continue;
           const auto [number, member] = *a.out.begin();
           a.out.erase(a.out.begin());
-          const Result result =
-              std::array{Result::Ok,    Result::Ok,      Result::Miss,         Result::Error,  Result::Full,
-                         Result::Reset, Result::Timeout, Result::NoConnection, Result::NotSent}[below(9)];
-          const bool ran = result == Result::Error || result == Result::Reset || result == Result::Timeout;
-          if (ran && !a.ran) a.ran = b.now - 10 * ms;
+          const Result result = std::array{
+              Result::Ok,    Result::Ok,      Result::Miss,         Result::Error,  Result::Full,
+              Result::Reset, Result::Timeout, Result::NoConnection, Result::NotSent}[below(9)];
+          const bool ran =
+              result == Result::Error || result == Result::Reset || result == Result::Timeout;
+          if (ran && !a.ran)
+            a.ran = b.now - 10 * ms;
           a.over |= result == Result::Ok;
           b.end(id, member, result, a.over, 10 * ms, number);
           break;
         }
         break;
-      case 5: { // a client leaves, and what was out for it is withdrawn
-        const auto one =
-            asked.empty() ? asked.end() : std::next(asked.begin(), static_cast<long>(below(asked.size())));
-        if (one == asked.end() || one->second.over) break;
+      case 5: {  // a client leaves, and what was out for it is withdrawn
+        const auto one = asked.empty()
+                             ? asked.end()
+                             : std::next(asked.begin(), static_cast<long>(below(asked.size())));
+        if (one == asked.end() || one->second.over)
+          break;
         one->second.over = true, ++left;
         b.give(ClientGone{one->first});
         break;
       }
-      case 6: { // lists, in part or whole
+      case 6: {  // lists, in part or whole
         const MemberId id = static_cast<MemberId>(1 + below(4));
         Member m = Bench::member(id);
-        m.state = std::array{MemberState::Up, MemberState::Draining, MemberState::Removed}[below(3)];
+        m.state =
+            std::array{MemberState::Up, MemberState::Draining, MemberState::Removed}[below(3)];
         m.started_at = m.state == MemberState::Up && below(2) ? b.now - 5 * ms : 0;
         if (below(2) || m.state == MemberState::Removed) {
           state[id] = m.state;
@@ -709,7 +760,8 @@
           for (auto& [other, was] : state)
             if (other != id && was != MemberState::Removed) {
               was = below(4) ? MemberState::Up : MemberState::Removed;
-              if (was == MemberState::Up) all.push_back(Bench::member(other));
+              if (was == MemberState::Up)
+                all.push_back(Bench::member(other));
             }
           b.list(all);
         }
@@ -723,7 +775,7 @@
       audit();
     }
   }
-  EXPECT_GT(sends, 3'000U); // or nothing was shown
+  EXPECT_GT(sends, 3'000U);  // or nothing was shown
   EXPECT_GT(repeats, 300U);
   EXPECT_GT(beside, 30U);
   EXPECT_GT(probes, 300U);
@@ -759,8 +811,9 @@
   EXPECT_GT(sends[3], 0);
 }
 
-// A hundred routers whose primary was replaced by one that just started: together they send it more than the share that
-// it can do at its start, as a usual second asks less than all of it, and less than what would fell it.
+// A hundred routers whose primary was replaced by one that just started: together they send it more
+// than the share that it can do at its start, as a usual second asks less than all of it, and less
+// than what would fell it.
 TEST(Rules, AHundredRoutersLeaveAColdPrimaryBetweenItsShareAndWhatFellsIt) {
   int asked = 0, sent = 0;
   for (int router = 0; router < 100; ++router) {
@@ -768,18 +821,21 @@
     b.list({Bench::member(1, b.now), Bench::member(3)});
     b.now += 20 * ms;
     b.probed(1, true, 0);
-    b.next = router * 1000; // ids, and so draws, of its own
+    b.next = router * 1000;  // ids, and so draws, of its own
     for (int i = 0; i < 20; ++i) {
       const std::string id = b.ask(kFresh);
       ++asked;
       const bool went = b.sent().has_value();
       sent += went;
-      if (went) b.end(id, 1, Result::Ok, true);
-      if (!went) b.give(ClientGone{id});
+      if (went)
+        b.end(id, 1, Result::Ok, true);
+      if (!went)
+        b.give(ClientGone{id});
       b.now += 20 * ms;
     }
   }
-  // Its part at first is 0.2, and 0.23 after these 0.4 s; twice as much for two seconds would fell it.
+  // Its part at first is 0.2, and 0.23 after these 0.4 s; twice as much for two seconds would fell
+  // it.
   EXPECT_GT(sent, 0.25 * asked);
   EXPECT_LT(sent, 0.35 * asked);
 }
@@ -793,7 +849,8 @@
     b.actions.clear();
     const std::string id = b.ask(kBounded);
     b.after(400 * ms);
-    for (const Send& send : b.all<Send>()) EXPECT_EQ(send.member, 1U);
+    for (const Send& send : b.all<Send>())
+      EXPECT_EQ(send.member, 1U);
   }
 }
 
@@ -821,7 +878,8 @@
     else
       b.end(first, 1, Result::Reset, true), b.end(second, 1, Result::Reset, true);
     b.after(1100 * ms);
-    for (int i = 0; i < 30; ++i) b.ask(kWrite); // one in 100 ms scouts, the rest waits
+    for (int i = 0; i < 30; ++i)
+      b.ask(kWrite);  // one in 100 ms scouts, the rest waits
     b.after(900 * ms);
     EXPECT_TRUE(b.all<Refuse>().empty());
     b.after(100 * ms);
@@ -848,7 +906,8 @@
 TEST(Trust, AFailedProbeSetsNoOneAside) {
   Bench b;
   b.settle();
-  for (int i = 0; i < 5; ++i) b.give(Probed{3, false, 1 * ms, {}});
+  for (int i = 0; i < 5; ++i)
+    b.give(Probed{3, false, 1 * ms, {}});
   std::set<MemberId> used;
   for (int i = 0; i < 60; ++i) {
     const std::string id = b.ask(kAny);
@@ -864,11 +923,13 @@
   s.checks = Checks::Refuse;
   Bench b(s);
   b.list({Bench::member(1), Bench::member(2), Bench::member(3)});
-  for (const MemberId id : {1U, 2U, 3U}) b.give(Probed{id, false, 1 * ms, {}});
+  for (const MemberId id : {1U, 2U, 3U})
+    b.give(Probed{id, false, 1 * ms, {}});
   int served = 0;
   for (int i = 0; i < 20; ++i) {
     const std::string id = b.ask(kAny);
-    if (!b.sent()) continue;
+    if (!b.sent())
+      continue;
     ++served;
     b.end(id, *b.sent(), Result::Ok, true);
   }
@@ -883,7 +944,7 @@
   Member draining = Bench::member(4);
   draining.state = MemberState::Draining;
   b.list({draining}, MemberList::Kind::Changes);
-  b.list({Bench::member(1)}); // 2 and 3 were left out while they run, 4 had drained
+  b.list({Bench::member(1)});  // 2 and 3 were left out while they run, 4 had drained
   std::set<MemberId> used;
   for (int i = 0; i < 60; ++i) {
     const std::string id = b.ask(kAny);
@@ -906,11 +967,12 @@
 TEST(Scale, ProbesAreBoundedByTheRoutersOwnRequests) {
   Bench b;
   std::vector<Member> many;
-  for (MemberId id = 1; id <= 200; ++id) many.push_back(Bench::member(id));
+  for (MemberId id = 1; id <= 200; ++id)
+    many.push_back(Bench::member(id));
   b.list(many);
   std::size_t probes = b.all<Probe>().size();
   EXPECT_LE(probes, 20U);
-  b.ask(kBounded); // with no primary, a read may ask beyond the share, though not everyone
+  b.ask(kBounded);  // with no primary, a read may ask beyond the share, though not everyone
   EXPECT_LE(b.all<Probe>().size(), 14U);
   b.probed(1, true, 0);
   for (int i = 0; i < 100; ++i) {
@@ -923,7 +985,7 @@
 
 TEST(Scale, ATrialTakesNoMoreThanTheHashWouldGive) {
   int tried = 0;
-  for (int i = 0; i < 200; ++i) { // each router for itself, with its first read
+  for (int i = 0; i < 200; ++i) {  // each router for itself, with its first read
     Bench b;
     b.settle();
     b.list({Bench::member(5)}, MemberList::Kind::Changes);
@@ -951,35 +1013,40 @@
     int sent = 0;
     for (int i = 0; i < 40; ++i) {
       const std::string id = b.ask(kWrite);
-      if (b.sent()) ++sent, b.end(id, 1, Result::Ok, true);
+      if (b.sent())
+        ++sent, b.end(id, 1, Result::Ok, true);
     }
-    EXPECT_EQ(sent == 40, away < 300 * ms) << sent; // one that may have been down is spared
+    EXPECT_EQ(sent == 40, away < 300 * ms) << sent;  // one that may have been down is spared
   }
 }
 
 TEST(Cold, OneThatWasSlowAndBrokeSomeConnectionsHasNotRestarted) {
-  for (const bool answers : {true, false}) { // between its breaks; or it answers a probe soon after them
+  for (const bool answers :
+       {true, false}) {  // between its breaks; or it answers a probe soon after them
     Settings s = settings();
     s.cold_time = 60'000 * ms;
     Bench b(s);
     b.settle();
     std::vector<std::string> writes;
-    for (int i = 0; i < 4; ++i) writes.push_back(b.ask(kWrite));
-    b.after(700 * ms); // none answered: set aside
+    for (int i = 0; i < 4; ++i)
+      writes.push_back(b.ask(kWrite));
+    b.after(700 * ms);  // none answered: set aside
     b.end(writes[0], 1, Result::Reset, true, 700 * ms);
-    if (answers) b.end(writes[1], 1, Result::Ok, true, 700 * ms), b.after(400 * ms);
+    if (answers)
+      b.end(writes[1], 1, Result::Ok, true, 700 * ms), b.after(400 * ms);
     b.end(writes[2], 1, Result::Reset, true, 700 * ms);
     b.now += (answers ? 400 : 100) * ms;
     b.probed(1, true, 0);
     std::optional<MemberId> tried;
-    for (int asked = 0; tried != 1U; ++asked) { // one read tries it, long after
+    for (int asked = 0; tried != 1U; ++asked) {  // one read tries it, long after
       ASSERT_LT(asked, 1000);
       b.after(10 * ms);
-      b.probed(1, true, 0); // proves little after time-outs
+      b.probed(1, true, 0);  // proves little after time-outs
       const std::string id = b.ask(kAny);
-      if ((tried = b.sent())) b.end(id, *tried, Result::Ok, true);
+      if ((tried = b.sent()))
+        b.end(id, *tried, Result::Ok, true);
     }
-    b.after(20'000 * ms); // the crowd is forgotten, a cold one would still be short of its share
+    b.after(20'000 * ms);  // the crowd is forgotten, a cold one would still be short of its share
     for (int i = 0; i < 40; ++i) {
       const std::string id = b.ask(kWrite);
       ASSERT_EQ(b.sent(), 1U) << "held to a cold one's share after " << i;
@@ -992,13 +1059,15 @@
   for (const bool shows : {true, false}) {
     Bench b;
     b.settle();
-    for (int i = 0; i < 40; ++i) b.end(b.ask(kWrite), 1, Result::Ok, true); // quick
+    for (int i = 0; i < 40; ++i)
+      b.end(b.ask(kWrite), 1, Result::Ok, true);  // quick
     b.ask(kWrite), b.ask(kWrite);
-    b.after(300 * ms); // neither answered: set aside, to be tried again after 500 ms
+    b.after(300 * ms);  // neither answered: set aside, to be tried again after 500 ms
     const std::string id = b.ask(kWrite);
     for (int i = 0; i < 4; ++i) {
       b.after(50 * ms);
-      if (shows) b.probed(1, true, 0);
+      if (shows)
+        b.probed(1, true, 0);
     }
     EXPECT_EQ(b.went.count({id, 1}) > 0, shows);
   }
@@ -1012,7 +1081,7 @@
     b.settle();
     for (int breaks = 0, asked = 0; breaks < (refused ? 2 : 1); ++asked) {
       ASSERT_LT(asked, 1000)
-          << "one broken connection has set it aside"; // refused twice, or not reached once
+          << "one broken connection has set it aside";  // refused twice, or not reached once
       const std::string id = b.ask(kAny);
       if (b.sent() == 3U)
         ++breaks, b.end(id, 3, Result::NoConnection, true, refused ? 1 * ms : 250 * ms);
@@ -1045,7 +1114,8 @@
   for (int i = 0; i < 400; ++i) {
     const std::size_t index = i % 2 ? kAny : kBounded;
     if (i % 20 == 0)
-      for (const MemberId id : {2U, 3U, 4U}) b.probed(id, false, 20 * ms);
+      for (const MemberId id : {2U, 3U, 4U})
+        b.probed(id, false, 20 * ms);
     const std::string id = b.ask(index);
     if (b.sent()) {
       ++sent[index];
@@ -1058,8 +1128,8 @@
   EXPECT_LT(sent[kAny], sent[kBounded]);
 }
 
-// A hundred routers of a fleet with no crowd anywhere: each hears three answers in two seconds, of usual work. What one
-// takes for a crowd by chance is refused for nothing.
+// A hundred routers of a fleet with no crowd anywhere: each hears three answers in two seconds, of
+// usual work. What one takes for a crowd by chance is refused for nothing.
 TEST(Crowd, AHundredRoutersThatHearLittleTakeNoChanceForACrowd) {
   int asked = 0, held = 0;
   std::uint64_t draw = 1;
@@ -1071,11 +1141,14 @@
       const std::string id = b.ask(kFresh);
       ++asked;
       held += !b.sent();
-      if (!b.sent()) b.give(ClientGone{id});
+      if (!b.sent())
+        b.give(ClientGone{id});
       draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
       const double part = static_cast<double>(draw >> 11) / 9007199254740992.0;
-      const Nanos took = static_cast<Nanos>(-90.0 * std::log(1 - part)) * ms; // 90 in the mean, of 300
-      if (b.sent()) b.end(id, *b.sent(), Result::Ok, true, took);
+      const Nanos took =
+          static_cast<Nanos>(-90.0 * std::log(1 - part)) * ms;  // 90 in the mean, of 300
+      if (b.sent())
+        b.end(id, *b.sent(), Result::Ok, true, took);
       b.after(660 * ms);
     }
   }
@@ -1089,7 +1162,8 @@
   for (int i = 0; i < 300; ++i) {
     const std::string id = b.ask(kAny);
     sent += b.sent().has_value();
-    if (b.sent() && i % 4 != 0) b.end(id, *b.sent(), Result::Ok, true);
+    if (b.sent() && i % 4 != 0)
+      b.end(id, *b.sent(), Result::Ok, true);
     b.after(10 * ms);
   }
   EXPECT_GT(sent, 270);
@@ -1119,10 +1193,11 @@
     ASSERT_TRUE(b.sent());
     out.emplace_back(id, *b.sent());
   }
-  b.now += 1500 * ms; // the router stood still; the answers had come long before
+  b.now += 1500 * ms;  // the router stood still; the answers had come long before
   for (const auto& [id, member] : out) {
     b.end(id, member, Result::Ok, true, 20 * ms);
-    for (const Note& n : b.all<Note>()) EXPECT_EQ(n.text.find("set aside: time-outs"), std::string::npos);
+    for (const Note& n : b.all<Note>())
+      EXPECT_EQ(n.text.find("set aside: time-outs"), std::string::npos);
   }
   b.ask(kAny);
   EXPECT_TRUE(b.sent());
@@ -1132,15 +1207,17 @@
   for (const bool stalled : {true, false}) {
     Bench b;
     b.settle();
-    for (int i = 0; i < 30; ++i) b.ask(kAny);
+    for (int i = 0; i < 30; ++i)
+      b.ask(kAny);
     b.actions.clear();
     if (stalled) {
-      b.now += 1000 * ms; // no turn all the while, then the timer comes before the answers
+      b.now += 1000 * ms;  // no turn all the while, then the timer comes before the answers
       b.give(TimerDue{});
     } else
       b.after(1000 * ms);
     int aside = 0;
-    for (const Note& n : b.all<Note>()) aside += n.text.find("set aside: time-outs") != std::string::npos;
+    for (const Note& n : b.all<Note>())
+      aside += n.text.find("set aside: time-outs") != std::string::npos;
     EXPECT_EQ(aside > 0, !stalled);
   }
 }
@@ -1162,7 +1239,8 @@
   b.settle();
   b.list({Bench::member(1), Bench::member(2), Bench::member(3)});
   b.now += 59'000 * ms;
-  b.list({Bench::member(4)}, MemberList::Kind::Changes); // back in time: known, and not asked again
+  b.list({Bench::member(4)},
+         MemberList::Kind::Changes);  // back in time: known, and not asked again
   EXPECT_TRUE(b.all<Probe>().empty());
   b.list({Bench::member(1), Bench::member(2), Bench::member(3)});
   b.now += 61'000 * ms;
@@ -1181,15 +1259,16 @@
   const auto write = [&b](std::uint64_t session) {
     const std::string id = b.ask(kWrite, session);
     Outcome o;
-    o.id = id, o.member = 1, o.closed = true, o.role = Role::Primary, o.position = b.now, o.elapsed = 10 * ms;
+    o.id = id, o.member = 1, o.closed = true, o.role = Role::Primary, o.position = b.now,
+    o.elapsed = 10 * ms;
     b.give(o);
   };
   write(7);
-  b.ask(kSession, 8); // never wrote: any replica will do
+  b.ask(kSession, 8);  // never wrote: any replica will do
   EXPECT_TRUE(b.sent() && *b.sent() != 1U);
   b.now += 61'000 * ms;
   write(9);
-  b.ask(kSession, 8); // no replica was heard since: none is known to hold what session 7 wrote
+  b.ask(kSession, 8);  // no replica was heard since: none is known to hold what session 7 wrote
   EXPECT_FALSE(b.sent());
 }
 
@@ -1200,9 +1279,12 @@
     std::string text;
     for (std::uint64_t i = 0; i < 50; ++i) {
       const std::string id = b.ask(i % 5, i % 7, 30 * ms);
-      for (const Send& send : b.all<Send>()) text += send.id + ">" + std::to_string(send.member) + " ";
-      if (b.sent()) b.end(id, *b.sent(), i % 6 ? Result::Ok : Result::Reset, i % 6 != 0);
-      for (const Send& send : b.all<Send>()) text += send.id + ">" + std::to_string(send.member) + " ";
+      for (const Send& send : b.all<Send>())
+        text += send.id + ">" + std::to_string(send.member) + " ";
+      if (b.sent())
+        b.end(id, *b.sent(), i % 6 ? Result::Ok : Result::Reset, i % 6 != 0);
+      for (const Send& send : b.all<Send>())
+        text += send.id + ">" + std::to_string(send.member) + " ";
       b.now += 3 * ms;
     }
     return text;
@@ -1214,7 +1296,9 @@
   const auto message = [](Settings s) -> std::string {
     try {
       Router router(std::move(s), 1);
-    } catch (const std::invalid_argument& error) { return error.what(); }
+    } catch (const std::invalid_argument& error) {
+      return error.what();
+    }
     return "";
   };
   EXPECT_NE(message(Settings{}).find("classes"), std::string::npos);
@@ -1227,4 +1311,4 @@
   EXPECT_EQ(message(settings()), "");
 }
 
-} // namespace
+}  // namespace
--- a/tests/shapes_test.cpp
+++ b/tests/shapes_test.cpp
@@ -10,16 +10,20 @@
   for (const char* text : {
            "SELECT 1",
            "SELECT data FROM facts WHERE code = '7f' /* id=a,c=b */",
-           "select f.data, count(*) over (partition by f.code order by f.at) from facts f left join sites s "
+           "select f.data, count(*) over (partition by f.code order by f.at) from facts f left "
+           "join sites s "
            "using (id) "
-           "where f.at > now() - interval '1 day' and f.code in ('a','b') group by 1 having sum(f.v) > 3 "
+           "where f.at > now() - interval '1 day' and f.code in ('a','b') group by 1 having "
+           "sum(f.v) > 3 "
            "order by 1 "
            "limit 10 offset 5",
            "SELECT DISTINCT ON (a) a, b FROM t UNION ALL SELECT c, d FROM u INTERSECT SELECT 1, 2",
-           "WITH RECURSIVE r(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM r WHERE n < 9) SELECT * FROM r",
+           "WITH RECURSIVE r(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM r WHERE n < 9) SELECT * "
+           "FROM r",
            "SELECT * FROM generate_series(1, 10) g, LATERAL (SELECT g * 2) x",
            "SELECT CASE WHEN a IS NULL THEN 'DELETE FROM t' ELSE b::text END FROM t",
-           "SELECT $$; DROP TABLE t; $$, $q$ nextval('x') $q$, E'\\'; DELETE FROM t; --', U&'d\\0061t'",
+           "SELECT $$; DROP TABLE t; $$, $q$ nextval('x') $q$, E'\\'; DELETE FROM t; --', "
+           "U&'d\\0061t'",
            "SELECT /* outer /* inner; DELETE FROM t */ still */ 1 -- and DELETE FROM t",
            "SELECT a[1:2], b->>'k', c @> '{}'::jsonb, ARRAY[1,2], ROW(1,2), (x).y FROM t",
            "SELECT EXISTS (SELECT 1 FROM t WHERE a = ANY (SELECT b FROM u))",
@@ -54,8 +58,10 @@
            "SELECT * FROM (SELECT * FROM t FOR SHARE) x",
            "SELECT (SELECT a FROM t LIMIT 1 FOR UPDATE)",
            "WITH d AS (DELETE FROM t RETURNING *) SELECT * FROM d",
-           "WITH a AS (WITH b AS (INSERT INTO t VALUES (1) RETURNING *) SELECT * FROM b) SELECT * FROM a",
-           "SELECT * FROM t WHERE a IN (WITH x AS (UPDATE t SET a = 1 RETURNING a) SELECT a FROM x)",
+           "WITH a AS (WITH b AS (INSERT INTO t VALUES (1) RETURNING *) SELECT * FROM b) SELECT * "
+           "FROM a",
+           "SELECT * FROM t WHERE a IN (WITH x AS (UPDATE t SET a = 1 RETURNING a) SELECT a FROM "
+           "x)",
            "EXPLAIN ANALYZE DELETE FROM t",
            "EXPLAIN (ANALYZE true) SELECT 1",
            "COPY t FROM STDIN",
@@ -136,7 +142,8 @@
        })
     EXPECT_NE(sql.classify(text).effect, Effect::Read) << text;
   EXPECT_EQ(sql.classify("SELECT * FROM t FOR UPDATE").effect, Effect::Write);
-  EXPECT_EQ(sql.classify("SELECT mystery(); DELETE FROM t").effect, Effect::Write); // the worst counts
+  EXPECT_EQ(sql.classify("SELECT mystery(); DELETE FROM t").effect,
+            Effect::Write);  // the worst counts
   EXPECT_EQ(sql.classify("SELECT mystery()").why, "function mystery is not known to read only");
 }
 
@@ -147,19 +154,23 @@
            std::string(static_cast<std::size_t>(depth), ')');
   };
   EXPECT_EQ(sql.classify(nested(50)).effect, Effect::Read);
-  for (const int depth : {5'000, 30'000}) EXPECT_NE(sql.classify(nested(depth)).effect, Effect::Write);
+  for (const int depth : {5'000, 30'000})
+    EXPECT_NE(sql.classify(nested(depth)).effect, Effect::Write);
   std::string chain = "SELECT 1";
-  while (chain.size() < 60'000) chain += "+1";
+  while (chain.size() < 60'000)
+    chain += "+1";
   EXPECT_EQ(sql.classify(chain).effect, Effect::Unknown);
   std::string subqueries = "SELECT 1";
-  for (int i = 0; i < 2'000; ++i) subqueries = "SELECT (" + subqueries + ")";
+  for (int i = 0; i < 2'000; ++i)
+    subqueries = "SELECT (" + subqueries + ")";
   EXPECT_EQ(sql.classify(subqueries).effect, Effect::Unknown);
   std::string negations = "SELECT ";
-  for (int i = 0; i < 20'000; ++i) negations += "- ";
+  for (int i = 0; i < 20'000; ++i)
+    negations += "- ";
   EXPECT_EQ(sql.classify(negations + "1").effect, Effect::Unknown);
   EXPECT_EQ(sql.classify("SELECT '" + std::string(70'000, 'x') + "'").effect, Effect::Unknown);
   EXPECT_EQ(sql.classify(std::string("SELECT 1\0DELETE", 15)).effect, Effect::Unknown);
 }
 
-} // namespace
-} // namespace gorsebeam::shapes
+}  // namespace
+}  // namespace gorsebeam::shapes
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,7 @@
-// What is kept has an end: hours of members, sessions, keys and restarts through the core and the module, in virtual
-// time. At the end of each part the world is quiet for longer than anything is kept, and what the heap holds is counted:
-// it has to be what it was. The world is invented here and drawn by a seed; who is asked what is the module's business.
+// What is kept has an end: hours of members, sessions, keys and restarts through the core and the
+// module, in virtual time. At the end of each part the world is quiet for longer than anything is
+// kept, and what the heap holds is counted: it has to be what it was. The world is invented here
+// and drawn by a seed; who is asked what is the module's business.
 #include "broker/core.h"
 #include "virtual_time.h"
 
@@ -18,13 +19,14 @@
 
 namespace {
 
-std::size_t blocks = 0, bytes = 0; // on the heap, by new
+std::size_t blocks = 0, bytes = 0;  // on the heap, by new
 
-} // namespace
+}  // namespace
 
 void* operator new(std::size_t size) {
   void* at = std::malloc(size ? size : 1);
-  if (!at) throw std::bad_alloc();
+  if (!at)
+    throw std::bad_alloc();
   ++blocks;
   bytes += malloc_usable_size(at);
   return at;
@@ -34,31 +36,42 @@
 void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
   try {
     return operator new(size);
-  } catch (const std::bad_alloc&) { return nullptr; }
+  } catch (const std::bad_alloc&) {
+    return nullptr;
+  }
 }
 
 void operator delete(void* at) noexcept {
-  if (!at) return;
+  if (!at)
+    return;
   --blocks;
   bytes -= malloc_usable_size(at);
   std::free(at);
 }
-void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
+
+void operator delete(void* at, std::size_t) noexcept {
+  operator delete(at);
+}
 
 namespace {
 
 using namespace gorsebeam;
 constexpr Nanos kMs = 1'000'000, kSecond = 1000 * kMs;
-constexpr Nanos kBusy = 240 * kSecond, kQuiet = 150 * kSecond; // of a part; nothing is kept for over two minutes
+constexpr Nanos kBusy = 240 * kSecond,
+                kQuiet = 150 * kSecond;  // of a part; nothing is kept for over two minutes
 constexpr int kGroups = 8, kMembers = 4;
 
 using Random = std::mt19937_64;
 
 struct Client : broker::Call {
   int answers = 0;
+
   broker::Parts body(Nanos) override { return {"SELECT"}; }
+
   void served(const broker::Parts&) override { ++answers; }
+
   void refused(Nanos) override { ++answers; }
+
   void failed() override { ++answers; }
 };
 
@@ -69,21 +82,29 @@
 
 class World : public broker::Upstream {
 public:
-  explicit World(std::uint64_t seed) : random_(seed), core_(std::make_unique<broker::Core>(settings(), seed)) {
+  explicit World(std::uint64_t seed)
+      : random_(seed), core_(std::make_unique<broker::Core>(settings(), seed)) {
     core_->attach(*this);
     for (int group = 0; group < kGroups; ++group)
-      for (int i = 0; i < kMembers; ++i) machines_.push_back(fresh(static_cast<GroupId>(group), i == 0));
+      for (int i = 0; i < kMembers; ++i)
+        machines_.push_back(fresh(static_cast<GroupId>(group), i == 0));
     tell(MemberList::Kind::Full);
   }
 
-  void part() { // a busy time, then silence
+  void part() {  // a busy time, then silence
     const Nanos start = net::now();
-    for (Nanos at = start; at < start + kBusy; at += 20 * kMs) virtual_time::at(at, [this] { ask(); });
+    for (Nanos at = start; at < start + kBusy; at += 20 * kMs)
+      virtual_time::at(at, [this] {
+        ask();
+      });
     for (Nanos at = start + kSecond; at < start + kBusy; at += 3 * kSecond)
-      virtual_time::at(at, [this] { trouble(); });
+      virtual_time::at(at, [this] {
+        trouble();
+      });
     virtual_time::run_until(start + kBusy + kQuiet);
     // One request more: what is forgotten as others come is forgotten now.
-    for (int i = 0; i < 8; ++i) ask();
+    for (int i = 0; i < 8; ++i)
+      ask();
     tell(MemberList::Kind::Full);
     virtual_time::run_until(start + kBusy + 2 * kQuiet);
   }
@@ -131,7 +152,8 @@
 
   void tell(MemberList::Kind kind) {
     std::vector<broker::Listed> all;
-    for (const Machine& machine : machines_) all.push_back(machine.listed);
+    for (const Machine& machine : machines_)
+      all.push_back(machine.listed);
     core_->list(kind, all);
   }
 
@@ -140,7 +162,7 @@
     Machine& machine = machines_[random_() % machines_.size()];
     const GroupId group = machine.listed.member.group;
     const double what = draw();
-    if (what < 0.4) { // under a new name
+    if (what < 0.4) {  // under a new name
       machine.listed.member.state = MemberState::Removed;
       core_->list(MemberList::Kind::Changes, {machine.listed});
       const bool primary = machine.primary;
@@ -151,11 +173,13 @@
       core_->list(MemberList::Kind::Changes, {machine.listed});
     } else if (what < 0.8) {
       for (Machine& other : machines_)
-        if (other.listed.member.group == group) other.primary = &other == &machine;
+        if (other.listed.member.group == group)
+          other.primary = &other == &machine;
     } else {
       machine.silent = !machine.silent;
     }
-    if (draw() < 0.2) tell(MemberList::Kind::Full);
+    if (draw() < 0.2)
+      tell(MemberList::Kind::Full);
     // A group that comes and goes with its only member.
     Machine lone = fresh(1000 + named_, true);
     core_->list(MemberList::Kind::Changes, {lone.listed});
@@ -165,6 +189,7 @@
   }
 
   void ask() { ask(static_cast<GroupId>(random_() % kGroups)); }
+
   void ask(GroupId group) {
     Request request;
     char id[24];
@@ -173,13 +198,16 @@
     request.class_index = random_() % 5;
     request.group = group;
     request.deadline = net::now() + static_cast<Nanos>(400 + random_() % 600) * kMs;
-    if (request.class_index == 2 || request.class_index == 4) request.session = sessions_ += draw() < 0.5;
+    if (request.class_index == 2 || request.class_index == 4)
+      request.session = sessions_ += draw() < 0.5;
     auto client = std::make_shared<Client>();
     const Nanos deadline = request.deadline;
-    if (!core_->take(std::move(request), *client)) return void(++unanswered);
+    if (!core_->take(std::move(request), *client))
+      return void(++unanswered);
     if (draw() < 0.05) {
       virtual_time::at(net::now() + 30 * kMs, [this, client, name = std::string(id)] {
-        if (client->answers == 0) core_->gone(name), ++client->answers;
+        if (client->answers == 0)
+          core_->gone(name), ++client->answers;
       });
     }
     virtual_time::at(deadline + 50 * kMs, [this, client] {
@@ -189,13 +217,15 @@
   }
 
   void listed(MemberId, const std::string&) override {}
+
   void removed(MemberId) override {}
 
   Machine* machine(MemberId member) {
     char name[24];
     std::snprintf(name, sizeof name, "s-%08x", member);
     for (Machine& machine : machines_)
-      if (machine.listed.name == name) return &machine;
+      if (machine.listed.name == name)
+        return &machine;
     return nullptr;
   }
 
@@ -214,20 +244,23 @@
     const Nanos takes = static_cast<Nanos>(10 + random_() % 60) * kMs;
     const Machine* at = machine(member);
     const bool never = at && (at->silent || luck < 0.03);
-    virtual_time::at(never ? until : std::min(until, net::now() + takes), [this, attempt, member, luck, never] {
-      if (!out_.erase(attempt)) return;
-      const Machine* from = machine(member);
-      broker::Answer answer;
-      if (from && !never && luck > 0.15) answer = answer_of(*from);
-      answer.result = !from          ? Result::NoConnection
-                      : never        ? Result::Timeout
-                      : luck < 0.06  ? Result::Error
-                      : luck < 0.09  ? Result::Full
-                      : luck < 0.12  ? Result::Reset
-                      : luck <= 0.15 ? Result::NoConnection
-                                     : Result::Ok;
-      core_->ended(attempt, answer);
-    });
+    virtual_time::at(never ? until : std::min(until, net::now() + takes),
+                     [this, attempt, member, luck, never] {
+                       if (!out_.erase(attempt))
+                         return;
+                       const Machine* from = machine(member);
+                       broker::Answer answer;
+                       if (from && !never && luck > 0.15)
+                         answer = answer_of(*from);
+                       answer.result = !from          ? Result::NoConnection
+                                       : never        ? Result::Timeout
+                                       : luck < 0.06  ? Result::Error
+                                       : luck < 0.09  ? Result::Full
+                                       : luck < 0.12  ? Result::Reset
+                                       : luck <= 0.15 ? Result::NoConnection
+                                                      : Result::Ok;
+                       core_->ended(attempt, answer);
+                     });
   }
 
   void probe(MemberId member) override {
@@ -238,12 +271,14 @@
   }
 
   void cancel(broker::AttemptId attempt) override {
-    if (!out_.erase(attempt)) return;
+    if (!out_.erase(attempt))
+      return;
     broker::Answer answer;
     answer.result = Result::Cancelled;
     core_->ended(attempt, answer);
   }
-  void withdraw(broker::AttemptId) override {} // written already: it ends in its time
+
+  void withdraw(broker::AttemptId) override {}  // written already: it ends in its time
 
   Random random_;
   unsigned named_ = 0;
@@ -253,7 +288,7 @@
   std::unique_ptr<broker::Core> core_;
 };
 
-} // namespace
+}  // namespace
 
 int main(int argc, char** argv) {
   const int parts = argc > 1 ? std::atoi(argv[1]) : 5;
@@ -261,14 +296,18 @@
   std::size_t first_blocks = 0, most_blocks = 0, first_bytes = 0, most_bytes = 0;
   for (int part = 0; part < parts; ++part) {
     world.part();
-    std::printf("part %d: %zu asked, %zu blocks, %zu bytes, %zu steps pending\n", part, world.asked, blocks, bytes,
-                virtual_time::pending());
-    if (part == 1) first_blocks = blocks, first_bytes = bytes;
-    if (part >= 1) most_blocks = std::max(most_blocks, blocks), most_bytes = std::max(most_bytes, bytes);
+    std::printf("part %d: %zu asked, %zu blocks, %zu bytes, %zu steps pending\n", part, world.asked,
+                blocks, bytes, virtual_time::pending());
+    if (part == 1)
+      first_blocks = blocks, first_bytes = bytes;
+    if (part >= 1)
+      most_blocks = std::max(most_blocks, blocks), most_bytes = std::max(most_bytes, bytes);
   }
-  std::printf("%zu unanswered, %zu answered twice; blocks %zu to %zu, bytes %zu to %zu\n", world.unanswered,
-              world.twice, first_blocks, most_blocks, first_bytes, most_bytes);
-  // Equal parts in equal worlds: what differs is who is primary, whom the last draws left silent, and full buckets.
-  const bool kept = most_blocks > first_blocks + first_blocks / 10 || most_bytes > first_bytes + first_bytes / 10;
+  std::printf("%zu unanswered, %zu answered twice; blocks %zu to %zu, bytes %zu to %zu\n",
+              world.unanswered, world.twice, first_blocks, most_blocks, first_bytes, most_bytes);
+  // Equal parts in equal worlds: what differs is who is primary, whom the last draws left silent,
+  // and full buckets.
+  const bool kept =
+      most_blocks > first_blocks + first_blocks / 10 || most_bytes > first_bytes + first_bytes / 10;
   return world.unanswered || world.twice || kept ? 1 : 0;
 }
--- a/tests/soak/virtual_time.cpp
+++ b/tests/soak/virtual_time.cpp
@@ -8,17 +8,19 @@
 
 namespace {
 
-constexpr std::int64_t kStart = 1'767'225'600'000'000'000; // any time that is long after 1970
+constexpr std::int64_t kStart = 1'767'225'600'000'000'000;  // any time that is long after 1970
 
 std::int64_t clock_now = kStart;
 std::uint64_t asked = 0;
 std::map<std::pair<std::int64_t, std::uint64_t>, std::function<void()>> steps;
 
-} // namespace
+}  // namespace
 
 namespace virtual_time {
 
-void at(std::int64_t when, std::function<void()> step) { steps[{when, ++asked}] = std::move(step); }
+void at(std::int64_t when, std::function<void()> step) {
+  steps[{when, ++asked}] = std::move(step);
+}
 
 void run_until(std::int64_t when) {
   while (!steps.empty() && steps.begin()->first.first <= when) {
@@ -30,31 +32,38 @@
   clock_now = when;
 }
 
-std::size_t pending() { return steps.size(); }
+std::size_t pending() {
+  return steps.size();
+}
 
-} // namespace virtual_time
+}  // namespace virtual_time
 
 namespace gorsebeam::net {
 
-std::int64_t now() { return clock_now; }
+std::int64_t now() {
+  return clock_now;
+}
 
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
   stop();
   place_ = {when, ++asked};
-  steps[place_] = [this] { fire(); };
+  steps[place_] = [this] {
+    fire();
+  };
   set_ = true;
 }
 
 void Timer::stop() {
-  if (std::exchange(set_, false)) steps.erase(place_);
+  if (std::exchange(set_, false))
+    steps.erase(place_);
 }
 
 void Timer::fire() {
   stop();
-  const auto action = action_; // the action may end the timer's owner
+  const auto action = action_;  // the action may end the timer's owner
   action();
 }
 
-} // namespace gorsebeam::net
+}  // namespace gorsebeam::net
--- a/tests/stories/control.cpp
+++ b/tests/stories/control.cpp
@@ -1,5 +1,6 @@
-// A control service under load: stand-in clients and members of both protocols, and versions that are good, broken,
-// half, reordered or lying. Every request is answered once; what runs at the end is what was accepted.
+// A control service under load: stand-in clients and members of both protocols, and versions that
+// are good, broken, half, reordered or lying. Every request is answered once; what runs at the end
+// is what was accepted.
 #include "control/service.h"
 
 #include "state/folder.h"
@@ -22,7 +23,8 @@
   std::string text =
       "control_service { node: 'gw-1' cluster: 'palermo' reconnect_most_ms: 100 silence_ms: 500 "
       "hold_ms: 400 ";
-  for (const std::string& address : addresses) text += "address: '" + address + "' ";
+  for (const std::string& address : addresses)
+    text += "address: '" + address + "' ";
   return text + "}\n" + more;
 }
 
@@ -30,8 +32,10 @@
 class Load {
 public:
   Load(Stage& stage, int clients) : stage_(stage) {
-    for (int i = 0; i < clients; ++i) clients_.push_back(stage.client());
+    for (int i = 0; i < clients; ++i)
+      clients_.push_back(stage.client());
   }
+
   void turn() {
     for (auto& client : clients_) {
       const bool answered = client.waiting && !client->answers.empty();
@@ -40,61 +44,84 @@
         client->answers.pop_front();
         client.waiting = false;
       }
-      if (client.waiting || resting) continue;
+      if (client.waiting || resting)
+        continue;
       const std::string id = "load" + std::to_string(next_++);
       client->ask(next_ % 4 == 0 ? save(id) : read(id));
       client.waiting = true;
     }
   }
+
   void until(const std::function<bool()>& condition, const char* what) {
-    stage::until([&] { return turn(), condition(); }, what);
+    stage::until(
+        [&] {
+          return turn(), condition();
+        },
+        what);
   }
+
   void more(int answers) {
     const int before = total();
-    until([&] { return total() >= before + answers; }, "more answers");
+    until(
+        [&] {
+          return total() >= before + answers;
+        },
+        "more answers");
   }
+
   void rest() {
     resting = true;
     until(
         [&] {
           for (auto& client : clients_)
-            if (client.waiting) return false;
+            if (client.waiting)
+              return false;
           return true;
         },
         "all to be answered");
   }
+
   int total() const {
     int sum = 0;
-    for (const auto& [final, count] : finals) sum += count;
+    for (const auto& [final, count] : finals)
+      sum += count;
     return sum;
   }
+
   std::map<Final, int> finals;
   bool resting = false;
 
 private:
   struct One {
     One(std::unique_ptr<Client> c) : client(std::move(c)) {}
+
     Client* operator->() { return client.get(); }
+
     std::unique_ptr<Client> client;
     bool waiting = false;
   };
+
   Stage& stage_;
   std::list<One> clients_;
   int next_ = 0;
 };
 
-struct Plane { // a stage with a service and its versions
+struct Plane {  // a stage with a service and its versions
+
   explicit Plane(const Protocol& protocol, std::size_t count = 3) : stage(protocol, count, 0) {}
+
   void start(const std::vector<std::string>& addresses, const std::string& more = "") {
     stage.write_file(control(addresses, more));
     stage.start();
   }
+
   pb::Members members(std::uint64_t generation) {
     pb::Members m;
     m.set_generation(generation);
     auto* list = &stage.protocol == &mongo() ? m.mutable_mongo() : m.mutable_postgres();
     for (const auto& member : stage.members) {
-      if (member->state == "gone") continue;
+      if (member->state == "gone")
+        continue;
       pb::Member& one = *list->Add();
       one.set_name(member->name), one.set_address(member->address);
       one.set_role(member->listed_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
@@ -102,19 +129,23 @@
     }
     return m;
   }
+
   static pb::Contracts contracts(std::uint64_t generation,
                                  std::vector<std::string> classes = {"any", "save"}) {
     pb::Contracts c;
     c.set_generation(generation);
     pb::Team& team = *c.add_team();
     team.set_name("portal");
-    for (const auto& name : classes) team.add_class_()->set_name(name);
+    for (const auto& name : classes)
+      team.add_class_()->set_name(name);
     return c;
   }
+
   bool told(const std::string& text) {
-    stage.signal(0); // reads the log
+    stage.signal(0);  // reads the log
     return stage.log.find(text) != std::string::npos;
   }
+
   Stage stage;
 };
 
@@ -124,13 +155,18 @@
   CHECK(text.find(part) != std::string::npos);
 }
 
-// Good, broken and reordered versions; types that need each other; and what a version takes away while it is asked.
+// Good, broken and reordered versions; types that need each other; and what a version takes away
+// while it is asked.
 void versions(const Protocol& protocol) {
   Plane plane(protocol);
   Service service;
   plane.start({service.address()});
   Load load(plane.stage, 8);
-  load.until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  load.until(
+      [&] {
+        return service.heard().size() >= 3;
+      },
+      "the subscriptions");
   CHECK(service.heard()[0].node == "gw-1");
   const auto pushed = [&](const google::protobuf::Message& m, const std::string& version) {
     const std::string nonce = service.push(m, version);
@@ -155,11 +191,13 @@
   has(pushed(below, "below"), "team[0].budget.per_second: is out of range");
   pb::Contracts two = plane.contracts(2), other = plane.contracts(2, {"nothing"});
   other.mutable_team(0)->set_name("other");
-  has(service.answer(service.push({&two, &other}, "one-bad")), "'nothing' is no class of the settings");
+  has(service.answer(service.push({&two, &other}, "one-bad")),
+      "'nothing' is no class of the settings");
   pb::Contracts unknown = plane.contracts(2);
   unknown.GetReflection()->MutableUnknownFields(unknown.mutable_team(0))->AddVarint(99, 1);
   has(pushed(unknown, "unknown"), "team[0]: field number 99 of Team is not known to this version");
-  has(service.answer(service.push({&two}, "strange", "type.googleapis.com/other")), "is not known here");
+  has(service.answer(service.push({&two}, "strange", "type.googleapis.com/other")),
+      "is not known here");
   has(service.answer(service.push({}, "none", "type.googleapis.com/gorsebeam.config.v1.Members")),
       "no resource");
   has(pushed(plane.contracts(0), "old"), "no generation");
@@ -173,15 +211,20 @@
   load.more(40);
   CHECK(load.finals.size() == 1);
 
-  // A host that holds a request is removed: that one is still answered, once, and it gets nothing new.
+  // A host that holds a request is removed: that one is still answered, once, and it gets nothing
+  // new.
   const auto waiting = plane.stage.client();
   load.rest();
   plane.stage.script = {Fault::Silent};
   waiting->ask(read("held", 700));
-  until([&] { return !plane.stage.attempts.empty() && plane.stage.attempts.back().ask.id == "held"; },
-        "it to go out");
+  until(
+      [&] {
+        return !plane.stage.attempts.empty() && plane.stage.attempts.back().ask.id == "held";
+      },
+      "it to go out");
   Member* holder = plane.stage.attempts.back().member;
-  if (holder->listed_primary) holder = plane.stage.members[1].get(); // the group keeps its primary
+  if (holder->listed_primary)
+    holder = plane.stage.members[1].get();  // the group keeps its primary
   holder->state = "gone";
   CHECK(service.push_and_answer(plane.members(6), "m6").empty());
   pass(250);
@@ -189,13 +232,17 @@
   load.resting = false;
   load.more(60);
   CHECK(holder->requests == before);
-  CHECK(waiting->answer() == Final::Refused); // never beside a second attempt: the stage checks
+  CHECK(waiting->answer() == Final::Refused);  // never beside a second attempt: the stage checks
 
   // Host and name come back at once, with another address: nothing goes to the old one.
   const std::string old_address = holder->address;
   plane.stage.members.push_back(std::make_unique<Member>(plane.stage, holder->name, false, false));
   CHECK(pushed(plane.members(7), "m7").empty());
-  load.until([&] { return plane.stage.members.back()->requests > 0; }, "the new address to be asked");
+  load.until(
+      [&] {
+        return plane.stage.members.back()->requests > 0;
+      },
+      "the new address to be asked");
   load.more(50);
   CHECK(holder->requests == before);
 
@@ -204,16 +251,29 @@
   moved->state = "gone";
   plane.stage.members.push_back(std::make_unique<Member>(plane.stage, moved->name, false, false));
   CHECK(pushed(plane.members(8), "m8").empty());
-  load.until([&] { return plane.stage.members.back()->requests > 0; }, "the other address to be asked");
-  until([&] { return moved->connections() == 0; }, "the old address to be left");
+  load.until(
+      [&] {
+        return plane.stage.members.back()->requests > 0;
+      },
+      "the other address to be asked");
+  until(
+      [&] {
+        return moved->connections() == 0;
+      },
+      "the old address to be left");
   const int asked_there = moved->requests;
   load.more(50);
   CHECK(moved->requests == asked_there);
 
-  // The class goes, then the team, then the whole group: what is asked is declined or refused, each once.
+  // The class goes, then the team, then the whole group: what is asked is declined or refused, each
+  // once.
   CHECK(pushed(plane.contracts(6, {"save"}), "c6").empty());
   load.finals.clear();
-  load.until([&] { return load.finals[Final::Failed] > 0; }, "the class to be gone");
+  load.until(
+      [&] {
+        return load.finals[Final::Failed] > 0;
+      },
+      "the class to be gone");
   pb::Contracts others = plane.contracts(7);
   others.mutable_team(0)->set_name("others");
   CHECK(pushed(others, "c7").empty());
@@ -226,14 +286,19 @@
   load.rest();
   CHECK(service.push_and_answer(plane.members(10), "m10").empty());
   load.finals.clear(), load.resting = false;
-  load.until([&] { return load.finals[Final::Served] > 0; }, "the group to be back");
+  load.until(
+      [&] {
+        return load.finals[Final::Served] > 0;
+      },
+      "the group to be back");
 
   // 200 at once: each is answered, requests do not notice, the newest runs.
   std::vector<std::string> nonces;
   for (int i = 0; i < 200; ++i)
     nonces.push_back(service.push(plane.contracts(100 + static_cast<unsigned>(i)), "b"));
   load.more(50);
-  for (const auto& nonce : nonces) CHECK(service.answer(nonce).empty());
+  for (const auto& nonce : nonces)
+    CHECK(service.answer(nonce).empty());
   // Limits, in force for what is asked from now on.
   pb::Limits limits;
   limits.set_generation(1), limits.set_message_kib(64);
@@ -241,10 +306,14 @@
   Ask large = save("large");
   large.key.assign(80 * 1024, 'k');
   const auto sender = plane.stage.client();
-  pass(60); // a run waits 50 ms for the next
+  pass(60);  // a run waits 50 ms for the next
   sender->write(protocol.client_ask(large));
-  load.until([&] { return sender->ended_by_gateway; }, "the large one to be turned down");
-  plane.stage.answered -= static_cast<int>(sender->answers.size()); // it was never a request
+  load.until(
+      [&] {
+        return sender->ended_by_gateway;
+      },
+      "the large one to be turned down");
+  plane.stage.answered -= static_cast<int>(sender->answers.size());  // it was never a request
   limits.set_generation(2), limits.set_message_kib(4);
   has(pushed(limits, "l2"), "message_kib: is out of range; give 64 to 16384");
 
@@ -260,21 +329,31 @@
   CHECK(pushed(many, "many").empty());
   CHECK(pushed(plane.members(12), "few").empty());
   const int streams = service.streams();
-  for (int i = 0; i < 150'000; ++i) *crowd->Add() = crowd->at(3);
+  for (int i = 0; i < 150'000; ++i)
+    *crowd->Add() = crowd->at(3);
   service.push(many, "too-much");
-  load.until([&] { return service.streams() > streams; }, "a new stream");
+  load.until(
+      [&] {
+        return service.streams() > streams;
+      },
+      "a new stream");
   CHECK(plane.told("longer than 4 MiB"));
   load.rest();
   plane.stage.check_rules();
   CHECK(plane.stage.running());
 }
 
-// Types that refer to each other come in any order, or not at all. PostgreSQL's groups are known from the list.
+// Types that refer to each other come in any order, or not at all. PostgreSQL's groups are known
+// from the list.
 void together(const Protocol& protocol) {
   Plane plane(protocol);
   Service service;
   plane.start({service.address()});
-  until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  until(
+      [&] {
+        return service.heard().size() >= 3;
+      },
+      "the subscriptions");
   pb::Contracts contracts = plane.contracts(1);
   contracts.mutable_team(0)->add_group(0);
   contracts.mutable_team(0)->add_group(7);
@@ -284,7 +363,11 @@
   has(service.answer(service.push(contracts, "alone")), "group 7 of team 'portal' has no member");
   contracts.set_generation(2);
   const std::string first = service.push(contracts, "c2");
-  until([&] { return plane.told("held: "); }, "it to be held");
+  until(
+      [&] {
+        return plane.told("held: ");
+      },
+      "it to be held");
   CHECK(service.push_and_answer(members, "m1").empty() && service.answer(first).empty());
   has(service.push_and_answer(plane.members(2), "m2"), "group 7 of team 'portal' has no member");
   const auto client = plane.stage.client();
@@ -292,17 +375,23 @@
   plane.stage.check_rules();
 }
 
-// The service goes away in every way: each time it is noticed, what runs goes on, and it is found again.
+// The service goes away in every way: each time it is noticed, what runs goes on, and it is found
+// again.
 void lost(const Protocol& protocol) {
   Plane plane(protocol);
   Service service;
   Cable cable(service.address());
   plane.start({cable.address()});
   Load load(plane.stage, 4);
-  load.until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  load.until(
+      [&] {
+        return service.heard().size() >= 3;
+      },
+      "the subscriptions");
   CHECK(service.push_and_answer(plane.contracts(1), "c1").empty());
   std::uint64_t generation = 1;
-  // In the midst of a frame's head, of a message's head, of a message, and right between two types of a change.
+  // In the midst of a frame's head, of a message's head, of a message, and right between two types
+  // of a change.
   for (const std::size_t bytes : {4, 11, 40, 400}) {
     const int streams = service.streams();
     cable.cut_after(bytes);
@@ -310,28 +399,48 @@
     half.mutable_team(0)->mutable_class_(0)->set_tries(3);
     service.push(half, "half");
     service.push(plane.members(generation), "half");
-    load.until([&] { return service.streams() > streams; }, "a new stream");
-    load.until([&] { return service.heard().back().nonce.empty() || service.streaming(); },
-               "it to subscribe");
+    load.until(
+        [&] {
+          return service.streams() > streams;
+        },
+        "a new stream");
+    load.until(
+        [&] {
+          return service.heard().back().nonce.empty() || service.streaming();
+        },
+        "it to subscribe");
     load.more(20);
     CHECK(service.push_and_answer(plane.contracts(++generation), "whole").empty());
   }
   // By silence: asked, and lost; then by status, and by going away.
   int streams = service.streams();
   cable.silence(true);
-  load.until([&] { return plane.told("it is silent, also when asked"); }, "the silence to be noticed");
+  load.until(
+      [&] {
+        return plane.told("it is silent, also when asked");
+      },
+      "the silence to be noticed");
   cable.silence(false);
-  load.until([&] { return service.streams() > streams; }, "a new stream");
+  load.until(
+      [&] {
+        return service.streams() > streams;
+      },
+      "a new stream");
   CHECK(service.push_and_answer(plane.contracts(++generation), "again").empty());
   CHECK(plane.told("found again"));
   streams = service.streams();
   service.end(14, "maintenance");
-  load.until([&] { return service.streams() > streams; }, "a new stream");
+  load.until(
+      [&] {
+        return service.streams() > streams;
+      },
+      "a new stream");
   CHECK(plane.told("it ended the call with status"));
   service.go_away();
   load.until(
       [&] {
-        return plane.told("Connection reset") || plane.told("closed by the peer") || plane.told("goes away");
+        return plane.told("Connection reset") || plane.told("closed by the peer") ||
+               plane.told("goes away");
       },
       "the end to be noticed");
   load.more(50);
@@ -346,11 +455,19 @@
   auto ahead = std::make_unique<Service>();
   Service behind;
   plane.start({ahead->address(), behind.address()});
-  until([&] { return ahead->heard().size() >= 3; }, "the subscriptions");
+  until(
+      [&] {
+        return ahead->heard().size() >= 3;
+      },
+      "the subscriptions");
   CHECK(ahead->push_and_answer(plane.contracts(9), "c9").empty());
   ahead->go_away();
-  until([&] { return behind.heard().size() >= 3 && behind.streaming(); }, "the other address");
-  CHECK(behind.heard()[0].version == "c9"); // it is told what runs
+  until(
+      [&] {
+        return behind.heard().size() >= 3 && behind.streaming();
+      },
+      "the other address");
+  CHECK(behind.heard()[0].version == "c9");  // it is told what runs
   has(behind.push_and_answer(plane.contracts(8, {"save"}), "c8"), "generation 8 is older than 9");
   const auto client = plane.stage.client();
   CHECK(client->answer_to(read("fine")) == Final::Served);
@@ -363,9 +480,12 @@
   const std::string start = settings_frame() + grpc_headers_frame();
   const std::string ping = frame(6, 0, 0, "12345678"), settings = frame(4, 0, 0, "");
   std::string pings, many_settings, headers = std::string("\x88", 1);
-  for (int i = 0; i < 3000; ++i) pings += ping, many_settings += settings;
-  for (int i = 0; i < 50; ++i) // literals without indexing, 300 bytes each
-    headers += std::string("\x00\x03", 2) + "abc" + std::string("\x7f\xad\x01", 3) + std::string(300, 'v');
+  for (int i = 0; i < 3000; ++i)
+    pings += ping, many_settings += settings;
+  for (int i = 0; i < 50; ++i)  // literals without indexing, 300 bytes each
+    headers +=
+        std::string("\x00\x03", 2) + "abc" + std::string("\x7f\xad\x01", 3) + std::string(300, 'v');
+
   const struct {
     std::string bytes;
     const char* words;
@@ -382,12 +502,17 @@
       {std::string(20000, '\xff'), "lost: "},
       {settings_frame() + frame(0, 0, 3, "nobody's"), "broke the rules"},
   };
+
   for (const auto& s : scripts) {
     Plane plane(protocol, 2);
     Script script(s.bytes);
     plane.start({script.address()});
     Load load(plane.stage, 2);
-    load.until([&] { return script.connections() >= 2 && plane.told(s.words); }, s.words);
+    load.until(
+        [&] {
+          return script.connections() >= 2 && plane.told(s.words);
+        },
+        s.words);
     load.more(10);
     CHECK(load.finals.size() == 1 && load.finals.count(Final::Served));
     load.rest();
@@ -395,8 +520,8 @@
   }
 }
 
-// What was accepted rests on disk: a gateway that finds no service serves from it; a damaged, newer or unfit file is
-// told of and passed over; a folder that is gone does not hold up serving.
+// What was accepted rests on disk: a gateway that finds no service serves from it; a damaged, newer
+// or unfit file is told of and passed over; a folder that is gone does not hold up serving.
 void rests_on_disk(const Protocol& protocol) {
   const std::string folder = temporary_folder(), file = folder + "/last-good";
   const std::string state = "state_folder: '" + folder + "'\n";
@@ -404,9 +529,17 @@
     Plane plane(protocol);
     Service service;
     plane.start({service.address()}, state);
-    until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+    until(
+        [&] {
+          return service.heard().size() >= 3;
+        },
+        "the subscriptions");
     CHECK(service.push_and_answer(plane.contracts(3, {"save"}), "c3").empty());
-    until([&] { return access(file.c_str(), F_OK) == 0; }, "the file");
+    until(
+        [&] {
+          return access(file.c_str(), F_OK) == 0;
+        },
+        "the file");
     std::string output;
     CHECK(run_program({"config", "show", "--state", folder}, output) == 0);
     has(output, "# contracts: version c3, generation 3 (newest 3), from 127.0.0.1:");
@@ -415,16 +548,23 @@
   const auto serves = [&](Final reads, const char* words) {
     Plane plane(protocol);
     plane.start({"127.0.0.1:9"}, state);
-    until([&] { return plane.told(words); }, words);
+    until(
+        [&] {
+          return plane.told(words);
+        },
+        words);
     const auto client = plane.stage.client();
     CHECK(client->answer_to(read("one")) == reads);
     plane.stage.check_rules();
   };
-  serves(Final::Failed, "serving from the last good version: contracts version c3"); // its team may only save
+  serves(Final::Failed,
+         "serving from the last good version: contracts version c3");  // its team may only save
   std::string why;
   const auto good = gorsebeam::state::load(folder, why);
   CHECK(good);
-  const auto put = [&](const std::string& bytes) { std::ofstream(file, std::ios::binary) << bytes; };
+  const auto put = [&](const std::string& bytes) {
+    std::ofstream(file, std::ios::binary) << bytes;
+  };
   const std::string bytes = gorsebeam::state::packed(*good);
   put(bytes.substr(0, bytes.size() - 3));
   serves(Final::Served, "passed over: ");
@@ -441,20 +581,29 @@
   put(gorsebeam::state::packed(unfit));
   serves(Final::Served, "it does not fit here any more");
   unlink(file.c_str());
-  unlink((file + ".new").c_str());   // of a program that was killed as it wrote
-  CHECK(rmdir(folder.c_str()) == 0); // and the folder is gone: told, and serving goes on
+  unlink((file + ".new").c_str());    // of a program that was killed as it wrote
+  CHECK(rmdir(folder.c_str()) == 0);  // and the folder is gone: told, and serving goes on
   Plane plane(protocol);
   Service service;
   plane.start({service.address()}, state);
-  until([&] { return service.heard().size() >= 3; }, "the subscriptions");
+  until(
+      [&] {
+        return service.heard().size() >= 3;
+      },
+      "the subscriptions");
   CHECK(service.push_and_answer(plane.contracts(1), "c1").empty());
-  until([&] { return plane.told("state: the last good version could not be kept: "); }, "the complaint");
+  until(
+      [&] {
+        return plane.told("state: the last good version could not be kept: ");
+      },
+      "the complaint");
   const auto client = plane.stage.client();
   CHECK(client->answer_to(read("one")) == Final::Served);
   plane.stage.check_rules();
 }
 
-// The second front moves while a request is open on it; the log becomes JSON; turning the front off is turned down.
+// The second front moves while a request is open on it; the log becomes JSON; turning the front off
+// is turned down.
 void moves(const Protocol& protocol) {
   Stage stage(protocol, 2, 0);
   stage.start();
@@ -462,7 +611,11 @@
   CHECK(old->answer_to(read("one")) == Final::Served);
   stage.script = {Fault::Silent};
   old->ask(read("open", 900));
-  until([&] { return stage.attempts.back().ask.id == "open"; }, "it to go out");
+  until(
+      [&] {
+        return stage.attempts.back().ask.id == "open";
+      },
+      "it to go out");
   stage.listen = "127.0.0.2";
   stage.write_file("");
   stage.write_inventory();
@@ -471,7 +624,7 @@
   const auto fresh = stage.client();
   CHECK(fresh->answer_to(read("two")) == Final::Served);
   CHECK(old->answer() == Final::Refused);
-  CHECK(old->answer_to(read("three")) == Final::Served); // connections stay where they are
+  CHECK(old->answer_to(read("three")) == Final::Served);  // connections stay where they are
   stage.write_file("log { format: JSON }");
   stage.signal(SIGHUP);
   until(
@@ -489,20 +642,23 @@
   Stage stage(protocol, 2, 0, "state_folder: '" + folder + "'\n");
   stage.start();
   const auto client = stage.client();
-  for (int i = 0; i < 10; ++i) CHECK(client->answer_to(read("r" + std::to_string(i))) == Final::Served);
+  for (int i = 0; i < 10; ++i)
+    CHECK(client->answer_to(read("r" + std::to_string(i))) == Final::Served);
   stage.write_inventory();
   CHECK(client->answer_to(read("last")) == Final::Served);
-  CHECK(stage.log.find("control") == std::string::npos && stage.log.find("state:") == std::string::npos);
-  CHECK(rmdir(folder.c_str()) == 0); // empty
+  CHECK(stage.log.find("control") == std::string::npos &&
+        stage.log.find("state:") == std::string::npos);
+  CHECK(rmdir(folder.c_str()) == 0);  // empty
   stage.check_rules();
 }
 
-} // namespace
+}  // namespace
 
 int main(int, char** arguments) {
   const std::map<std::string, void (*)(const Protocol&)> stories{
-      {"versions", versions}, {"together", together},           {"lost", lost}, {"lagging", lagging},
-      {"lies", lies},         {"rests_on_disk", rests_on_disk}, {"off", off},   {"moves", moves}};
+      {"versions", versions}, {"together", together}, {"lost", lost},
+      {"lagging", lagging},   {"lies", lies},         {"rests_on_disk", rests_on_disk},
+      {"off", off},           {"moves", moves}};
   const auto story = stories.find(arguments[1]);
   CHECK(story != stories.end());
   story->second(std::strcmp(arguments[2], "mongo") == 0 ? mongo() : postgres());
--- a/tests/stories/stage.cpp
+++ b/tests/stories/stage.cpp
@@ -21,18 +21,21 @@
 using gorsebeam::net::Stream;
 
 namespace {
-Stage* on_stage = nullptr; // whose program must not outlive a story that fails
+Stage* on_stage = nullptr;  // whose program must not outlive a story that fails
 
 void clear_stage() {
-  if (!on_stage) return;
+  if (!on_stage)
+    return;
   on_stage->signal(SIGKILL);
   std::fprintf(stderr, "the program's log:\n%s", on_stage->log.c_str());
 }
-} // namespace
+}  // namespace
 
 void until(const std::function<bool()>& condition, const char* what) {
   const gint64 end = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
-  gorsebeam::net::Timer tick([&tick] { tick.after(5'000'000); });
+  gorsebeam::net::Timer tick([&tick] {
+    tick.after(5'000'000);
+  });
   tick.after(5'000'000);
   while (!condition()) {
     if (g_get_monotonic_time() > end) {
@@ -45,7 +48,11 @@
 
 void pass(int ms) {
   const gint64 end = g_get_monotonic_time() + ms * 1000;
-  until([end] { return g_get_monotonic_time() >= end; }, "time to pass");
+  until(
+      [end] {
+        return g_get_monotonic_time() >= end;
+      },
+      "time to pass");
 }
 
 // ---- members
@@ -53,11 +60,12 @@
 struct Member::Link : Stream::Events {
   Link(Member& member, SocketHandle socket)
       : member(member), stream(Stream::adopt(std::move(socket), *this)) {}
+
   Member& member;
   std::shared_ptr<Stream> stream;
-  std::string input, greeting; // greeting: held
+  std::string input, greeting;  // greeting: held
   bool greeted = false;
-  std::size_t attempt = 0; // 1 + its place among the stage's; 0: none out
+  std::size_t attempt = 0;  // 1 + its place among the stage's; 0: none out
   gint64 used_at = g_get_monotonic_time();
 
   void received() override {
@@ -72,12 +80,17 @@
     for (;;) {
       std::optional<Ask> ask;
       std::string reply;
-      if (!stage.protocol.member_message(input, member.standing, ask, reply)) return;
-      if (ask) reply = serve(*ask);
+      if (!stage.protocol.member_message(input, member.standing, ask, reply))
+        return;
+      if (ask)
+        reply = serve(*ask);
       member.probes += !ask && greeted;
-      if (!std::exchange(greeted, true) && member.holds_greetings) greeting = std::exchange(reply, "");
-      if (!stream->open()) return;
-      if (!reply.empty()) stream->write({reply});
+      if (!std::exchange(greeted, true) && member.holds_greetings)
+        greeting = std::exchange(reply, "");
+      if (!stream->open())
+        return;
+      if (!reply.empty())
+        stream->write({reply});
       used_at = g_get_monotonic_time();
     }
   }
@@ -85,33 +98,40 @@
   std::string serve(const Ask& ask) {
     Stage& stage = member.stage_;
     ++member.requests;
-    for (const Stage::Attempt& a : stage.attempts) CHECK(a.ask.id != ask.id || !a.out); // never two at once
+    for (const Stage::Attempt& a : stage.attempts)
+      CHECK(a.ask.id != ask.id || !a.out);  // never two at once
     stage.attempts.push_back({ask, &member, true, false});
     attempt = stage.attempts.size();
     Fault fault = Fault::Serve;
     if (ask.write && !member.standing.primary)
-      fault = Fault::Miss; // no write is taken but by the primary, whatever the script says
+      fault = Fault::Miss;  // no write is taken but by the primary, whatever the script says
     else if (!stage.script.empty())
       fault = stage.script.front(), stage.script.pop_front();
     stage.attempts.back().may_have_run = fault != Fault::Miss && fault != Fault::Full;
-    if (fault == Fault::Silent) return "";
+    if (fault == Fault::Silent)
+      return "";
     over();
-    if (fault == Fault::Reset) return stream->close(), "";
+    if (fault == Fault::Reset)
+      return stream->close(), "";
     std::string value = "by " + member.name;
     value.resize(std::max(value.size(), member.value_bytes), '.');
     return stage.protocol.member_answer(fault, member.standing, value);
   }
 
   void over() {
-    if (attempt) member.stage_.attempts[attempt - 1].out = false;
+    if (attempt)
+      member.stage_.attempts[attempt - 1].out = false;
     attempt = 0;
   }
+
   void ended(const std::string&) override { over(); }
 };
 
 Member::Member(Stage& stage, std::string name, bool listed_primary, bool primary)
     : name(std::move(name)), listed_primary(listed_primary), standing{primary}, stage_(stage),
-      listener_([this](SocketHandle socket) { accept(std::move(socket)); }) {
+      listener_([this](SocketHandle socket) {
+        accept(std::move(socket));
+      }) {
   std::string why;
   CHECK(listener_.listen("127.0.0.1:0", why));
   address = listener_.address();
@@ -123,13 +143,15 @@
 
 int Member::connections() const {
   int open = 0;
-  for (const auto& link : links_) open += link->stream->open();
+  for (const auto& link : links_)
+    open += link->stream->open();
   return open;
 }
 
 std::size_t Member::greetings_held() const {
   std::size_t held = 0;
-  for (const auto& link : links_) held += link->stream->open() && !link->greeting.empty();
+  for (const auto& link : links_)
+    held += link->stream->open() && !link->greeting.empty();
   return held;
 }
 
@@ -142,11 +164,13 @@
 
 void Member::say(const std::string& bytes) {
   for (const auto& link : links_)
-    if (link->stream->open()) link->stream->write({bytes});
+    if (link->stream->open())
+      link->stream->write({bytes});
 }
 
 void Member::drop_connections() {
-  for (const auto& link : links_) link->stream->close(), link->over();
+  for (const auto& link : links_)
+    link->stream->close(), link->over();
 }
 
 void Member::die() {
@@ -174,7 +198,11 @@
 }
 
 Final Client::answer() {
-  until([this] { return !answers.empty(); }, "an answer");
+  until(
+      [this] {
+        return !answers.empty();
+      },
+      "an answer");
   const Final final = answers.front();
   answers.pop_front();
   return final;
@@ -205,23 +233,29 @@
 }
 
 std::string Agent::text(const Stage& stage, int revision) {
-  std::string text = "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
+  std::string text =
+      "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
   for (const auto& m : stage.members)
     text += std::string(m == stage.members[0] ? "" : ",") + "{\"id\":\"s-0000000" + m->name.back() +
             "\",\"host_port\":\"" + m->address + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" +
-            (m->state == "up" ? "ready" : m->state) + "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
+            (m->state == "up" ? "ready" : m->state) +
+            "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
             (m->listed_primary ? "master" : "replica") + "\"}";
   return text + "]}\n";
 }
 
 void Agent::list(const Stage& stage, int revision) {
   const std::string line = text(stage, revision);
-  send(line.substr(0, 40)); // a line may come in pieces
+  send(line.substr(0, 40));  // a line may come in pieces
   send(line.substr(40));
 }
 
 void Agent::call() {
-  until([this] { return asked.find("\r\n\r\n") != std::string::npos; }, "the watch");
+  until(
+      [this] {
+        return asked.find("\r\n\r\n") != std::string::npos;
+      },
+      "the watch");
 }
 
 void Agent::welcome() {
@@ -243,20 +277,21 @@
   return name;
 }
 
-std::string write_config(const std::string& folder, const std::string& discovery, const Site& site) {
+std::string write_config(const std::string& folder, const std::string& discovery,
+                         const Site& site) {
   const std::string path = folder + "/config.json";
   const auto service = [&site](const char* name, const char* effect) {
     return std::string(R"({"name":")") + name + R"(","aim":)" + std::to_string(site.aim_ms) +
-           R"(000000,"give_up":)" + std::to_string(site.aim_ms + 1000) + R"(000000,"effect":")" + effect +
-           R"(","group":"cell","window":)" + std::to_string(site.window_ms) +
+           R"(000000,"give_up":)" + std::to_string(site.aim_ms + 1000) + R"(000000,"effect":")" +
+           effect + R"(","group":"cell","window":)" + std::to_string(site.window_ms) +
            R"(000000,"worth":1,"late_worth":0})";
   };
   std::ofstream(path)
       << R"({"name":"n0","listen":")" << site.listen << R"(","discovery":")" << discovery
       << R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":192,"sockets":400},)"
       << R"("known":{"revision":0,"complete":true,"members":[]},"settings":{"classes":[)"
-      << service("any", "free") << ',' << service("session", "free") << ',' << service("save", "guarded")
-      << ',' << service("once", "single_shot")
+      << service("any", "free") << ',' << service("session", "free") << ','
+      << service("save", "guarded") << ',' << service("once", "single_shot")
       << R"(],"extra":{"read_level":["eventual","causal","mutate","mutate"],"lag_allowed":[0,0,0,0],)"
       << R"("list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
       << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << site.dial_ms
@@ -266,10 +301,12 @@
   return path;
 }
 
-Stage::Stage(const Protocol& protocol, std::size_t count, std::size_t primary, const std::string& more)
+Stage::Stage(const Protocol& protocol, std::size_t count, std::size_t primary,
+             const std::string& more)
     : protocol(protocol), folder_(temporary_folder()) {
   for (std::size_t i = 0; i < count; ++i)
-    members.push_back(std::make_unique<Member>(*this, "m" + std::to_string(i), i == 0, i == primary));
+    members.push_back(
+        std::make_unique<Member>(*this, "m" + std::to_string(i), i == 0, i == primary));
   write_file(more);
   write_config(folder_, "127.0.0.1:9");
   write_inventory();
@@ -289,15 +326,19 @@
     file << "name,address,group,role,state\n";
     for (const auto& m : members)
       if (m->state != "gone")
-        file << m->name << ',' << m->address << ",0," << (m->listed_primary ? "primary" : "replica") << ','
-             << m->state << '\n';
+        file << m->name << ',' << m->address << ",0," << (m->listed_primary ? "primary" : "replica")
+             << ',' << m->state << '\n';
   }
-  if (!pid_) return;
+  if (!pid_)
+    return;
   take_log();
   const std::size_t before = log.size();
   signal(SIGHUP);
-  until([&] { return take_log(), log.find("reload: read again", before) != std::string::npos; },
-        "the inventory");
+  until(
+      [&] {
+        return take_log(), log.find("reload: read again", before) != std::string::npos;
+      },
+      "the inventory");
 }
 
 void Stage::set_site(const Site& site) {
@@ -315,22 +356,27 @@
   take_log();
   const std::size_t before = log.size();
   signal(SIGHUP);
-  until([&] { return take_log(), log.find(told, before) != std::string::npos; },
-        "the files to be read again");
+  until(
+      [&] {
+        return take_log(), log.find(told, before) != std::string::npos;
+      },
+      "the files to be read again");
 }
 
 void Stage::start() {
   CHECK(!pid_ || exited_);
-  if (log_fd_ >= 0) close(log_fd_);
+  if (log_fd_ >= 0)
+    close(log_fd_);
   log.clear(), exited_ = false;
   const std::string config = folder_ + "/config.json", file = folder_ + "/gateway.textproto";
   const char* arguments[] = {GORSEBEAM_PROGRAM, "serve",      "--config", config.c_str(),
                              "--file",          file.c_str(), nullptr};
   CHECK(g_spawn_async_with_pipes(
       nullptr, const_cast<gchar**>(arguments), nullptr,
-      static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr, nullptr,
-      &pid_, nullptr, nullptr, &log_fd_, nullptr));
-  if (!std::exchange(on_stage, this)) std::atexit(clear_stage);
+      static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr,
+      nullptr, &pid_, nullptr, nullptr, &log_fd_, nullptr));
+  if (!std::exchange(on_stage, this))
+    std::atexit(clear_stage);
   g_unix_set_fd_nonblocking(log_fd_, TRUE, nullptr);
   g_child_watch_add(
       pid_,
@@ -340,8 +386,13 @@
       },
       this);
   const std::string mark = &protocol == &mongo() ? "MongoDB on " : "PostgreSQL on ";
-  until([&] { return take_log(), exited_ || log.find(mark) != std::string::npos; }, "the program to listen");
-  if (exited_) std::fprintf(stderr, "%s", log.c_str());
+  until(
+      [&] {
+        return take_log(), exited_ || log.find(mark) != std::string::npos;
+      },
+      "the program to listen");
+  if (exited_)
+    std::fprintf(stderr, "%s", log.c_str());
   CHECK(!exited_);
   take_address();
 }
@@ -353,7 +404,11 @@
 }
 
 void Stage::await_log(const std::string& text, std::size_t from) {
-  until([&] { return take_log(), log.find(text, from) != std::string::npos; }, text.c_str());
+  until(
+      [&] {
+        return take_log(), log.find(text, from) != std::string::npos;
+      },
+      text.c_str());
 }
 
 void Stage::take_log() {
@@ -362,7 +417,9 @@
     log.append(buffer, static_cast<std::size_t>(got));
 }
 
-std::unique_ptr<Client> Stage::stranger() { return std::make_unique<Client>(*this, address_); }
+std::unique_ptr<Client> Stage::stranger() {
+  return std::make_unique<Client>(*this, address_);
+}
 
 std::unique_ptr<Client> Stage::client() {
   auto client = stranger();
@@ -372,7 +429,8 @@
 
 void Stage::signal(int number) {
   take_log();
-  if (!exited_) kill(pid_, number);
+  if (!exited_)
+    kill(pid_, number);
 }
 
 void Stage::freeze() {
@@ -393,22 +451,28 @@
 }
 
 int Stage::exit_code() {
-  until([this] { return take_log(), exited_; }, "the program's end");
+  until(
+      [this] {
+        return take_log(), exited_;
+      },
+      "the program's end");
   return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
 }
 
-// One final answer for each request; no attempt beside another (checked as they come); a write's key always the same
-// and never without need; no more attempts than the site allows.
+// One final answer for each request; no attempt beside another (checked as they come); a write's
+// key always the same and never without need; no more attempts than the site allows.
 void Stage::check_rules() {
   int questions = 0;
-  for (const auto& [id, times] : asked) questions += times;
+  for (const auto& [id, times] : asked)
+    questions += times;
   CHECK(answered == questions);
   std::map<std::string, std::vector<const Attempt*>> by_id;
-  for (const Attempt& a : attempts) by_id[a.ask.id].push_back(&a);
+  for (const Attempt& a : attempts)
+    by_id[a.ask.id].push_back(&a);
   for (const auto& [id, list] : by_id) {
     CHECK(asked.count(id));
     CHECK(list.size() <= 6);
-    for (const Attempt* a : list) // what may not be repeated is not, once it may have run
+    for (const Attempt* a : list)  // what may not be repeated is not, once it may have run
       CHECK(a->ask.service_class != "once" || a == list.back() || !a->may_have_run);
     for (const Attempt* a : list)
       CHECK(a->ask.key == list.front()->ask.key && a->ask.write == list.front()->ask.write);
@@ -420,25 +484,37 @@
   take_log();
   if (pid_ && !exited_) {
     kill(pid_, SIGKILL);
-    until([this] { return exited_; }, "the program's end");
+    until(
+        [this] {
+          return exited_;
+        },
+        "the program's end");
   }
-  if (log_fd_ >= 0) close(log_fd_);
+  if (log_fd_ >= 0)
+    close(log_fd_);
   for (const char* name : {"/config.json", "/gateway.textproto", "/members.csv"})
     unlink((folder_ + name).c_str());
   rmdir(folder_.c_str());
 }
 
-Ask read(const std::string& id, int wait_ms) { return {id, "any", "", wait_ms, false}; }
-Ask save(const std::string& id) { return {id, "save", "key-" + id, 2500, true}; }
+Ask read(const std::string& id, int wait_ms) {
+  return {id, "any", "", wait_ms, false};
+}
+
+Ask save(const std::string& id) {
+  return {id, "save", "key-" + id, 2500, true};
+}
 
 int attempts_of(const Stage& stage, const std::string& id) {
   int count = 0;
-  for (const auto& a : stage.attempts) count += a.ask.id == id;
+  for (const auto& a : stage.attempts)
+    count += a.ask.id == id;
   return count;
 }
 
 void reads_served(Client& client, const std::string& name, int count) {
-  for (int i = 0; i < count; ++i) CHECK(client.answer_to(read(name + std::to_string(i))) == Final::Served);
+  for (int i = 0; i < count; ++i)
+    CHECK(client.answer_to(read(name + std::to_string(i))) == Final::Served);
 }
 
 void finish(Stage& stage) {
@@ -448,15 +524,16 @@
 
 int run_program(const std::vector<std::string>& arguments, std::string& output) {
   std::vector<const char*> list{GORSEBEAM_PROGRAM};
-  for (const std::string& a : arguments) list.push_back(a.c_str());
+  for (const std::string& a : arguments)
+    list.push_back(a.c_str());
   list.push_back(nullptr);
   gchar *text = nullptr, *errors = nullptr;
   gint status = 0;
-  CHECK(g_spawn_sync(nullptr, const_cast<gchar**>(list.data()), nullptr, G_SPAWN_DEFAULT, nullptr, nullptr,
-                     &text, &errors, &status, nullptr));
+  CHECK(g_spawn_sync(nullptr, const_cast<gchar**>(list.data()), nullptr, G_SPAWN_DEFAULT, nullptr,
+                     nullptr, &text, &errors, &status, nullptr));
   output = std::string(errors) + text;
   g_free(text), g_free(errors);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-} // namespace stage
+}  // namespace stage
--- a/tests/timer_test.cpp
+++ b/tests/timer_test.cpp
@@ -24,19 +24,30 @@
   Timer other([] {});
   Timer timer([&] {
     other.after(60'000 * kMs);
-    if (++fired < 50) timer.after(2 * kMs);
+    if (++fired < 50)
+      timer.after(2 * kMs);
   });
   timer.after(2 * kMs);
-  while (fired < 50) g_main_context_iteration(nullptr, TRUE);
+  while (fired < 50)
+    g_main_context_iteration(nullptr, TRUE);
   g_main_context_set_poll_func(nullptr, nullptr);
   EXPECT_LE(waits, 60) << "one for each firing, and a few";
 }
 
 TEST(Timer, OneSetWhileTimersFireHasItsTurnInTheNextRound) {
   std::string order;
-  Timer third([&] { order += 'c'; }), stopped([&] { order += 'x'; });
-  Timer first([&] { order += 'a', stopped.stop(), third.after(-1); });
-  Timer second([&] { order += 'b'; });
+  Timer third([&] {
+    order += 'c';
+  }),
+      stopped([&] {
+        order += 'x';
+      });
+  Timer first([&] {
+    order += 'a', stopped.stop(), third.after(-1);
+  });
+  Timer second([&] {
+    order += 'b';
+  });
   first.after(-1), second.after(-1), stopped.after(-1);
   g_main_context_iteration(nullptr, TRUE);
   EXPECT_EQ(order, "ab");
@@ -44,4 +55,4 @@
   EXPECT_EQ(order, "abc");
 }
 
-} // namespace
+}  // namespace
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -7,21 +7,29 @@
 
 namespace gorsebeam::versions {
 namespace {
-using Ran = versions::Run; // the tests' base has a Run of its own
+using Ran = versions::Run;  // the tests' base has a Run of its own
 constexpr Nanos ms = 1'000'000;
 
 // A body is a number; contracts fit where the number that they refer to is at most the members'.
-Body body(int value) { return std::make_shared<const int>(value); }
-int value(const Body& body) { return *static_cast<const int*>(body.get()); }
+Body body(int value) {
+  return std::make_shared<const int>(value);
+}
+
+int value(const Body& body) {
+  return *static_cast<const int*>(body.get());
+}
+
 std::optional<Misfit> fits(const Bodies& bodies) {
-  if (value(bodies[0]) <= value(bodies[1])) return std::nullopt;
+  if (value(bodies[0]) <= value(bodies[1]))
+    return std::nullopt;
   return Misfit{"group " + std::to_string(value(bodies[0])) + " has no member", true};
 }
 
 std::array<Version, kTypes> from_file(int contracts = 0, int members = 0) {
   std::array<Version, kTypes> file;
   const int values[] = {contracts, members, 0};
-  for (std::size_t i = 0; i < kTypes; ++i) file[i].body = body(values[i]), file[i].print = 1000 + values[i];
+  for (std::size_t i = 0; i < kTypes; ++i)
+    file[i].body = body(values[i]), file[i].print = 1000 + values[i];
   return file;
 }
 
@@ -42,42 +50,53 @@
   Nanos now = 1000 * ms;
 
   explicit Bench(std::size_t addresses = 2) {
-    for (std::size_t i = 0; i < addresses; ++i) settings.addresses.push_back("a" + std::to_string(i));
+    for (std::size_t i = 0; i < addresses; ++i)
+      settings.addresses.push_back("a" + std::to_string(i));
     machine = std::make_unique<Machine>(settings, fits);
     machine->file_at_start(from_file());
   }
+
   void begin() { machine->begin(now, actions); }
+
   void up() {
     begin();
     machine->connected(now, actions);
     actions.clear();
   }
-  template <typename A> std::vector<A> take() {
+
+  template <typename A>
+  std::vector<A> take() {
     std::vector<A> found;
     for (const Action& action : actions)
-      if (const auto* a = std::get_if<A>(&action)) found.push_back(*a);
+      if (const auto* a = std::get_if<A>(&action))
+        found.push_back(*a);
     actions.clear();
     return found;
   }
+
   // The one answer to an offer: empty where it was accepted, "?" where there was none.
   std::string answer(const Offer& o) {
     machine->offered(now, o, actions);
     return answer_to(o);
   }
+
   std::string answer_to(const Offer& o) {
     std::string text = "?";
     for (const Action& action : actions) {
       const auto* ask = std::get_if<Ask>(&action);
-      if (!ask || ask->nonce != o.nonce) continue;
+      if (!ask || ask->nonce != o.nonce)
+        continue;
       EXPECT_EQ(text, "?");
       text = ask->error;
     }
     return text;
   }
+
   void pass(Nanos time) {
     now += time;
     machine->tick(now, actions);
   }
+
   int runs(Type type) const { return value(machine->kept(type).running.body); }
 };
 
@@ -87,9 +106,10 @@
   EXPECT_EQ(b.answer(offer(Type::Limits, 0, 1)), "it has no generation; number changes from 1");
   EXPECT_EQ(b.answer(offer(Type::Limits, 5, 1)), "");
   EXPECT_EQ(b.answer(offer(Type::Limits, 7, 2)), "");
-  EXPECT_EQ(b.answer(offer(Type::Limits, 7, 2)), ""); // the same again, as after a reconnect
+  EXPECT_EQ(b.answer(offer(Type::Limits, 7, 2)), "");  // the same again, as after a reconnect
   EXPECT_EQ(b.answer(offer(Type::Limits, 7, 3)), "generation 7 came before with other content");
-  EXPECT_EQ(b.answer(offer(Type::Limits, 5, 1)), "generation 5 is older than 7, the newest accepted");
+  EXPECT_EQ(b.answer(offer(Type::Limits, 5, 1)),
+            "generation 5 is older than 7, the newest accepted");
   EXPECT_EQ(b.answer(offer(Type::Limits, 5, 1, 6)),
             "it rolls back generation 6, but 7 is the newest accepted");
   EXPECT_EQ(b.runs(Type::Limits), 2);
@@ -97,7 +117,8 @@
   EXPECT_EQ(b.machine->kept(Type::Limits).newest, 7u);
   // An address that lags goes on offering what was taken back.
   EXPECT_EQ(b.answer(offer(Type::Limits, 7, 2)), "generation 7 was rolled back");
-  EXPECT_EQ(b.answer(offer(Type::Limits, 6, 4)), "generation 6 is older than 7, the newest accepted");
+  EXPECT_EQ(b.answer(offer(Type::Limits, 6, 4)),
+            "generation 6 is older than 7, the newest accepted");
   EXPECT_EQ(b.answer(offer(Type::Limits, 5, 1)), "");
   EXPECT_EQ(b.answer(offer(Type::Limits, 8, 4)), "");
   b.pass(50 * ms);
@@ -108,7 +129,7 @@
   Bench b;
   b.up();
   const Offer contracts = offer(Type::Contracts, 1, 3), members = offer(Type::Members, 1, 3);
-  EXPECT_EQ(b.answer(contracts), "?"); // waits for the members that it names
+  EXPECT_EQ(b.answer(contracts), "?");  // waits for the members that it names
   EXPECT_TRUE(b.take<Ran>().empty());
   b.machine->offered(b.now, members, b.actions);
   EXPECT_EQ(b.answer_to(contracts), "");
@@ -159,7 +180,7 @@
   }
   b.pass(50 * ms);
   const std::vector<Ran> runs = b.take<Ran>();
-  EXPECT_LE(runs.size(), 22u); // a second, at 50 ms apart
+  EXPECT_LE(runs.size(), 22u);  // a second, at 50 ms apart
   EXPECT_EQ(value(runs.back().bodies[2]), 200);
 }
 
@@ -168,7 +189,7 @@
   b.begin();
   EXPECT_EQ(b.take<Dial>().at(0).address, "a0");
   b.pass(b.settings.dial_most);
-  EXPECT_EQ(b.take<HangUp>().size(), 1u); // never up
+  EXPECT_EQ(b.take<HangUp>().size(), 1u);  // never up
   EXPECT_LE(b.machine->due(), b.now + b.settings.reconnect_first);
   b.pass(b.machine->due() - b.now);
   EXPECT_EQ(b.take<Dial>().at(0).address, "a1");
@@ -176,7 +197,7 @@
   EXPECT_EQ(b.take<Ask>().size(), kTypes);
   b.pass(b.settings.silence);
   EXPECT_EQ(b.take<Ping>().size(), 1u);
-  b.machine->heard(b.now); // the answer to it
+  b.machine->heard(b.now);  // the answer to it
   b.pass(b.settings.silence);
   EXPECT_EQ(b.take<Ping>().size(), 1u);
   b.pass(b.settings.silence);
@@ -192,8 +213,8 @@
   for (int i = 0; i < 200; ++i) {
     b.machine->lost(b.now, "refused", b.actions);
     const Nanos wait = b.machine->due() - b.now;
-    EXPECT_LE(wait,
-              std::min<Nanos>(b.settings.reconnect_most, b.settings.reconnect_first << std::min(i, 20)));
+    EXPECT_LE(wait, std::min<Nanos>(b.settings.reconnect_most,
+                                    b.settings.reconnect_first << std::min(i, 20)));
     longest = std::max(longest, wait), drawn.insert(wait);
     b.pass(wait);
   }
@@ -210,7 +231,7 @@
   kept[0] = Kept{from_file(4)[0], 9};
   kept[0]->running.generation = 9, kept[0]->running.version = "v9", kept[0]->running.source = "a0";
   Bench alone;
-  EXPECT_EQ(alone.machine->stored(kept), "group 4 has no member"); // all or none
+  EXPECT_EQ(alone.machine->stored(kept), "group 4 has no member");  // all or none
   EXPECT_EQ(alone.runs(Type::Contracts), 0);
   Bench both;
   kept[1] = Kept{from_file(0, 4)[1], 2};
@@ -220,7 +241,8 @@
   EXPECT_EQ(value(both.take<Ran>().at(0).bodies[0]), 4);
   both.machine->connected(both.now, both.actions);
   EXPECT_EQ(both.take<Ask>().at(0).version, "v9");
-  EXPECT_EQ(both.answer(offer(Type::Contracts, 8, 1)), "generation 8 is older than 9, the newest accepted");
+  EXPECT_EQ(both.answer(offer(Type::Contracts, 8, 1)),
+            "generation 8 is older than 9, the newest accepted");
   // The file read again: what was pushed stays until the file's is numbered newer.
   auto file = from_file(1, 1);
   file[0].generation = 9;
@@ -246,10 +268,12 @@
 class Walk {
 public:
   std::size_t sequences = 0;
+
   void from(const std::vector<int>& path, std::size_t depth) {
     play(path);
     ++sequences;
-    if (path.size() == depth) return;
+    if (path.size() == depth)
+      return;
     for (int event = 0; event < kEvents; ++event) {
       std::vector<int> longer = path;
       longer.push_back(event);
@@ -263,53 +287,73 @@
   void play(const std::vector<int>& path) {
     Bench b(2);
     b.begin();
-    std::map<std::string, int> answers; // by nonce
-    std::set<std::string> open;         // offered on this stream, not yet answered
+    std::map<std::string, int> answers;  // by nonce
+    std::set<std::string> open;          // offered on this stream, not yet answered
     std::map<std::string, Offer> offers;
     std::array<std::uint64_t, kTypes> newest{};
     std::array<std::uint64_t, kTypes> running{};
     const auto check = [&] {
       for (const Action& action : b.actions) {
         if (const auto* ask = std::get_if<Ask>(&action)) {
-          if (ask->nonce.empty()) continue;
+          if (ask->nonce.empty())
+            continue;
           ASSERT_TRUE(open.count(ask->nonce)) << "an answer twice, or on another stream";
           open.erase(ask->nonce);
-          if (!ask->error.empty()) continue;
+          if (!ask->error.empty())
+            continue;
           const Offer& o = offers.at(ask->nonce);
           const auto t = static_cast<std::size_t>(*o.type);
           // Nothing older replaces newer without a rollback that names the newest.
-          ASSERT_TRUE(o.generation >= newest[t] || o.rolls_back >= newest[t] || o.generation == running[t]);
+          ASSERT_TRUE(o.generation >= newest[t] || o.rolls_back >= newest[t] ||
+                      o.generation == running[t]);
           newest[t] = std::max(newest[t], o.generation);
           running[t] = o.generation;
         }
         if (const auto* run = std::get_if<Ran>(&action)) {
-          ASSERT_FALSE(fits(run->bodies)); // whole, and fits together
+          ASSERT_FALSE(fits(run->bodies));  // whole, and fits together
         }
       }
       b.actions.clear();
-      ASSERT_FALSE(
-          fits({b.machine->kept(Type::Contracts).running.body, b.machine->kept(Type::Members).running.body,
-                b.machine->kept(Type::Limits).running.body}));
+      ASSERT_FALSE(fits({b.machine->kept(Type::Contracts).running.body,
+                         b.machine->kept(Type::Members).running.body,
+                         b.machine->kept(Type::Limits).running.body}));
       if (!b.machine->streaming()) {
         open.clear();
-        ASSERT_LE(b.machine->due(), b.now + b.settings.reconnect_most); // it comes back
+        ASSERT_LE(b.machine->due(), b.now + b.settings.reconnect_most);  // it comes back
       }
     };
     const auto give = [&](const Offer& o) {
-      if (b.machine->streaming()) open.insert(o.nonce), offers[o.nonce] = o;
+      if (b.machine->streaming())
+        open.insert(o.nonce), offers[o.nonce] = o;
       b.machine->offered(b.now, o, b.actions);
     };
     check();
     for (const int event : path) {
       switch (event) {
-      case 0: b.machine->connected(b.now, b.actions); break;
-      case 1: b.machine->lost(b.now, "reset", b.actions); break;
-      case 2: b.pass(std::max<Nanos>(0, std::min(b.machine->due(), b.now + 1000 * ms) - b.now)); break;
-      case 3: give(offer(Type::Contracts, 1, 1)); break;
-      case 4: give(offer(Type::Contracts, 2, 2)); break;
-      case 5: give(offer(Type::Contracts, 1, 1, 2)); break;
-      case 6: give(offer(Type::Members, 1, 1)); break;
-      case 7: give(offer(Type::Members, 2, 2)); break;
+      case 0:
+        b.machine->connected(b.now, b.actions);
+        break;
+      case 1:
+        b.machine->lost(b.now, "reset", b.actions);
+        break;
+      case 2:
+        b.pass(std::max<Nanos>(0, std::min(b.machine->due(), b.now + 1000 * ms) - b.now));
+        break;
+      case 3:
+        give(offer(Type::Contracts, 1, 1));
+        break;
+      case 4:
+        give(offer(Type::Contracts, 2, 2));
+        break;
+      case 5:
+        give(offer(Type::Contracts, 1, 1, 2));
+        break;
+      case 6:
+        give(offer(Type::Members, 1, 1));
+        break;
+      case 7:
+        give(offer(Type::Members, 2, 2));
+        break;
       default: {
         Offer bad = offer(Type::Members, 3, 0);
         bad.fault = "bad";
@@ -318,24 +362,27 @@
       }
       check();
       if (::testing::Test::HasFatalFailure()) {
-        for (const int e : path) std::printf("%d ", e);
+        for (const int e : path)
+          std::printf("%d ", e);
         return;
       }
     }
     // At the end all that a stream offered is answered once, if it lasts.
     for (int i = 0; i < 4 && b.machine->streaming(); ++i)
       b.machine->heard(b.now), b.pass(b.settings.hold), check();
-    if (b.machine->streaming()) { ASSERT_TRUE(open.empty()); }
+    if (b.machine->streaming()) {
+      ASSERT_TRUE(open.empty());
+    }
   }
 };
 
 TEST(Versions, AllSequencesOfEventsKeepTheInvariants) {
   Walk walk;
-  walk.from({0}, 6); // connected first: the rest is walked from there
+  walk.from({0}, 6);  // connected first: the rest is walked from there
   EXPECT_EQ(walk.sequences, 66430u);
   Walk early;
   early.from({}, 3);
 }
 
-} // namespace
-} // namespace gorsebeam::versions
+}  // namespace
+}  // namespace gorsebeam::versions
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -11,9 +11,10 @@
 
 Report report_of(const std::string& gauges) {
   const std::string column = std::string("\0\1gauges\0", 9) + std::string(18, '\0');
-  const std::string row = std::string("\0\1", 2) + u32(static_cast<std::uint32_t>(gauges.size())) + gauges;
-  const std::string in = message('T', column) + message('D', row) + message('C', std::string("SELECT 1\0", 9)) +
-                         message('Z', "I");
+  const std::string row =
+      std::string("\0\1", 2) + u32(static_cast<std::uint32_t>(gauges.size())) + gauges;
+  const std::string in = message('T', column) + message('D', row) +
+                         message('C', std::string("SELECT 1\0", 9)) + message('Z', "I");
   broker::Answer answer;
   std::size_t used = 0;
   EXPECT_EQ(make_wire()->answer(in, false, true, answer, used), upstream::Step::Done);
@@ -37,8 +38,9 @@
 TEST(Wire, AReportNotMadeYetTellsNothing) {
   const Report blank = report_of("x0=0.000,x1=0");
   EXPECT_FALSE(blank.position);
-  EXPECT_FALSE(blank.primary); // else each primary would be taken as replaced by every gateway that starts
+  EXPECT_FALSE(
+      blank.primary);  // else each primary would be taken as replaced by every gateway that starts
 }
 
-} // namespace
-} // namespace gorsebeam::postgres
+}  // namespace
+}  // namespace gorsebeam::postgres
