--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-using namespace stage;
+using namespace test_harness;
 using stand_in::Service;
 namespace pb = gorsebeam::config::v1;
 
--- a/bench/grpc_idle.cpp
+++ b/bench/grpc_idle.cpp
@@ -54,7 +54,7 @@
     message.ParseFromString(request);
     if (!stream->Write(message))
       return 1;
-    stage::pass(1000);
+    test_harness::pass(1000);
     show("after ");
     context.TryCancel();
     return 0;
@@ -62,12 +62,12 @@
   Quiet events;
   gorsebeam::grpc::Channel channel(events);
   channel.dial(arguments[2], gorsebeam::xds::kPath);
-  stage::until(
+  test_harness::until(
       [&] {
         return events.ready;
       },
       "the connection");
   channel.send(request);
-  stage::pass(1000);
+  test_harness::pass(1000);
   show("after ");
 }
--- a/bench/shapes.cpp
+++ b/bench/shapes.cpp
@@ -1,5 +1,5 @@
 // What it costs to class a statement, by parsing it whole.
-#include "shapes/sql.h"
+#include "sql_classifier/sql_classifier.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 #include <vector>
 
 int main() {
-  const gorsebeam::shapes::Sql sql;
+  const gorsebeam::sql_classifier::SqlClassifier sql;
 
   const struct {
     const char *name, *text;
--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -1,8 +1,8 @@
 // What a control service may send: bytes of HTTP/2, of gRPC's framing, and of xDS's messages,
 // through everything that reads them in the gateway, up to the version machine. The first byte
 // tells at which of the three the rest comes in.
+#include "config_versions/version_tracker.h"
 #include "grpc/session.h"
-#include "versions/versions.h"
 #include "xds/xds.h"
 
 #include <cstdint>
@@ -24,7 +24,7 @@
 class Taker {
 public:
   Taker()
-      : machine_(settings(), [this](const versions::Bodies& b) {
+      : machine_(settings(), [this](const config_versions::Bodies& b) {
           return judge(b);
         }) {
     machine_.file_at_start({xds::version_of(config::pb::Contracts()),
@@ -40,10 +40,10 @@
       return;
     actions_.clear();
     machine_.offered(++now_, *offer, actions_);
-    for (const versions::Action& action : actions_) {
-      if (const auto* ask = std::get_if<versions::Ask>(&action))
+    for (const config_versions::Action& action : actions_) {
+      if (const auto* ask = std::get_if<config_versions::Ask>(&action))
         xds::request(*ask, "node", "cluster");
-      if (const auto* run = std::get_if<versions::Run>(&action)) {
+      if (const auto* run = std::get_if<config_versions::Run>(&action)) {
         if (judge(run->bodies))
           std::abort();
         config::contracts_of(xds::contracts_of(run->bodies[0]), site_.classes);
@@ -53,24 +53,24 @@
   }
 
 private:
-  static versions::Settings settings() {
-    versions::Settings s;
+  static config_versions::Settings settings() {
+    config_versions::Settings s;
     s.addresses = {"127.0.0.1:1"};
     return s;
   }
 
-  std::optional<versions::Misfit> judge(const versions::Bodies& b) const {
+  std::optional<config_versions::Misfit> judge(const config_versions::Bodies& b) const {
     const auto fault =
         config::check_together(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
     if (!fault)
       return std::nullopt;
-    return versions::Misfit{fault->text(), fault->reference};
+    return config_versions::Misfit{fault->text(), fault->reference};
   }
 
   config::Site site_ = site();
-  versions::Machine machine_;
-  versions::Actions actions_;
-  versions::Nanos now_ = 1;
+  config_versions::Machine machine_;
+  config_versions::Actions actions_;
+  config_versions::Nanos now_ = 1;
 };
 
 }  // namespace
--- /dev/null
+++ b/include/gorsebeam/actions.h
@@ -0,0 +1,54 @@
+/// What a router asks the embedding program to do, in order.
+#pragma once
+
+#include "gorsebeam/log_messages.h"
+#include "gorsebeam/types.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace gorsebeam {
+
+/// Sends the request to an endpoint. Attempts of a request are numbered from 0 in this order. Each
+/// ends in one AttemptResult.
+struct StartAttempt {
+  std::string request_id;
+  EndpointId endpoint = 0;
+  Nanos timeout = 0;  ///< From now.
+};
+
+/// Checks an endpoint; ends in one HealthCheckResult.
+struct SendHealthCheck {
+  EndpointId endpoint = 0;
+};
+
+/// Withdraws an attempt that is still in flight.
+struct CancelAttempt {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+};
+
+/// The final answer to a request: rejected, and safe to send again.
+struct RejectRequest {
+  std::string request_id;
+  Nanos retry_after = 0;  ///< 0: no advice.
+};
+
+/// The final answer to a request: failed, with no promise about its effect.
+struct FailRequest {
+  std::string request_id;
+};
+
+/// Asks for a TimerExpired at `at`. Replaces the timer set before.
+struct SetTimer {
+  Nanos at = 0;
+};
+
+/// Asks discovery for the endpoint list and its changes.
+struct WatchEndpoints {};
+
+using Action = std::variant<StartAttempt, SendHealthCheck, CancelAttempt, RejectRequest,
+                            FailRequest, SetTimer, WatchEndpoints, LogMessage>;
+
+}  // namespace gorsebeam
--- a/src/config/file.cpp
+++ b/src/config/operator_file.cpp
@@ -1,8 +1,8 @@
-#include "file.h"
+#include "operator_file.h"
 
 #include "inventory/inventory.h"
 #include "net/stream.h"
-#include "settings/json.h"
+#include "settings/json_reader.h"
 
 #include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
--- a/src/config/file.h
+++ b/src/config/operator_file.h
@@ -2,8 +2,8 @@
 // schema/gorsebeam/config/v1.
 #pragma once
 
-#include "check.h"
 #include "settings/settings.h"
+#include "validation.h"
 
 #include <string>
 
--- a/src/config/config.cpp
+++ b/src/config/platform_config.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "platform_config.h"
 
 #include "net/stream.h"
 
@@ -61,7 +61,7 @@
   if (body.find("known"))
     config.known = discovery::read_list(body.need("known"), "known");
   config.profile = settings::read_profile(body.object("settings"));
-  config.profile.settings.answers_known_after = kAnswersKnown;
+  config.profile.settings.responses_known_after = kAnswersKnown;
   try {
     Router(config.profile.settings,
            config.seed);  // the module's own checks, before anything listens
--- a/src/config/config.h
+++ b/src/config/platform_config.h
@@ -1,7 +1,7 @@
 // The gateway's configuration: what RELAY_CONFIG holds.
 #pragma once
 
-#include "discovery/list.h"
+#include "discovery/endpoint_list.h"
 #include "settings/settings.h"
 
 #include <cstdint>
@@ -18,7 +18,7 @@
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
   std::string fixed;  // all that only a new start takes up, as text
-  discovery::List known;
+  discovery::EndpointListDocument known;
   settings::Profile profile;
 };
 
--- a/src/config/check.cpp
+++ b/src/config/validation.cpp
@@ -1,4 +1,4 @@
-#include "check.h"
+#include "validation.h"
 
 #include "net/stream.h"
 
@@ -253,12 +253,12 @@
   return std::nullopt;
 }
 
-broker::Contracts contracts_of(const pb::Contracts& contracts,
-                               const std::map<std::string, std::size_t>& classes) {
-  broker::Contracts made;
+proxy::ContractSet contracts_of(const pb::Contracts& contracts,
+                                const std::map<std::string, std::size_t>& classes) {
+  proxy::ContractSet made;
   made.classes = classes;
   for (const pb::Team& team : contracts.team()) {
-    broker::Contract& contract = made.teams[team.name()];
+    proxy::TeamContract& contract = made.teams[team.name()];
     contract.groups.insert(team.group().begin(), team.group().end());
     for (const pb::ServiceClass& c : team.class_())
       contract.classes[classes.at(c.name())] = {static_cast<Nanos>(c.longest_wait_ms()) * kMs,
@@ -271,38 +271,38 @@
   return made;
 }
 
-std::vector<broker::Listed> members_of(const RepeatedPtrField<pb::Member>& members) {
-  std::vector<broker::Listed> list;
+std::vector<proxy::ListedEndpoint> members_of(const RepeatedPtrField<pb::Member>& members) {
+  std::vector<proxy::ListedEndpoint> list;
   list.reserve(static_cast<std::size_t>(members.size()));
   for (const pb::Member& m : members) {
-    broker::Listed listed;
+    proxy::ListedEndpoint listed;
     listed.name = m.name(), listed.address = m.address();
-    listed.member.group = m.group();
-    listed.member.zone = m.zone();
-    listed.member.primary = m.role() == pb::Member::PRIMARY;
-    listed.member.state = m.state() == pb::Member::DRAINING  ? MemberState::Draining
-                          : m.state() == pb::Member::REMOVED ? MemberState::Removed
-                                                             : MemberState::Up;
-    listed.member.size = m.size() != 0 ? m.size() : 1;
-    listed.member.started_at = static_cast<Nanos>(m.started_unix_s()) * 1'000'000'000;
+    listed.endpoint.group = m.group();
+    listed.endpoint.zone = m.zone();
+    listed.endpoint.listed_as_primary = m.role() == pb::Member::PRIMARY;
+    listed.endpoint.status = m.state() == pb::Member::DRAINING  ? EndpointStatus::Draining
+                             : m.state() == pb::Member::REMOVED ? EndpointStatus::Removed
+                                                                : EndpointStatus::Up;
+    listed.endpoint.weight = m.size() != 0 ? m.size() : 1;
+    listed.endpoint.started_at = static_cast<Nanos>(m.started_unix_s()) * 1'000'000'000;
     list.push_back(std::move(listed));
   }
   return list;
 }
 
-void list_members(const std::vector<broker::Listed>& listed,
+void list_members(const std::vector<proxy::ListedEndpoint>& listed,
                   RepeatedPtrField<pb::Member>& members) {
-  for (const broker::Listed& l : listed) {
+  for (const proxy::ListedEndpoint& l : listed) {
     pb::Member& m = *members.Add();
     m.set_name(l.name), m.set_address(l.address);
-    m.set_group(l.member.group);
-    m.set_zone(l.member.zone);
-    m.set_role(l.member.primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
-    m.set_state(l.member.state == MemberState::Draining  ? pb::Member::DRAINING
-                : l.member.state == MemberState::Removed ? pb::Member::REMOVED
-                                                         : pb::Member::UP);
-    m.set_size(l.member.size);
-    m.set_started_unix_s(static_cast<std::uint64_t>(l.member.started_at / 1'000'000'000));
+    m.set_group(l.endpoint.group);
+    m.set_zone(l.endpoint.zone);
+    m.set_role(l.endpoint.listed_as_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
+    m.set_state(l.endpoint.status == EndpointStatus::Draining  ? pb::Member::DRAINING
+                : l.endpoint.status == EndpointStatus::Removed ? pb::Member::REMOVED
+                                                               : pb::Member::UP);
+    m.set_size(l.endpoint.weight);
+    m.set_started_unix_s(static_cast<std::uint64_t>(l.endpoint.started_at / 1'000'000'000));
   }
 }
 
--- a/src/config/check.h
+++ b/src/config/validation.h
@@ -2,8 +2,8 @@
 // on disk; and what the gateway makes of it. Pure.
 #pragma once
 
-#include "broker/contracts.h"
-#include "broker/core.h"
+#include "proxy/contract_enforcer.h"
+#include "proxy/request_broker.h"
 
 #include "gorsebeam/config/v1/config.pb.h"
 
@@ -49,11 +49,11 @@
 std::optional<Fault> check(const pb::ControlService& service);
 
 // Of messages that were checked.
-broker::Contracts contracts_of(const pb::Contracts& contracts,
-                               const std::map<std::string, std::size_t>& classes);
-std::vector<broker::Listed>
+proxy::ContractSet contracts_of(const pb::Contracts& contracts,
+                                const std::map<std::string, std::size_t>& classes);
+std::vector<proxy::ListedEndpoint>
 members_of(const google::protobuf::RepeatedPtrField<pb::Member>& members);
-void list_members(const std::vector<broker::Listed>& listed,
+void list_members(const std::vector<proxy::ListedEndpoint>& listed,
                   google::protobuf::RepeatedPtrField<pb::Member>& members);
 
 }  // namespace gorsebeam::config
--- a/src/versions/versions.cpp
+++ b/src/config_versions/version_tracker.cpp
@@ -1,9 +1,9 @@
-#include "versions.h"
+#include "version_tracker.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gorsebeam::versions {
+namespace gorsebeam::config_versions {
 
 const char* name_of(Type type) {
   constexpr const char* names[kTypes] = {"contracts", "members", "limits"};
@@ -349,4 +349,4 @@
   }
 }
 
-}  // namespace gorsebeam::versions
+}  // namespace gorsebeam::config_versions
--- a/src/versions/versions.h
+++ b/src/config_versions/version_tracker.h
@@ -20,7 +20,7 @@
 #include <variant>
 #include <vector>
 
-namespace gorsebeam::versions {
+namespace gorsebeam::config_versions {
 
 using Nanos = std::int64_t;
 enum class Type : std::size_t { Contracts, Members, Limits };
@@ -178,4 +178,4 @@
   std::uint64_t random_;
 };
 
-}  // namespace gorsebeam::versions
+}  // namespace gorsebeam::config_versions
--- a/src/admission/admission.cpp
+++ b/src/connection_admission/connection_admission.cpp
@@ -1,9 +1,9 @@
-#include "admission.h"
+#include "connection_admission.h"
 
 #include <algorithm>
 #include <tuple>
 
-namespace gorsebeam::admission {
+namespace gorsebeam::connection_admission {
 namespace {
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kIdleLeast =
@@ -13,26 +13,26 @@
     100 * kMs;  // of uses again, nine in ten came sooner on the recorded days
 constexpr Nanos kPressedLeast = 50 * kMs;
 
-bool older(const Idle& a, const Idle& b) {
+bool older(const IdleConnection& a, const IdleConnection& b) {
   return std::tuple(a.answered > 0, a.since, a.index) <
          std::tuple(b.answered > 0, b.since, b.index);
 }
 }  // namespace
 
-std::vector<std::size_t> room_for_new(std::vector<Idle> idle, Nanos now) {
+std::vector<std::size_t> room_for_new(std::vector<IdleConnection> idle, Nanos now) {
   std::sort(idle.begin(), idle.end(), older);
   std::vector<std::size_t> order;
-  for (const Idle& one : idle)
+  for (const IdleConnection& one : idle)
     if (now - one.since >= kPressedLeast)
       order.push_back(one.index);
   return order;
 }
 
-std::vector<Close> retire(std::vector<Idle> idle, Nanos now, std::size_t connected,
-                          std::size_t most) {
+std::vector<CloseCandidate> retire(std::vector<IdleConnection> idle, Nanos now,
+                                   std::size_t connected, std::size_t most) {
   std::sort(idle.begin(), idle.end(), older);
-  std::vector<Close> silent, rested, once;
-  for (const Idle& one : idle) {
+  std::vector<CloseCandidate> silent, rested, once;
+  for (const IdleConnection& one : idle) {
     const Nanos rest = now - one.since;
     if (one.answered == 0 && connected >= most && rest >= kSilentLeast)
       silent.push_back({one.index, 0});
@@ -50,4 +50,4 @@
   return connected > most / 2 ? 50 * kMs : 200 * kMs;
 }
 
-}  // namespace gorsebeam::admission
+}  // namespace gorsebeam::connection_admission
--- a/src/upstream/pool.cpp
+++ b/src/connection_pool/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "pool.h"
+#include "connection_pool.h"
 
 #include "net/log.h"
 
@@ -7,7 +7,7 @@
 #include <limits>
 #include <utility>
 
-namespace gorsebeam::upstream {
+namespace gorsebeam::connection_pool {
 
 namespace {
 constexpr Nanos kStall = 150'000'000;  // between two pieces of one answer
@@ -26,20 +26,20 @@
 }
 }  // namespace
 
-void Rests::fade() {
+void IdleLifetimeEstimator::fade() {
   const double kept = std::exp(-static_cast<double>(net::now() - faded_at_) / kRestSpan);
   for (Span& span : spans_)
     span.used *= kept, span.broke *= kept;
   faded_at_ = net::now();
 }
 
-void Rests::count(Nanos rest, bool broke) {
+void IdleLifetimeEstimator::count(Nanos rest, bool broke) {
   fade();
   Span& span = spans_[span_of(rest, spans_.size())];
   span.used += 1, span.broke += broke;
 }
 
-Nanos Rests::limit() {
+Nanos IdleLifetimeEstimator::limit() {
   fade();
   const Span& none = spans_[0];
   const double usual = none.used > 0 ? none.broke / none.used : 0;
@@ -50,14 +50,14 @@
   return std::numeric_limits<Nanos>::max();
 }
 
-using broker::Answer;
-using broker::AttemptId;
+using proxy::AttemptId;
+using proxy::UpstreamResponse;
 
-class Pool::Link : public net::Stream::Events {
+class ConnectionPool::Connection : public net::Stream::Events {
 public:
   enum class State { Dialing, Greeting, Idle, Writing, Waiting };
 
-  Link(Pool& pool, MemberId member, const std::string& address)
+  Connection(ConnectionPool& pool, EndpointId member, const std::string& address)
       : member(member), pool_(pool), wire_(pool.wire_()), timer_([this] {
           due();
         }),
@@ -67,7 +67,7 @@
 
   bool quiet() const { return good() && stream_->input().size() == 0 && !stream_->readable(); }
 
-  void assign(const Errand& errand) {
+  void assign(const PendingUse& errand) {
     errand_ = errand;
     busy_ = true;
     if (state_ == State::Idle)
@@ -80,7 +80,7 @@
     errand_.call = nullptr;
     if (state_ != State::Dialing && state_ != State::Greeting)
       return;
-    finish(result_only(Result::NotSent), true);
+    finish(result_only(AttemptStatus::NotSent), true);
   }
 
   void close() {
@@ -90,15 +90,17 @@
   }
 
   // Ends the errand with what is known, and the connection with it.
-  void fail(Result result, bool broken = false) { finish(result_only(result), false, 0, broken); }
+  void fail(AttemptStatus result, bool broken = false) {
+    finish(result_only(result), false, 0, broken);
+  }
 
-  static Answer result_only(Result result) {
-    Answer answer;
-    answer.result = result;
+  static UpstreamResponse result_only(AttemptStatus result) {
+    UpstreamResponse answer;
+    answer.status = result;
     return answer;
   }
 
-  const MemberId member;
+  const EndpointId member;
 
   Nanos idle_since() const { return idle_since_; }
 
@@ -122,10 +124,10 @@
     // Every byte to a member is written here. Guards against a connection that came up late: by now
     // the member may be leaving, or a repeat or a proof be too old.
     const Nanos left = errand_.until - net::now();
-    const bool holds =
-        errand_.probe ? pool_.core_.may_probe(member) : pool_.core_.may_write(errand_.attempt);
+    const bool holds = errand_.probe ? pool_.core_.is_health_check_allowed(member)
+                                     : pool_.core_.is_attempt_allowed(errand_.attempt);
     if (left <= 0 || !holds)
-      return finish(result_only(Result::NotSent), true);
+      return finish(result_only(AttemptStatus::NotSent), true);
     state_ = State::Writing;
     begun_ = false;
     if (idle_since_ > 0)
@@ -146,30 +148,30 @@
     std::size_t used = 0;
     if (state_ == State::Greeting) {
       bool turned_away = false;
-      const Step step = wire_->welcome(in, used, turned_away);
-      if (step == Step::More)
+      const ParseStep step = wire_->parse_greeting(in, used, turned_away);
+      if (step == ParseStep::More)
         return;
-      if (step == Step::Broken || turned_away)
-        return fail(turned_away ? Result::Full : Result::NoConnection);
+      if (step == ParseStep::Broken || turned_away)
+        return fail(turned_away ? AttemptStatus::Rejected : AttemptStatus::ConnectFailed);
       stream_->input().consume(used);
       return ready();
     }
     if (state_ == State::Idle || state_ == State::Dialing)
       return pool_.drop(this);  // nothing was asked
-    Answer answer;
-    const Step step = wire_->answer(in, false, errand_.probe, answer, used);
+    UpstreamResponse answer;
+    const ParseStep step = wire_->answer(in, false, errand_.probe, answer, used);
     const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
     // Also of a whole one, so that it does not matter in how many reads it came.
-    const bool fits = (step == Step::Done ? used : in.size()) <= pool_.limits_.answer_bytes;
-    if (step == Step::More && fits && roomy) {
+    const bool fits = (step == ParseStep::Done ? used : in.size()) <= pool_.limits_.answer_bytes;
+    if (step == ParseStep::More && fits && roomy) {
       // Guards against a length that does not fit: an answer that began and does not go on is none.
       begun_ = true;
       timer_.at(std::min(errand_.until, net::now() + kStall));
       return;
     }
-    if (step != Step::Done || !fits) {
-      net::log_line("upstream", "member " + std::to_string(member) + " sent a malformed answer");
-      return fail(Result::Error);  // the request was whole: it may have run
+    if (step != ParseStep::Done || !fits) {
+      net::log({"malformed_response", {{"endpoint", std::to_string(member)}}});
+      return fail(AttemptStatus::Error);  // the request was whole: it may have run
     }
     // An answer to what was not yet sent whole: heard, but the connection is of no further use.
     finish(answer, state_ == State::Waiting && stream_->input().size() == used, used);
@@ -179,37 +181,39 @@
     if (!busy_)
       return pool_.drop(this);
     if (state_ != State::Waiting)
-      return fail(Result::NoConnection, true);
-    Answer answer;
+      return fail(AttemptStatus::ConnectFailed, true);
+    UpstreamResponse answer;
     std::size_t used = 0;
-    if (wire_->answer(stream_->input().view(), true, errand_.probe, answer, used) == Step::Done)
+    if (wire_->answer(stream_->input().view(), true, errand_.probe, answer, used) ==
+        ParseStep::Done)
       return finish(answer, false);
-    fail(Result::Reset, true);
+    fail(AttemptStatus::Reset, true);
   }
 
   void due() {
     if (!busy_)
       return pool_.drop(this);  // idle for long enough
     if (state_ == State::Waiting && begun_ && net::now() < errand_.until)
-      return fail(Result::Error);
+      return fail(AttemptStatus::Error);
     if (state_ == State::Waiting)
-      return fail(Result::Timeout);
+      return fail(AttemptStatus::Timeout);
     // Not written whole, so it never ran; at the request's own end this tells nothing of the
     // member.
     const bool over = net::now() >= errand_.until && state_ != State::Writing && !errand_.probe;
-    fail(over ? Result::NotSent : Result::NoConnection);
+    fail(over ? AttemptStatus::NotSent : AttemptStatus::ConnectFailed);
   }
 
   // The errand's one end. Guards the rule on second attempts: a connection that is not kept is
   // closed before the module hears of the end and may send again. A kept one is idle by then, so
   // that the next send finds it.
-  void finish(const Answer& answer, bool keep, std::size_t used = 0, bool broken = false) {
-    const Errand errand = std::exchange(errand_, Errand{});
+  void finish(const UpstreamResponse& answer, bool keep, std::size_t used = 0,
+              bool broken = false) {
+    const PendingUse errand = std::exchange(errand_, PendingUse{});
     if (const Nanos rested = std::exchange(rested_, 0))
       pool_.rests_.count(rested, broken && !begun_);
     busy_ = false;
     timer_.stop();
-    const broker::Core::Hold hold(pool_.core_);
+    const proxy::RequestBroker::EventBatch hold(pool_.core_);
     if (!keep && stream_)
       stream_->close();
     pool_.report(member, errand, answer);
@@ -238,29 +242,30 @@
     pool_.hosts_[member].idle.push_back(this);
   }
 
-  Pool& pool_;
-  std::unique_ptr<Wire> wire_;
+  ConnectionPool& pool_;
+  std::unique_ptr<UpstreamProtocol> wire_;
   net::Timer timer_;
   const std::string address_;
   std::shared_ptr<net::Stream> stream_;
   State state_ = State::Dialing;
-  Errand errand_;
+  PendingUse errand_;
   bool busy_ = false, begun_ = false;  // an errand is in hand; some of its answer has come
   Nanos idle_since_ = 0;               // when it was last laid by, if ever
   Nanos rested_ = 0;                   // how long before this errand
 };
 
-Pool::Pool(broker::Core& core, WireFactory wire, const Limits& limits)
+ConnectionPool::ConnectionPool(proxy::RequestBroker& core, WireFactory wire,
+                               const PoolLimits& limits)
     : core_(core), wire_(wire), limits_(limits), reaper_([this] {
         dropped_.clear();
       }) {}
 
-Pool::~Pool() {
+ConnectionPool::~ConnectionPool() {
   for (auto& [link, owned] : links_)
     owned->close();
 }
 
-void Pool::listed(MemberId member, const std::string& address) {
+void ConnectionPool::add_endpoint(EndpointId member, const std::string& address) {
   Host& host = hosts_[member];
   if (host.address == address)
     return;
@@ -269,46 +274,47 @@
     drop(host.idle.back());  // they lead to where it was
 }
 
-void Pool::removed(MemberId member) {
+void ConnectionPool::remove_endpoint(EndpointId member) {
   const auto host = hosts_.find(member);
   if (host == hosts_.end())
     return;
   host->second.address
       .clear();  // nothing new goes there; the last connection takes the entry with it
-  const std::vector<Link*> idle = host->second.idle;
-  for (Link* link : idle)
+  const std::vector<Connection*> idle = host->second.idle;
+  for (Connection* link : idle)
     drop(link);
   forget(member);
 }
 
-void Pool::forget(MemberId member) {
+void ConnectionPool::forget(EndpointId member) {
   const auto host = hosts_.find(member);
   if (host != hosts_.end() && host->second.links == 0 && host->second.address.empty())
     hosts_.erase(host);
 }
 
-void Pool::send(AttemptId attempt, MemberId member, broker::Call& call, Nanos until) {
-  Errand errand;
+void ConnectionPool::start_attempt(AttemptId attempt, EndpointId member, proxy::ClientCall& call,
+                                   Nanos until) {
+  PendingUse errand;
   errand.attempt = attempt, errand.call = &call, errand.until = until;
   start(member, errand);
 }
 
-void Pool::probe(MemberId member) {
-  Errand errand;
+void ConnectionPool::start_health_check(EndpointId member) {
+  PendingUse errand;
   errand.probe = true, errand.until = net::now() + limits_.connect_timeout;
   start(member, errand);
 }
 
-void Pool::start(MemberId member, const Errand& errand) {
+void ConnectionPool::start(EndpointId member, const PendingUse& errand) {
   Host& host = hosts_[member];
-  Link* link = take_idle(host);
+  Connection* link = take_idle(host);
   if (!link) {
     if (!make_room(member))
-      return report(member, errand, Link::result_only(Result::NotSent));
-    auto fresh = std::make_unique<Link>(*this, member, host.address);
+      return report(member, errand, Connection::result_only(AttemptStatus::NotSent));
+    auto fresh = std::make_unique<Connection>(*this, member, host.address);
     if (!fresh->good()) {
       forget(member);
-      return report(member, errand, Link::result_only(Result::NoConnection));
+      return report(member, errand, Connection::result_only(AttemptStatus::ConnectFailed));
     }
     link = fresh.get();
     links_[link] = std::move(fresh);
@@ -321,10 +327,10 @@
 
 // The one used last, if nothing has come on it since: bytes or an end mean that the member gave it
 // up. The rest go when it has rested for too long, as they have for longer.
-Pool::Link* Pool::take_idle(Host& host) {
+ConnectionPool::Connection* ConnectionPool::take_idle(Host& host) {
   const Nanos limit = rests_.limit();
   while (!host.idle.empty()) {
-    Link* link = host.idle.back();
+    Connection* link = host.idle.back();
     if (link->quiet() && net::now() - link->idle_since() < limit) {
       host.idle.pop_back();
       return link;
@@ -336,46 +342,46 @@
 
 // Bounds descriptors: over the limit the connection idle longest, of any member, is closed for the
 // new one.
-bool Pool::make_room(MemberId member) {
+bool ConnectionPool::make_room(EndpointId member) {
   if (hosts_[member].links >= limits_.per_member)
     return false;
   if (links_.size() < limits_.connections)
     return true;
-  Link* oldest = nullptr;
+  Connection* oldest = nullptr;
   for (auto& [id, host] : hosts_)
     if (!host.idle.empty() && (!oldest || host.idle.front()->idle_since() < oldest->idle_since()))
       oldest = host.idle.front();
   if (!oldest) {
-    net::log_line("upstream",
-                  "all connections to members are in use: " + std::to_string(links_.size()));
+    net::log({"connection_pool_exhausted", {{"connections", std::to_string(links_.size())}}});
     return false;
   }
   drop(oldest);
   return true;
 }
 
-void Pool::report(MemberId member, const Errand& errand, const Answer& answer) {
+void ConnectionPool::report(EndpointId member, const PendingUse& errand,
+                            const UpstreamResponse& answer) {
   if (errand.probe)
-    return core_.probed(member, answer);
+    return core_.complete_health_check(member, answer);
   if (!errand.attempt)
     return;
   attempts_.erase(errand.attempt);
-  core_.ended(errand.attempt, answer);
+  core_.complete_attempt(errand.attempt, answer);
 }
 
-void Pool::cancel(AttemptId attempt) {
+void ConnectionPool::cancel_attempt(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
   if (found != attempts_.end())
-    found->second->fail(Result::Cancelled);
+    found->second->fail(AttemptStatus::Cancelled);
 }
 
-void Pool::withdraw(AttemptId attempt) {
+void ConnectionPool::detach_call(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
   if (found != attempts_.end())
     found->second->withdraw();
 }
 
-void Pool::drop(Link* link) {
+void ConnectionPool::drop(Connection* link) {
   const auto found = links_.find(link);
   if (found == links_.end())
     return;
@@ -389,4 +395,4 @@
   reaper_.after(0);
 }
 
-}  // namespace gorsebeam::upstream
+}  // namespace gorsebeam::connection_pool
--- a/src/control/client.cpp
+++ b/src/control_plane/control_plane_client.cpp
@@ -1,4 +1,4 @@
-#include "client.h"
+#include "control_plane_client.h"
 
 #include "net/log.h"
 #include "xds/xds.h"
@@ -6,13 +6,13 @@
 #include <algorithm>
 #include <utility>
 
-namespace gorsebeam::control {
+namespace gorsebeam::control_plane {
 namespace {
 constexpr Nanos kMs = 1'000'000;
 }
 
-versions::Settings Client::settings_of(const config::File& file, std::uint64_t seed) {
-  versions::Settings settings;
+config_versions::Settings Client::settings_of(const config::File& file, std::uint64_t seed) {
+  config_versions::Settings settings;
   const config::pb::ControlService& service = file.gateway.control_service();
   settings.addresses.assign(service.address().begin(), service.address().end());
   if (service.reconnect_most_ms())
@@ -29,17 +29,18 @@
 
 Client::Client(const config::File& file, std::uint64_t seed, Run run)
     : site_(file.site), file_(file.gateway), seed_(seed), run_(std::move(run)),
-      machine_(settings_of(file, seed),
-               [this](const versions::Bodies& bodies) -> std::optional<versions::Misfit> {
-                 const auto fault = config::check_together(xds::contracts_of(bodies[0]),
-                                                           xds::members_of(bodies[1]), site_);
-                 if (!fault)
-                   return std::nullopt;
-                 return versions::Misfit{fault->text(), fault->reference};
-               }),
+      machine_(
+          settings_of(file, seed),
+          [this](const config_versions::Bodies& bodies) -> std::optional<config_versions::Misfit> {
+            const auto fault = config::check_together(xds::contracts_of(bodies[0]),
+                                                      xds::members_of(bodies[1]), site_);
+            if (!fault)
+              return std::nullopt;
+            return config_versions::Misfit{fault->text(), fault->reference};
+          }),
       channel_(*this), writer_([](const std::string& why) {
         if (!why.empty())
-          net::log_line("state", "the last good version could not be kept: " + why);
+          net::log({"snapshot_write_failed", {{"error", why}}});
       }),
       timer_([this] {
         machine_.tick(net::now(), actions_);
@@ -48,7 +49,7 @@
   machine_.file_at_start(versions_of(file));
 }
 
-std::array<versions::Version, versions::kTypes>
+std::array<config_versions::Version, config_versions::kTypes>
 Client::versions_of(const config::File& file) const {
   return {xds::version_of(file.gateway.contracts()), xds::version_of(file.members),
           xds::version_of(file.gateway.limits())};
@@ -64,24 +65,23 @@
 // A gateway that finds no control service in sight serves from the last good version.
 void Client::load() {
   std::string why;
-  const auto good = state::load(file_.state_folder(), why);
+  const auto good = snapshot_store::load(file_.state_folder(), why);
   if (good) {
-    auto kept = state::kept_of(*good, site_, why);
+    auto kept = snapshot_store::kept_of(*good, site_, why);
     if (kept)
       why = machine_.stored(std::move(*kept));
     if (why.empty()) {
       std::string text;
-      for (const auto type :
-           {versions::Type::Contracts, versions::Type::Members, versions::Type::Limits})
+      for (const auto type : {config_versions::Type::Contracts, config_versions::Type::Members,
+                              config_versions::Type::Limits})
         if (machine_.kept(type).running.source != "file")
-          text += std::string(text.empty() ? "" : ", ") + versions::name_of(type) + " version " +
-                  machine_.kept(type).running.version;
-      return net::log_line("state", "serving from the last good version" +
-                                        (text.empty() ? "" : ": " + text));
+          text += std::string(text.empty() ? "" : ", ") + config_versions::name_of(type) +
+                  " version " + machine_.kept(type).running.version;
+      return net::log({"snapshot_restored", {{"versions", text}}});
     }
   }
   if (!why.empty())
-    net::log_line("state", "the last good version was passed over: " + why);
+    net::log({"snapshot_rejected", {{"error", why}}});
 }
 
 void Client::stop() {
@@ -103,9 +103,9 @@
 void Client::store() {
   if (!file_.has_control_service() || file_.state_folder().empty())
     return;
-  const state::v1::LastGood good = state::good_of(machine_);
+  const state::v1::LastGood good = snapshot_store::good_of(machine_);
   if (good.contracts().held() || good.members().held() || good.limits().held())
-    writer_.save(file_.state_folder(), state::packed(good));
+    writer_.save(file_.state_folder(), snapshot_store::packed(good));
 }
 
 void Client::up() {
@@ -133,29 +133,34 @@
   perform();
 }
 
-void Client::note(const versions::Note& note) {
-  net::Fields fields;
+void Client::note(const config_versions::Note& note) {
+  logging::Fields fields;
   if (note.type)
-    fields.emplace_back("type", versions::name_of(*note.type));
+    fields.emplace_back("type", config_versions::name_of(*note.type));
   if (!note.version.empty())
     fields.emplace_back("version", note.version);
   if (!note.nonce.empty())
     fields.emplace_back("nonce", note.nonce);
   switch (note.kind) {
-  case versions::Note::Kind::Lost:
+  case config_versions::Note::Kind::Lost:
     fields.emplace_back("address", machine_.address());
-    return net::log_line("control", "lost: " + note.text, fields);
-  case versions::Note::Kind::Found:
+    fields.emplace_back("error", note.text);
+    return net::log({"control_stream_lost", fields});
+  case config_versions::Note::Kind::Found:
     fields.emplace_back("address", machine_.address());
-    return net::log_line("control", "found again", fields);
-  case versions::Note::Kind::Offered:
-    return net::log_line("offered", "a version", fields);
-  case versions::Note::Kind::Accepted:
-    return net::log_line("accepted", note.text, fields);
-  case versions::Note::Kind::TurnedDown:
-    return net::log_line("refused", note.text, fields);
-  case versions::Note::Kind::Held:
-    return net::log_line("held", note.text, fields);
+    return net::log({"control_stream_restored", fields});
+  case config_versions::Note::Kind::Offered:
+    return net::log({"config_version_received", fields});
+  case config_versions::Note::Kind::Accepted:
+    if (!note.text.empty())
+      fields.emplace_back("detail", note.text);
+    return net::log({"config_version_accepted", fields});
+  case config_versions::Note::Kind::TurnedDown:
+    fields.emplace_back("error", note.text);
+    return net::log({"config_version_rejected", fields});
+  case config_versions::Note::Kind::Held:
+    fields.emplace_back("waiting_for", note.text);
+    return net::log({"config_version_pending", fields});
   }
 }
 
@@ -165,36 +170,36 @@
     return;
   performing_ = true;
   while (!actions_.empty()) {
-    versions::Actions actions;
+    config_versions::Actions actions;
     actions.swap(actions_);
-    for (const versions::Action& action : actions) {
+    for (const config_versions::Action& action : actions) {
       if (stopped_)
         break;
-      if (const auto* dial = std::get_if<versions::Dial>(&action)) {
+      if (const auto* dial = std::get_if<config_versions::Dial>(&action)) {
         if (!channel_.dial(dial->address, xds::kPath))
           machine_.lost(net::now(), "no connection can be opened", actions_);
-      } else if (std::holds_alternative<versions::HangUp>(action)) {
+      } else if (std::holds_alternative<config_versions::HangUp>(action)) {
         channel_.close();
-      } else if (std::holds_alternative<versions::Ping>(action)) {
+      } else if (std::holds_alternative<config_versions::Ping>(action)) {
         channel_.ping();
-      } else if (const auto* ask = std::get_if<versions::Ask>(&action)) {
+      } else if (const auto* ask = std::get_if<config_versions::Ask>(&action)) {
         channel_.send(
             xds::request(*ask, file_.control_service().node(), file_.control_service().cluster()));
-      } else if (const auto* run = std::get_if<versions::Run>(&action)) {
+      } else if (const auto* run = std::get_if<config_versions::Run>(&action)) {
         run_(run->changed[0] ? &xds::contracts_of(run->bodies[0]) : nullptr,
              run->changed[1] ? &xds::members_of(run->bodies[1]) : nullptr,
              run->changed[2] ? &xds::limits_of(run->bodies[2]) : nullptr);
-      } else if (std::holds_alternative<versions::Store>(action)) {
+      } else if (std::holds_alternative<config_versions::Store>(action)) {
         store();
-      } else if (const auto* text = std::get_if<versions::Note>(&action)) {
+      } else if (const auto* text = std::get_if<config_versions::Note>(&action)) {
         note(*text);
       }
     }
   }
   performing_ = false;
   const Nanos due = machine_.due();
-  if (!stopped_ && due != versions::Machine::kNever)
+  if (!stopped_ && due != config_versions::Machine::kNever)
     timer_.at(due);
 }
 
-}  // namespace gorsebeam::control
+}  // namespace gorsebeam::control_plane
--- a/src/control/client.h
+++ b/src/control_plane/control_plane_client.h
@@ -4,17 +4,17 @@
 // service nothing is connected or written.
 #pragma once
 
-#include "config/file.h"
+#include "config/operator_file.h"
+#include "config_versions/version_tracker.h"
 #include "grpc/channel.h"
 #include "net/timer.h"
-#include "state/folder.h"
-#include "versions/versions.h"
+#include "snapshot_store/snapshot_store.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace gorsebeam::control {
+namespace gorsebeam::control_plane {
 
 class Client : grpc::Channel::Events {
 public:
@@ -36,20 +36,21 @@
   void load();
   void store();
   void perform();
-  void note(const versions::Note& note);
-  static versions::Settings settings_of(const config::File& file, std::uint64_t seed);
-  std::array<versions::Version, versions::kTypes> versions_of(const config::File& file) const;
+  void note(const config_versions::Note& note);
+  static config_versions::Settings settings_of(const config::File& file, std::uint64_t seed);
+  std::array<config_versions::Version, config_versions::kTypes>
+  versions_of(const config::File& file) const;
 
   config::Site site_;
   config::pb::Gateway file_;
   std::uint64_t seed_;
   Run run_;
-  versions::Machine machine_;
-  versions::Actions actions_;
+  config_versions::Machine machine_;
+  config_versions::Actions actions_;
   bool performing_ = false, stopped_ = false;
   grpc::Channel channel_;
-  state::Writer writer_;
+  snapshot_store::Writer writer_;
   net::Timer timer_;
 };
 
-}  // namespace gorsebeam::control
+}  // namespace gorsebeam::control_plane
--- a/src/discovery/list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -1,4 +1,4 @@
-#include "list.h"
+#include "endpoint_list.h"
 
 #include "net/stream.h"
 
@@ -7,28 +7,28 @@
 using settings::choose;
 using settings::Reader;
 
-List read_list(const settings::Json& value, const std::string& where) {
+EndpointListDocument read_list(const settings::Json& value, const std::string& where) {
   const Reader body(value, where);
-  List list;
+  EndpointListDocument list;
   list.revision = body.integer("revision", 0);
   list.complete = body.truth("complete");
   for (const settings::Json& element : body.array("members").GetArray()) {
     const Reader entry(element, where + ".members");
-    broker::Listed listed;
+    proxy::ListedEndpoint listed;
     listed.name = entry.text("id");
-    Member& member = listed.member;
-    member.state = choose<MemberState>(entry.text("phase"), "phase",
-                                       {{"ready", MemberState::Up},
-                                        {"draining", MemberState::Draining},
-                                        {"gone", MemberState::Removed}});
+    Endpoint& member = listed.endpoint;
+    member.status = choose<EndpointStatus>(entry.text("phase"), "phase",
+                                           {{"ready", EndpointStatus::Up},
+                                            {"draining", EndpointStatus::Draining},
+                                            {"gone", EndpointStatus::Removed}});
     listed.address = entry.text("host_port", "");
-    if (member.state != MemberState::Removed && !net::parse_address(listed.address))
+    if (member.status != EndpointStatus::Removed && !net::parse_address(listed.address))
       entry.wrong("host_port", "an address and a port");
     member.group = static_cast<GroupId>(entry.integer("cell", 0));
     member.zone = entry.text("locality", "");
     member.started_at = entry.integer("up_since_ms", 0) * 1'000'000;
-    member.primary = entry.text("part", "") == "master";
-    member.size = entry.number("size", 1);
+    member.listed_as_primary = entry.text("part", "") == "master";
+    member.weight = entry.number("size", 1);
     list.members.push_back(std::move(listed));
   }
   return list;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -1,4 +1,4 @@
-#include "watch.h"
+#include "endpoint_watch.h"
 
 #include "net/log.h"
 
@@ -15,7 +15,8 @@
 
 }  // namespace
 
-Watch::Watch(broker::Core& core, std::string address, List known, Pace pace)
+EndpointWatch::EndpointWatch(proxy::RequestBroker& core, std::string address,
+                             EndpointListDocument known, ReconnectBackoff pace)
     : core_(core), address_(std::move(address)), revision_(known.revision), silence_([this] {
         again("silent", true);
       }),
@@ -24,10 +25,10 @@
       }),
       pace_(pace) {
   newest_.take(known, true);
-  core_.list(MemberList::Kind::Remembered, known.members);
+  core_.update_endpoints(EndpointList::Kind::Cached, known.members);
 }
 
-void Watch::start() {
+void EndpointWatch::start() {
   head_read_ = chunked_ = false;
   first_ = true;
   objects_.clear();
@@ -37,7 +38,7 @@
     again("no socket");
 }
 
-void Watch::stop() {
+void EndpointWatch::stop() {
   silence_.stop();
   retry_.stop();
   if (stream_)
@@ -46,7 +47,7 @@
 
 // Guards against a revision of the old address that the new one counts otherwise: the whole list is
 // asked for.
-void Watch::follow(const std::string& address) {
+void EndpointWatch::follow(const std::string& address) {
   if (address == address_)
     return;
   stop();
@@ -58,33 +59,33 @@
   start();
 }
 
-void Watch::again(const std::string& why, bool silent) {
+void EndpointWatch::again(const std::string& why, bool silent) {
   // Told once for each cause while the agent stays away.
   if (why != told_)
-    net::log_line("discovery", "watch ended: " + why);
+    net::log({"endpoint_watch_closed", {{"reason", why}}});
   told_ = why;
   stop();
   retry_.after(pace_.next(silent));
 }
 
-void Watch::connected() {
+void EndpointWatch::connected() {
   const std::string request = "GET /api/targets?watch=1&from=" + std::to_string(revision_) +
                               " HTTP/1.1\r\nHost: " + address_ +
                               "\r\nAccept: application/json\r\n\r\n";
   stream_->write({request});
 }
 
-void Watch::ended(const std::string& why) {
+void EndpointWatch::ended(const std::string& why) {
   again(why);
 }
 
-void Watch::received() {
+void EndpointWatch::received() {
   take();
   if (stream_->open())
     silence_.after(pace_.silence());  // by what has come of it so far
 }
 
-void Watch::take() {
+void EndpointWatch::take() {
   if (!head_read_ && !head())
     return;
   if (!chunked_) {
@@ -97,7 +98,7 @@
     lists();
 }
 
-bool Watch::head() {
+bool EndpointWatch::head() {
   const std::string_view in = stream_->input().view();
   const std::size_t end = in.find("\r\n\r\n");
   if (end == std::string_view::npos) {
@@ -119,7 +120,7 @@
 }
 
 // Takes one chunk into the body. False: no whole one there.
-bool Watch::chunk() {
+bool EndpointWatch::chunk() {
   const std::string_view in = stream_->input().view();
   const std::size_t line = in.find("\r\n");
   if (line == std::string_view::npos) {
@@ -129,7 +130,7 @@
   }
   std::size_t size = 0;
   const auto [end, fault] = std::from_chars(in.data(), in.data() + line, size, 16);
-  if (fault != std::errc() || end == in.data() || size > Objects::kMost) {
+  if (fault != std::errc() || end == in.data() || size > JsonObjectSplitter::kMost) {
     again("a malformed chunk");
     return false;
   }
@@ -146,14 +147,15 @@
   return true;
 }
 
-void Watch::lists() {
+void EndpointWatch::lists() {
   std::string_view object;
-  for (Objects::Step step; (step = objects_.next(object)) != Objects::Step::More;) {
+  for (JsonObjectSplitter::Step step;
+       (step = objects_.next(object)) != JsonObjectSplitter::Step::More;) {
     rapidjson::Document document;
-    if (step == Objects::Step::Object)
+    if (step == JsonObjectSplitter::Step::Object)
       document.Parse(object.data(), object.size());
     try {
-      if (step == Objects::Step::Broken || document.HasParseError())
+      if (step == JsonObjectSplitter::Step::Broken || document.HasParseError())
         throw settings::FormatError("not JSON");
       apply(read_list(document, "discovery's list"));
     } catch (const settings::FormatError& error) {
@@ -164,12 +166,13 @@
   }
 }
 
-void Watch::apply(List list) {
+void EndpointWatch::apply(EndpointListDocument list) {
   newest_.take(list, std::exchange(first_, false));
   revision_ = newest_.revision();
   told_.clear();
   pace_.heard();
-  core_.list(list.complete ? MemberList::Kind::Full : MemberList::Kind::Changes, list.members);
+  core_.update_endpoints(list.complete ? EndpointList::Kind::Full : EndpointList::Kind::Delta,
+                         list.members);
 }
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/objects.cpp
+++ b/src/discovery/json_object_splitter.cpp
@@ -1,12 +1,12 @@
-#include "objects.h"
+#include "json_object_splitter.h"
 
 namespace gorsebeam::discovery {
 
-void Objects::clear() {
-  *this = Objects();
+void JsonObjectSplitter::clear() {
+  *this = JsonObjectSplitter();
 }
 
-Objects::Step Objects::next(std::string_view& object) {
+JsonObjectSplitter::Step JsonObjectSplitter::next(std::string_view& object) {
   if (depth_ == 0)
     text_.erase(0, at_), at_ = 0;
   for (; at_ < text_.size(); ++at_) {
--- a/src/discovery/objects.h
+++ b/src/discovery/json_object_splitter.h
@@ -11,7 +11,7 @@
 
 namespace gorsebeam::discovery {
 
-class Objects {
+class JsonObjectSplitter {
 public:
   static constexpr std::size_t kMost = 8 << 20;  // bytes of one object, indented or not
 
--- a/src/discovery/pace.h
+++ b/src/discovery/reconnect_backoff.h
@@ -22,7 +22,7 @@
 
 // Waits are drawn evenly up to a bound; on one discovery it doubles with each, up to eight times
 // the first, and an answer, which `heard` tells, starts over. Times are nanoseconds.
-class Pace {
+class ReconnectBackoff {
 public:
   static constexpr Nanos kTold =
       6'000'000'000;  // after a watch's last byte: what it misses counts as told
@@ -38,7 +38,7 @@
   static constexpr Nanos kFirst = 250'000'000;  // the least first bound: few gateways harm no one
 
   // `asked`: all gateways ask one discovery; else each asks an agent of its own.
-  Pace(std::uint32_t gateways, bool asked, std::uint64_t seed);
+  ReconnectBackoff(std::uint32_t gateways, bool asked, std::uint64_t seed);
 
   // How long a watch may say nothing from now on.
   Nanos silence() const { return asked_ && !heard_ ? kUnheard : kOpen; }
--- a/src/discovery/newest.h
+++ b/src/discovery/revision_filter.h
@@ -8,7 +8,7 @@
 // as up.
 #pragma once
 
-#include "list.h"
+#include "endpoint_list.h"
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 
 namespace gorsebeam::discovery {
 
-class Newest {
+class RevisionFilter {
 public:
   // Bounds what is kept of members that are gone; the ones told of first are forgotten first.
   static constexpr std::size_t kGoneMost = 1024;
@@ -28,18 +28,18 @@
   // Leaves in `list` what is new; a full one that is not the newest then tells of no member that it
   // leaves out. `first`: it is the first of its watch, where a full one with a lower revision
   // begins another count.
-  void take(List& list, bool first);
+  void take(EndpointListDocument& list, bool first);
 
 private:
   struct Told {
     std::uint64_t count = 0;
     std::int64_t revision = 0;
-    MemberState state = MemberState::Up;
+    EndpointStatus state = EndpointStatus::Up;
     Nanos started_at = 0;
     bool left_out = false;  // of a full list, and not named as leaving
   };
 
-  bool still_leaving(const Told& told, const Member& member) const;
+  bool still_leaving(const Told& told, const Endpoint& member) const;
   void forget_gone();
 
   std::map<std::string, Told> told_;
--- a/src/front/front.cpp
+++ b/src/frontend/frontend.cpp
@@ -1,11 +1,11 @@
-#include "front.h"
+#include "frontend.h"
 
 #include "net/log.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gorsebeam::front {
+namespace gorsebeam::frontend {
 namespace {
 constexpr Nanos kSecond = 1'000'000'000;
 constexpr Nanos kSweep = kSecond / 20;
@@ -25,18 +25,18 @@
   return h;
 }
 
-Connection::Connection(Front& front, net::SocketHandle socket)
+ClientConnection::ClientConnection(Frontend& front, net::SocketHandle socket)
     : front_(front), stream_(net::Stream::adopt(std::move(socket), *this)), since_(net::now()),
       resume_([this] {
         try {
           run();
         } catch (const std::exception& error) {
-          net::log_line("connection", std::string("closed after an exception: ") + error.what());
+          net::log({"connection_closed", {{"reason", "exception"}, {"error", error.what()}}});
           close();
         }
       }) {}
 
-void Connection::received() {
+void ClientConnection::received() {
   if (closing_)
     return stream_->input().consume(stream_->input().size());  // nobody heeds what follows
   // Bounds what a client can make us hold: behind a request in hand its next ones wait in the
@@ -53,7 +53,7 @@
     front_.relieve();
 }
 
-void Connection::flushed() {
+void ClientConnection::flushed() {
   since_ = net::now();
   if (closing_)
     return linger();
@@ -63,7 +63,7 @@
 // Answers may come while the request is being begun, so parsing is a loop here and not a recursion.
 // Bounded: hundreds of commands written at once must not hold up the other connections; the rest
 // goes on in the next turn.
-void Connection::run() {
+void ClientConnection::run() {
   if (running_)
     return;
   running_ = true;
@@ -89,7 +89,7 @@
     stream_->pause_reading(!stream_->all_written());
 }
 
-bool Connection::begin(Request request, std::size_t size) {
+bool ClientConnection::begin(Request request, std::size_t size) {
   if (stream_->peer_left()) {
     abandon();
     return true;
@@ -98,12 +98,12 @@
   starting_ = true;
   request_size_ = size;
   if (front_.stopping()) {
-    refused(0);
+    reject(0);
     starting_ = false;
     return true;
   }
   std::string id = request.id;
-  const bool taken = front_.core().take(std::move(request), *this);
+  const bool taken = front_.core().begin_request(std::move(request), *this);
   starting_ = false;
   busy_ &= taken;
   if (busy_)
@@ -111,7 +111,7 @@
   return taken;
 }
 
-void Connection::answered() {
+void ClientConnection::answered() {
   busy_ = false;
   answered_times_ = std::min<std::size_t>(answered_times_ + 1, 2);
   request_.clear();
@@ -122,7 +122,7 @@
     run();
 }
 
-const char* Connection::overdue(Nanos now) const {
+const char* ClientConnection::overdue(Nanos now) const {
   if (busy_)
     return nullptr;
   if (!stream_->all_written())
@@ -132,26 +132,26 @@
   return !spoke_ && now - since_ > kOwed && !unread() ? "nothing was said" : nullptr;
 }
 
-void Connection::turn_away(const char* why) {
+void ClientConnection::turn_away(const char* why) {
   if (!closing_ && stream_->all_written())
     farewell(why);
   if (stream_->open() && !lingering_)
     close();
 }
 
-void Connection::abandon() {
+void ClientConnection::abandon() {
   if (busy_)
-    front_.core().gone(request_);
+    front_.core().client_disconnected(request_);
   busy_ = false;
   retire();
 }
 
-void Connection::retire() {
+void ClientConnection::retire() {
   closing_ = true;
   linger();
 }
 
-void Connection::close_when_written() {
+void ClientConnection::close_when_written() {
   closing_ = true;
   since_ = net::now();
   if (stream_->all_written())
@@ -160,7 +160,7 @@
 
 // Guards the last words: a close with bytes unread, or bytes that come after it, is a reset to the
 // client, which may then never read what it was told; its request would be lost.
-void Connection::linger() {
+void ClientConnection::linger() {
   if (lingering_ || !stream_->open())
     return;
   lingering_ = true;
@@ -171,19 +171,19 @@
   front_.linger(this);
 }
 
-void Connection::close() {
+void ClientConnection::close() {
   if (busy_)
-    front_.core().gone(request_);
+    front_.core().client_disconnected(request_);
   busy_ = false;
   stream_->close();
   front_.remove(this);
 }
 
-void Connection::ended(const std::string&) {
+void ClientConnection::ended(const std::string&) {
   close();
 }
 
-Front::Front(broker::Core& core, const Limits& limits, Make make)
+Frontend::Frontend(proxy::RequestBroker& core, const FrontendLimits& limits, ConnectionFactory make)
     : core_(core), limits_(limits), make_(std::move(make)), listener_(new_listener()),
       reaper_([this] {
         removed_.clear();
@@ -197,16 +197,16 @@
       linger_([this] {
         end_lingering();
       }) {
-  tidy_.after(admission::again(0, limits_.connections));
+  tidy_.after(connection_admission::again(0, limits_.connections));
 }
 
-std::unique_ptr<net::Listener> Front::new_listener() {
+std::unique_ptr<net::Listener> Frontend::new_listener() {
   return std::make_unique<net::Listener>([this](net::SocketHandle socket) {
     accepted(std::move(socket));
   });
 }
 
-bool Front::listen(const std::string& address, std::string& why) {
+bool Frontend::listen(const std::string& address, std::string& why) {
   auto fresh = new_listener();
   if (!fresh->listen(address, why))
     return false;
@@ -217,20 +217,21 @@
   return true;
 }
 
-void Front::set_limits(const Limits& limits) {
+void Frontend::set_limits(const FrontendLimits& limits) {
   limits_ = limits;
   if (listener_->open() && !stopping_)
     listener_->pause(connections_.size() >= limits_.connections + limits_.crowded);
 }
 
-void Front::accepted(net::SocketHandle socket) {
+void Frontend::accepted(net::SocketHandle socket) {
   const bool crowded = connections_.size() >= limits_.connections && !evict();
   auto connection = make_(*this, std::move(socket));
   connection->crowded_ = crowded;
   if (crowded)
-    net::log_line("front", "turned a client away: " + std::to_string(connections_.size()) +
-                               " are connected");
-  Connection* key = connection.get();
+    net::log({"client_rejected",
+              {{"reason", "too_many_connections"},
+               {"connections", std::to_string(connections_.size())}}});
+  ClientConnection* key = connection.get();
   connections_[key] = std::move(connection);
   // Guards the spare descriptors: beyond the ones to be turned away in words, clients wait in the
   // kernel.
@@ -238,8 +239,9 @@
     listener_->pause(true);
 }
 
-std::vector<admission::Idle> Front::idle(std::vector<Connection*>& which) const {
-  std::vector<admission::Idle> idle;
+std::vector<connection_admission::IdleConnection>
+Frontend::idle(std::vector<ClientConnection*>& which) const {
+  std::vector<connection_admission::IdleConnection> idle;
   for (const auto& [connection, owned] : connections_) {
     if (!connection->idle() || connection->unread())
       continue;
@@ -249,9 +251,10 @@
   return idle;
 }
 
-bool Front::evict() {
-  std::vector<Connection*> which;
-  const std::vector<std::size_t> order = admission::room_for_new(idle(which), net::now());
+bool Frontend::evict() {
+  std::vector<ClientConnection*> which;
+  const std::vector<std::size_t> order =
+      connection_admission::room_for_new(idle(which), net::now());
   if (order.empty())
     return false;
   which[order.front()]->retire();
@@ -259,43 +262,43 @@
 }
 
 // What is owed an end gets it in time, and what rests makes room.
-void Front::tidy() {
+void Frontend::tidy() {
   const Nanos now = net::now();
-  std::vector<std::pair<const char*, Connection*>> late;
+  std::vector<std::pair<const char*, ClientConnection*>> late;
   for (const auto& [connection, owned] : connections_)
     if (const char* why = connection->overdue(now))
       late.emplace_back(why, connection);
   for (const auto& [why, connection] : late)
     connection->turn_away(why);
-  std::vector<Connection*> which;
-  for (const admission::Close& close :
-       admission::retire(idle(which), now, connections_.size(), limits_.connections)) {
+  std::vector<ClientConnection*> which;
+  for (const connection_admission::CloseCandidate& close :
+       connection_admission::retire(idle(which), now, connections_.size(), limits_.connections)) {
     if (connections_.size() <= close.above)
       continue;
-    Connection* connection = which[close.index];
+    ClientConnection* connection = which[close.index];
     if (connection->answered_times() == 0)
       connection->crowded_ = true;  // told why, in the protocol's words
     connection->answered_times() == 0 ? connection->turn_away("too many connections")
                                       : connection->retire();
   }
-  tidy_.after(admission::again(connections_.size(), limits_.connections));
+  tidy_.after(connection_admission::again(connections_.size(), limits_.connections));
 }
 
-void Front::relieve() {
+void Frontend::relieve() {
   if (net::buffered() <= limits_.buffered)
     return;
-  Connection* largest = nullptr;
+  ClientConnection* largest = nullptr;
   for (const auto& [connection, owned] : connections_)
     if (!largest || connection->held() > largest->held())
       largest = connection;
   if (!largest || largest->held() == 0)
     return;
-  net::log_line("front", "memory is short: closed a connection that holds " +
-                             std::to_string(largest->held()) + " bytes of a message");
+  net::log({"client_closed",
+            {{"reason", "memory_limit"}, {"message_bytes", std::to_string(largest->held())}}});
   largest->turn_away("memory is short");
 }
 
-void Front::linger(Connection* connection) {
+void Frontend::linger(ClientConnection* connection) {
   const auto found = connections_.find(connection);
   if (found == connections_.end())
     return;
@@ -311,7 +314,7 @@
     listener_->pause(false);
 }
 
-void Front::end_lingering() {
+void Frontend::end_lingering() {
   const Nanos now = net::now();
   while (!lingering_.empty() && now - lingering_.front()->since() >= kLinger)
     lingering_.front()->close();
@@ -319,7 +322,7 @@
     linger_.at(lingering_.front()->since() + kLinger);
 }
 
-void Front::remove(Connection* connection) {
+void Frontend::remove(ClientConnection* connection) {
   if (connection->lingering()) {
     const auto at =
         std::find_if(lingering_.begin(), lingering_.end(), [connection](const auto& owned) {
@@ -341,17 +344,17 @@
     listener_->pause(false);
 }
 
-void Front::stop_accepting() {
+void Frontend::stop_accepting() {
   stopping_ = true;
   listener_->close();
-  std::vector<Connection*> idle;
+  std::vector<ClientConnection*> idle;
   for (const auto& [connection, owned] : connections_)
     if (connection->idle() && !connection->unread())
       idle.push_back(connection);
-  for (Connection* connection : idle)
+  for (ClientConnection* connection : idle)
     connection->retire();
   if (!connections_.empty())
     sweep_.after(kSweep);
 }
 
-}  // namespace gorsebeam::front
+}  // namespace gorsebeam::frontend
--- a/src/front/front.h
+++ b/src/frontend/frontend.h
@@ -2,11 +2,11 @@
 // end after SIGTERM. A protocol's connection derives from Connection.
 #pragma once
 
-#include "admission/admission.h"
-#include "broker/core.h"
+#include "connection_admission/connection_admission.h"
 #include "net/listener.h"
 #include "net/stream.h"
 #include "net/timer.h"
+#include "proxy/request_broker.h"
 
 #include <functional>
 #include <list>
@@ -16,18 +16,18 @@
 #include <string_view>
 #include <vector>
 
-namespace gorsebeam::front {
+namespace gorsebeam::frontend {
 
-class Front;
+class Frontend;
 
 // FNV-1a: what sessions are told apart by where their names are no numbers. All gateways hash
 // alike.
 std::uint64_t hash_name(std::string_view name);
 
-class Connection : public net::Stream::Events, public broker::Call {
+class ClientConnection : public net::Stream::Events, public proxy::ClientCall {
 public:
-  Connection(Front& front, net::SocketHandle socket);
-  ~Connection() override = default;
+  ClientConnection(Frontend& front, net::SocketHandle socket);
+  ~ClientConnection() override = default;
 
   bool idle() const { return !busy_ && stream_->input().size() == 0 && stream_->all_written(); }
 
@@ -70,11 +70,11 @@
   // had on the way is read and dropped until it hangs up.
   void close_when_written();
 
-  Front& front_;
+  Frontend& front_;
   std::shared_ptr<net::Stream> stream_;
 
 private:
-  friend class Front;
+  friend class Frontend;
   void received() final;
   void flushed() final;
   void ended(const std::string& why) final;
@@ -96,7 +96,7 @@
   net::Timer resume_;
 };
 
-struct Limits {
+struct FrontendLimits {
   std::size_t connections = 480;  // served at once
   std::size_t crowded = 32;       // accepted beyond that, to be turned away in words
   std::size_t lingering = 32;     // told their last words, and not yet closed
@@ -104,10 +104,11 @@
   std::size_t buffered = 16 << 20;  // by all connections together, members' too
 };
 
-class Front {
+class Frontend {
 public:
-  using Make = std::function<std::unique_ptr<Connection>(Front&, net::SocketHandle)>;
-  Front(broker::Core& core, const Limits& limits, Make make);
+  using ConnectionFactory =
+      std::function<std::unique_ptr<ClientConnection>(Frontend&, net::SocketHandle)>;
+  Frontend(proxy::RequestBroker& core, const FrontendLimits& limits, ConnectionFactory make);
   // Also while it listens elsewhere: then the old address is given up once the new one stands;
   // connections go on.
   bool listen(const std::string& address, std::string& why);
@@ -123,33 +124,34 @@
 
   bool empty() const { return connections_.empty() && lingering_.empty(); }
 
-  broker::Core& core() { return core_; }
+  proxy::RequestBroker& core() { return core_; }
 
-  const Limits& limits() const { return limits_; }
+  const FrontendLimits& limits() const { return limits_; }
 
-  void set_limits(
-      const Limits& limits);  // from now on; what is connected beyond them is retired as it rests
-  void remove(Connection* connection);
-  void linger(Connection* connection);
+  void set_limits(const FrontendLimits&
+                      limits);  // from now on; what is connected beyond them is retired as it rests
+  void remove(ClientConnection* connection);
+  void linger(ClientConnection* connection);
   void relieve();  // called as input grows: over the bound, the largest half-sent message goes
 
 private:
   std::unique_ptr<net::Listener> new_listener();
   void accepted(net::SocketHandle socket);
-  std::vector<admission::Idle> idle(std::vector<Connection*>& which) const;  // with nothing unread
+  std::vector<connection_admission::IdleConnection>
+  idle(std::vector<ClientConnection*>& which) const;  // with nothing unread
   bool evict();
   void tidy();
   void end_lingering();
 
-  broker::Core& core_;
-  Limits limits_;
-  Make make_;
+  proxy::RequestBroker& core_;
+  FrontendLimits limits_;
+  ConnectionFactory make_;
   std::unique_ptr<net::Listener> listener_;
-  std::map<Connection*, std::unique_ptr<Connection>> connections_;
-  std::vector<std::unique_ptr<Connection>> removed_;
-  std::list<std::unique_ptr<Connection>> lingering_;  // the one that began first is first
+  std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
+  std::vector<std::unique_ptr<ClientConnection>> removed_;
+  std::list<std::unique_ptr<ClientConnection>> lingering_;  // the one that began first is first
   net::Timer reaper_, sweep_, tidy_, linger_;
   bool stopping_ = false;
 };
 
-}  // namespace gorsebeam::front
+}  // namespace gorsebeam::frontend
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,11 +1,11 @@
 #include "gateway.h"
 
-#include "mongo/front.h"
-#include "mongo/wire.h"
+#include "mongo/frontend.h"
+#include "mongo/upstream_protocol.h"
 #include "net/log.h"
 #include "net/signals.h"
-#include "postgres/front.h"
-#include "postgres/wire.h"
+#include "postgres/frontend.h"
+#include "postgres/upstream_protocol.h"
 
 #include <algorithm>
 #include <csignal>
@@ -26,8 +26,8 @@
 // Descriptors and buffers: what is allowed less spare ones, for the listeners, discovery, logs and
 // accepted connections that are to be turned away, shared among the fronts; half of each share for
 // clients, half for members.
-void share_out(std::size_t sockets, std::size_t memory_mb, std::size_t paths, front::Limits& fronts,
-               upstream::Limits& pools) {
+void share_out(std::size_t sockets, std::size_t memory_mb, std::size_t paths,
+               frontend::FrontendLimits& fronts, connection_pool::PoolLimits& pools) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
@@ -62,8 +62,8 @@
 }
 
 void Path::limit(const config::pb::Limits& limits) {
-  front::Limits fronts = front_share_;
-  upstream::Limits pools = pool_share_;
+  frontend::FrontendLimits fronts = front_share_;
+  connection_pool::PoolLimits pools = pool_share_;
   const auto at_most = [](std::size_t share, std::size_t wanted) {
     return wanted ? std::min(share, wanted) : share;
   };
@@ -90,13 +90,13 @@
         empty_.after(20 * kMs);
       }),
       last_([this] {
-        net::log_line("stop", "time is up, with connections left open");
+        net::log({"shutdown_deadline_exceeded", {}});
         g_main_loop_quit(loop_);
       }) {
   const settings::Profile& profile = plan_.config.profile;
   const bool two = plan_.file.gateway.has_mongo();
-  front::Limits fronts;
-  upstream::Limits pools;
+  frontend::FrontendLimits fronts;
+  connection_pool::PoolLimits pools;
   share_out(plan_.config.sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
   if (profile.settings.connect_timeout > 0)
     pools.connect_timeout = profile.settings.connect_timeout;
@@ -119,27 +119,28 @@
   const config::Config& config = plan_.config;
   const config::pb::Gateway& file = plan_.file.gateway;
   take_up(file);
-  control_ = std::make_unique<control::Client>(plan_.file, config.seed,
-                                               [this](const config::pb::Contracts* contracts,
-                                                      const config::pb::Members* members,
-                                                      const config::pb::Limits* limits) {
-                                                 run(contracts, members, limits);
-                                               });
+  control_ = std::make_unique<control_plane::Client>(plan_.file, config.seed,
+                                                     [this](const config::pb::Contracts* contracts,
+                                                            const config::pb::Members* members,
+                                                            const config::pb::Limits* limits) {
+                                                       run(contracts, members, limits);
+                                                     });
   if (!plan_.file.site.postgres_listed) {
-    watch_ = std::make_unique<discovery::Watch>(
+    watch_ = std::make_unique<discovery::EndpointWatch>(
         postgres_->core, config.discovery, config.known,
-        discovery::Pace(config.profile.settings.routers,
-                        config.profile.settings.discovery == Discovery::Asked, config.seed));
+        discovery::ReconnectBackoff(config.profile.settings.router_count,
+                                    config.profile.settings.discovery_mode == DiscoveryMode::Poll,
+                                    config.seed));
     watch_->start();
   }
   control_->start();
-  const auto listen = [&why](front::Front& front, const std::string& address,
+  const auto listen = [&why](frontend::Frontend& front, const std::string& address,
                              const char* protocol) {
     if (!front.listen(address, why)) {
       why = "cannot listen on " + address + ": " + why;
       return false;
     }
-    net::log_line("start", std::string(protocol) + " on " + front.address());
+    net::log({"listener_started", {{"protocol", protocol}, {"address", front.address()}}});
     return true;
   };
   return listen(postgres_->front, config.listen, "PostgreSQL") &&
@@ -149,7 +150,7 @@
 void Gateway::stop() {
   if (std::exchange(stopping_, true))
     return;
-  net::log_line("stop", "asked to: serving until all is answered");
+  net::log({"shutdown_started", {}});
   control_->stop();
   door_.after(kStillAccepting);
   Nanos longest = kLongestLeast;
@@ -162,10 +163,10 @@
   net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
                                                                    : net::LogFormat::Text);
   const config::pb::Shapes& shapes = file.shapes();
-  shapes_ = !shapes.postgres()
-                ? nullptr
-                : std::make_shared<const gorsebeam::shapes::Sql>(std::set<std::string>(
-                      shapes.read_function().begin(), shapes.read_function().end()));
+  shapes_ = !shapes.postgres() ? nullptr
+                               : std::make_shared<const gorsebeam::sql_classifier::SqlClassifier>(
+                                     std::set<std::string>(shapes.read_function().begin(),
+                                                           shapes.read_function().end()));
 }
 
 std::string Gateway::waits_for_start(const Plan& fresh) const {
@@ -183,7 +184,7 @@
 // the module knows them by their names; open requests never notice.
 void Gateway::reload() {
   const auto kept = [](const std::string& why) {
-    net::log_line("reload", "kept all as it was: " + why);
+    net::log({"reload_rejected", {{"error", why}}});
   };
   // Guards the end against an address that would be listened on anew.
   if (stopping_)
@@ -203,30 +204,30 @@
   if (moves && !mongo_->front.listen(file.mongo().listen(), why))
     return kept("cannot listen on " + file.mongo().listen() + ": " + why);
   if (moves)
-    net::log_line("start", "MongoDB on " + mongo_->front.address());
+    net::log({"listener_started", {{"protocol", "MongoDB"}, {"address", mongo_->front.address()}}});
   take_up(file);
   if (fresh.config.fixed != plan_.config.fixed)
-    net::log_line("reload",
-                  "the platform's limits, settings and listening address wait for the next start");
+    net::log({"reload_requires_restart", {{"settings", "platform"}}});
   if (watch_)
     watch_->follow(fresh.config.discovery);
   why = control_->follow(fresh.file);
   plan_.file.gateway = fresh.file.gateway;
   if (!why.empty())
-    return net::log_line("reload", "contracts, members and limits kept as they were: " + why);
-  net::log_line("reload", "read again; discovery is " + fresh.config.discovery);
+    return net::log({"reload_partial", {{"error", why}}});
+  net::log({"reload_complete", {{"discovery", fresh.config.discovery}}});
 }
 
 void Gateway::run(const config::pb::Contracts* contracts, const config::pb::Members* members,
                   const config::pb::Limits* limits) {
   if (contracts)
-    terms_.set(std::make_shared<broker::Contracts>(
-                   config::contracts_of(*contracts, plan_.config.profile.classes)),
-               net::now());
+    terms_.replace_contracts(std::make_shared<proxy::ContractSet>(
+                                 config::contracts_of(*contracts, plan_.config.profile.classes)),
+                             net::now());
   if (members && plan_.file.site.postgres_listed)
-    postgres_->core.list(MemberList::Kind::Full, config::members_of(members->postgres()));
+    postgres_->core.update_endpoints(EndpointList::Kind::Full,
+                                     config::members_of(members->postgres()));
   if (members && mongo_)
-    mongo_->core.list(MemberList::Kind::Full, config::members_of(members->mongo()));
+    mongo_->core.update_endpoints(EndpointList::Kind::Full, config::members_of(members->mongo()));
   if (limits)
     postgres_->limit(*limits);
   if (limits && mongo_)
@@ -238,7 +239,7 @@
     number == SIGHUP ? reload() : stop();
   });
   g_main_loop_run(loop_);
-  net::log_line("stop", "done");
+  net::log({"shutdown_complete", {}});
   return 0;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,13 +1,13 @@
 // One gateway: the fronts, their cores and upstreams, and the end after SIGTERM.
 #pragma once
 
-#include "config/config.h"
-#include "config/file.h"
-#include "control/client.h"
-#include "discovery/watch.h"
-#include "front/front.h"
-#include "shapes/sql.h"
-#include "upstream/pool.h"
+#include "config/operator_file.h"
+#include "config/platform_config.h"
+#include "connection_pool/connection_pool.h"
+#include "control_plane/control_plane_client.h"
+#include "discovery/endpoint_watch.h"
+#include "frontend/frontend.h"
+#include "sql_classifier/sql_classifier.h"
 
 #include <functional>
 #include <memory>
@@ -27,8 +27,9 @@
 // One protocol's way through: a front on a core of its own, with its own members.
 class Path {
 public:
-  Path(const settings::Profile& profile, std::uint64_t seed, upstream::WireFactory wire,
-       const upstream::Limits& pool, const front::Limits& limits, front::Front::Make make)
+  Path(const settings::Profile& profile, std::uint64_t seed, connection_pool::WireFactory wire,
+       const connection_pool::PoolLimits& pool, const frontend::FrontendLimits& limits,
+       frontend::Frontend::ConnectionFactory make)
       : core(profile.settings, seed), pool_(core, wire, pool), pool_share_(pool),
         front_share_(limits), front(core, limits, std::move(make)) {
     core.attach(pool_);
@@ -39,15 +40,15 @@
 
   bool done() const { return front.empty() && core.open_requests() == 0; }
 
-  broker::Core core;
+  proxy::RequestBroker core;
 
 private:
-  upstream::Pool pool_;
-  const upstream::Limits pool_share_;
-  const front::Limits front_share_;
+  connection_pool::ConnectionPool pool_;
+  const connection_pool::PoolLimits pool_share_;
+  const frontend::FrontendLimits front_share_;
 
 public:
-  front::Front front;
+  frontend::Frontend front;
 };
 
 class Gateway {
@@ -74,11 +75,12 @@
 
   Plan plan_;
   GMainLoop* loop_;
-  broker::Terms terms_;
-  std::shared_ptr<const gorsebeam::shapes::Sql> shapes_;  // null: statements are not parsed
+  proxy::ContractEnforcer terms_;
+  std::shared_ptr<const gorsebeam::sql_classifier::SqlClassifier>
+      shapes_;  // null: statements are not parsed
   std::unique_ptr<Path> postgres_, mongo_;
-  std::unique_ptr<discovery::Watch> watch_;
-  std::unique_ptr<control::Client> control_;
+  std::unique_ptr<discovery::EndpointWatch> watch_;
+  std::unique_ptr<control_plane::Client> control_;
   net::Timer door_, empty_, last_;
   bool stopping_ = false;
 };
--- a/src/inventory/row.h
+++ b/src/inventory/endpoint_rows.h
@@ -1,7 +1,7 @@
 // One member as an inventory names it: its fields with the lines they stand on.
 #pragma once
 
-#include "broker/core.h"
+#include "proxy/request_broker.h"
 
 #include <map>
 #include <set>
@@ -25,7 +25,7 @@
   [[noreturn]] void wrong(std::size_t line, const std::string& field,
                           const std::string& what) const;
   static bool known(const std::string& field);
-  std::vector<broker::Listed> members;
+  std::vector<proxy::ListedEndpoint> members;
 
 private:
   std::string path_;
--- a/src/inventory/inventory.cpp
+++ b/src/inventory/inventory.cpp
@@ -1,8 +1,8 @@
 #include "inventory.h"
 
+#include "endpoint_rows.h"
 #include "net/stream.h"
-#include "row.h"
-#include "settings/json.h"
+#include "settings/json_reader.h"
 
 #include <charconv>
 #include <cmath>
@@ -47,8 +47,8 @@
       bad(field, "'" + value + "' is no number in range");
     return read;
   };
-  broker::Listed listed;
-  Member& member = listed.member;
+  proxy::ListedEndpoint listed;
+  Endpoint& member = listed.endpoint;
   listed.name = text("name");
   if (listed.name.empty())
     bad("name", "is missing");
@@ -70,21 +70,21 @@
   const std::string role = text("role");
   if (role != "" && role != "primary" && role != "replica")
     bad("role", "'" + role + "' is neither primary nor replica");
-  member.primary = role == "primary";
-  if (member.primary && !with_primary_.insert(member.group).second)
+  member.listed_as_primary = role == "primary";
+  if (member.listed_as_primary && !with_primary_.insert(member.group).second)
     bad("role", "the group has a primary already");
   const std::string state = text("state");
   if (state != "" && state != "up" && state != "draining" && state != "removed")
     bad("state", "'" + state + "' is none of up, draining and removed");
-  member.state = state == "draining"  ? MemberState::Draining
-                 : state == "removed" ? MemberState::Removed
-                                      : MemberState::Up;
-  member.size = number("size", 1, 1e-6, 1e6);
+  member.status = state == "draining"  ? EndpointStatus::Draining
+                  : state == "removed" ? EndpointStatus::Removed
+                                       : EndpointStatus::Up;
+  member.weight = number("size", 1, 1e-6, 1e6);
   member.started_at = static_cast<Nanos>(number("started", 0, 0, 9e9) * 1e9);
   members.push_back(std::move(listed));
 }
 
-std::vector<broker::Listed> read(const std::string& path) {
+std::vector<proxy::ListedEndpoint> read(const std::string& path) {
   Rows rows(path);
   if (ends_in(path, ".csv"))
     read_csv(path, rows);
--- a/src/inventory/inventory.h
+++ b/src/inventory/inventory.h
@@ -2,7 +2,7 @@
 // Ansible's inventories.
 #pragma once
 
-#include "broker/core.h"
+#include "proxy/request_broker.h"
 
 #include <string>
 #include <vector>
@@ -16,6 +16,6 @@
 // state (up, draining, removed), size, started (Unix seconds). YAML: all/children/hosts, with the
 // same names as variables of a host or of a group that holds it; `ansible_host` and `ansible_port`
 // stand in for the address.
-std::vector<broker::Listed> read(const std::string& path);
+std::vector<proxy::ListedEndpoint> read(const std::string& path);
 
 }  // namespace gorsebeam::inventory
--- a/src/inventory/yaml.cpp
+++ b/src/inventory/yaml.cpp
@@ -1,5 +1,5 @@
-#include "row.h"
-#include "settings/json.h"
+#include "endpoint_rows.h"
+#include "settings/json_reader.h"
 
 #include <yaml-cpp/yaml.h>
 
--- a/src/duties/duties.cpp
+++ b/src/leases/leases.cpp
@@ -1,4 +1,4 @@
-#include "duties.h"
+#include "leases.h"
 
 #include <xxhash.h>
 
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <utility>
 
-namespace gorsebeam::duties {
+namespace gorsebeam::leases {
 namespace {
 
 constexpr int kLapsesMost = 5;           // a gateway that flaps is shunned for at most 32 leases
@@ -342,4 +342,4 @@
   return true;
 }
 
-}  // namespace gorsebeam::duties
+}  // namespace gorsebeam::leases
--- a/src/duties/duties.h
+++ b/src/leases/leases.h
@@ -37,7 +37,7 @@
 #include <variant>
 #include <vector>
 
-namespace gorsebeam::duties {
+namespace gorsebeam::leases {
 
 using Nanos = std::int64_t;
 using Token = std::uint64_t;  // 0: never granted
@@ -217,4 +217,4 @@
   std::map<std::string, Token> highest_;
 };
 
-}  // namespace gorsebeam::duties
+}  // namespace gorsebeam::leases
--- /dev/null
+++ b/src/logging/log_record.cpp
@@ -0,0 +1,76 @@
+#include "log_record.h"
+
+namespace gorsebeam::logging {
+namespace {
+
+const char* reason_name(EjectionReason reason) {
+  switch (reason) {
+  case EjectionReason::ConsecutiveTimeouts:
+    return "consecutive_timeouts";
+  case EjectionReason::ConnectionFailure:
+    return "connection_failure";
+  case EjectionReason::ErrorRatio:
+    return "error_ratio";
+  }
+  return "unknown";
+}
+
+struct RecordBuilder {
+  LogRecord operator()(const PrimaryElected& message) const {
+    return group_event("primary_elected", message.group, message.endpoint);
+  }
+
+  LogRecord operator()(const PrimaryDemoted& message) const {
+    return group_event("primary_demoted", message.group, message.endpoint);
+  }
+
+  LogRecord operator()(const PrimarySuspected& message) const {
+    return group_event("primary_suspected", message.group, message.endpoint);
+  }
+
+  LogRecord operator()(const EndpointEjected& message) const {
+    return {
+        "endpoint_ejected",
+        {{"endpoint", std::to_string(message.endpoint)}, {"reason", reason_name(message.reason)}}};
+  }
+
+  LogRecord operator()(const EndpointReadmitted& message) const {
+    return {"endpoint_readmitted", {{"endpoint", std::to_string(message.endpoint)}}};
+  }
+
+private:
+  static LogRecord group_event(const char* event, GroupId group, EndpointId endpoint) {
+    return {event, {{"group", std::to_string(group)}, {"endpoint", std::to_string(endpoint)}}};
+  }
+};
+
+bool is_control(char c) {
+  return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+}
+
+std::string quoted_if_needed(const std::string& value) {
+  std::string clean;
+  bool bare = !value.empty();
+  for (const char c : value) {
+    bare &= !is_control(c) && c != ' ' && c != '"' && c != '=';
+    if (c == '"')
+      clean += '\\';
+    clean += is_control(c) ? '?' : c;
+  }
+  return bare ? clean : '"' + clean + '"';
+}
+
+}  // namespace
+
+LogRecord to_record(const LogMessage& message) {
+  return std::visit(RecordBuilder{}, message);
+}
+
+std::string to_text(const LogRecord& record) {
+  std::string text = record.event;
+  for (const auto& [name, value] : record.fields)
+    text += std::string(" ") + name + "=" + quoted_if_needed(value);
+  return text;
+}
+
+}  // namespace gorsebeam::logging
--- /dev/null
+++ b/src/logging/log_record.h
@@ -0,0 +1,27 @@
+/// One line of the operators' log: a stable event name and its fields. Pure; `net/log` writes it.
+#pragma once
+
+#include "gorsebeam/log_messages.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gorsebeam::logging {
+
+/// Names and values, in the order in which they are written. Names are string literals.
+using Fields = std::vector<std::pair<const char*, std::string>>;
+
+struct LogRecord {
+  const char* event = "";  ///< A string literal, such as "endpoint_ejected".
+  Fields fields;
+};
+
+/// The record of a router's message.
+[[nodiscard]] LogRecord to_record(const LogMessage& message);
+
+/// "endpoint_ejected endpoint=7 reason=consecutive_timeouts". A value that is not a single word is
+/// quoted, and control characters are replaced, so that no value can begin a line of its own.
+[[nodiscard]] std::string to_text(const LogRecord& record);
+
+}  // namespace gorsebeam::logging
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,7 @@
 // The command line of the gateway.
-#include "config/file.h"
+#include "config/operator_file.h"
 #include "gateway/gateway.h"
-#include "state/folder.h"
+#include "snapshot_store/snapshot_store.h"
 
 #include <cxxopts.hpp>
 #include <google/protobuf/text_format.h>
@@ -30,15 +30,15 @@
 // 1: different, or wrong; 2: cannot be read.
 
 int show(const std::string& folder) {
-  namespace state = gorsebeam::state;
+  namespace snapshot_store = gorsebeam::snapshot_store;
   std::string why;
-  const auto good = state::load(folder, why);
+  const auto good = snapshot_store::load(folder, why);
   if (!good) {
     std::cerr << "gorsebeam: " << (why.empty() ? folder + ": holds no last good version" : why)
               << '\n';
     return 2;
   }
-  const auto part = [](const char* name, const state::v1::Part& p,
+  const auto part = [](const char* name, const gorsebeam::state::v1::Part& p,
                        const google::protobuf::Message& value) {
     if (!p.held())
       return;
--- a/src/mongo/front.cpp
+++ b/src/mongo/frontend.cpp
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "frontend.h"
 
 #include "codec.h"
 
@@ -69,20 +69,21 @@
   return terms;
 }
 
-class MongoConnection : public front::Connection {
+class MongoConnection : public frontend::ClientConnection {
 public:
-  MongoConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms)
-      : Connection(front, std::move(socket)), terms_(terms) {}
+  MongoConnection(frontend::Frontend& front, net::SocketHandle socket,
+                  proxy::ContractEnforcer& terms)
+      : ClientConnection(front, std::move(socket)), terms_(terms) {}
 
   // The message as the client sent it, but for three fields of its command: the time to wait, which
   // is written anew; a read's $readPreference, as replicas serve only reads that allow it; and a
   // checksum, as the head is another.
-  broker::Parts body(Nanos left) override {
+  proxy::Parts body(Nanos left) override {
     Message m;
     OpMsg msg;
     read_message(stream_->input().view(), front_.limits().message_bytes, m);
     read_op_msg(m.payload, msg);
-    broker::Parts parts{rewritten_, msg.before, rewritten_};
+    proxy::Parts parts{rewritten_, msg.before, rewritten_};
     std::size_t size = 5;
     Reader reader(msg.body);
     for (Element element; reader.next(element);) {
@@ -111,18 +112,18 @@
     return parts;
   }
 
-  void served(const broker::Parts& value) override {
+  void respond(const proxy::Parts& value) override {
     std::size_t size = 4;
     for (const std::string_view part : value)
       size += part.size();
     const std::string head = header(size, ++sent_, request_id_, kOpMsg) + u32(0);
-    broker::Parts parts{head};
+    proxy::Parts parts{head};
     parts.insert(parts.end(), value.begin(), value.end());
     stream_->write(parts);
     finish();
   }
 
-  void refused(Nanos retry_after) override {
+  void reject(Nanos retry_after) override {
     // Drivers send a write again on the first label, and it is harmless; newer ones wait on the
     // second.
     const std::string labels =
@@ -136,7 +137,7 @@
     finish();
   }
 
-  void failed() override {
+  void fail() override {
     answer(fault(kNetworkTimeout, "NetworkTimeout", "failed: the effect is not known"));
     finish();
   }
@@ -280,23 +281,24 @@
     if (terms.group.empty() || *end != '\0' || group > 0xffffffffu)
       return parse_error("the command's comment names no cluster");
     const RequestClass& c = front_.core().settings().classes[found->second];
-    if (read_ != (c.level != ReadLevel::Write))
+    if (read_ != (c.consistency != ConsistencyLevel::Write))
       return parse_error("the command does not fit its class");
     const auto session = find(body, "lsid");
     const bool named = session && session->type == '\x03';
     // The protocol's own key for a write that may be repeated: its session and its number in it.
-    if (c.effect == Effect::Keyed && terms.idempotency.empty() &&
+    if (c.idempotency == Idempotency::IdempotencyKey && terms.idempotency.empty() &&
         !(named && find(body, "txnNumber")))
       return parse_error("the class needs a key: k in the comment, or lsid and txnNumber");
-    if (c.level == ReadLevel::Session && !named)
+    if (c.consistency == ConsistencyLevel::Session && !named)
       return parse_error("the class needs a session: lsid");
     Request request;
     request.id = terms.id;
     request.class_index = found->second;
     request.group = static_cast<GroupId>(group);
-    if (named && (c.level == ReadLevel::Write || c.level == ReadLevel::Session)) {
+    if (named &&
+        (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Session)) {
       const auto id = find(session->value, "id");
-      request.session = front::hash_name(id ? id->value : session->value);
+      request.session = frontend::hash_name(id ? id->value : session->value);
     }
     const Nanos now = net::now();
     Nanos wait = c.deadline;
@@ -308,16 +310,16 @@
         wait = *ms * kMs;  // 0: no limit, as the protocol has it
     }
     request.deadline = now + wait;
-    if (!terms_.knows(team_))
+    if (!terms_.has_team(team_))
       return decline(kUnauthorized, "Unauthorized", "no contract with the team '" + team_ + "'");
-    const auto verdict = terms_.apply(team_, now, request);
-    if (verdict != broker::Terms::Verdict::Fine)
-      return decline(kUnauthorized, "Unauthorized", broker::words(verdict));
+    const auto verdict = terms_.admit(team_, now, request);
+    if (verdict != proxy::ContractEnforcer::Decision::Admitted)
+      return decline(kUnauthorized, "Unauthorized", proxy::describe(verdict));
     if (!begin(std::move(request), message_size_))
       parse_error("a request with this id is open, or it is no fit id");
   }
 
-  broker::Terms& terms_;
+  proxy::ContractEnforcer& terms_;
   std::string team_, rewritten_;
   std::uint32_t sent_ = 0, request_id_ = 0;
   std::size_t message_size_ = 0;
@@ -326,8 +328,8 @@
 
 }  // namespace
 
-front::Front::Make make_connection(broker::Terms& terms) {
-  return [&terms](front::Front& front, net::SocketHandle socket) {
+frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& terms) {
+  return [&terms](frontend::Frontend& front, net::SocketHandle socket) {
     return std::make_unique<MongoConnection>(front, std::move(socket), terms);
   };
 }
--- a/src/mongo/front.h
+++ b/src/mongo/frontend.h
@@ -1,13 +1,13 @@
 // The client side of the MongoDB wire protocol.
 #pragma once
 
-#include "front/front.h"
+#include "frontend/frontend.h"
 
-#include "broker/contracts.h"
+#include "proxy/contract_enforcer.h"
 
 namespace gorsebeam::mongo {
 
 // `terms` outlives the front.
-front::Front::Make make_connection(broker::Terms& terms);
+frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& terms);
 
 }  // namespace gorsebeam::mongo
--- a/src/mongo/wire.cpp
+++ b/src/mongo/upstream_protocol.cpp
@@ -1,12 +1,12 @@
-#include "wire.h"
+#include "upstream_protocol.h"
 
 #include "codec.h"
 
 namespace gorsebeam::mongo {
 namespace {
 
-using broker::Answer;
-using upstream::Step;
+using connection_pool::ParseStep;
+using proxy::UpstreamResponse;
 
 constexpr std::size_t kMessageMost = 1 << 20;
 constexpr Nanos kSecond = 1'000'000'000;
@@ -23,7 +23,7 @@
   return code ? static_cast<std::int32_t>(integer(*code).value_or(0)) : 0;
 }
 
-class MongoWire : public upstream::Wire {
+class MongoWire : public connection_pool::UpstreamProtocol {
 public:
   std::string greeting() override {
     const std::string client =
@@ -36,40 +36,40 @@
                   ++id_, 0);
   }
 
-  Step welcome(std::string_view in, std::size_t& used, bool& turned_away) override {
+  ParseStep parse_greeting(std::string_view in, std::size_t& used, bool& turned_away) override {
     std::string_view document, sections;
-    const Step step = reply(in, document, sections, used);
-    if (step != Step::Done || is_ok(document))
+    const ParseStep step = reply(in, document, sections, used);
+    if (step != ParseStep::Done || is_ok(document))
       return step;
     turned_away = code_of(document) == kRateLimitExceeded;
-    return Step::Broken;
+    return ParseStep::Broken;
   }
 
-  broker::Parts request(const broker::Parts& body) override {
+  proxy::Parts request(const proxy::Parts& body) override {
     std::size_t size = 0;
     for (const std::string_view part : body)
       size += part.size();
     head_ = header(size, ++id_, 0, kOpMsg);
-    broker::Parts parts{head_};
+    proxy::Parts parts{head_};
     parts.insert(parts.end(), body.begin(), body.end());
     return parts;
   }
 
-  broker::Parts probe() override {
+  proxy::Parts probe() override {
     head_ = op_msg(Writer().small("hello", 1).text("$db", "admin").take(), ++id_, 0);
     return {head_};
   }
 
-  Step answer(std::string_view in, bool, bool to_probe, Answer& answer,
-              std::size_t& used) override {
-    answer = Answer{};
+  ParseStep answer(std::string_view in, bool, bool to_probe, UpstreamResponse& answer,
+                   std::size_t& used) override {
+    answer = UpstreamResponse{};
     std::string_view document, sections;
-    const Step step = reply(in, document, sections, used);
-    if (step != Step::Done)
+    const ParseStep step = reply(in, document, sections, used);
+    if (step != ParseStep::Done)
       return step;
     if (to_probe) {
       read_hello(document, answer);
-      return Step::Done;
+      return ParseStep::Done;
     }
     const std::int32_t code = is_ok(document) ? 0 : code_of(document);
     read_position(document, answer);
@@ -81,49 +81,49 @@
     case kNotPrimaryNoSecondaryOk:
     case kNotPrimaryOrSecondary:
     case kSnapshotUnavailable:
-      answer.result = Result::Miss;
-      return Step::Done;
+      answer.status = AttemptStatus::Misdirected;
+      return ParseStep::Done;
     case kRateLimitExceeded:
-      answer.result = Result::Full;
-      return Step::Done;
+      answer.status = AttemptStatus::Rejected;
+      return ParseStep::Done;
     default:
       break;
     }
-    answer.result = is_ok(document) ? Result::Ok : Result::Error;
+    answer.status = is_ok(document) ? AttemptStatus::Ok : AttemptStatus::Error;
     answer.value = {sections};
-    return Step::Done;
+    return ParseStep::Done;
   }
 
 private:
   // A whole reply to our last message. A checksum is left off what is passed on, as the heads are
   // written anew.
-  Step reply(std::string_view in, std::string_view& document, std::string_view& sections,
-             std::size_t& used) const {
+  ParseStep reply(std::string_view in, std::string_view& document, std::string_view& sections,
+                  std::size_t& used) const {
     Message m;
     const Framing framing = read_message(in, kMessageMost, m);
     if (framing != Framing::Whole)
-      return framing == Framing::More ? Step::More : Step::Broken;
+      return framing == Framing::More ? ParseStep::More : ParseStep::Broken;
     OpMsg msg;
     if (m.operation != kOpMsg || m.answers != id_ || !read_op_msg(m.payload, msg))
-      return Step::Broken;
+      return ParseStep::Broken;
     if (msg.flags & kMoreToCome)
-      return Step::Broken;  // replies without a request: never asked for
+      return ParseStep::Broken;  // replies without a request: never asked for
     document = msg.body, sections = msg.sections, used = m.size;
-    return Step::Done;
+    return ParseStep::Done;
   }
 
-  static void read_hello(std::string_view document, Answer& answer) {
+  static void read_hello(std::string_view document, UpstreamResponse& answer) {
     const auto flag = [&](const char* name) {
       const auto element = find(document, name);
       return element && truth(*element).value_or(false);
     };
     const bool primary = flag("isWritablePrimary") || flag("ismaster"), replica = flag("secondary");
     if (!is_ok(document) || (!primary && !replica)) {
-      answer.result = Result::Error;
+      answer.status = AttemptStatus::Error;
       return;
     }
-    answer.result = Result::Ok;
-    answer.report.primary = primary;
+    answer.status = AttemptStatus::Ok;
+    answer.load_report.is_primary = primary;
     const auto last = find(document, "lastWrite");
     const auto date =
         last && last->type == '\x03' ? find(last->value, "lastWriteDate") : std::nullopt;
@@ -131,22 +131,22 @@
       return;
     const auto ms = static_cast<std::int64_t>(read_u64(date->value.data()));
     if (ms > 0 && ms < kSecondsMost * 1000)
-      answer.report.position = ms * kMs;
+      answer.load_report.replication_position = ms * kMs;
   }
 
   // operationTime: its seconds are Unix time. The member has applied all up to them; a write's
   // commit lies somewhere within that second, so what must see it must see the next one. Guards
   // against a demoted primary's being taken for more current than it is, and against a session's
   // reading from before its write.
-  static void read_position(std::string_view document, Answer& answer) {
+  static void read_position(std::string_view document, UpstreamResponse& answer) {
     const auto time = find(document, "operationTime");
     if (!time || time->type != '\x11')
       return;
     const auto seconds = static_cast<std::int64_t>(read_u64(time->value.data()) >> 32);
     if (seconds <= 0 || seconds > kSecondsMost)
       return;
-    answer.position = seconds * kSecond;
-    answer.commit = (seconds + 1) * kSecond;
+    answer.replication_position = seconds * kSecond;
+    answer.commit_position = (seconds + 1) * kSecond;
   }
 
   std::uint32_t id_ = 0;
@@ -155,7 +155,7 @@
 
 }  // namespace
 
-std::unique_ptr<upstream::Wire> make_wire() {
+std::unique_ptr<connection_pool::UpstreamProtocol> make_wire() {
   return std::make_unique<MongoWire>();
 }
 
--- a/src/mongo/wire.h
+++ b/src/mongo/upstream_protocol.h
@@ -1,10 +1,10 @@
 // The member side of the MongoDB wire protocol.
 #pragma once
 
-#include "upstream/wire.h"
+#include "connection_pool/upstream_protocol.h"
 
 namespace gorsebeam::mongo {
 
-std::unique_ptr<upstream::Wire> make_wire();
+std::unique_ptr<connection_pool::UpstreamProtocol> make_wire();
 
 }  // namespace gorsebeam::mongo
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -75,7 +75,7 @@
   const ErrorHandle error(raw);
   if (!socket) {
     if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-      log_line("accept", error->message);
+      log({"accept_failed", {{"error", error->message}}});
     return false;
   }
   accepted_(std::move(socket));
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace gorsebeam::net {
 namespace {
@@ -25,86 +26,63 @@
   return *made;
 }
 
-// A value stands bare where it is one word, else in quotes; nothing that a peer sends starts a line
-// of its own.
-std::string word(const std::string& value) {
-  std::string clean;
-  bool bare = !value.empty();
-  for (const char c : value) {
-    const bool control = static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
-    bare &= !control && c != ' ' && c != '"' && c != '=';
-    if (c == '"')
-      clean += '\\';
-    clean += control ? '?' : c;
-  }
-  return bare ? clean : '"' + clean + '"';
-}
-
-std::string plain(std::string text) {
-  for (char& c : text)
-    if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)
-      c = ' ';
-  return text;
-}
-
-std::string json(const char* kind, const std::string& text, const Fields& fields, int left_out) {
+std::string to_json(const logging::LogRecord& record) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer, rapidjson::UTF8<>, rapidjson::ASCII<>> writer(buffer);
-  const auto put = [&writer](const std::string& value) {
-    gchar* valid = g_utf8_make_valid(value.data(), static_cast<gssize>(value.size()));
-    writer.String(valid);
-    g_free(valid);
-  };
   writer.StartObject();
   writer.Key("time");
   writer.Int64(g_get_real_time() / 1000);
-  writer.Key("kind");
-  writer.String(kind);
-  writer.Key("text");
-  put(text);
-  for (const auto& [name, value] : fields) {
+  writer.Key("event");
+  writer.String(record.event);
+  for (const auto& [name, value] : record.fields) {
     writer.Key(name);
-    put(value);
-  }
-  if (left_out > 0) {
-    writer.Key("left_out_before");
-    writer.Int(left_out);
+    gchar* valid = g_utf8_make_valid(value.data(), static_cast<gssize>(value.size()));
+    writer.String(valid);
+    g_free(valid);
   }
   writer.EndObject();
   return buffer.GetString();
 }
 
+/// What was written of one event name within the present second.
+struct RecentLines {
+  gint64 since = 0;
+  int written = 0;
+  int suppressed = 0;
+};
+
+/// Whether a line may be written now; moves the number of those left out before into `suppressed`.
+bool admit_line(const char* event, int& suppressed) {
+  static std::map<std::string, RecentLines> events;  // bounded: event names are literals
+  RecentLines& recent = events[event];
+  const gint64 now = g_get_monotonic_time();
+  if (recent.since == 0 || now - recent.since >= G_USEC_PER_SEC) {
+    recent.since = now;
+    recent.written = 0;
+  }
+  ++recent.written;
+  if (recent.written > kMaxLinesPerSecond) {
+    ++recent.suppressed;
+    return false;
+  }
+  suppressed = std::exchange(recent.suppressed, 0);
+  return true;
+}
+
 }  // namespace
 
 void set_log_format(LogFormat wanted) {
   format = wanted;
 }
 
-void log_line(const char* kind, const std::string& text, const Fields& fields) {
-  struct Recent {
-    gint64 since = 0;
-    int lines = 0, left_out = 0;
-  };
-
-  static std::map<std::string, Recent> kinds;  // kinds are literals: a few
-  Recent& recent = kinds[kind];
-  const gint64 now = g_get_monotonic_time();
-  if (recent.since == 0 || now - recent.since >= G_USEC_PER_SEC)
-    recent.since = now, recent.lines = 0;
-  if (++recent.lines > kLogBurst) {
-    ++recent.left_out;
+void log(logging::LogRecord record) {
+  int suppressed = 0;
+  if (!admit_line(record.event, suppressed))
     return;
-  }
-  const int left_out = recent.left_out;
-  recent.left_out = 0;
-  if (format == LogFormat::Json)
-    return logger().info("{}", json(kind, text, fields, left_out));
-  std::string line = std::string("gorsebeam: ") + kind + ": " + plain(text);
-  for (const auto& [name, value] : fields)
-    line += std::string(" ") + name + "=" + word(value);
-  if (left_out > 0)
-    line += " (" + std::to_string(left_out) + " such lines left out before)";
-  logger().info("{}", line);
+  if (suppressed > 0)
+    record.fields.emplace_back("suppressed", std::to_string(suppressed));
+  const bool json = format == LogFormat::Json;
+  logger().info("{}", json ? to_json(record) : "gorsebeam: " + logging::to_text(record));
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,21 +1,20 @@
-// Lines for the operators, on standard error: structured, as text or JSON, over spdlog.
+/// The operators' log, on standard error: one structured line an event, as text or JSON.
 #pragma once
 
-#include <string>
-#include <utility>
-#include <vector>
+#include "logging/log_record.h"
 
 namespace gorsebeam::net {
 
-using Fields = std::vector<std::pair<const char*, std::string>>;  // names are literals
-
 enum class LogFormat { Text, Json };
-void set_log_format(LogFormat format);  // at the start, and at a reload
 
-// Text: "gorsebeam: KIND: TEXT name=value". JSON: one object a line, with "time" (Unix ms), "kind",
-// "text" and the fields. At most kLogBurst lines of one kind a second; what is left out is counted
-// in the next line of that kind.
-constexpr int kLogBurst = 5;
-void log_line(const char* kind, const std::string& text, const Fields& fields = {});
+/// Applies to every line from now on.
+void set_log_format(LogFormat format);
+
+/// Lines of one event name that are written within a second; more are counted and left out.
+constexpr int kMaxLinesPerSecond = 5;
+
+/// Text: "gorsebeam: EVENT name=value". JSON: an object with "time" (Unix ms), "event" and the
+/// fields. The first line after some were left out says how many in `suppressed`.
+void log(logging::LogRecord record);
 
 }  // namespace gorsebeam::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -164,7 +164,7 @@
   try {
     step();
   } catch (const std::exception& error) {
-    log_line("connection", std::string("closed after an exception: ") + error.what());
+    log({"connection_closed", {{"reason", "exception"}, {"error", error.what()}}});
     fail("exception");
   }
 }
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -103,7 +103,7 @@
   try {
     action();
   } catch (const std::exception& error) {
-    log_line("timer", std::string("exception: ") + error.what());
+    log({"timer_failed", {{"error", error.what()}}});
   }
 }
 
--- a/src/postgres/front.cpp
+++ b/src/postgres/frontend.cpp
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "frontend.h"
 
 #include "codec.h"
 
@@ -20,17 +20,17 @@
     hex &= g_ascii_isxdigit(c) != 0;
     value = value << 4 | static_cast<std::uint64_t>(std::max(0, g_ascii_xdigit_value(c)));
   }
-  return hex ? value : front::hash_name(key);
+  return hex ? value : frontend::hash_name(key);
 }
 
-class PgConnection : public front::Connection {
+class PgConnection : public frontend::ClientConnection {
 public:
-  PgConnection(front::Front& front, net::SocketHandle socket, broker::Terms& terms,
-               const std::shared_ptr<const shapes::Sql>& shapes)
-      : Connection(front, std::move(socket)), terms_(terms), shapes_(shapes),
+  PgConnection(frontend::Frontend& front, net::SocketHandle socket, proxy::ContractEnforcer& terms,
+               const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes)
+      : ClientConnection(front, std::move(socket)), terms_(terms), shapes_(shapes),
         ready_(message('Z', "I")) {}
 
-  broker::Parts body(Nanos left) override {
+  proxy::Parts body(Nanos left) override {
     // The statement stands in the input until it is answered; only the waiting time is written
     // anew.
     const std::string_view text = stream_->input().view().substr(5, query_size_);
@@ -38,23 +38,23 @@
     return {text.substr(0, deadline_at_), left_, text.substr(deadline_at_ + deadline_size_)};
   }
 
-  void served(const broker::Parts& value) override {
-    broker::Parts parts = value;
+  void respond(const proxy::Parts& value) override {
+    proxy::Parts parts = value;
     parts.emplace_back(ready_);
     finish(parts);
   }
 
-  void refused(Nanos retry_after) override {
+  void reject(Nanos retry_after) override {
     const std::string wait = retry_after > 0 ? std::to_string(retry_after / kMs) : "";
     finish({error("ERROR", "53300", "refused: try again", wait), ready_});
   }
 
-  void failed() override {
+  void fail() override {
     finish({error("ERROR", "08007", "failed: the effect is not known"), ready_});
   }
 
 private:
-  void finish(const broker::Parts& parts) {
+  void finish(const proxy::Parts& parts) {
     stream_->write(parts);
     stream_->input().consume(query_size_ + 6);
     answered();
@@ -140,7 +140,7 @@
     user_ = startup_parameter(body, "user").value_or("");
     if (user_.empty())
       return reject("28000", "the startup message names no user");
-    if (!terms_.knows(user_))
+    if (!terms_.has_team(user_))
       return reject("28000", "no contract with the team '" + user_ + "'");
     started_ = true;
     std::string hello = message('R', std::string_view("\0\0\0\0", 4));
@@ -186,33 +186,34 @@
     const RequestClass& c = front_.core().settings().classes[found->second];
     // Guards the rules on repeats: a write under a reading class would be repeated as if it changed
     // nothing.
-    shapes::Verdict verdict_of_text{s.select ? shapes::Effect::Read : shapes::Effect::Write, ""};
+    sql_classifier::Verdict verdict_of_text{
+        s.select ? sql_classifier::Effect::Read : sql_classifier::Effect::Write, ""};
     if (shapes_)
       verdict_of_text = shapes_->classify(text);
-    const bool reads = verdict_of_text.effect == shapes::Effect::Read;
+    const bool reads = verdict_of_text.effect == sql_classifier::Effect::Read;
     // A class is the caller's word: a write under a reading one would go to a replica.
-    if (shapes_ && !reads && c.level != ReadLevel::Write)
+    if (shapes_ && !reads && c.consistency != ConsistencyLevel::Write)
       return decline(m, "25006",
                      "the statement may write, and its class reads: " + verdict_of_text.why);
-    if (!shapes_ && s.select != (c.level != ReadLevel::Write))
+    if (!shapes_ && s.select != (c.consistency != ConsistencyLevel::Write))
       return decline(m, "42601", "the statement does not fit its class");
-    if (c.effect == Effect::Keyed && s.idempotency.empty())
+    if (c.idempotency == Idempotency::IdempotencyKey && s.idempotency.empty())
       return decline(m, "42601", "the class needs an idempotency key");
     Request request;
     request.id = std::string(s.id);
     request.class_index = found->second;
     request.deadline = net::now() + static_cast<Nanos>(*deadline) * kMs;
     request.group = static_cast<GroupId>(*group);
-    if (c.level == ReadLevel::Write || c.level == ReadLevel::Session)
+    if (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Session)
       request.session = session_of(s.key);
     if (const auto after = whole_number(s.after, 9'000'000'000'000ULL))
-      request.token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
-    request.retry = s.retry == "1";
-    const auto verdict = terms_.apply(user_, net::now(), request);
-    if (verdict != broker::Terms::Verdict::Fine)
-      return decline(m, "42501", broker::words(verdict));
-    if (shapes_ && verdict_of_text.effect == shapes::Effect::Unknown)
-      request.attempts = 1;  // may not be repeated
+      request.session_token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
+    request.is_client_retry = s.retry == "1";
+    const auto verdict = terms_.admit(user_, net::now(), request);
+    if (verdict != proxy::ContractEnforcer::Decision::Admitted)
+      return decline(m, "42501", proxy::describe(verdict));
+    if (shapes_ && verdict_of_text.effect == sql_classifier::Effect::Unknown)
+      request.max_attempts = 1;  // may not be repeated
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
@@ -220,8 +221,8 @@
       decline(m, "42710", "a request with this id is open, or it is no fit id");
   }
 
-  broker::Terms& terms_;
-  const std::shared_ptr<const shapes::Sql>& shapes_;
+  proxy::ContractEnforcer& terms_;
+  const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes_;
   const std::string ready_;
   std::string user_, left_;
   bool started_ = false, skip_to_sync_ = false;
@@ -230,9 +231,10 @@
 
 }  // namespace
 
-front::Front::Make make_connection(broker::Terms& terms,
-                                   const std::shared_ptr<const shapes::Sql>& shapes) {
-  return [&terms, &shapes](front::Front& front, net::SocketHandle socket) {
+frontend::Frontend::ConnectionFactory
+make_connection(proxy::ContractEnforcer& terms,
+                const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes) {
+  return [&terms, &shapes](frontend::Frontend& front, net::SocketHandle socket) {
     return std::make_unique<PgConnection>(front, std::move(socket), terms, shapes);
   };
 }
--- a/src/postgres/front.h
+++ b/src/postgres/frontend.h
@@ -1,10 +1,10 @@
 // The client side of PostgreSQL's protocol.
 #pragma once
 
-#include "front/front.h"
+#include "frontend/frontend.h"
 
-#include "broker/contracts.h"
-#include "shapes/sql.h"
+#include "proxy/contract_enforcer.h"
+#include "sql_classifier/sql_classifier.h"
 
 #include <memory>
 
@@ -12,7 +12,8 @@
 
 // `terms` and `shapes` outlive the front. Where `shapes` holds something, statements are parsed:
 // what is not known to read only goes out under a writing class alone.
-front::Front::Make make_connection(broker::Terms& terms,
-                                   const std::shared_ptr<const shapes::Sql>& shapes);
+frontend::Frontend::ConnectionFactory
+make_connection(proxy::ContractEnforcer& terms,
+                const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes);
 
 }  // namespace gorsebeam::postgres
--- a/src/postgres/wire.cpp
+++ b/src/postgres/upstream_protocol.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "upstream_protocol.h"
 
 #include "codec.h"
 
@@ -11,8 +11,8 @@
 namespace gorsebeam::postgres {
 namespace {
 
-using broker::Answer;
-using upstream::Step;
+using connection_pool::ParseStep;
+using proxy::UpstreamResponse;
 
 constexpr std::size_t kMessageMost = 128 * 1024;  // a value holds at most 64 KiB
 constexpr Nanos kAhead = 2'000'000'000;  // a position further ahead of our clock cannot be one
@@ -43,8 +43,8 @@
 // first report is not made yet: its zeros would tell every gateway that starts that no group has a
 // primary, and prove no position. Guards against a spoilt report: one that cannot be read whole is
 // ignored whole, and the answer stands.
-void read_gauges(std::string_view text, Report& report) {
-  Report read;
+void read_gauges(std::string_view text, LoadReport& report) {
+  LoadReport read;
   while (!text.empty()) {
     const std::size_t comma = text.find(',');
     const std::string_view pair = text.substr(0, comma), name = pair.substr(0, pair.find('='));
@@ -55,10 +55,10 @@
     if (name == "x0" && *value == 0)
       return;
     if (name == "x0" &&
-        !(read.position = position_at(*value < kSecondsMost ? *value * 1000 : *value)))
+        !(read.replication_position = position_at(*value < kSecondsMost ? *value * 1000 : *value)))
       return;
     if (name == "x1")
-      read.primary = *value > 0.5;
+      read.is_primary = *value > 0.5;
   }
   report = read;
 }
@@ -90,7 +90,7 @@
   return true;
 }
 
-class PgWire : public upstream::Wire {
+class PgWire : public connection_pool::UpstreamProtocol {
 public:
   std::string greeting() override {
     std::string body = u32(kVersion3);
@@ -100,51 +100,52 @@
     return u32(static_cast<std::uint32_t>(body.size() + 4)) + body;
   }
 
-  Step welcome(std::string_view in, std::size_t& used, bool& turned_away) override {
+  ParseStep parse_greeting(std::string_view in, std::size_t& used, bool& turned_away) override {
     Message m;
     for (std::string_view rest = in;; rest.remove_prefix(m.whole.size())) {
       const Framing framing = read_message(rest, kMessageMost, m);
       if (framing != Framing::Whole)
-        return framing == Framing::More && !hopeless(rest, "RSKZEN") ? Step::More : Step::Broken;
+        return framing == Framing::More && !hopeless(rest, "RSKZEN") ? ParseStep::More
+                                                                     : ParseStep::Broken;
       if (m.type == 'E') {
         turned_away = error_field(m.body, 'C') == "53300";
-        return Step::Broken;
+        return ParseStep::Broken;
       }
       if (m.type == 'R' && (m.body.size() < 4 || read_u32(m.body.data()) != 0))
-        return Step::Broken;
+        return ParseStep::Broken;
       if (m.type != 'Z')
         continue;
       used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
-      return Step::Done;
+      return ParseStep::Done;
     }
   }
 
-  broker::Parts request(const broker::Parts& body) override {
+  proxy::Parts request(const proxy::Parts& body) override {
     std::size_t size = 5;  // the length itself, and the end of the text
     for (const std::string_view part : body)
       size += part.size();
     head_ = 'Q' + u32(static_cast<std::uint32_t>(size));
-    broker::Parts parts{head_};
+    proxy::Parts parts{head_};
     parts.insert(parts.end(), body.begin(), body.end());
     parts.emplace_back("\0", 1);
     return parts;
   }
 
-  broker::Parts probe() override {
+  proxy::Parts probe() override {
     head_ = message('Q', std::string_view("SHOW gauges\0", 12));
     return {head_};
   }
 
-  Step answer(std::string_view in, bool ended, bool to_probe, Answer& answer,
-              std::size_t& used) override {
-    answer = Answer{};
+  ParseStep answer(std::string_view in, bool ended, bool to_probe, UpstreamResponse& answer,
+                   std::size_t& used) override {
+    answer = UpstreamResponse{};
     std::string_view description, row, complete, code;
     bool rows_off = false, ready = false;
     Message m;
     for (std::string_view rest = in; !ready; rest.remove_prefix(m.whole.size())) {
       const Framing framing = read_message(rest, kMessageMost, m);
       if (framing == Framing::Malformed || (framing == Framing::More && hopeless(rest, "TDCESNZ")))
-        return Step::Broken;
+        return ParseStep::Broken;
       if (framing == Framing::More)
         break;
       used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
@@ -159,14 +160,14 @@
             !row.empty() || description.empty() || !complete.empty() || !read_row(m.body, value);
         row = m.whole;
         if (to_probe && !rows_off)
-          read_gauges(value, answer.report);
+          read_gauges(value, answer.load_report);
         break;
       case 'C':
         complete = m.whole;
         break;
       case 'E':
         if (m.body.empty() || m.body.back() != '\0')
-          return Step::Broken;  // its code proves nothing
+          return ParseStep::Broken;  // its code proves nothing
         code = error_field(m.body, 'C').value_or("XX000");
         break;
       case 'S':
@@ -177,9 +178,9 @@
         if (name == "part" && value == "replica")
           answer.role = Role::Replica;
         if (name == "caught_up_to")
-          answer.position = position_of(value);
+          answer.replication_position = position_of(value);
         if (name == "gauges")
-          read_gauges(value, answer.report);
+          read_gauges(value, answer.load_report);
         break;
       case 'N':
         break;
@@ -187,24 +188,24 @@
         ready = true;
         break;
       default:
-        return Step::Broken;
+        return ParseStep::Broken;
       }
     }
     // Whole without ReadyForQuery only where the connection ended after the answer: a fatal error
     // needs none.
     if (!ready && !(ended && (!code.empty() || !complete.empty())))
-      return Step::More;
+      return ParseStep::More;
     if (!code.empty()) {
-      answer.result = code == "25006" || code == "72000"   ? Result::Miss
-                      : code == "53300" || code == "57P03" ? Result::Full
-                                                           : Result::Error;
-      return Step::Done;
+      answer.status = code == "25006" || code == "72000"   ? AttemptStatus::Misdirected
+                      : code == "53300" || code == "57P03" ? AttemptStatus::Rejected
+                                                           : AttemptStatus::Error;
+      return ParseStep::Done;
     }
     if (rows_off || description.empty() || row.empty() || complete.empty())
-      return Step::Broken;
-    answer.result = Result::Ok;
+      return ParseStep::Broken;
+    answer.status = AttemptStatus::Ok;
     answer.value = {description, row, complete};
-    return Step::Done;
+    return ParseStep::Done;
   }
 
 private:
@@ -213,7 +214,7 @@
 
 }  // namespace
 
-std::unique_ptr<upstream::Wire> make_wire() {
+std::unique_ptr<connection_pool::UpstreamProtocol> make_wire() {
   return std::make_unique<PgWire>();
 }
 
--- a/src/postgres/wire.h
+++ b/src/postgres/upstream_protocol.h
@@ -1,10 +1,10 @@
 // The member side of PostgreSQL's protocol.
 #pragma once
 
-#include "upstream/wire.h"
+#include "connection_pool/upstream_protocol.h"
 
 namespace gorsebeam::postgres {
 
-std::unique_ptr<upstream::Wire> make_wire();
+std::unique_ptr<connection_pool::UpstreamProtocol> make_wire();
 
 }  // namespace gorsebeam::postgres
--- a/src/broker/core.cpp
+++ b/src/proxy/request_broker.cpp
@@ -1,4 +1,4 @@
-#include "core.h"
+#include "request_broker.h"
 
 #include "net/log.h"
 
@@ -6,19 +6,19 @@
 #include <set>
 #include <utility>
 
-namespace gorsebeam::broker {
+namespace gorsebeam::proxy {
 
 namespace {
 constexpr std::size_t kIdMost = 128;
 }  // namespace
 
-Core::Core(const Settings& settings, std::uint64_t seed)
+RequestBroker::RequestBroker(const Settings& settings, std::uint64_t seed)
     : settings_(settings), router_(settings, seed), timer_([this] {
-        events_.emplace_back(TimerDue{});
+        events_.emplace_back(TimerExpired{});
         pump();
       }) {}
 
-bool Core::take(Request request, Call& call) {
+bool RequestBroker::begin_request(Request request, ClientCall& call) {
   // Guards against an id that is still open, a client's own or another's: sent on, it would be a
   // second copy out beside the first.
   const std::string& id = request.id;
@@ -33,76 +33,76 @@
   return true;
 }
 
-void Core::gone(const std::string& id) {
+void RequestBroker::client_disconnected(const std::string& id) {
   const auto job = jobs_.find(id);
   if (job == jobs_.end() || !job->second.call)
     return;
-  const Hold hold(*this);
+  const EventBatch hold(*this);
   job->second.call = nullptr;
   --open_;
-  events_.emplace_back(ClientGone{id});
+  events_.emplace_back(ClientDisconnected{id});
   if (job->second.out)
-    upstream_->withdraw(job->second.out);
+    upstream_->detach_call(job->second.out);
   else
     jobs_.erase(job);
 }
 
-void Core::conclude(const std::string& id) {
+void RequestBroker::complete_request(const std::string& id) {
   jobs_.at(id).call = nullptr;
   --open_;
   forget(id);
 }
 
-void Core::forget(const std::string& id) {
+void RequestBroker::forget(const std::string& id) {
   const auto job = jobs_.find(id);
   if (job != jobs_.end() && !job->second.call && !job->second.out)
     jobs_.erase(job);
 }
 
-void Core::ended(AttemptId number, const Answer& answer) {
+void RequestBroker::complete_attempt(AttemptId number, const UpstreamResponse& answer) {
   const auto found = attempts_.find(number);
   if (found == attempts_.end())
     return;
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
-  const Hold hold(*this);
+  const EventBatch hold(*this);
   Job& job = jobs_.at(attempt.id);
   job.out = 0;
-  Call* call = job.call;
-  const bool serves = answer.result == Result::Ok && call;
-  Outcome outcome;
-  outcome.id = attempt.id;
+  ClientCall* call = job.call;
+  const bool serves = answer.status == AttemptStatus::Ok && call;
+  AttemptResult outcome;
+  outcome.request_id = attempt.id;
   outcome.attempt = attempt.number;
-  outcome.member = attempt.member;
-  outcome.result = answer.result;
-  outcome.closed = serves || !call;
+  outcome.endpoint = attempt.member;
+  outcome.status = answer.status;
+  outcome.request_finished = serves || !call;
   outcome.elapsed = net::now() - attempt.sent_at;
   outcome.role = answer.role;
-  outcome.position = answer.position;
-  outcome.commit = answer.commit;
-  outcome.report = answer.report;
+  outcome.replication_position = answer.replication_position;
+  outcome.commit_position = answer.commit_position;
+  outcome.load_report = answer.load_report;
   events_.emplace_back(std::move(outcome));
   if (!serves)
     return forget(attempt.id);
-  conclude(attempt.id);
-  call->served(answer.value);
+  complete_request(attempt.id);
+  call->respond(answer.value);
 }
 
-bool Core::may_write(AttemptId number) {
+bool RequestBroker::is_attempt_allowed(AttemptId number) {
   const auto attempt = attempts_.find(number);
   return attempt != attempts_.end() &&
-         router_.may_write(net::now(), attempt->second.id, attempt->second.member);
+         router_.is_attempt_allowed(net::now(), attempt->second.id, attempt->second.member);
 }
 
-void Core::probed(MemberId member, const Answer& answer) {
+void RequestBroker::complete_health_check(EndpointId member, const UpstreamResponse& answer) {
   const auto since = probing_.find(member);
   if (since == probing_.end())
     return;
-  Probed event;
-  event.member = member;
-  event.ok = answer.result == Result::Ok;
+  HealthCheckResult event;
+  event.endpoint = member;
+  event.succeeded = answer.status == AttemptStatus::Ok;
   event.elapsed = net::now() - since->second;
-  event.report = answer.report;
+  event.load_report = answer.load_report;
   probing_.erase(since);
   events_.emplace_back(event);
   pump();
@@ -111,7 +111,7 @@
 // Members have numbers in the module, and all gateways must sort them alike: a name that ends in
 // eight hex digits, as discovery's do, is that number; any other is hashed. A clash takes the next
 // free number.
-MemberId Core::id_of(const std::string& name) {
+EndpointId RequestBroker::id_of(const std::string& name) {
   const auto known = ids_.find(name);
   if (known != ids_.end())
     return known->second;
@@ -130,22 +130,23 @@
 
 // Its number follows from its name, should it come back. Where only draining binds it may still be
 // asked.
-void Core::forget_member(MemberId id) {
-  upstream_->removed(id);
+void RequestBroker::forget_member(EndpointId id) {
+  upstream_->remove_endpoint(id);
   const auto known = names_.find(id);
   ids_.erase(known->second);
   names_.erase(known);
 }
 
-void Core::list(MemberList::Kind kind, const std::vector<Listed>& members) {
-  const Hold hold(*this);
-  MemberList event;
+void RequestBroker::update_endpoints(EndpointList::Kind kind,
+                                     const std::vector<ListedEndpoint>& members) {
+  const EventBatch hold(*this);
+  EndpointList event;
   event.kind = kind;
   // Guards the descriptors and the tables: whoever a full list leaves out is gone as if it had said
   // so.
-  if (kind == MemberList::Kind::Full && !settings_.only_draining_binds) {
+  if (kind == EndpointList::Kind::Full && !settings_.only_draining_is_binding) {
     std::set<std::string> named;
-    for (const Listed& listed : members)
+    for (const ListedEndpoint& listed : members)
       named.insert(listed.name);
     for (auto known = names_.begin(); known != names_.end();) {
       const auto& [id, name] = *known++;
@@ -153,19 +154,19 @@
         forget_member(id);
     }
   }
-  for (const Listed& listed : members) {
-    Member member = listed.member;
+  for (const ListedEndpoint& listed : members) {
+    Endpoint member = listed.endpoint;
     member.id = id_of(listed.name);
-    if (member.state != MemberState::Removed)
-      upstream_->listed(member.id, listed.address);
-    else if (!settings_.only_draining_binds)
+    if (member.status != EndpointStatus::Removed)
+      upstream_->add_endpoint(member.id, listed.address);
+    else if (!settings_.only_draining_is_binding)
       forget_member(member.id);
-    event.members.push_back(std::move(member));
+    event.endpoints.push_back(std::move(member));
   }
   events_.emplace_back(std::move(event));
 }
 
-void Core::pump() {
+void RequestBroker::pump() {
   if (pumping_ || held_ > 0)
     return;
   pumping_ = true;
@@ -183,41 +184,41 @@
   pumping_ = false;
 }
 
-void Core::perform(const Action& action) {
-  if (const auto* s = std::get_if<Send>(&action))
+void RequestBroker::perform(const Action& action) {
+  if (const auto* s = std::get_if<StartAttempt>(&action))
     return send(*s);
-  if (const auto* probe = std::get_if<Probe>(&action)) {
-    probing_[probe->member] = net::now();
-    return upstream_->probe(probe->member);
+  if (const auto* probe = std::get_if<SendHealthCheck>(&action)) {
+    probing_[probe->endpoint] = net::now();
+    return upstream_->start_health_check(probe->endpoint);
   }
   if (const auto* timer = std::get_if<SetTimer>(&action))
     return timer_.at(timer->at);
-  if (const auto* text = std::get_if<Note>(&action))
-    return net::log_line("module", text->text);
-  if (const auto* cancel = std::get_if<Cancel>(&action)) {
-    const auto job = jobs_.find(cancel->id);
+  if (const auto* message = std::get_if<LogMessage>(&action))
+    return net::log(logging::to_record(*message));
+  if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+    const auto job = jobs_.find(cancel->request_id);
     if (job != jobs_.end() && job->second.out && job->second.attempts == cancel->attempt + 1)
-      upstream_->cancel(job->second.out);
+      upstream_->cancel_attempt(job->second.out);
     return;
   }
-  const auto* refuse = std::get_if<Refuse>(&action);
-  const auto* fail = std::get_if<Fail>(&action);
+  const auto* refuse = std::get_if<RejectRequest>(&action);
+  const auto* fail = std::get_if<FailRequest>(&action);
   if (!refuse && !fail)
     return;  // WatchList: the list is watched all the time
-  const std::string& id = refuse ? refuse->id : fail->id;
+  const std::string& id = refuse ? refuse->request_id : fail->request_id;
   const auto job = jobs_.find(id);
   if (job == jobs_.end() || !job->second.call)
     return;
-  Call* call = job->second.call;
-  conclude(id);
+  ClientCall* call = job->second.call;
+  complete_request(id);
   if (refuse)
-    call->refused(refuse->retry_after);
+    call->reject(refuse->retry_after);
   else
-    call->failed();
+    call->fail();
 }
 
-void Core::send(const Send& action) {
-  const auto found = jobs_.find(action.id);
+void RequestBroker::send(const StartAttempt& action) {
+  const auto found = jobs_.find(action.request_id);
   if (found == jobs_.end())
     return;
   Job& job = found->second;
@@ -226,19 +227,20 @@
   // Guards the rule on second attempts, whatever the module asked for: concluded, or one is still
   // out.
   if (!job.call || job.out) {
-    Outcome outcome;
-    outcome.id = action.id, outcome.attempt = attempt, outcome.member = action.member;
-    outcome.result = Result::NotSent;
-    outcome.closed = !job.call;
+    AttemptResult outcome;
+    outcome.request_id = action.request_id, outcome.attempt = attempt,
+    outcome.endpoint = action.endpoint;
+    outcome.status = AttemptStatus::NotSent;
+    outcome.request_finished = !job.call;
     events_.emplace_back(std::move(outcome));
     return;
   }
   const AttemptId number = next_attempt_++;
-  attempts_[number] = {action.id, attempt, action.member, now};
+  attempts_[number] = {action.request_id, attempt, action.endpoint, now};
   job.out = number;
   const Nanos until =
       action.timeout > 0 ? std::min(now + action.timeout, job.deadline) : job.deadline;
-  upstream_->send(number, action.member, *job.call, until);
+  upstream_->start_attempt(number, action.endpoint, *job.call, until);
 }
 
-}  // namespace gorsebeam::broker
+}  // namespace gorsebeam::proxy
--- a/src/agreement/agreement.cpp
+++ b/src/raft/node.cpp
@@ -1,8 +1,8 @@
-#include "agreement.h"
+#include "node.h"
 
 #include <utility>
 
-namespace gorsebeam::agreement {
+namespace gorsebeam::raft {
 
 using Kind = Message::Kind;
 
@@ -519,4 +519,4 @@
   save(actions);
 }
 
-}  // namespace gorsebeam::agreement
+}  // namespace gorsebeam::raft
--- a/src/agreement/agreement.h
+++ b/src/raft/node.h
@@ -36,7 +36,7 @@
 #include <variant>
 #include <vector>
 
-namespace gorsebeam::agreement {
+namespace gorsebeam::raft {
 
 using Nanos = std::int64_t;
 using Term = std::uint64_t;
@@ -226,4 +226,4 @@
   std::mt19937_64 random_;
 };
 
-}  // namespace gorsebeam::agreement
+}  // namespace gorsebeam::raft
--- a/src/budgets/ledger.cpp
+++ b/src/rate_limit/token_buckets.cpp
@@ -1,14 +1,14 @@
-#include "ledger.h"
+#include "token_buckets.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gorsebeam::budgets {
+namespace gorsebeam::rate_limit {
 namespace {
 constexpr double kSecond = 1e9;
 }
 
-void Ledger::set(std::map<std::string, Rate> rates, Nanos now) {
+void TokenBuckets::replace_rates(std::map<std::string, Rate> rates, Nanos now) {
   std::map<std::string, Bucket> fresh;
   for (auto& [team, rate] : rates) {
     Bucket bucket{rate, rate.burst, now};
@@ -23,7 +23,7 @@
   buckets_ = std::move(fresh);
 }
 
-Nanos Ledger::charge(const std::string& team, Nanos now) {
+Nanos TokenBuckets::try_acquire(const std::string& team, Nanos now) {
   const auto found = buckets_.find(team);
   if (found == buckets_.end())
     return 0;
@@ -39,4 +39,4 @@
                          static_cast<Nanos>((1 - bucket.left) / bucket.rate.per_second * kSecond));
 }
 
-}  // namespace gorsebeam::budgets
+}  // namespace gorsebeam::rate_limit
--- a/src/budgets/ledger.h
+++ b/src/rate_limit/token_buckets.h
@@ -8,21 +8,21 @@
 #include <map>
 #include <string>
 
-namespace gorsebeam::budgets {
+namespace gorsebeam::rate_limit {
 
 struct Rate {
   double per_second = 0;  // above 0
   double burst = 1;       // at least 1
 };
 
-class Ledger {
+class TokenBuckets {
 public:
   // Replaces all rates. A team that stays keeps what is left of its bucket, at most the new burst;
   // a new one is full.
-  void set(std::map<std::string, Rate> rates, Nanos now);
+  void replace_rates(std::map<std::string, Rate> rates, Nanos now);
   // Takes one request off the team's budget. 0: it fits; else how long until one would, and nothing
   // was taken.
-  Nanos charge(const std::string& team, Nanos now);
+  Nanos try_acquire(const std::string& team, Nanos now);
 
   std::size_t size() const { return buckets_.size(); }
 
@@ -36,4 +36,4 @@
   std::map<std::string, Bucket> buckets_;
 };
 
-}  // namespace gorsebeam::budgets
+}  // namespace gorsebeam::rate_limit
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,8 +1,8 @@
 // Every decision of gorsebeam. The types, events and actions stand in include/gorsebeam/router.h.
 #include "gorsebeam/router.h"
 
-#include "sessions/sessions.h"
-#include "settings/check.h"
+#include "session_tokens/session_writes.h"
+#include "settings/validation.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,7 +17,7 @@
 
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kNever = std::numeric_limits<Nanos>::max();
-constexpr MemberId kNobody = std::numeric_limits<MemberId>::max();
+constexpr EndpointId kNobody = std::numeric_limits<EndpointId>::max();
 constexpr Nanos kUnknown = std::numeric_limits<Nanos>::min(); // position or time not known
 
 constexpr int kTimeoutsInRow = 2;           // DESIGN's count: one time-out is chance, two are a symptom
@@ -73,7 +73,7 @@
 };
 
 struct MemberRow { // one row of the member table
-  Member entry;
+  Endpoint entry;
   bool told_leaving = false;  // the list said draining or gone
   Nanos left_at = kNever;     // when the list said gone
   Nanos position = kUnknown;  // applied at least up to here; never falls
@@ -98,8 +98,8 @@
 };
 
 struct Group {
-  std::vector<MemberId> members; // sorted
-  std::optional<MemberId> primary;
+  std::vector<EndpointId> members; // sorted
+  std::optional<EndpointId> primary;
   Nanos primary_info = kUnknown;                // the time of the evidence for it
   bool doubted = false;                         // it failed to answer: writes wait
   bool thin = true;                             // bounded reads come further apart than a proof holds
@@ -110,7 +110,7 @@
 };
 
 struct Attempt {
-  MemberId member = 0;
+  EndpointId member = 0;
   Nanos sent_at = 0;
   Nanos need = kUnknown;
   bool out = true, overdue = false, trial = false, broke = false;
@@ -125,7 +125,7 @@
   std::uint64_t draw = 0; // its own chance
   std::vector<Attempt> attempts;
   Nanos may_have_run = kUnknown; // when the first attempt that may have run was sent
-  MemberId ran_at = 0;
+  EndpointId ran_at = 0;
   bool closed = false, hedged = false;
   Nanos not_before = 0, look_at = kNever;
   int out = 0;
@@ -138,12 +138,12 @@
 
 } // namespace
 
-class Router::Rules {
+class Router::Core {
 public:
-  Rules(Settings settings, std::uint64_t seed)
+  Core(Settings settings, std::uint64_t seed)
       : s_(std::move(settings)), phase_(static_cast<Nanos>(mix(seed) % static_cast<std::uint64_t>(kPulse))) {
     settings::check(s_);
-    for (const RequestClass& c : s_.classes) stats_.push_back({static_cast<double>(c.aim) / 5, 0});
+    for (const RequestClass& c : s_.classes) stats_.push_back({static_cast<double>(c.latency_objective) / 5, 0});
   }
 
   void handle(Nanos now, const Event& event, std::vector<Action>& actions) {
@@ -163,14 +163,14 @@
     out_ = nullptr;
   }
 
-  bool may_write(Nanos now, const std::string& id, MemberId member) {
+  bool is_attempt_allowed(Nanos now, const std::string& id, EndpointId member) {
     now_ = now;
     const auto seq = ids_.find(id);
     const auto row = rows_.find(member);
     return seq != ids_.end() && row != rows_.end() && may_go(jobs_.at(seq->second), row->second);
   }
 
-  bool may_probe(MemberId member) const {
+  bool may_probe(EndpointId member) const {
     const auto row = rows_.find(member);
     return row != rows_.end() && usable(row->second);
   }
@@ -180,7 +180,7 @@
 
   template <typename A> void act(A action) { out_->emplace_back(std::move(action)); }
 
-  void note(const std::string& text) { act(Note{text}); }
+  void log(LogMessage message) { act(std::move(message)); }
 
   void wake(GroupId id) { // something changed that may release its waiting requests
     Group& group = groups_[id];
@@ -208,9 +208,11 @@
     const bool held = group.primary == m.entry.id;
     if ((!primary && !held) || (primary != held && group.primary && dated <= group.primary_info)) return;
     if (primary != held) {
-      note("group " + std::to_string(m.entry.group) + (primary ? ": primary is " : ": primary no more is ") +
-           std::to_string(m.entry.id));
-      group.primary = primary ? std::optional<MemberId>(m.entry.id) : std::nullopt;
+      if (primary)
+        log(PrimaryElected{m.entry.group, m.entry.id});
+      else
+        log(PrimaryDemoted{m.entry.group, m.entry.id});
+      group.primary = primary ? std::optional<EndpointId>(m.entry.id) : std::nullopt;
       group.doubted = false;
     }
     group.primary_info = std::max(group.primary_info, dated);
@@ -219,22 +221,21 @@
   }
 
   // The group's primary failed to answer or to be reached: writes wait until someone is shown to be primary.
-  void doubt_primary(MemberId id) {
+  void doubt_primary(EndpointId id) {
     Group& group = groups_[rows_.at(id).entry.group];
     if (group.primary != id || group.doubted) return;
     group.doubted = true;
-    note("group " + std::to_string(rows_.at(id).entry.group) + ": primary " + std::to_string(id) +
-         " in doubt");
+    log(PrimarySuspected{rows_.at(id).entry.group, id});
   }
 
-  void set_aside(MemberRow& m, bool needs_trial, const char* why) {
+  void set_aside(MemberRow& m, bool needs_trial, EjectionReason reason) {
     doubt_primary(m.entry.id);
     m.needs_trial |= needs_trial;
     if (m.set_aside) return;
     m.set_aside = true;
     m.aside_at = now_;
     pause_trials(m);
-    note(std::to_string(m.entry.id) + " set aside: " + why);
+    log(EndpointEjected{m.entry.id, reason});
   }
 
   void readmit(MemberRow& m) {
@@ -247,10 +248,10 @@
     // comes back without what was written meanwhile. One that applied the log all the while was only out of
     // reach, by a bad way or dear connections, and is warm. Costs a hung one that comes back some traffic.
     const bool applied = m.position > m.aside_at && now_ - m.position < (now_ - m.aside_at) / 2;
-    if (lost || (now_ - m.aside_at > s_.fall_time && m.heard_at < m.aside_at && !applied))
+    if (lost || (now_ - m.aside_at > s_.overload_duration && m.heard_at < m.aside_at && !applied))
       m.cold_since = now_;
     wake(m.entry.group);
-    note(std::to_string(m.entry.id) + " no longer set aside");
+    log(EndpointReadmitted{m.entry.id});
   }
 
   void pause_trials(MemberRow& m) {
@@ -260,45 +261,45 @@
 
   void count_timeout(MemberRow& m, bool trial) {
     if (trial) pause_trials(m);
-    if (++m.failures >= kTimeoutsInRow) set_aside(m, true, "time-outs in a row");
+    if (++m.failures >= kTimeoutsInRow) set_aside(m, true, EjectionReason::ConsecutiveTimeouts);
   }
 
   double cold_share(const MemberRow& m) const {
-    if (m.cold_since == kUnknown || s_.cold_time <= 0) return 1;
-    const double part = static_cast<double>(now_ - m.cold_since) / static_cast<double>(s_.cold_time);
-    return part >= 1 ? 1 : s_.cold_from + (1 - s_.cold_from) * std::max(0.0, part);
+    if (m.cold_since == kUnknown || s_.slow_start_duration <= 0) return 1;
+    const double part = static_cast<double>(now_ - m.cold_since) / static_cast<double>(s_.slow_start_duration);
+    return part >= 1 ? 1 : s_.slow_start_initial_capacity + (1 - s_.slow_start_initial_capacity) * std::max(0.0, part);
   }
 
   // ---- admission
 
   Nanos need_of(const Job& job) const {
     const RequestClass& c = s_.classes[job.request.class_index];
-    if (c.level == ReadLevel::Bounded) return now_ - c.bound;
-    if (c.level == ReadLevel::Session) return job.token;
-    return c.level == ReadLevel::Fresh ? job.arrived : kUnknown;
+    if (c.consistency == ConsistencyLevel::BoundedStaleness) return now_ - c.max_staleness;
+    if (c.consistency == ConsistencyLevel::Session) return job.token;
+    return c.consistency == ConsistencyLevel::Strong ? job.arrived : kUnknown;
   }
 
   // DESIGN's test and nothing else: not set aside, and known to be current for this read.
   bool admitted(const MemberRow& m, const Job& job) const {
     if (m.set_aside) return false;
-    const ReadLevel level = s_.classes[job.request.class_index].level;
-    if (level == ReadLevel::Any) return true;
-    if (level != ReadLevel::Bounded && level != ReadLevel::Session) return false;
+    const ConsistencyLevel level = s_.classes[job.request.class_index].consistency;
+    if (level == ConsistencyLevel::Eventual) return true;
+    if (level != ConsistencyLevel::BoundedStaleness && level != ConsistencyLevel::Session) return false;
     return m.position != kUnknown && m.position >= need_of(job);
   }
 
   // ---- choice
 
-  bool usable(const MemberRow& m) const { return !m.told_leaving && m.entry.state == MemberState::Up; }
+  bool usable(const MemberRow& m) const { return !m.told_leaving && m.entry.status == EndpointStatus::Up; }
 
   double members_in(const Group& group) const {
-    const auto in = [this](MemberId id) { return usable(rows_.at(id)) && !rows_.at(id).set_aside; };
+    const auto in = [this](EndpointId id) { return usable(rows_.at(id)) && !rows_.at(id).set_aside; };
     return std::max(1.0, double(std::count_if(group.members.begin(), group.members.end(), in)));
   }
 
   // Guards a read that met a broken connection at every member against waiting while all live on: once as
   // many attempts went out as there are members to serve it, one that broke may have it again.
-  bool tried(const Job& job, MemberId id) const {
+  bool tried(const Job& job, EndpointId id) const {
     const Group& group = groups_.at(job.request.group);
     const auto round = [&] { return double(job.attempts.size()) + group.doubted >= members_in(group); };
     return std::any_of(job.attempts.begin(), job.attempts.end(),
@@ -309,18 +310,18 @@
   // data. A replica may apply nothing while it holds one, so they go together to one, the same everywhere; it
   // serves others when proven current. What finds no room goes to the primary. Hurts if they fill a machine.
   bool is_long(std::size_t at) const {
-    if (s_.classes[at].level != ReadLevel::Any) return false;
+    if (s_.classes[at].consistency != ConsistencyLevel::Eventual) return false;
     for (std::size_t i = 0; i < s_.classes.size(); ++i)
-      if (s_.classes[i].level == ReadLevel::Bounded || s_.classes[i].level == ReadLevel::Session)
+      if (s_.classes[i].consistency == ConsistencyLevel::BoundedStaleness || s_.classes[i].consistency == ConsistencyLevel::Session)
         if (stats_[at].usual < kLong * stats_[i].usual) return false;
     return true;
   }
 
-  std::optional<MemberId> gatherer(const Group& group) const {
-    std::optional<MemberId> best;
+  std::optional<EndpointId> gatherer(const Group& group) const {
+    std::optional<EndpointId> best;
     bool any_long = false;
     for (std::size_t i = 0; i < s_.classes.size(); ++i) any_long |= is_long(i);
-    for (const MemberId id : group.members) {
+    for (const EndpointId id : group.members) {
       const MemberRow& m = rows_.at(id);
       if (!any_long || !usable(m) || m.set_aside || group.primary == id || cold_share(m) < 1) continue;
       if (!best || mix(id) > mix(*best)) best = id;
@@ -332,29 +333,29 @@
   // Once heard, it is taken as current unless a miss or its position when last shown tells otherwise; its own
   // check keeps the read from stale data. Also covers probes that fail. Costs a miss where it fell behind.
   bool presumed(const MemberRow& m, const Job& job) const {
-    if (s_.checks == Checks::None || m.set_aside || disproved(m)) return false;
+    if (s_.staleness_check == StalenessCheck::None || m.set_aside || disproved(m)) return false;
     const RequestClass& c = s_.classes[job.request.class_index];
-    if (c.level == ReadLevel::Session) return true;
-    return c.level == ReadLevel::Bounded && (m.shown_at == kUnknown || m.shown_at - m.position <= c.bound);
+    if (c.consistency == ConsistencyLevel::Session) return true;
+    return c.consistency == ConsistencyLevel::BoundedStaleness && (m.shown_at == kUnknown || m.shown_at - m.position <= c.max_staleness);
   }
 
   // Departure: acts where the even split leaves the replica with the long reads, or the primary once replicas
   // are pressed (answers take over half of what is roomy), with less work than the rest. A member's part is
   // what its even share of all work leaves beside what only it can do. Hurts where others' mix differs.
-  double part(const Group& group, MemberId id, bool long_reads_here) const {
+  double part(const Group& group, EndpointId id, bool long_reads_here) const {
     double all = 0, own = 0;
     for (std::size_t i = 0; i < s_.classes.size(); ++i) {
-      const ReadLevel level = s_.classes[i].level;
+      const ConsistencyLevel level = s_.classes[i].consistency;
       const double work = stats_[i].seen * stats_[i].usual;
       all += work;
-      if (group.primary == id ? level == ReadLevel::Write || level == ReadLevel::Fresh
+      if (group.primary == id ? level == ConsistencyLevel::Write || level == ConsistencyLevel::Strong
                               : long_reads_here && is_long(i))
         own += work;
     }
     return std::max(0.0, all - own * members_in(group));
   }
 
-  std::optional<MemberId> hashed(const Job& job, std::vector<std::pair<MemberId, double>> pool) {
+  std::optional<EndpointId> hashed(const Job& job, std::vector<std::pair<EndpointId, double>> pool) {
     for (std::uint64_t h = job.key; !pool.empty(); h = mix(h)) {
       double sum = 0;
       for (const auto& [id, weight] : pool) sum += weight;
@@ -372,31 +373,31 @@
   // little after time-outs or errors. One safe read at a time tries it, after a pause that doubles with each
   // failure; also lets a fresh router's first reads through. It gets no more than the hash would give it,
   // unless no other is left: many routers, each for itself, would push over one that just started.
-  std::optional<MemberId> trial(const Job& job, bool none_left) {
-    if (s_.classes[job.request.class_index].effect != Effect::Safe || !job.attempts.empty()) return {};
-    std::vector<MemberId> pool;
-    for (const MemberId id : groups_[job.request.group].members) {
+  std::optional<EndpointId> trial(const Job& job, bool none_left) {
+    if (s_.classes[job.request.class_index].idempotency != Idempotency::Idempotent || !job.attempts.empty()) return {};
+    std::vector<EndpointId> pool;
+    for (const EndpointId id : groups_[job.request.group].members) {
       const MemberRow& m = rows_.at(id);
       const bool ready = m.set_aside && !m.probing && !m.trial_out && now_ >= m.trial_at && usable(m);
-      const ReadLevel level = s_.classes[job.request.class_index].level;
-      const bool current = level == ReadLevel::Any || s_.checks != Checks::None || m.position >= need_of(job);
+      const ConsistencyLevel level = s_.classes[job.request.class_index].consistency;
+      const bool current = level == ConsistencyLevel::Eventual || s_.staleness_check != StalenessCheck::None || m.position >= need_of(job);
       if (!none_left || (ready && current)) pool.push_back(ready && current ? id : kNobody);
     }
-    const MemberId id = pool.empty() ? kNobody : pool[mix(job.draw) % pool.size()];
-    return id == kNobody ? std::nullopt : std::optional<MemberId>(id);
+    const EndpointId id = pool.empty() ? kNobody : pool[mix(job.draw) % pool.size()];
+    return id == kNobody ? std::nullopt : std::optional<EndpointId>(id);
   }
 
-  std::optional<MemberId> choose_replica(const Job& job) {
+  std::optional<EndpointId> choose_replica(const Job& job) {
     const Group& group = groups_[job.request.group];
     const auto gathered = gatherer(group);
     if (gathered && is_long(job.request.class_index)) {
       if (tried(job, *gathered)) return {};
       return hashed(job, {{*gathered, 1}});
     }
-    std::vector<std::pair<MemberId, double>> pool;
+    std::vector<std::pair<EndpointId, double>> pool;
     bool replicas = false;
-    std::vector<MemberId> open; // not set aside, whatever their position
-    for (const MemberId id : groups_[job.request.group].members) {
+    std::vector<EndpointId> open; // not set aside, whatever their position
+    for (const EndpointId id : groups_[job.request.group].members) {
       const MemberRow& m = rows_.at(id);
       if (!usable(m) || m.set_aside || tried(job, id)) continue;
       const double weight = part(group, id, gathered == id) * (group.primary == id ? pressed(false) : 1);
@@ -411,10 +412,10 @@
       open.push_back(id);
     }
     if (replicas) return hashed(job, pool);
-    if (s_.checks == Checks::None) return {};
+    if (s_.staleness_check == StalenessCheck::None) return {};
     // None admitted, and members check: the most advanced one first, unless it is known to lag too far.
-    std::optional<MemberId> best;
-    for (const MemberId id : open) {
+    std::optional<EndpointId> best;
+    for (const EndpointId id : open) {
       MemberRow& m = rows_.at(id);
       if ((disproved(m) && m.disproved <= need_of(job)) || !has_room(m, job)) continue;
       if (!best || m.position > rows_.at(*best).position) best = id;
@@ -438,7 +439,7 @@
     const double room = kRoomy * (own.n + kPooled) / (own.sum + kPooled * mean + 1e-9);
     double worth = 0, work = 0;
     for (std::size_t i = 0; i < s_.classes.size(); ++i)
-      worth += stats_[i].seen * s_.classes[i].worth, work += stats_[i].seen * stats_[i].usual;
+      worth += stats_[i].seen * s_.classes[i].priority_weight, work += stats_[i].seen * stats_[i].usual;
     const double power = std::min(2 * kLong, std::max(1.0, 2 * worth / work / value_of(job)));
     return unit(job.draw + 1) < std::pow(room, power);
   }
@@ -473,9 +474,9 @@
   // When an attempt counts as a time-out against its member: far beyond the usual for the class, and beyond
   // what the other members take now. Where all are slow none is to blame, so a jam sets no one aside, puts no
   // primary in doubt, and load is not driven onto the last one left.
-  Nanos overdue_after(const Job& job, MemberId id) {
+  Nanos overdue_after(const Job& job, EndpointId id) {
     const RequestClass& c = s_.classes[job.request.class_index];
-    const double aim = static_cast<double>(c.aim);
+    const double aim = static_cast<double>(c.latency_objective);
     MemberRow& m = rows_.at(id);
     const bool primary = groups_[job.request.group].primary == id;
     const double others = std::max(mean_of(primary, m.crowd.fade(now_)), mean_of(!primary));
@@ -484,7 +485,7 @@
   }
 
   std::size_t attempts_of(const Job& job) const { // what the site allows, and what its contract does
-    return std::min(s_.max_attempts, job.request.attempts ? job.request.attempts : s_.max_attempts);
+    return std::min(s_.max_attempts, job.request.max_attempts ? job.request.max_attempts : s_.max_attempts);
   }
 
   void advance(Job& job) {
@@ -493,7 +494,7 @@
     if (job.out > 0) return hedge(job);
     if (now_ >= job.end || job.attempts.size() >= attempts_of(job)) return give_up(job);
     if (!repeatable(job)) return give_up(job);
-    if (c.level == ReadLevel::Write || c.level == ReadLevel::Fresh) return to_primary(job);
+    if (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Strong) return to_primary(job);
     if (const auto id = trial(job, false); id && send(job, *id, true)) return;
     if (const auto id = choose_replica(job); id && send(job, *id, false)) return;
     if (const auto id = trial(job, true); id && send(job, *id, true)) return;
@@ -510,12 +511,12 @@
     bool hope = false;
     // Departure: acts where bounded reads of a group come further apart than a proof holds, as with many
     // routers: one member is asked at a time, and waited for, as old is not behind. Hurts where several lag.
-    const std::vector<MemberId>& ids = group.members;
+    const std::vector<EndpointId>& ids = group.members;
     bool one = group.thin && extra == 0, asked = false;
-    for (const MemberId id : ids)
+    for (const EndpointId id : ids)
       asked |= one && rows_.at(id).probing && now_ - rows_.at(id).probed_at < 2 * kPulse;
     for (std::size_t i = 0; i < ids.size(); ++i) {
-      const MemberId id = ids[(i + job.draw) % ids.size()];
+      const EndpointId id = ids[(i + job.draw) % ids.size()];
       MemberRow& m = rows_.at(id);
       if (!usable(m) || (group.primary == id && !group.doubted)) continue;
       if (!asked && probe(m, kProbeGap, extra > 0)) asked = one, extra -= extra > 0;
@@ -545,14 +546,14 @@
     const bool known = group.primary_info != kUnknown; // ever
     const bool gone = !group.primary && known && group.primary_info < now_ - kHandOver;
     if (half && gone && job.attempts.empty()) return give_up(job);
-    for (const MemberId id : group.members) {
+    for (const EndpointId id : group.members) {
       MemberRow& m = rows_.at(id);
-      if (usable(m) && (s_.report_roles || m.set_aside)) probe(m, 2 * kProbeGap, true);
+      if (usable(m) && (s_.load_reports_hold_roles || m.set_aside)) probe(m, 2 * kProbeGap, true);
     }
-    const bool asked = s_.report_roles && s_.reports != ReportVia::None;
+    const bool asked = s_.load_reports_hold_roles && s_.load_report_source != LoadReportSource::None;
     if ((asked && now_ - job.arrived < kProbeGap) || now_ - kProbeGap < group.scouted_at) return;
-    std::optional<MemberId> best;
-    for (const MemberId id : group.members) {
+    std::optional<EndpointId> best;
+    for (const EndpointId id : group.members) {
       const MemberRow& m = rows_.at(id);
       // Tried once, a member may have it again if it has shown since that it is the primary: it may have
       // broken one connection and live on, and then no one else would ever take the write.
@@ -574,10 +575,10 @@
   void hedge(Job& job) {
     const RequestClass& c = s_.classes[job.request.class_index];
     const Attempt& last = job.attempts.back();
-    if (c.effect == Effect::Unsafe || job.hedged || !last.out || c.level == ReadLevel::Fresh) return;
-    if (c.level == ReadLevel::Write || job.attempts.size() >= attempts_of(job)) return;
+    if (c.idempotency == Idempotency::NotIdempotent || job.hedged || !last.out || c.consistency == ConsistencyLevel::Strong) return;
+    if (c.consistency == ConsistencyLevel::Write || job.attempts.size() >= attempts_of(job)) return;
     const bool bad = rows_.at(last.member).set_aside;
-    if (!s_.hedging || !last.overdue || (!bad && hedges_ < 1)) return;
+    if (!s_.hedging_allowed || !last.overdue || (!bad && hedges_ < 1)) return;
     if (now_ + static_cast<Nanos>(work_of(job)) > job.end) return;
     const auto id = choose_replica(job);
     if (!id || !send(job, *id, false)) return;
@@ -585,7 +586,7 @@
     job.hedged = true;
   }
 
-  double value_of(const Job& job) const { return s_.classes[job.request.class_index].worth / work_of(job); }
+  double value_of(const Job& job) const { return s_.classes[job.request.class_index].priority_weight / work_of(job); }
 
   // What waits in a group goes in order of worth for its work: in overload the least worth is left over.
   void release(GroupId id) {
@@ -608,7 +609,7 @@
   bool cold_room(const MemberRow& m, const Job& job) {
     if (cold_share(m) >= 1) return true;
     const Crowd& pool = pool_of(m);
-    const double more = m.cold_since == m.entry.started_at ? std::sqrt(s_.fall_multiple) : 1;
+    const double more = m.cold_since == m.entry.started_at ? std::sqrt(s_.overload_factor) : 1;
     const double crowded = pool.slow() ? kRoomy * pool.n / pool.sum : 1;
     return unit(job.draw) < more * cold_share(m) * crowded;
   }
@@ -616,8 +617,8 @@
   // No effect twice: what may have run goes out again only where its key holds, within its window.
   bool repeatable(const Job& job) const {
     const RequestClass& c = s_.classes[job.request.class_index];
-    if (job.may_have_run == kUnknown || c.effect == Effect::Safe) return true;
-    return c.effect == Effect::Keyed && now_ - job.may_have_run < c.window - s_.tick;
+    if (job.may_have_run == kUnknown || c.idempotency == Idempotency::Idempotent) return true;
+    return c.idempotency == Idempotency::IdempotencyKey && now_ - job.may_have_run < c.deduplication_window - s_.clock_resolution;
   }
 
   // The rules on what may go to a member: kept at the decision, and again at the moment of writing.
@@ -625,34 +626,34 @@
     const RequestClass& c = s_.classes[job.request.class_index];
     if (job.closed || now_ >= job.request.deadline || m.entry.group != job.request.group) return false;
     if (!usable(m) || !repeatable(job)) return false; // drains kept, no effect twice
-    const bool keyed = c.effect == Effect::Keyed && job.may_have_run != kUnknown;
-    const bool bound = keyed && c.scope == RepeatScope::Zone;
+    const bool keyed = c.idempotency == Idempotency::IdempotencyKey && job.may_have_run != kUnknown;
+    const bool bound = keyed && c.deduplication_scope == DeduplicationScope::Zone;
     if (bound && m.entry.zone != rows_.at(job.ran_at).entry.zone) return false;
-    if (s_.checks != Checks::None || c.level == ReadLevel::Write || c.level == ReadLevel::Any) return true;
+    if (s_.staleness_check != StalenessCheck::None || c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Eventual) return true;
     const bool primary = groups_[job.request.group].primary == m.entry.id;
     return primary || (m.position != kUnknown && m.position >= need_of(job)); // no stale read
   }
 
   // Every send passes here; the five rules that concern sends are kept here.
-  bool send(Job& job, MemberId id, bool trial) {
+  bool send(Job& job, EndpointId id, bool trial) {
     const auto it = rows_.find(id);
     if (it == rows_.end() || job.attempts.size() >= attempts_of(job)) return false;
     MemberRow& m = it->second;
-    const bool safe = s_.classes[job.request.class_index].effect == Effect::Safe;
-    if (job.out > 0 && (!s_.hedging || !safe)) return false;
+    const bool safe = s_.classes[job.request.class_index].idempotency == Idempotency::Idempotent;
+    if (job.out > 0 && (!s_.hedging_allowed || !safe)) return false;
     if (!may_go(job, m) || !cold_room(m, job)) return false; // no cold member pushed over
     if (trial) m.trial_out = true;
     job.attempts.push_back({id, now_, need_of(job), true, false, trial});
     ++job.out;
     if (const auto session = writer(job)) writes_.sent(*session, now_);
-    act(Send{job.request.id, id, job.request.deadline - now_});
+    act(StartAttempt{job.request.id, id, job.request.deadline - now_});
     return true;
   }
 
   // Beyond its team's budget a request is refused before anything was sent, and told when the next one fits.
   bool within_budget(Job& job) {
-    if (job.request.over_budget <= 0) return true;
-    give_up(job, job.request.over_budget);
+    if (job.request.rate_limit_retry_after <= 0) return true;
+    give_up(job, job.request.rate_limit_retry_after);
     return false;
   }
 
@@ -661,31 +662,31 @@
     if (job.closed || job.out > 0) return;
     const RequestClass& c = s_.classes[job.request.class_index];
     job.closed = true;
-    const bool harmless = c.effect == Effect::Safe || job.may_have_run == kUnknown ||
-                          (c.effect == Effect::Keyed && c.scope == RepeatScope::All);
-    if (!harmless) return act(Fail{job.request.id});
-    act(Refuse{job.request.id, come_back.value_or(s_.retry_after ? s_.max_retry_after : 0)});
+    const bool harmless = c.idempotency == Idempotency::Idempotent || job.may_have_run == kUnknown ||
+                          (c.idempotency == Idempotency::IdempotencyKey && c.deduplication_scope == DeduplicationScope::All);
+    if (!harmless) return act(FailRequest{job.request.id});
+    act(RejectRequest{job.request.id, come_back.value_or(s_.retry_after_allowed ? s_.max_retry_after : 0)});
   }
 
   // ---- events
 
-  void on(const MemberList& list) {
-    if (list.kind == MemberList::Kind::Failed) {
-      if (s_.discovery == Discovery::Asked) watch_at_ = now_ + 10 * kProbeGap;
+  void on(const EndpointList& list) {
+    if (list.kind == EndpointList::Kind::Failed) {
+      if (s_.discovery_mode == DiscoveryMode::Poll) watch_at_ = now_ + 10 * kProbeGap;
       return;
     }
-    if (s_.discovery == Discovery::Asked && list.kind == MemberList::Kind::Remembered) watch_at_ = now_;
-    std::set<MemberId> seen;
-    for (const Member& entry : list.members) seen.insert(entry.id), take_entry(entry, list);
-    if (list.kind != MemberList::Kind::Changes)
+    if (s_.discovery_mode == DiscoveryMode::Poll && list.kind == EndpointList::Kind::Cached) watch_at_ = now_;
+    std::set<EndpointId> seen;
+    for (const Endpoint& entry : list.endpoints) seen.insert(entry.id), take_entry(entry, list);
+    if (list.kind != EndpointList::Kind::Delta)
       for (auto& [id, m] : rows_)
-        if (!seen.count(id)) leave(m, MemberState::Removed);
+        if (!seen.count(id)) leave(m, EndpointStatus::Removed);
     forget_gone();
   }
 
   // Bounds memory and the work per request: members are replaced all day, and each comes under a new id.
   void forget_gone() {
-    std::set<MemberId> held; // by requests still open
+    std::set<EndpointId> held; // by requests still open
     for (const auto& [seq, job] : jobs_)
       for (const Attempt& a : job.attempts) held.insert(a.member);
     for (auto it = rows_.begin(), next = it; it != rows_.end(); it = next) {
@@ -708,36 +709,36 @@
 
   // Where only draining binds, a member listed as gone, or left out, that never drained is taken as running:
   // lists shrink and go back while members serve, and one that is gone shows at its connections.
-  void leave(MemberRow& m, MemberState state) {
-    if (s_.only_draining_binds && state == MemberState::Removed && !m.told_leaving) {
-      m.entry.state = MemberState::Up;
+  void leave(MemberRow& m, EndpointStatus state) {
+    if (s_.only_draining_is_binding && state == EndpointStatus::Removed && !m.told_leaving) {
+      m.entry.status = EndpointStatus::Up;
       return;
     }
-    m.entry.state = state;
-    m.left_at = state == MemberState::Removed ? std::min(m.left_at, now_) : kNever;
+    m.entry.status = state;
+    m.left_at = state == EndpointStatus::Removed ? std::min(m.left_at, now_) : kNever;
     m.told_leaving = true;
     doubt_primary(m.entry.id);
     wake(m.entry.group);
   }
 
-  void take_entry(const Member& entry, const MemberList& list) {
+  void take_entry(const Endpoint& entry, const EndpointList& list) {
     const bool fresh = !rows_.count(entry.id);
-    if (fresh && entry.state == MemberState::Removed) return;
+    if (fresh && entry.status == EndpointStatus::Removed) return;
     MemberRow& m = rows_[entry.id];
     const Nanos started = m.entry.started_at;
-    const bool was_listed_primary = m.entry.primary;
+    const bool was_listed_primary = m.entry.listed_as_primary;
     m.entry = entry;
     Group& group = groups_[entry.group];
-    std::vector<MemberId>& ids = group.members;
+    std::vector<EndpointId>& ids = group.members;
     if (fresh) ids.insert(std::lower_bound(ids.begin(), ids.end(), entry.id), entry.id);
     if (entry.started_at > 0 && (fresh || entry.started_at != started))
       m.cold_since = std::max(m.cold_since, entry.started_at);
-    if (entry.state != MemberState::Up) return leave(m, entry.state);
+    if (entry.status != EndpointStatus::Up) return leave(m, entry.status);
     m.told_leaving = false;
     m.left_at = kNever;
-    if (entry.primary && (fresh || !was_listed_primary) && s_.list_role != ListRole::None && !group.primary)
-      believe(m, true, list.kind == MemberList::Kind::Remembered ? kUnknown + 1 : now_ - kStaleNews, false);
-    if (fresh && double(list.members.size()) <= kProbeBurst) probe(m); // more: when their group is asked for
+    if (entry.listed_as_primary && (fresh || !was_listed_primary) && s_.listed_role != ListedRole::None && !group.primary)
+      believe(m, true, list.kind == EndpointList::Kind::Cached ? kUnknown + 1 : now_ - kStaleNews, false);
+    if (fresh && double(list.endpoints.size()) <= kProbeBurst) probe(m); // more: when their group is asked for
     wake(entry.group);
   }
 
@@ -747,14 +748,14 @@
     const std::uint64_t seq = next_++;
     ids_[request.id] = seq;
     Job& job = jobs_[seq];
-    job.request = request, job.seq = seq, job.arrived = now_, job.aim_at = now_ + c.aim;
-    job.end = request.deadline - kPulse - 2 * s_.tick;
-    if (c.late_worth <= 0) job.end = std::min(job.end, job.aim_at);
+    job.request = request, job.seq = seq, job.arrived = now_, job.aim_at = now_ + c.latency_objective;
+    job.end = request.deadline - kPulse - 2 * s_.clock_resolution;
+    if (c.late_weight_fraction <= 0) job.end = std::min(job.end, job.aim_at);
     job.draw = hash_text(request.id);
     job.key = mix(request.session ? *request.session : job.draw + 2);
-    if (c.level == ReadLevel::Session) {
-      if (s_.tokens == TokenMode::Carried) {
-        if (request.token_age && *request.token_age > 0) job.token = now_ - *request.token_age;
+    if (c.consistency == ConsistencyLevel::Session) {
+      if (s_.session_token_source == SessionTokenSource::Client) {
+        if (request.session_token_age && *request.session_token_age > 0) job.token = now_ - *request.session_token_age;
       } else if (request.session) {
         job.token = writes_.seen_by(*request.session, now_);
       }
@@ -763,13 +764,13 @@
     stats_[request.class_index].seen += 1;
     hedges_ = std::min(hedges_ + kHedgeShare, kHedgeBurst);
     Group& group = groups_[request.group];
-    if (c.level == ReadLevel::Bounded) group.thin = std::exchange(group.read_at, now_) < now_ - c.bound;
-    const bool alone = group.thin && (c.level == ReadLevel::Bounded || c.level == ReadLevel::Session);
+    if (c.consistency == ConsistencyLevel::BoundedStaleness) group.thin = std::exchange(group.read_at, now_) < now_ - c.max_staleness;
+    const bool alone = group.thin && (c.consistency == ConsistencyLevel::BoundedStaleness || c.consistency == ConsistencyLevel::Session);
     const double cost = std::max(kProofCost, pressed(true));
-    const double share = alone ? cost / std::max(s_.probe_price, cost) : kProbeShare;
+    const double share = alone ? cost / std::max(s_.health_check_price, cost) : kProbeShare;
     probes_ = std::min(probes_ + share, kProbeBurst);
     if (within_budget(job)) {
-      if (c.level != ReadLevel::Write) keep_heard(group, c);
+      if (c.consistency != ConsistencyLevel::Write) keep_heard(group, c);
       advance(job);
     }
     settle(job);
@@ -777,17 +778,17 @@
 
   // Where sessions' writes are remembered here: the session of a write.
   std::optional<std::uint64_t> writer(const Job& job) const {
-    const bool write = s_.classes[job.request.class_index].level == ReadLevel::Write;
-    return write && s_.tokens == TokenMode::Remembered ? job.request.session : std::nullopt;
+    const bool write = s_.classes[job.request.class_index].consistency == ConsistencyLevel::Write;
+    return write && s_.session_token_source == SessionTokenSource::Router ? job.request.session : std::nullopt;
   }
 
-  void on(const Outcome& outcome) {
-    const auto at = rows_.find(outcome.member);
+  void on(const AttemptResult& outcome) {
+    const auto at = rows_.find(outcome.endpoint);
     MemberRow* m = at == rows_.end() ? nullptr : &at->second;
-    if (m && (outcome.result == Result::Ok || outcome.result == Result::Miss ||
-              outcome.result == Result::Error || outcome.result == Result::Full))
+    if (m && (outcome.status == AttemptStatus::Ok || outcome.status == AttemptStatus::Misdirected ||
+              outcome.status == AttemptStatus::Error || outcome.status == AttemptStatus::Rejected))
       hear_answer(*m, outcome);
-    const auto id = ids_.find(outcome.id);
+    const auto id = ids_.find(outcome.request_id);
     if (id == ids_.end()) return;
     Job& job = jobs_.at(id->second);
     if (outcome.attempt < job.attempts.size() && job.attempts[outcome.attempt].out && m) {
@@ -797,47 +798,47 @@
       if (a.trial) m->trial_out = false;
       judge(*m, job, a, outcome);
     }
-    if (m && outcome.result != Result::Timeout && outcome.result != Result::NoConnection) m->heard_at = now_;
-    if (outcome.closed) job.closed = true;
+    if (m && outcome.status != AttemptStatus::Timeout && outcome.status != AttemptStatus::ConnectFailed) m->heard_at = now_;
+    if (outcome.request_finished) job.closed = true;
     if (!job.closed) advance(job);
     settle(job);
   }
 
-  void hear_answer(MemberRow& m, const Outcome& outcome) {
+  void hear_answer(MemberRow& m, const AttemptResult& outcome) {
     // Guards against reads begun before a hand-over: they end with the old role, each sending all that waits
     // to a member that has turned writes away since, until their attempts are used up.
     if (outcome.role == Role::Replica) m.denied_at = now_;
     const bool primary = outcome.role == Role::Primary && now_ - outcome.elapsed > m.denied_at;
     if (primary || outcome.role == Role::Replica) believe(m, primary, now_, true);
-    if (outcome.position) prove(m, *outcome.position, now_);
-    take_report(m, outcome.report);
+    if (outcome.replication_position) prove(m, *outcome.replication_position, now_);
+    take_report(m, outcome.load_report);
   }
 
-  void take_report(MemberRow& m, const Report& report) { // of an answer, or of a probe's
+  void take_report(MemberRow& m, const LoadReport& report) { // of an answer, or of a probe's
     // One that broke connections and answers this soon on a new one never stopped: restarts take longer.
     m.lost &= now_ - m.broke_at >= kBlink;
     m.breaks = 0;
-    if (report.position) prove(m, *report.position, now_);
-    if (!report.primary) return;
+    if (report.replication_position) prove(m, *report.replication_position, now_);
+    if (!report.is_primary) return;
     // A primary stands at the present, so its position dates the report.
-    const Nanos dated = report.position ? *report.position : now_ - kStaleNews;
-    believe(m, *report.primary, dated, false);
+    const Nanos dated = report.replication_position ? *report.replication_position : now_ - kStaleNews;
+    believe(m, *report.is_primary, dated, false);
   }
 
   // What an attempt's end says of the member, and of what the request may have done.
-  void judge(MemberRow& m, Job& job, Attempt& a, const Outcome& outcome) {
+  void judge(MemberRow& m, Job& job, Attempt& a, const AttemptResult& outcome) {
     const RequestClass& c = s_.classes[job.request.class_index];
     ClassStat& stat = stats_[job.request.class_index];
-    const bool read = c.level != ReadLevel::Write;
+    const bool read = c.consistency != ConsistencyLevel::Write;
     // Refused at once, the process is down; run into the time-out, the way or the set-up may be slow.
-    const bool slow = outcome.result == Result::NoConnection && outcome.elapsed >= s_.connect_timeout / 2;
-    switch (outcome.result) {
-    case Result::Ok: {
+    const bool slow = outcome.status == AttemptStatus::ConnectFailed && outcome.elapsed >= s_.connect_timeout / 2;
+    switch (outcome.status) {
+    case AttemptStatus::Ok: {
       const double took = static_cast<double>(outcome.elapsed);
       if (!a.overdue) stat.usual *= took > stat.usual ? 1 + kStep : 1 - kStep;
-      if (stalled_at_ != now_) learn_crowding(m, took / static_cast<double>(c.aim));
+      if (stalled_at_ != now_) learn_crowding(m, took / static_cast<double>(c.latency_objective));
       m.errors -= kSmooth * m.errors;
-      if (read && s_.checks != Checks::None && a.need != kUnknown)
+      if (read && s_.staleness_check != StalenessCheck::None && a.need != kUnknown)
         prove(m, a.need, a.need > m.position ? a.sent_at : kUnknown);
       if (!a.overdue) m.failures = 0;
       if (!a.overdue && (a.trial || !m.needs_trial)) { // an answer proves more than a probe
@@ -846,7 +847,7 @@
       }
       break;
     }
-    case Result::Miss:
+    case AttemptStatus::Misdirected:
       m.failures = 0;
       if (read && a.need != kUnknown) {
         m.disproved = std::max(m.disproved, a.need);
@@ -854,42 +855,42 @@
       }
       if (!read && outcome.role != Role::Primary) believe(m, false, now_, true);
       break;
-    case Result::Error:
+    case AttemptStatus::Error:
       m.errors += kSmooth * (1 - m.errors);
       if (a.trial) pause_trials(m);
       if (m.errors > kErrorShare && groups_[m.entry.group].primary != m.entry.id)
-        set_aside(m, true, "errors");
+        set_aside(m, true, EjectionReason::ErrorRatio);
       break;
-    case Result::Timeout:
+    case AttemptStatus::Timeout:
       if (!a.overdue) learn_silence(m);
       if (!a.overdue && outcome.elapsed >= overdue_after(job, m.entry.id)) count_timeout(m, a.trial);
       break;
-    case Result::NoConnection:
-    case Result::Reset:
+    case AttemptStatus::ConnectFailed:
+    case AttemptStatus::Reset:
       a.broke = true;
-      if (slow) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.aim));
+      if (slow) learn_crowding(m, static_cast<double>(outcome.elapsed) / static_cast<double>(c.latency_objective));
       if (a.trial) pause_trials(m);
       // One connection broken at once is chance: members reset some and live on, also while set aside as
       // slow. Two in a row, as with time-outs, are a symptom: of one that died, all break.
       if (!slow && ++m.breaks == 1) m.broke_at = now_;
       m.lost |= m.breaks >= kTimeoutsInRow;
       if (!slow && !m.set_aside && ++m.failures < kTimeoutsInRow) break;
-      set_aside(m, false, "connection failed");
+      set_aside(m, false, EjectionReason::ConnectionFailure);
       probe(m, kProbeGap, true);
       break;
-    case Result::Full:
+    case AttemptStatus::Rejected:
       learn_crowding(m, 2);
       if (groups_[m.entry.group].primary == m.entry.id)
         job.not_before = now_ + (5 * kPulse << job.attempts.size());
       break;
     default: break;
     }
-    const bool ran = outcome.result == Result::Error || outcome.result == Result::Timeout ||
-                     outcome.result == Result::Reset || outcome.result == Result::Cancelled;
+    const bool ran = outcome.status == AttemptStatus::Error || outcome.status == AttemptStatus::Timeout ||
+                     outcome.status == AttemptStatus::Reset || outcome.status == AttemptStatus::Cancelled;
     if (const auto session = writer(job)) {
-      using End = sessions::Writes::End;
-      const End end = ran ? End::Unknown : outcome.result == Result::Ok ? End::Answered : End::NeverRan;
-      writes_.ended(*session, a.sent_at, end, outcome.commit ? outcome.commit : outcome.position, now_);
+      using End = session_tokens::SessionWrites::End;
+      const End end = ran ? End::Unknown : outcome.status == AttemptStatus::Ok ? End::Answered : End::NeverRan;
+      writes_.ended(*session, a.sent_at, end, outcome.commit_position ? outcome.commit_position : outcome.replication_position, now_);
     }
     if (ran && job.may_have_run == kUnknown) {
       job.may_have_run = a.sent_at;
@@ -897,33 +898,33 @@
     }
   }
 
-  void on(const Probed& probed) {
-    const auto at = rows_.find(probed.member);
+  void on(const HealthCheckResult& probed) {
+    const auto at = rows_.find(probed.endpoint);
     if (at == rows_.end()) return;
     MemberRow& m = at->second;
     m.probing = false;
     // Answers beat probes: one that fails sets no one aside, as probes may fail, or be too many, while
     // requests are served. A member that died shows at the next request's connection.
-    if (!probed.ok) return wake(m.entry.group);
-    take_report(m, probed.report);
+    if (!probed.succeeded) return wake(m.entry.group);
+    take_report(m, probed.load_report);
     if (m.needs_trial) return;
     // Guards writes against waiting for a scout after each broken connection: a primary that takes a new one
     // and says what it is was not lost. After time-outs only an answer tells, as a probe proves little.
     Group& group = groups_[m.entry.group];
-    if (group.primary == m.entry.id && probed.report.primary.value_or(false)) group.doubted = false;
+    if (group.primary == m.entry.id && probed.load_report.is_primary.value_or(false)) group.doubted = false;
     readmit(m);
     wake(m.entry.group);
   }
 
-  void on(const ClientGone& gone) {
-    const auto id = ids_.find(gone.id);
+  void on(const ClientDisconnected& gone) {
+    const auto id = ids_.find(gone.request_id);
     if (id == ids_.end()) return;
     Job& job = jobs_.at(id->second);
     job.closed = true, settle(job);
   }
 
-  void on(const TimerDue&) {
-    if (now_ + s_.tick > armed_) armed_ = kNever; // a clock may be coarser than our nanoseconds
+  void on(const TimerExpired&) {
+    if (now_ + s_.clock_resolution > armed_) armed_ = kNever; // a clock may be coarser than our nanoseconds
     while (!due_.empty() && due_.begin()->first <= now_) {
       Job& job = jobs_.at(due_.begin()->second);
       due_.erase({std::exchange(job.look_at, kNever), job.seq});
@@ -946,29 +947,29 @@
     }
     if (watch_at_ > now_) return;
     watch_at_ = kNever;
-    act(WatchList{});
+    act(WatchEndpoints{});
   }
 
   // A read's group is kept known, within the share of probes that this router's own traffic allows: members
   // set aside are probed until they answer, positions are refreshed before a bound outlives them.
   void keep_heard(const Group& group, const RequestClass& c) {
-    for (const MemberId id : group.members) {
+    for (const EndpointId id : group.members) {
       MemberRow& m = rows_.at(id);
       if (!usable(m)) continue;
       if (m.set_aside && (!m.needs_trial || m.lost)) probe(m, 4 * kProbeGap);
-      if (!s_.report_positions || group.primary == id || m.set_aside) continue;
-      const bool old = m.position == kUnknown || now_ - m.position > c.bound / 2;
-      if (c.level == ReadLevel::Bounded && !group.thin && old) probe(m, c.bound / 3);
+      if (!s_.load_reports_hold_positions || group.primary == id || m.set_aside) continue;
+      const bool old = m.position == kUnknown || now_ - m.position > c.max_staleness / 2;
+      if (c.consistency == ConsistencyLevel::BoundedStaleness && !group.thin && old) probe(m, c.max_staleness / 3);
       if (disproved(m)) probe(m, 5 * kProbeGap);
     }
   }
 
   bool probe(MemberRow& m, Nanos gap = kProbeGap, bool must = false) {
-    if (!s_.probes || m.probing || !usable(m) || (!must && probes_ < 1)) return false;
+    if (!s_.health_checks_allowed || m.probing || !usable(m) || (!must && probes_ < 1)) return false;
     if (m.probed_at != kUnknown && now_ - m.probed_at < gap) return false;
     if (!must) probes_ -= 1;
     m.probing = true, m.probed_at = now_;
-    act(Probe{m.entry.id});
+    act(SendHealthCheck{m.entry.id});
     return true;
   }
 
@@ -985,14 +986,14 @@
       return forget_group(id);
     }
     // Routers started together must not retry in step: the seed gives each its own phase.
-    const Nanos pulse = now_ + std::max(kPulse, s_.tick) + phase_;
-    const bool safe = s_.classes[job.request.class_index].effect == Effect::Safe;
+    const Nanos pulse = now_ + std::max(kPulse, s_.clock_resolution) + phase_;
+    const bool safe = s_.classes[job.request.class_index].idempotency == Idempotency::Idempotent;
     phase_ = 0;
     job.look_at = job.out == 0 ? pulse : kNever;
     for (const Attempt& a : job.attempts) {
       if (!a.out || (a.overdue && (job.closed || job.hedged || !safe))) continue;
       const Nanos late = a.sent_at + overdue_after(job, a.member);
-      job.look_at = std::min(job.look_at, a.overdue ? pulse : std::max(late, now_ + s_.tick));
+      job.look_at = std::min(job.look_at, a.overdue ? pulse : std::max(late, now_ + s_.clock_resolution));
     }
     if (job.look_at != kNever) due_.insert({job.look_at, job.seq});
   }
@@ -1000,7 +1001,7 @@
   void arm() {
     const Nanos at = std::min(due_.empty() ? kNever : due_.begin()->first, watch_at_);
     if (armed_ <= at) return;
-    armed_ = std::max(at, now_ + s_.tick);
+    armed_ = std::max(at, now_ + s_.clock_resolution);
     act(SetTimer{armed_});
   }
 
@@ -1008,11 +1009,11 @@
   Nanos phase_; // spent at the first timer
   Nanos now_ = 0;
   std::vector<Action>* out_ = nullptr;
-  std::map<MemberId, MemberRow> rows_;
+  std::map<EndpointId, MemberRow> rows_;
   std::map<GroupId, Group> groups_;
   std::map<std::uint64_t, Job> jobs_;                  // by arrival
   std::unordered_map<std::string, std::uint64_t> ids_; // looked up only
-  sessions::Writes writes_{s_.answers_known_after};
+  session_tokens::SessionWrites writes_{s_.responses_known_after};
   std::vector<ClassStat> stats_;
   std::map<std::pair<std::string, bool>, Crowd> pools_; // by zone, and whether primary
   double hedges_ = kHedgeBurst;
@@ -1025,16 +1026,16 @@
 };
 
 Router::Router(Settings settings, std::uint64_t seed)
-    : rules_(std::make_unique<Rules>(std::move(settings), seed)) {}
+    : core_(std::make_unique<Core>(std::move(settings), seed)) {}
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 void Router::handle(Nanos now, const Event& event, std::vector<Action>& actions) {
-  rules_->handle(now, event, actions);
+  core_->handle(now, event, actions);
 }
-bool Router::may_write(Nanos now, const std::string& id, MemberId member) {
-  return rules_->may_write(now, id, member);
+bool Router::is_attempt_allowed(Nanos now, const std::string& id, EndpointId member) {
+  return core_->is_attempt_allowed(now, id, member);
 }
-bool Router::may_probe(MemberId member) const { return rules_->may_probe(member); }
+bool Router::is_health_check_allowed(EndpointId member) const { return core_->may_probe(member); }
 
 } // namespace gorsebeam
--- a/src/sessions/sessions.cpp
+++ b/src/session_tokens/session_writes.cpp
@@ -1,16 +1,16 @@
-#include "sessions.h"
+#include "session_writes.h"
 
 #include <algorithm>
 
-namespace gorsebeam::sessions {
+namespace gorsebeam::session_tokens {
 
-void Writes::sent(std::uint64_t session, Nanos now) {
+void SessionWrites::sent(std::uint64_t session, Nanos now) {
   if (known_after_)
     out_[session].insert(now);
 }
 
-void Writes::ended(std::uint64_t session, Nanos sent_at, End end, std::optional<Nanos> commit,
-                   Nanos now) {
+void SessionWrites::ended(std::uint64_t session, Nanos sent_at, End end,
+                          std::optional<Nanos> commit, Nanos now) {
   const auto out = out_.find(session);
   if (out != out_.end()) {
     const auto one = out->second.find(sent_at);
@@ -39,7 +39,7 @@
   }
 }
 
-Nanos Writes::seen_by(std::uint64_t session, Nanos now) const {
+Nanos SessionWrites::seen_by(std::uint64_t session, Nanos now) const {
   const auto found = written_.find(session);
   const Nanos ended = found == written_.end() ? floor_ : found->second;
   const auto out = out_.find(session);
@@ -48,4 +48,4 @@
   return std::max(ended, now - *known_after_);
 }
 
-}  // namespace gorsebeam::sessions
+}  // namespace gorsebeam::session_tokens
--- a/src/sessions/sessions.h
+++ b/src/session_tokens/session_writes.h
@@ -15,9 +15,9 @@
 #include <set>
 #include <unordered_map>
 
-namespace gorsebeam::sessions {
+namespace gorsebeam::session_tokens {
 
-class Writes {
+class SessionWrites {
 public:
   static constexpr Nanos kNone = INT64_MIN;  // nothing was written
   static constexpr std::size_t kMost =
@@ -27,7 +27,7 @@
 
   // `known_after`: so long after its writing an answer counts as known, come or not; nothing: once
   // it came, and then a write that is out, or ended without an answer, binds no read.
-  explicit Writes(std::optional<Nanos> known_after) : known_after_(known_after) {}
+  explicit SessionWrites(std::optional<Nanos> known_after) : known_after_(known_after) {}
 
   void sent(std::uint64_t session, Nanos now);
   // The end of what was sent then, answered as committed at `commit`, or not answered, though it
@@ -47,4 +47,4 @@
   Nanos floor_ = kNone;
 };
 
-}  // namespace gorsebeam::sessions
+}  // namespace gorsebeam::session_tokens
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -21,32 +21,34 @@
     c.name = entry.text("name");
     if (at >= levels.Size() || !levels[at].IsString())
       extra.wrong("read_level", "a word for each class");
-    c.level = choose<ReadLevel>(text_of(levels[at]), "read_level",
-                                {{"eventual", ReadLevel::Any},
-                                 {"lag_bound", ReadLevel::Bounded},
-                                 {"causal", ReadLevel::Session},
-                                 {"strong", ReadLevel::Fresh},
-                                 {"mutate", ReadLevel::Write}});
+    c.consistency = choose<ConsistencyLevel>(text_of(levels[at]), "read_level",
+                                             {{"eventual", ConsistencyLevel::Eventual},
+                                              {"lag_bound", ConsistencyLevel::BoundedStaleness},
+                                              {"causal", ConsistencyLevel::Session},
+                                              {"strong", ConsistencyLevel::Strong},
+                                              {"mutate", ConsistencyLevel::Write}});
     if (at >= bounds.Size() || !bounds[at].IsInt64())
       extra.wrong("lag_allowed", "a time for each class");
-    c.bound = bounds[at].GetInt64();
-    if (c.bound < 0)
+    c.max_staleness = bounds[at].GetInt64();
+    if (c.max_staleness < 0)
       extra.wrong("lag_allowed", "a time of zero or more for each class");
-    c.aim = entry.time("aim");
-    if (c.aim == 0)
+    c.latency_objective = entry.time("aim");
+    if (c.latency_objective == 0)
       entry.wrong("aim", "above zero");
     c.deadline = entry.time("give_up");
-    if (c.deadline < c.aim)
+    if (c.deadline < c.latency_objective)
       entry.wrong("give_up", "at or after its 'aim'");
-    c.worth = entry.amount("worth", 1);
-    c.late_worth = entry.amount("late_worth", 0);
-    c.effect = choose<Effect>(
-        entry.text("effect"), "effect",
-        {{"free", Effect::Safe}, {"guarded", Effect::Keyed}, {"single_shot", Effect::Unsafe}});
-    c.scope = choose<RepeatScope>(
-        entry.text("group", "all"), "group",
-        {{"all", RepeatScope::All}, {"zone", RepeatScope::Zone}, {"cell", RepeatScope::Group}});
-    c.window = entry.time("window", 0);
+    c.priority_weight = entry.amount("worth", 1);
+    c.late_weight_fraction = entry.amount("late_worth", 0);
+    c.idempotency = choose<Idempotency>(entry.text("effect"), "effect",
+                                        {{"free", Idempotency::Idempotent},
+                                         {"guarded", Idempotency::IdempotencyKey},
+                                         {"single_shot", Idempotency::NotIdempotent}});
+    c.deduplication_scope = choose<DeduplicationScope>(entry.text("group", "all"), "group",
+                                                       {{"all", DeduplicationScope::All},
+                                                        {"zone", DeduplicationScope::Zone},
+                                                        {"cell", DeduplicationScope::Group}});
+    c.deduplication_window = entry.time("window", 0);
     read.classes[c.name] = s.classes.size();
     s.classes.push_back(std::move(c));
   }
@@ -57,61 +59,65 @@
       const Reader entry(element, "customers");
       Tenant tenant;
       tenant.name = entry.text("name");
-      tenant.rate = entry.amount("quota_rps", 0);
+      tenant.requests_per_second = entry.amount("quota_rps", 0);
       read.tenants[tenant.name] = s.tenants.size();
       s.tenants.push_back(std::move(tenant));
     }
   }
-  s.over_share_worth = profile.amount("over_share_worth", 1);
-  s.router = static_cast<std::uint32_t>(profile.within("me", 0, kGatewaysMost, 0));
-  s.routers = static_cast<std::uint32_t>(profile.within("balancers", 1, kGatewaysMost, 1));
+  s.over_quota_weight = profile.amount("over_share_worth", 1);
+  s.router_index = static_cast<std::uint32_t>(profile.within("me", 0, kGatewaysMost, 0));
+  s.router_count = static_cast<std::uint32_t>(profile.within("balancers", 1, kGatewaysMost, 1));
   s.zone = profile.text("locality", "");
-  s.tick = profile.time("tick", 1);
-  s.discovery =
-      choose<Discovery>(profile.text("discovery", "automatic"), "discovery",
-                        {{"automatic", Discovery::Pushed}, {"subscribe", Discovery::Asked}});
-  s.ask_within = rules.time("must_ask_in", 0);
-  s.list_role = choose<ListRole>(
-      extra.text("list_role", "none"), "list_role",
-      {{"none", ListRole::None}, {"static", ListRole::Start}, {"trailing", ListRole::Late}});
-  s.tokens = choose<TokenMode>(extra.text("token_mode", "kept"), "token_mode",
-                               {{"brought", TokenMode::Carried}, {"kept", TokenMode::Remembered}});
-  s.checks =
-      choose<Checks>(extra.text("checks", "none"), "checks",
-                     {{"none", Checks::None}, {"bounce", Checks::Refuse}, {"await", Checks::Wait}});
-  s.check_wait = extra.time("wait", 0);
+  s.clock_resolution = profile.time("tick", 1);
+  s.discovery_mode = choose<DiscoveryMode>(
+      profile.text("discovery", "automatic"), "discovery",
+      {{"automatic", DiscoveryMode::Push}, {"subscribe", DiscoveryMode::Poll}});
+  s.max_list_age = rules.time("must_ask_in", 0);
+  s.listed_role = choose<ListedRole>(extra.text("list_role", "none"), "list_role",
+                                     {{"none", ListedRole::None},
+                                      {"static", ListedRole::AtStart},
+                                      {"trailing", ListedRole::Delayed}});
+  s.session_token_source = choose<SessionTokenSource>(
+      extra.text("token_mode", "kept"), "token_mode",
+      {{"brought", SessionTokenSource::Client}, {"kept", SessionTokenSource::Router}});
+  s.staleness_check = choose<StalenessCheck>(extra.text("checks", "none"), "checks",
+                                             {{"none", StalenessCheck::None},
+                                              {"bounce", StalenessCheck::Reject},
+                                              {"await", StalenessCheck::Wait}});
+  s.staleness_check_timeout = extra.time("wait", 0);
   if (profile.find("report")) {
     const Reader report = profile.object("report");
-    s.reports = choose<ReportVia>(
-        report.text("via", "none"), "via",
-        {{"none", ReportVia::None}, {"probe", ReportVia::Probes}, {"answers", ReportVia::Answers}});
+    s.load_report_source = choose<LoadReportSource>(report.text("via", "none"), "via",
+                                                    {{"none", LoadReportSource::None},
+                                                     {"probe", LoadReportSource::HealthChecks},
+                                                     {"answers", LoadReportSource::Responses}});
     if (report.find("fields")) {
       for (const Json& field : report.array("fields").GetArray()) {
         if (!field.IsString())
           report.wrong("fields", "a list of words");
-        s.report_positions |= text_of(field) == "x0";
-        s.report_roles |= text_of(field) == "x1";
+        s.load_reports_hold_positions |= text_of(field) == "x0";
+        s.load_reports_hold_roles |= text_of(field) == "x1";
       }
     }
   }
-  s.probes = limits.truth("probes");
+  s.health_checks_allowed = limits.truth("probes");
   if (profile.find("prices"))
-    s.probe_price = profile.object("prices").amount("probe", s.probe_price);
-  s.cancels = limits.truth("cancel");
-  s.hedging = limits.truth("parallel_tries");
-  s.retry_after = limits.truth("retry_after");
+    s.health_check_price = profile.object("prices").amount("probe", s.health_check_price);
+  s.cancellation_allowed = limits.truth("cancel");
+  s.hedging_allowed = limits.truth("parallel_tries");
+  s.retry_after_allowed = limits.truth("retry_after");
   s.max_retry_after = limits.time("max_retry_after", 0);
   s.max_attempts = static_cast<std::uint32_t>(limits.within("send_cap", 1, kAttemptsMost, 1));
   s.connect_timeout = limits.time("dial_timeout", 0);
-  s.answer_slack = rules.time("answer_slack", 0);
+  s.response_slack = rules.time("answer_slack", 0);
   s.drain_grace = rules.time("drain_grace", 0);
-  s.only_draining_binds = rules.truth("only_draining_binds");
-  s.cold_time = rules.time("cold", 0);
-  s.cold_from = rules.amount("cold_from", 1);
-  if (s.cold_from <= 0 || s.cold_from > 1)
+  s.only_draining_is_binding = rules.truth("only_draining_binds");
+  s.slow_start_duration = rules.time("cold", 0);
+  s.slow_start_initial_capacity = rules.amount("cold_from", 1);
+  if (s.slow_start_initial_capacity <= 0 || s.slow_start_initial_capacity > 1)
     rules.wrong("cold_from", "above zero and at most one");
-  s.fall_time = rules.time("fall", 0);
-  s.fall_multiple = rules.amount("fall_multiple", 1);
+  s.overload_duration = rules.time("fall", 0);
+  s.overload_factor = rules.amount("fall_multiple", 1);
   read.zero = extra.integer("zero", 0);
   read.keepalive = limits.time("keepalive", 0);
   return read;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,7 +1,7 @@
 // The settings object, as the simulator's first message and the gateway's configuration hold it.
 #pragma once
 
-#include "json.h"
+#include "json_reader.h"
 
 #include "gorsebeam/router.h"
 
--- a/src/settings/check.cpp
+++ b/src/settings/validation.cpp
@@ -1,4 +1,4 @@
-#include "check.h"
+#include "validation.h"
 
 #include <stdexcept>
 #include <string>
@@ -12,16 +12,16 @@
   if (settings.classes.empty())
     refuse("classes is empty");
   for (const RequestClass& c : settings.classes) {
-    if (c.aim <= 0)
+    if (c.latency_objective <= 0)
       refuse("classes." + c.name + ".aim is not above zero");
-    if (c.bound < 0)
+    if (c.max_staleness < 0)
       refuse("classes." + c.name + ".bound is below zero");
-    if (c.deadline < c.aim)
+    if (c.deadline < c.latency_objective)
       refuse("classes." + c.name + ".deadline is before its aim");
   }
   if (settings.max_attempts < 1)
     refuse("max_attempts is below one");
-  if (settings.cold_from <= 0 || settings.cold_from > 1)
+  if (settings.slow_start_initial_capacity <= 0 || settings.slow_start_initial_capacity > 1)
     refuse("cold_from is not within (0, 1]");
 }
 
--- a/src/adapter/main.cpp
+++ b/src/simulator_adapter/main.cpp
@@ -1,5 +1,5 @@
 // Reads batches on standard input and writes one reply for each on standard output.
-#include "wire.h"
+#include "session.h"
 
 #include <exception>
 #include <iostream>
@@ -8,7 +8,7 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  gorsebeam::adapter::Session session;
+  gorsebeam::simulator_adapter::Session session;
   std::string text;
   std::string reply;
   std::size_t number = 0;
@@ -24,12 +24,12 @@
       reply.clear();
     }
     if (session.inside_batch()) {
-      std::cerr << "gorsebeam_adapter: the input ended inside a batch, after line " << number
-                << '\n';
+      std::cerr << "gorsebeam-simulator-adapter: the input ended inside a batch, after line "
+                << number << '\n';
       return 1;
     }
   } catch (const std::exception& error) {
-    std::cerr << "gorsebeam_adapter: line " << number << ": " << error.what() << '\n';
+    std::cerr << "gorsebeam-simulator-adapter: line " << number << ": " << error.what() << '\n';
     return 1;
   }
   return 0;
