--- a/src/adapter/wire.cpp
+++ b/src/simulator_adapter/session.cpp
@@ -1,4 +1,6 @@
-#include "wire.h"
+#include "session.h"
+
+#include "logging/log_record.h"
 
 #include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
@@ -7,7 +9,7 @@
 #include <cmath>
 #include <utility>
 
-namespace gorsebeam::adapter {
+namespace gorsebeam::simulator_adapter {
 namespace {
 
 using settings::choose;
@@ -60,31 +62,33 @@
   std::string& out;
   std::int64_t instance;
 
-  void operator()(const Send& send) const {
+  void operator()(const StartAttempt& send) const {
     Line line(out, "CALL_OUT", instance);
-    line.field("op_id", send.id);
+    line.field("op_id", send.request_id);
     line.field("give_up_after", send.timeout);
-    line.field("node", send.member);
+    line.field("node", send.endpoint);
   }
 
-  void operator()(const Probe& probe) const {
-    Line(out, "HEALTH_CHECK", instance).field("node", probe.member);
+  void operator()(const SendHealthCheck& probe) const {
+    Line(out, "HEALTH_CHECK", instance).field("node", probe.endpoint);
   }
 
-  void operator()(const Cancel& cancel) const {
+  void operator()(const CancelAttempt& cancel) const {
     Line line(out, "STOP_ATTEMPT", instance);
-    line.field("op_id", cancel.id);
+    line.field("op_id", cancel.request_id);
     line.field("try", cancel.attempt);
   }
 
-  void operator()(const Refuse& refuse) const {
+  void operator()(const RejectRequest& refuse) const {
     Line line(out, "BUSY", instance);
-    line.field("op_id", refuse.id);
+    line.field("op_id", refuse.request_id);
     if (refuse.retry_after > 0)
       line.field("hold_off", refuse.retry_after);
   }
 
-  void operator()(const Fail& fail) const { Line(out, "FAIL", instance).field("op_id", fail.id); }
+  void operator()(const FailRequest& fail) const {
+    Line(out, "FAIL", instance).field("op_id", fail.request_id);
+  }
 
   void operator()(const SetTimer& timer) const {
     Line line(out, "SET_ALARM", instance);
@@ -92,31 +96,31 @@
     line.field("moment", timer.at);
   }
 
-  void operator()(const WatchList&) const { Line(out, "OBSERVE", instance).truth("on", true); }
+  void operator()(const WatchEndpoints&) const { Line(out, "OBSERVE", instance).truth("on", true); }
 
-  void operator()(const Note& note) const {
-    Line(out, "RECORD", instance).field("note_text", note.text);
+  void operator()(const LogMessage& message) const {
+    Line(out, "RECORD", instance).field("note_text", logging::to_text(logging::to_record(message)));
   }
 };
 
-Result read_result(const std::string& word) {
-  return choose<Result>(word, "code",
-                        {{"GOOD", Result::Ok},
-                         {"BAD", Result::Error},
-                         {"FULL", Result::Full},
-                         {"LATE", Result::Timeout},
-                         {"NOCONN", Result::NoConnection},
-                         {"RST", Result::Reset},
-                         {"CXL", Result::Cancelled},
-                         {"NOP", Result::NotSent},
-                         {"MISS", Result::Miss}});
+AttemptStatus read_result(const std::string& word) {
+  return choose<AttemptStatus>(word, "code",
+                               {{"GOOD", AttemptStatus::Ok},
+                                {"BAD", AttemptStatus::Error},
+                                {"FULL", AttemptStatus::Rejected},
+                                {"LATE", AttemptStatus::Timeout},
+                                {"NOCONN", AttemptStatus::ConnectFailed},
+                                {"RST", AttemptStatus::Reset},
+                                {"CXL", AttemptStatus::Cancelled},
+                                {"NOP", AttemptStatus::NotSent},
+                                {"MISS", AttemptStatus::Misdirected}});
 }
 
 }  // namespace
 
 // A report arrives as named values; positions in it are seconds after the settings' zero.
-static Report read_report(const Json* value, Nanos zero) {
-  Report report;
+static LoadReport read_report(const Json* value, Nanos zero) {
+  LoadReport report;
   if (!value)
     return report;
   if (!value->IsObject())
@@ -130,9 +134,9 @@
     return it->value.GetDouble();
   };
   if (const auto x0 = number("x0"))
-    report.position = zero + static_cast<Nanos>(std::floor(*x0 * kSecond));
+    report.replication_position = zero + static_cast<Nanos>(std::floor(*x0 * kSecond));
   if (const auto x1 = number("x1"))
-    report.primary = *x1 > 0.5;
+    report.is_primary = *x1 > 0.5;
   return report;
 }
 
@@ -189,18 +193,18 @@
 Event Session::read_event(const std::string& name, const Reader& body,
                           const Instance& instance) const {
   if (name == "VIEW") {
-    MemberList event;
-    event.kind = choose<MemberList::Kind>(body.text("kind"), "kind",
-                                          {{"disk", MemberList::Kind::Remembered},
-                                           {"snapshot", MemberList::Kind::Full},
-                                           {"diff", MemberList::Kind::Changes},
-                                           {"error", MemberList::Kind::Failed}});
-    if (event.kind == MemberList::Kind::Failed)
+    EndpointList event;
+    event.kind = choose<EndpointList::Kind>(body.text("kind"), "kind",
+                                            {{"disk", EndpointList::Kind::Cached},
+                                             {"snapshot", EndpointList::Kind::Full},
+                                             {"diff", EndpointList::Kind::Delta},
+                                             {"error", EndpointList::Kind::Failed}});
+    if (event.kind == EndpointList::Kind::Failed)
       return event;
     const std::int64_t buffer = body.integer("buffer");
     if (buffer < 0 || buffer > 15)
       body.wrong("buffer", "between 0 and 15");
-    event.members = lists_[static_cast<std::size_t>(buffer)];
+    event.endpoints = lists_[static_cast<std::size_t>(buffer)];
     return event;
   }
   if (name == "ORDER") {
@@ -220,38 +224,38 @@
     event.deadline = body.integer("valid_until");
     event.group = body.small("partition_no");
     if (body.find("token_ms"))
-      event.token_age = static_cast<Nanos>(body.number("token_ms", 0) * kMillisecond);
-    event.retry = body.truth("repeat");
+      event.session_token_age = static_cast<Nanos>(body.number("token_ms", 0) * kMillisecond);
+    event.is_client_retry = body.truth("repeat");
     return event;
   }
   if (name == "OUTCOME") {
-    Outcome event;
-    event.id = body.text("op_id");
+    AttemptResult event;
+    event.request_id = body.text("op_id");
     event.attempt = static_cast<std::uint32_t>(body.integer("try", 0));
-    event.member = body.small("node");
-    event.result = read_result(body.text("code"));
-    event.closed = body.truth("closed");
+    event.endpoint = body.small("node");
+    event.status = read_result(body.text("code"));
+    event.request_finished = body.truth("closed");
     event.elapsed = body.integer("delay_seen", 0);
     if (const std::int64_t mark = body.integer("mark", 0); mark > 0) {
       event.role = mark % 4 == 1 ? Role::Primary : mark % 4 == 2 ? Role::Replica : Role::Unknown;
       if (mark / 4 > 0)
-        event.position = instance.profile.zero + mark / 4 * kMillisecond;
+        event.replication_position = instance.profile.zero + mark / 4 * kMillisecond;
     }
-    event.report = read_report(body.find("report"), instance.profile.zero);
+    event.load_report = read_report(body.find("report"), instance.profile.zero);
     return event;
   }
   if (name == "STATUS_BACK") {
-    Probed event;
-    event.member = body.small("node");
-    event.ok = read_result(body.text("code")) == Result::Ok;
+    HealthCheckResult event;
+    event.endpoint = body.small("node");
+    event.succeeded = read_result(body.text("code")) == AttemptStatus::Ok;
     event.elapsed = body.integer("delay_seen", 0);
-    event.report = read_report(body.find("report"), instance.profile.zero);
+    event.load_report = read_report(body.find("report"), instance.profile.zero);
     return event;
   }
   if (name == "TICK_DUE")
-    return TimerDue{};
+    return TimerExpired{};
   if (name == "VANISHED")
-    return ClientGone{body.text("op_id")};
+    return ClientDisconnected{body.text("op_id")};
   throw WireError("unknown event '" + name + "'");
 }
 
@@ -266,20 +270,20 @@
   const std::int64_t buffer = body.integer("buffer");
   if (buffer < 0 || buffer > 15)
     body.wrong("buffer", "between 0 and 15");
-  std::vector<Member> members;
+  std::vector<Endpoint> members;
   for (const Json& element : body.array("elements").GetArray()) {
     const Reader entry(element, "SHEET.elements");
-    Member member;
+    Endpoint member;
     member.id = entry.small("node");
     member.group = entry.small("cluster");
     member.zone = entry.text("campus", "");
-    member.state = choose<MemberState>(entry.text("mode"), "mode",
-                                       {{"up", MemberState::Up},
-                                        {"draining", MemberState::Draining},
-                                        {"removed", MemberState::Removed}});
+    member.status = choose<EndpointStatus>(entry.text("mode"), "mode",
+                                           {{"up", EndpointStatus::Up},
+                                            {"draining", EndpointStatus::Draining},
+                                            {"removed", EndpointStatus::Removed}});
     member.started_at = entry.integer("started_at", 0);
-    member.primary = entry.integer("primary", 0) == 1;
-    member.size = entry.number("size", 1);
+    member.listed_as_primary = entry.integer("primary", 0) == 1;
+    member.weight = entry.number("size", 1);
     members.push_back(std::move(member));
   }
   lists_[static_cast<std::size_t>(buffer)] = std::move(members);
@@ -296,4 +300,4 @@
   instances_.emplace(number, Instance{std::move(router), std::move(profile)});
 }
 
-}  // namespace gorsebeam::adapter
+}  // namespace gorsebeam::simulator_adapter
--- a/src/adapter/wire.h
+++ b/src/simulator_adapter/session.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace gorsebeam::adapter {
+namespace gorsebeam::simulator_adapter {
 
 using WireError = settings::FormatError;
 
@@ -38,8 +38,8 @@
   bool open_ = false;
   Nanos now_ = 0;
   std::map<std::int64_t, Instance> instances_;
-  std::array<std::vector<Member>, 16> lists_;
+  std::array<std::vector<Endpoint>, 16> lists_;
   std::vector<Action> actions_;  // kept to spare allocations
 };
 
-}  // namespace gorsebeam::adapter
+}  // namespace gorsebeam::simulator_adapter
--- a/src/state/folder.cpp
+++ b/src/snapshot_store/snapshot_store.cpp
@@ -1,4 +1,4 @@
-#include "folder.h"
+#include "snapshot_store.h"
 
 #include "xds/xds.h"
 
@@ -13,10 +13,10 @@
 #include <fstream>
 #include <iterator>
 
-namespace gorsebeam::state {
+namespace gorsebeam::snapshot_store {
 namespace {
 
-using versions::Type;
+using config_versions::Type;
 constexpr char kMagic[] = "gorsebeam state\n";
 constexpr std::size_t kMagicSize = sizeof kMagic - 1, kHead = kMagicSize + 8;
 constexpr std::int64_t kMs = 1'000'000;
@@ -51,15 +51,16 @@
 }
 
 template <typename Message>
-std::optional<std::string> take(const v1::Part& part, const Message& value,
-                                const config::Site& site, std::optional<versions::Kept>& into) {
+std::optional<std::string> take(const state::v1::Part& part, const Message& value,
+                                const config::Site& site,
+                                std::optional<config_versions::Kept>& into) {
   if (!part.held())
     return std::nullopt;
   if (const auto fault = config::check_unknown(value))
     return fault->text();
   if (const auto fault = config::check(value, site))
     return fault->text();
-  versions::Kept kept;
+  config_versions::Kept kept;
   kept.running = xds::version_of(value);
   kept.running.version = part.version(), kept.running.source = part.source();
   kept.running.generation = part.generation(),
@@ -71,12 +72,12 @@
 
 }  // namespace
 
-std::string packed(const v1::LastGood& good) {
+std::string packed(const state::v1::LastGood& good) {
   const std::string bytes = good.SerializeAsString();
   return kMagic + checksum(bytes.data(), bytes.size()) + bytes;
 }
 
-std::optional<v1::LastGood> unpacked(const std::string& bytes, std::string& why) {
+std::optional<state::v1::LastGood> unpacked(const std::string& bytes, std::string& why) {
   if (bytes.size() < kHead || bytes.compare(0, kMagicSize, kMagic) != 0) {
     why = "it is no state of this program, or its head is damaged";
     return std::nullopt;
@@ -85,7 +86,7 @@
     why = "it is damaged: its checksum does not fit";
     return std::nullopt;
   }
-  v1::LastGood good;
+  state::v1::LastGood good;
   if (!good.ParseFromArray(bytes.data() + kHead, static_cast<int>(bytes.size() - kHead))) {
     why = "it is damaged: it cannot be read";
     return std::nullopt;
@@ -98,11 +99,11 @@
   return good;
 }
 
-v1::LastGood good_of(const versions::Machine& machine) {
-  v1::LastGood good;
+state::v1::LastGood good_of(const config_versions::Machine& machine) {
+  state::v1::LastGood good;
   good.set_schema(kSchema);
-  const auto part = [&](Type type, v1::Part* part) {
-    const versions::Kept& kept = machine.kept(type);
+  const auto part = [&](Type type, state::v1::Part* part) {
+    const config_versions::Kept& kept = machine.kept(type);
     if (kept.running.source == "file")
       return false;
     part->set_held(true);
@@ -120,7 +121,8 @@
   return good;
 }
 
-std::optional<Kept> kept_of(const v1::LastGood& good, const config::Site& site, std::string& why) {
+std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::Site& site,
+                            std::string& why) {
   Kept kept;
   auto fault = take(good.contracts(), good.contracts_value(), site, kept[0]);
   if (!fault)
@@ -133,7 +135,7 @@
   return std::nullopt;
 }
 
-std::optional<v1::LastGood> load(const std::string& folder, std::string& why) {
+std::optional<state::v1::LastGood> load(const std::string& folder, std::string& why) {
   const std::string path = folder + "/" + kName;
 
   struct stat info {};
@@ -220,7 +222,7 @@
   });
   g_task_run_in_thread(task, [](GTask* own, gpointer, gpointer data, GCancellable*) {
     auto* job = static_cast<Job*>(data);
-    job->why = state::save(job->folder, job->bytes);
+    job->why = snapshot_store::save(job->folder, job->bytes);
     g_task_return_boolean(own, TRUE);
   });
   g_object_unref(task);
@@ -231,4 +233,4 @@
     out_->writer = nullptr;
 }
 
-}  // namespace gorsebeam::state
+}  // namespace gorsebeam::snapshot_store
--- a/src/state/folder.h
+++ b/src/snapshot_store/snapshot_store.h
@@ -2,8 +2,8 @@
 // passed over.
 #pragma once
 
-#include "config/check.h"
-#include "versions/versions.h"
+#include "config/validation.h"
+#include "config_versions/version_tracker.h"
 
 #include "gorsebeam/state/v1/state.pb.h"
 
@@ -14,25 +14,27 @@
 #include <optional>
 #include <string>
 
-namespace gorsebeam::state {
+namespace gorsebeam::snapshot_store {
 
 constexpr std::uint32_t kSchema = 1;  // what this program writes, and the newest that it reads
 constexpr const char* kName = "last-good";
 constexpr std::size_t kSizeMost = 64 << 20;  // bytes; a larger file is passed over
 
-using Kept = std::array<std::optional<versions::Kept>, versions::kTypes>;
+using Kept = std::array<std::optional<config_versions::Kept>, config_versions::kTypes>;
 
 // What the file holds: a magic, a checksum (XXH3, 64 bits) and the message. Pure.
-std::string packed(const v1::LastGood& good);
-std::optional<v1::LastGood> unpacked(const std::string& bytes, std::string& why);
+std::string packed(const state::v1::LastGood& good);
+std::optional<state::v1::LastGood> unpacked(const std::string& bytes, std::string& why);
 
-v1::LastGood good_of(const versions::Machine& machine);  // the parts that a control service pushed
+state::v1::LastGood
+good_of(const config_versions::Machine& machine);  // the parts that a control service pushed
 // The parts, checked as if they had been pushed now. Nothing, and why: one of them does not do any
 // more.
-std::optional<Kept> kept_of(const v1::LastGood& good, const config::Site& site, std::string& why);
+std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::Site& site,
+                            std::string& why);
 
 // Nothing with no `why`: there is no file.
-std::optional<v1::LastGood> load(const std::string& folder, std::string& why);
+std::optional<state::v1::LastGood> load(const std::string& folder, std::string& why);
 // Blocking: a temporary file beside it, fsync, rename, fsync of the folder. Empty: done; else why
 // not.
 std::string save(const std::string& folder, const std::string& bytes);
@@ -58,4 +60,4 @@
   std::optional<std::pair<std::string, std::string>> next_;
 };
 
-}  // namespace gorsebeam::state
+}  // namespace gorsebeam::snapshot_store
--- a/src/shapes/sql.cpp
+++ b/src/sql_classifier/sql_classifier.cpp
@@ -1,4 +1,4 @@
-#include "sql.h"
+#include "sql_classifier.h"
 
 #include <pg_query.h>
 #include <rapidjson/document.h>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace gorsebeam::shapes {
+namespace gorsebeam::sql_classifier {
 namespace {
 
 using Json = rapidjson::Value;
@@ -360,7 +360,7 @@
 
 }  // namespace
 
-Verdict Sql::classify(std::string_view statement) const {
+Verdict SqlClassifier::classify(std::string_view statement) const {
   if (statement.size() > kStatementMost)
     return {Effect::Unknown, "it is longer than 64 KiB"};
   if (statement.find('\0') != std::string_view::npos)
@@ -388,4 +388,4 @@
   return walk.verdict;
 }
 
-}  // namespace gorsebeam::shapes
+}  // namespace gorsebeam::sql_classifier
--- a/src/shapes/sql.h
+++ b/src/sql_classifier/sql_classifier.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace gorsebeam::shapes {
+namespace gorsebeam::sql_classifier {
 
 enum class Effect {
   Read,
@@ -25,11 +25,11 @@
 constexpr std::size_t kStatementMost = 64 * 1024;  // bytes; a longer one is unknown
 constexpr int kDepthMost = 400;                    // of the tree; a deeper one is unknown
 
-class Sql {
+class SqlClassifier {
 public:
   // `read_functions`: the operator's own functions that only read, as they are called: "area_total"
   // or "app.area_total".
-  explicit Sql(std::set<std::string> read_functions = {})
+  explicit SqlClassifier(std::set<std::string> read_functions = {})
       : read_functions_(std::move(read_functions)) {}
 
   Verdict classify(std::string_view statement) const;
@@ -38,4 +38,4 @@
   std::set<std::string> read_functions_;
 };
 
-}  // namespace gorsebeam::shapes
+}  // namespace gorsebeam::sql_classifier
--- a/src/xds/xds.cpp
+++ b/src/xds/xds.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 namespace pb = config::pb;
-using versions::Type;
+using config_versions::Type;
 constexpr const char* kTypeRoot = "type.googleapis.com/";
 constexpr std::size_t kErrorMost = 2000;  // bytes of a reason sent back
 constexpr int kInvalidArgument = 3;       // google.rpc.Code
@@ -25,7 +25,7 @@
 // All resources of a type are one set: merged, checked, and numbered alike.
 template <typename Message>
 void read_set(const v3::DiscoveryResponse& response, const config::Site& site,
-              versions::Offer& offer) {
+              config_versions::Offer& offer) {
   auto merged = std::make_shared<Message>();
   if (response.resources().empty())
     offer.fault = "it holds no resource; one that is empty on purpose says so";
@@ -88,11 +88,12 @@
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
-std::optional<versions::Offer> read_response(std::string_view bytes, const config::Site& site) {
+std::optional<config_versions::Offer> read_response(std::string_view bytes,
+                                                    const config::Site& site) {
   v3::DiscoveryResponse response;
   if (!response.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return std::nullopt;
-  versions::Offer offer;
+  config_versions::Offer offer;
   offer.type_url = response.type_url().substr(0, 200);
   offer.version = response.version_info().substr(0, 200);
   offer.nonce = response.nonce().substr(0, 200);
@@ -119,7 +120,8 @@
   return offer;
 }
 
-std::string request(const versions::Ask& ask, const std::string& node, const std::string& cluster) {
+std::string request(const config_versions::Ask& ask, const std::string& node,
+                    const std::string& cluster) {
   v3::DiscoveryRequest request;
   request.set_type_url(ask.type ? type_url(*ask.type) : ask.type_url);
   request.set_version_info(ask.version);
@@ -136,15 +138,15 @@
   return request.SerializeAsString();
 }
 
-const pb::Contracts& contracts_of(const versions::Body& body) {
+const pb::Contracts& contracts_of(const config_versions::Body& body) {
   return *static_cast<const pb::Contracts*>(body.get());
 }
 
-const pb::Members& members_of(const versions::Body& body) {
+const pb::Members& members_of(const config_versions::Body& body) {
   return *static_cast<const pb::Members*>(body.get());
 }
 
-const pb::Limits& limits_of(const versions::Body& body) {
+const pb::Limits& limits_of(const config_versions::Body& body) {
   return *static_cast<const pb::Limits*>(body.get());
 }
 
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -107,7 +107,7 @@
         found.push_back(h);
     return found;
   };
-  stage::until(
+  test_harness::until(
       [&] {
         return !find().empty();
       },
--- a/tests/control/service.h
+++ b/tests/control/service.h
@@ -3,7 +3,7 @@
 // sends bytes by script.
 #pragma once
 
-#include "stories/stage.h"
+#include "integration/test_harness.h"
 
 #include "gorsebeam/config/v1/config.pb.h"
 
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,5 +1,5 @@
-#include "discovery/newest.h"
-#include "discovery/objects.h"
+#include "discovery/json_object_splitter.h"
+#include "discovery/revision_filter.h"
 
 #include <gtest/gtest.h>
 
@@ -11,14 +11,15 @@
 
 // What is cut out of `text` when it comes `piece` bytes at a time; "!" stands for a break.
 std::vector<std::string> cut(const std::string& text, std::size_t piece) {
-  Objects objects;
+  JsonObjectSplitter objects;
   std::vector<std::string> found;
   for (std::size_t at = 0; at < text.size(); at += piece) {
     objects.add(std::string_view(text).substr(at, piece));
     std::string_view object;
-    for (Objects::Step step; (step = objects.next(object)) != Objects::Step::More;) {
-      found.emplace_back(step == Objects::Step::Object ? object : "!");
-      if (step == Objects::Step::Broken)
+    for (JsonObjectSplitter::Step step;
+         (step = objects.next(object)) != JsonObjectSplitter::Step::More;) {
+      found.emplace_back(step == JsonObjectSplitter::Step::Object ? object : "!");
+      if (step == JsonObjectSplitter::Step::Broken)
         return found;
     }
   }
@@ -44,43 +45,43 @@
 }
 
 TEST(Objects, HoldNoMoreThanTheirBound) {
-  Objects objects;
+  JsonObjectSplitter objects;
   std::string_view object;
   objects.add("{\"a\":\"");
   const std::string part(1 << 20, 'x');
   int parts = 0;
-  while (objects.next(object) == Objects::Step::More && parts <= 20)
+  while (objects.next(object) == JsonObjectSplitter::Step::More && parts <= 20)
     objects.add(part), ++parts;
   EXPECT_EQ(parts, 8);
 }
 
-broker::Listed member(const std::string& name, MemberState state, Nanos started = 0) {
-  broker::Listed listed;
+proxy::ListedEndpoint member(const std::string& name, EndpointStatus state, Nanos started = 0) {
+  proxy::ListedEndpoint listed;
   listed.name = name;
-  listed.member.state = state;
-  listed.member.started_at = started;
+  listed.endpoint.status = state;
+  listed.endpoint.started_at = started;
   return listed;
 }
 
-constexpr MemberState up = MemberState::Up, draining = MemberState::Draining,
-                      gone = MemberState::Removed;
+constexpr EndpointStatus up = EndpointStatus::Up, draining = EndpointStatus::Draining,
+                         gone = EndpointStatus::Removed;
 
 // What is left of a list, as words.
-std::string taken(Newest& newest, std::int64_t revision, bool complete,
-                  std::vector<broker::Listed> members, bool first = false) {
-  List list{revision, complete, std::move(members)};
+std::string taken(RevisionFilter& newest, std::int64_t revision, bool complete,
+                  std::vector<proxy::ListedEndpoint> members, bool first = false) {
+  EndpointListDocument list{revision, complete, std::move(members)};
   newest.take(list, first);
   std::string words = list.complete ? "all" : "";
   for (const auto& listed : list.members)
     words += " " + listed.name +
-             (listed.member.state == up     ? "+"
-              : listed.member.state == gone ? "-"
-                                            : "~");
+             (listed.endpoint.status == up     ? "+"
+              : listed.endpoint.status == gone ? "-"
+                                               : "~");
   return words;
 }
 
 TEST(Newest, AnOldListAfterANewOneChangesNothingThatTheNewOneTold) {
-  Newest newest;
+  RevisionFilter newest;
   EXPECT_EQ(taken(newest, 40, true, {member("a", up), member("b", up)}, true), "all a+ b+");
   EXPECT_EQ(taken(newest, 44, false, {member("a", draining)}), " a~");
   EXPECT_EQ(taken(newest, 42, false, {member("a", up), member("b", draining)}),
@@ -98,7 +99,7 @@
 
 TEST(Newest, InAnotherCountWhoWasToldToLeaveIsBackOnlyByAStartOrALaterWord) {
   for (const bool moved : {true, false}) {
-    Newest newest;
+    RevisionFilter newest;
     taken(newest, 40, true,
           {member("a", draining, 5), member("b", draining, 5), member("c", up), member("d", up)},
           true);
@@ -119,7 +120,7 @@
 }
 
 TEST(Newest, AfterAMoveAHigherCountIsTakenWithTheSameCare) {
-  Newest newest;
+  RevisionFilter newest;
   taken(newest, 40, true, {member("a", draining)}, true);
   newest.recount();
   EXPECT_EQ(taken(newest, 39, true, {member("a", up)}, true),
@@ -128,7 +129,7 @@
 }
 
 TEST(Newest, ForgetsMembersThatAreGone) {
-  Newest newest;
+  RevisionFilter newest;
   for (int i = 0; i < 3000; ++i)
     taken(newest, 2 * i + 2, false, {member("m" + std::to_string(i), gone)});
   EXPECT_EQ(taken(newest, 1, false, {member("m2999", up)}), "");
--- a/tests/embedding/example.cpp
+++ b/tests/embedding/example.cpp
@@ -5,36 +5,41 @@
 #include <vector>
 
 int main() {
-  constexpr gorsebeam::Nanos ms = 1'000'000;
+  constexpr gorsebeam::Nanos kMillisecond = 1'000'000;
   gorsebeam::Settings settings;
   gorsebeam::RequestClass read;
   read.name = "read";
-  read.aim = 200 * ms;
-  read.deadline = 800 * ms;
+  read.latency_objective = 200 * kMillisecond;
+  read.deadline = 800 * kMillisecond;
   settings.classes.push_back(read);
   settings.max_attempts = 3;
   gorsebeam::Router router(settings, 1);
 
+  // The endpoint list names one replica; the router asks for a health check, which succeeds.
   std::vector<gorsebeam::Action> actions;
-  gorsebeam::Member replica;
+  gorsebeam::EndpointList list;
+  gorsebeam::Endpoint replica;
   replica.id = 7;
-  router.handle(0, gorsebeam::MemberList{gorsebeam::MemberList::Kind::Full, {replica}}, actions);
-  router.handle(1 * ms, gorsebeam::Probed{7, true, 1 * ms, {}},
-                actions);  // the probe it asked for, answered
+  list.endpoints.push_back(replica);
+  router.handle(0, list, actions);
+  gorsebeam::HealthCheckResult health_check;
+  health_check.endpoint = 7;
+  health_check.succeeded = true;
+  router.handle(1 * kMillisecond, health_check, actions);
 
   actions.clear();
   gorsebeam::Request request;
   request.id = "first";
-  request.deadline = 802 * ms;
-  router.handle(2 * ms, request, actions);
+  request.deadline = 802 * kMillisecond;
+  router.handle(2 * kMillisecond, request, actions);
   for (const gorsebeam::Action& action : actions) {
-    if (const auto* send = std::get_if<gorsebeam::Send>(&action))
-      std::cout << "send " << send->id << " to " << send->member << '\n';
+    if (const auto* attempt = std::get_if<gorsebeam::StartAttempt>(&action))
+      std::cout << "send " << attempt->request_id << " to " << attempt->endpoint << '\n';
   }
-  gorsebeam::Outcome outcome;
-  outcome.id = "first";
-  outcome.member = 7;
-  outcome.closed = true;
-  router.handle(20 * ms, outcome, actions);
-  return std::holds_alternative<gorsebeam::Send>(actions.front()) ? 0 : 1;
+  gorsebeam::AttemptResult result;
+  result.request_id = "first";
+  result.endpoint = 7;
+  result.request_finished = true;
+  router.handle(20 * kMillisecond, result, actions);
+  return std::holds_alternative<gorsebeam::StartAttempt>(actions.front()) ? 0 : 1;
 }
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -7,8 +7,8 @@
 //   simulation --cost GATEWAYS    messages a second with nothing going wrong, leader and others
 //   apart simulation --saboteurs SEEDS  each deliberately broken embedder is caught within so many
 //   seeds
-#include "agreement/agreement.h"
-#include "duties/duties.h"
+#include "leases/leases.h"
+#include "raft/node.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -31,7 +31,7 @@
 #include <vector>
 
 using namespace gorsebeam;
-using agreement::Nanos;
+using raft::Nanos;
 
 namespace {
 
@@ -122,11 +122,11 @@
     double rate = 1;
     Nanos offset = 0;
     std::uint64_t start = 0;  // counts starts: what belongs to an earlier one is dropped
-    std::unique_ptr<agreement::Voter> voted;
-    std::optional<agreement::Kept> disk;
-    duties::Table table;
-    std::unique_ptr<duties::Keeper> keeper;
-    std::unique_ptr<duties::Holder> holder;
+    std::unique_ptr<raft::Voter> voted;
+    std::optional<raft::Kept> disk;
+    leases::Table table;
+    std::unique_ptr<leases::Keeper> keeper;
+    std::unique_ptr<leases::Holder> holder;
     Nanos voter_due = 0, keeper_due = 0, holder_due = 0;  // the due times that are waited for
     std::string answered_by;                              // who is asked first
     bool asked_in_vain = true;
@@ -183,8 +183,8 @@
     node.waiting.clear();
     node.table = {};
     settings_.seed = random_();
-    node.keeper = std::make_unique<duties::Keeper>(settings_);
-    node.holder = std::make_unique<duties::Holder>(
+    node.keeper = std::make_unique<leases::Keeper>(settings_);
+    node.holder = std::make_unique<leases::Holder>(
         settings_, node.name + "~" + std::to_string(node.start), node.number % 2 ? "east" : "west");
     node.voter_due = node.keeper_due = node.holder_due = 0;
     holder(node, [](auto& holder, Nanos now, auto&) {
@@ -193,13 +193,13 @@
     act(node);
     if (!node.voter)
       return;
-    agreement::Settings settings;
+    raft::Settings settings;
     settings.self = node.name, settings.voters = voters_, settings.seed = random_();
     settings.heartbeat = 100 * kMs, settings.election = 400 * kMs, settings.log_most = 8;
     auto kept = node.disk;
     if (!kept && node.start > 1 && sabotage_ == Sabotage::VotesAfterLoss)
-      kept = agreement::Kept{};
-    node.voted = std::make_unique<agreement::Voter>(settings, kept);
+      kept = raft::Kept{};
+    node.voted = std::make_unique<raft::Voter>(settings, kept);
     voter(node, [](auto& voter, Nanos now, auto& actions) {
       voter.begin(now, actions);
     });
@@ -207,14 +207,14 @@
 
   // ---- the voter
 
-  using VoterEvent = std::function<void(agreement::Voter&, Nanos, agreement::Actions&)>;
-  using KeeperEvent = std::function<void(duties::Keeper&, Nanos, duties::KeeperActions&)>;
-  using HolderEvent = std::function<void(duties::Holder&, Nanos, duties::HolderActions&)>;
+  using VoterEvent = std::function<void(raft::Voter&, Nanos, raft::Actions&)>;
+  using KeeperEvent = std::function<void(leases::Keeper&, Nanos, leases::KeeperActions&)>;
+  using HolderEvent = std::function<void(leases::Holder&, Nanos, leases::HolderActions&)>;
 
   void voter(Node& node, const VoterEvent& event) {
-    agreement::Actions actions;
+    raft::Actions actions;
     event(*node.voted, node.local(now_), actions);
-    for (const agreement::Action& action : actions)
+    for (const raft::Action& action : actions)
       perform(node, action);
     arm(node, node.voted, node.voter_due, [this](Node& due) {
       voter(due, [](auto& voter, Nanos now, auto& out) {
@@ -223,50 +223,50 @@
     });
   }
 
-  void perform(Node& node, const agreement::Action& action) {
-    if (const auto* send = std::get_if<agreement::Send>(&action)) {
-      const agreement::Message message = send->message;
-      ++(node.voted->role() == agreement::Voter::Role::Leader ? leader_sent : others_sent);
+  void perform(Node& node, const raft::Action& action) {
+    if (const auto* send = std::get_if<raft::Send>(&action)) {
+      const raft::Message message = send->message;
+      ++(node.voted->role() == raft::Voter::Role::Leader ? leader_sent : others_sent);
       Node& to = named(message.to);
       travel(node, to, [this, &to, message] {
         voter(to, [&](auto& voter, Nanos now, auto& out) {
           voter.received(now, message, out);
         });
       });
-    } else if (const auto* save = std::get_if<agreement::Save>(&action)) {
+    } else if (const auto* save = std::get_if<raft::Save>(&action)) {
       write(node, *save);
-    } else if (const auto* apply = std::get_if<agreement::Apply>(&action)) {
+    } else if (const auto* apply = std::get_if<raft::Apply>(&action)) {
       agree(apply->entry);
       const std::string duty = node.table.apply(apply->entry.index, apply->entry.body);
       state(apply->entry.index, node.table.packed());
       if (!duty.empty())
         node.keeper->applied(node.local(now_), duty);
-      if (node.voted->role() == agreement::Voter::Role::Leader &&
+      if (node.voted->role() == raft::Voter::Role::Leader &&
           apply->entry.term == node.voted->term() && apply->entry.body.empty()) {
         const Nanos lie = sabotage_ == Sabotage::LeadsAtOnce ? 2 * kLease : 0;
         keeper(node, [&](auto& keeper, Nanos now, auto&) {
           keeper.lead(now - lie, node.table);
         });
       }
-    } else if (const auto* restore = std::get_if<agreement::Restore>(&action)) {
-      const auto table = duties::Table::unpacked(restore->snapshot.body);
+    } else if (const auto* restore = std::get_if<raft::Restore>(&action)) {
+      const auto table = leases::Table::unpacked(restore->snapshot.body);
       if (!table)
         throw Broken{"a snapshot that cannot be read"};
       node.table = *table;
       state(restore->snapshot.index, node.table.packed());
-    } else if (std::get_if<agreement::Compact>(&action)) {
+    } else if (std::get_if<raft::Compact>(&action)) {
       voter(node, [&](auto& voter, Nanos, auto& out) {
         voter.compact(node.table.packed(), out);
       });
-    } else if (const auto* became = std::get_if<agreement::Became>(&action)) {
-      if (became->role == agreement::Voter::Role::Leader) {
+    } else if (const auto* became = std::get_if<raft::Became>(&action)) {
+      if (became->role == raft::Voter::Role::Leader) {
         const auto [held, fresh] = leaders_.emplace(became->term, node.number);
         if (!fresh && held->second != node.number)
           throw Broken{"two leaders in term " + std::to_string(became->term)};
       } else {
         node.keeper->stop();
       }
-    } else if (const auto* confirmed = std::get_if<agreement::Confirmed>(&action)) {
+    } else if (const auto* confirmed = std::get_if<raft::Confirmed>(&action)) {
       keeper(node, [&](auto& keeper, Nanos now, auto& out) {
         keeper.confirmed(now, confirmed->number, out);
       });
@@ -274,7 +274,7 @@
   }
 
   // Whole or not at all: a crash leaves the newest that was done.
-  void write(Node& node, const agreement::Save& save) {
+  void write(Node& node, const raft::Save& save) {
     const bool fails = node.disk_fails;
     const Nanos took = between(1, 25) * kMs;
     node_disk_at_[node.number] = std::max(node_disk_at_[node.number], now_) + took;
@@ -309,26 +309,26 @@
   // ---- duties
 
   void keeper(Node& node, const KeeperEvent& event) {
-    duties::KeeperActions actions;
+    leases::KeeperActions actions;
     event(*node.keeper, node.local(now_), actions);
     arm(node, node.keeper, node.keeper_due, [this](Node& due) {
       keeper(due, [](auto& keeper, Nanos now, auto& out) {
         keeper.tick(now, out);
       });
     });
-    for (const duties::KeeperAction& action : actions) {
-      if (const auto* propose = std::get_if<duties::Propose>(&action)) {
+    for (const leases::KeeperAction& action : actions) {
+      if (const auto* propose = std::get_if<leases::Propose>(&action)) {
         voter(node, [&](auto& voter, Nanos now, auto& out) {
           voter.propose(now, propose->body, out);
         });
-      } else if (std::get_if<duties::Confirm>(&action)) {
+      } else if (std::get_if<leases::Confirm>(&action)) {
         std::uint64_t number = 0;
         voter(node, [&](auto& voter, Nanos now, auto& out) {
           number = voter.confirm(now, out);
         });
         node.keeper->confirming(number);
-      } else if (const auto* answer = std::get_if<duties::Answer>(&action)) {
-        Node& to = named(duties::name_of(answer->to));
+      } else if (const auto* answer = std::get_if<leases::Answer>(&action)) {
+        Node& to = named(leases::name_of(answer->to));
         ++leader_sent;
         travel(node, to, [this, &to, from = node.name, answer = *answer] {
           to.answered_by = from, to.asked_in_vain = false;
@@ -341,15 +341,15 @@
   }
 
   void holder(Node& node, const HolderEvent& event) {
-    duties::HolderActions actions;
+    leases::HolderActions actions;
     event(*node.holder, node.local(now_), actions);
     arm(node, node.holder, node.holder_due, [this](Node& due) {
       holder(due, [](auto& holder, Nanos now, auto& out) {
         holder.tick(now, out);
       });
     });
-    for (const duties::HolderAction& action : actions) {
-      const auto* ask = std::get_if<duties::Ask>(&action);
+    for (const leases::HolderAction& action : actions) {
+      const auto* ask = std::get_if<leases::Ask>(&action);
       if (!ask)
         continue;
       const bool all = std::exchange(node.asked_in_vain,
@@ -371,7 +371,7 @@
   template <typename Part, typename Event>
   void arm(Node& node, Part& part, Nanos& armed, Event tick) {
     const Nanos due = part->due();
-    if (due == duties::kNever || due == armed)
+    if (due == leases::kNever || due == armed)
       return;
     armed = due;
     on(node, node.real(due), [this, &node, &part, &armed, due, tick] {
@@ -401,7 +401,7 @@
     });
   }
 
-  void resource(const std::string& duty, duties::Token token) {
+  void resource(const std::string& duty, leases::Token token) {
     const bool pass = sabotage_ == Sabotage::FenceOff || fence_.pass(duty, token);
     if (!pass)
       return void(++turned_down);
@@ -428,13 +428,13 @@
     }
   }
 
-  void agree(const agreement::Entry& entry) {
+  void agree(const raft::Entry& entry) {
     const auto [held, fresh] = log_.emplace(entry.index, std::pair(entry.term, entry.body));
     if (!fresh && held->second != std::pair(entry.term, entry.body))
       throw Broken{"log: two entries at " + std::to_string(entry.index)};
   }
 
-  void state(agreement::Index index, const std::string& packed) {
+  void state(raft::Index index, const std::string& packed) {
     const auto [held, fresh] = states_.emplace(index, packed);
     if (!fresh && held->second != packed)
       throw Broken{"state: two states after " + std::to_string(index)};
@@ -496,7 +496,7 @@
   const Script& script_;
   const Sabotage sabotage_;
   std::mt19937_64 random_;
-  duties::Settings settings_{{"speaker", "watcher"}, kLease, kDrift, 1};
+  leases::Settings settings_{{"speaker", "watcher"}, kLease, kDrift, 1};
   std::vector<std::string> voters_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<int, Nanos> node_disk_at_;
@@ -504,11 +504,11 @@
   std::uint64_t order_ = 0;
   Nanos now_ = 0;
   std::set<std::pair<int, int>> cuts_;
-  duties::Fence fence_;
-  std::map<agreement::Term, int> leaders_;
-  std::map<agreement::Index, std::pair<agreement::Term, std::string>> log_;
-  std::map<agreement::Index, std::string> states_;
-  std::map<std::string, std::pair<duties::Token, Nanos>> accepted_;
+  leases::Fence fence_;
+  std::map<raft::Term, int> leaders_;
+  std::map<raft::Index, std::pair<raft::Term, std::string>> log_;
+  std::map<raft::Index, std::string> states_;
+  std::map<std::string, std::pair<leases::Token, Nanos>> accepted_;
   std::map<std::string, Nanos> done_at_;
 };
 
--- a/tests/stories/control.cpp
+++ b/tests/integration/control_plane_test.cpp
@@ -3,7 +3,7 @@
 // is what was accepted.
 #include "control/service.h"
 
-#include "state/folder.h"
+#include "snapshot_store/snapshot_store.h"
 
 #include <csignal>
 #include <cstring>
@@ -11,7 +11,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-using namespace stage;
+using namespace test_harness;
 using stand_in::Cable;
 using stand_in::Script;
 using stand_in::Service;
@@ -53,7 +53,7 @@
   }
 
   void until(const std::function<bool()>& condition, const char* what) {
-    stage::until(
+    test_harness::until(
         [&] {
           return turn(), condition();
         },
@@ -365,7 +365,7 @@
   const std::string first = service.push(contracts, "c2");
   until(
       [&] {
-        return plane.told("held: ");
+        return plane.told("config_version_pending");
       },
       "it to be held");
   CHECK(service.push_and_answer(members, "m1").empty() && service.answer(first).empty());
@@ -427,7 +427,7 @@
       },
       "a new stream");
   CHECK(service.push_and_answer(plane.contracts(++generation), "again").empty());
-  CHECK(plane.told("found again"));
+  CHECK(plane.told("control_stream_restored"));
   streams = service.streams();
   service.end(14, "maintenance");
   load.until(
@@ -498,8 +498,8 @@
       {start + many_settings, "floods"},
       {settings_frame() + frame(1, 5, 1, "\x8d"), "HTTP status 404"},
       {start + frame(7, 0, 0, std::string(8, '\0')), "goes away"},
-      {"HTTP/1.1 400 Bad Request\r\n\r\n", "lost: "},
-      {std::string(20000, '\xff'), "lost: "},
+      {"HTTP/1.1 400 Bad Request\r\n\r\n", "control_stream_lost"},
+      {std::string(20000, '\xff'), "control_stream_lost"},
       {settings_frame() + frame(0, 0, 3, "nobody's"), "broke the rules"},
   };
 
@@ -558,27 +558,27 @@
     plane.stage.check_rules();
   };
   serves(Final::Failed,
-         "serving from the last good version: contracts version c3");  // its team may only save
+         "snapshot_restored versions=\"contracts version c3\"");  // its team may only save
   std::string why;
-  const auto good = gorsebeam::state::load(folder, why);
+  const auto good = gorsebeam::snapshot_store::load(folder, why);
   CHECK(good);
   const auto put = [&](const std::string& bytes) {
     std::ofstream(file, std::ios::binary) << bytes;
   };
-  const std::string bytes = gorsebeam::state::packed(*good);
+  const std::string bytes = gorsebeam::snapshot_store::packed(*good);
   put(bytes.substr(0, bytes.size() - 3));
-  serves(Final::Served, "passed over: ");
+  serves(Final::Served, "snapshot_rejected");
   std::string flipped = bytes;
   flipped[flipped.size() / 2] ^= 1;
   put(flipped);
   serves(Final::Served, "it is damaged: its checksum does not fit");
   auto newer = *good;
   newer.set_schema(99);
-  put(gorsebeam::state::packed(newer));
+  put(gorsebeam::snapshot_store::packed(newer));
   serves(Final::Served, "newer than this program's");
   auto unfit = *good;
   unfit.mutable_contracts_value()->mutable_team(0)->mutable_class_(0)->set_name("gone");
-  put(gorsebeam::state::packed(unfit));
+  put(gorsebeam::snapshot_store::packed(unfit));
   serves(Final::Served, "it does not fit here any more");
   unlink(file.c_str());
   unlink((file + ".new").c_str());    // of a program that was killed as it wrote
@@ -594,7 +594,7 @@
   CHECK(service.push_and_answer(plane.contracts(1), "c1").empty());
   until(
       [&] {
-        return plane.told("state: the last good version could not be kept: ");
+        return plane.told("snapshot_write_failed");
       },
       "the complaint");
   const auto client = plane.stage.client();
@@ -619,7 +619,8 @@
   stage.listen = "127.0.0.2";
   stage.write_file("");
   stage.write_inventory();
-  CHECK(stage.log.find("start: MongoDB on 127.0.0.2:") != std::string::npos);
+  CHECK(stage.log.find("listener_started protocol=MongoDB address=127.0.0.2:") !=
+        std::string::npos);
   stage.take_address();
   const auto fresh = stage.client();
   CHECK(fresh->answer_to(read("two")) == Final::Served);
@@ -630,7 +631,7 @@
   until(
       [&] {
         return stage.signal(0),
-               stage.log.find("\"kind\":\"reload\",\"text\":\"read again") != std::string::npos;
+               stage.log.find("\"event\":\"reload_complete\"") != std::string::npos;
       },
       "a line in JSON");
   stage.check_rules();
@@ -646,8 +647,9 @@
     CHECK(client->answer_to(read("r" + std::to_string(i))) == Final::Served);
   stage.write_inventory();
   CHECK(client->answer_to(read("last")) == Final::Served);
-  CHECK(stage.log.find("control") == std::string::npos &&
-        stage.log.find("state:") == std::string::npos);
+  CHECK(stage.log.find("control_stream") == std::string::npos &&
+        stage.log.find("config_version") == std::string::npos &&
+        stage.log.find("snapshot_") == std::string::npos);
   CHECK(rmdir(folder.c_str()) == 0);  // empty
   stage.check_rules();
 }
--- a/tests/stories/files.cpp
+++ b/tests/integration/files_test.cpp
@@ -1,18 +1,18 @@
 // Configuration and inventories: what is fine is taken; what is not ends the program before it
 // listens, with one message that names file, line and field. And discovery's watch, from a stand-in
 // agent.
-#include "stage.h"
+#include "test_harness.h"
 
 #include "inventory/inventory.h"
-#include "postgres/wire.h"
-#include "settings/json.h"
+#include "postgres/upstream_protocol.h"
+#include "settings/json_reader.h"
 
 #include <csignal>
 #include <cstring>
 #include <fstream>
 #include <iterator>
 
-using namespace stage;
+using namespace test_harness;
 
 namespace {
 
@@ -29,18 +29,21 @@
             "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\ndb2,3,127.0.0.1:27018,b,"
             ",draining,"
             ",\r\n"));
-  CHECK(csv.size() == 2 && csv[0].name == "db,1" && csv[0].member.group == 3 &&
-        csv[0].member.primary);
-  CHECK(csv[0].member.size == 2.5 && csv[0].member.started_at == 1767225600LL * 1'000'000'000);
-  CHECK(csv[1].member.state == gorsebeam::MemberState::Draining && !csv[1].member.primary);
+  CHECK(csv.size() == 2 && csv[0].name == "db,1" && csv[0].endpoint.group == 3 &&
+        csv[0].endpoint.listed_as_primary);
+  CHECK(csv[0].endpoint.weight == 2.5 &&
+        csv[0].endpoint.started_at == 1767225600LL * 1'000'000'000);
+  CHECK(csv[1].endpoint.status == gorsebeam::EndpointStatus::Draining &&
+        !csv[1].endpoint.listed_as_primary);
   const auto yaml = gorsebeam::inventory::read(write(
       folder, "a.yaml",
       "all:\n  vars: {zone: a, ansible_user: ops}\n  children:\n    group_three:\n      vars: "
       "{group: 3}\n"
       "      hosts:\n        db1: {ansible_host: 127.0.0.1, ansible_port: 27017, role: primary}\n"
       "        db2: {address: '127.0.0.1:27018', zone: b}\n"));
-  CHECK(yaml.size() == 2 && yaml[0].address == "127.0.0.1:27017" && yaml[0].member.zone == "a");
-  CHECK(yaml[1].member.zone == "b" && yaml[1].member.group == 3 && yaml[0].member.primary);
+  CHECK(yaml.size() == 2 && yaml[0].address == "127.0.0.1:27017" && yaml[0].endpoint.zone == "a");
+  CHECK(yaml[1].endpoint.zone == "b" && yaml[1].endpoint.group == 3 &&
+        yaml[0].endpoint.listed_as_primary);
 
   const struct {
     const char *name, *text, *place, *field;
@@ -169,22 +172,24 @@
 // What can never become an answer is known as such from what has come, not when the waiting is
 // over; a report that cannot be read is ignored whole.
 void answers() {
-  using gorsebeam::upstream::Step;
-  const auto read = [](const std::string& bytes, gorsebeam::broker::Answer& answer) {
+  using gorsebeam::connection_pool::ParseStep;
+  const auto read = [](const std::string& bytes, gorsebeam::proxy::UpstreamResponse& answer) {
     std::size_t used = 0;
     return gorsebeam::postgres::make_wire()->answer(bytes, false, false, answer, used);
   };
-  gorsebeam::broker::Answer answer;
+  gorsebeam::proxy::UpstreamResponse answer;
   const std::string good = postgres().member_answer(Fault::Serve, {true}, "value");
-  CHECK(read(good, answer) == Step::Done && answer.position);
-  CHECK(read(good.substr(0, 45), answer) == Step::More);
-  CHECK(read(std::string("x\0\0\1\0noise", 10), answer) == Step::Broken);
+  CHECK(read(good, answer) == ParseStep::Done && answer.replication_position);
+  CHECK(read(good.substr(0, 45), answer) == ParseStep::More);
+  CHECK(read(std::string("x\0\0\1\0noise", 10), answer) == ParseStep::Broken);
   std::string misfit = good.substr(0, 45);  // the row is longer than its column
   const std::size_t row = misfit.find(std::string("D\0", 2));
   misfit[row + 3] = '\7';
-  CHECK(read(misfit, answer) == Step::Broken);
-  CHECK(read(postgres().member_answer(Fault::BadReport, {true}, "value"), answer) == Step::Done);
-  CHECK(!answer.report.position && !answer.report.primary && !answer.position);
+  CHECK(read(misfit, answer) == ParseStep::Broken);
+  CHECK(read(postgres().member_answer(Fault::BadReport, {true}, "value"), answer) ==
+        ParseStep::Done);
+  CHECK(!answer.load_report.replication_position && !answer.load_report.is_primary &&
+        !answer.replication_position);
 }
 
 // The commands for files: what is the same in meaning is no difference, and the formatter changes
--- a/tests/stories/protocols.cpp
+++ b/tests/integration/protocols.cpp
@@ -1,10 +1,10 @@
 // The stand-ins' side of both protocols, written from their public descriptions.
 #include "mongo/bson.h"
-#include "stage.h"
+#include "test_harness.h"
 
 #include <cstring>
 
-namespace stage {
+namespace test_harness {
 namespace {
 
 std::int64_t now_ms() {
@@ -339,4 +339,4 @@
   return protocol;
 }
 
-}  // namespace stage
+}  // namespace test_harness
--- a/tests/stories/crossings.cpp
+++ b/tests/integration/race_conditions_test.cpp
@@ -1,11 +1,11 @@
 // Crossings: what comes between two steps of the gateway. The moment is held, by a peer that
 // follows a script or by the program standing still, and let go by an event.
-#include "stage.h"
+#include "test_harness.h"
 
 #include <csignal>
 #include <cstring>
 
-using namespace stage;
+using namespace test_harness;
 
 namespace {
 
@@ -132,7 +132,7 @@
   CHECK(resting->end == "closed by the peer");
   stage.signal(SIGTERM);
   stage.signal(SIGHUP);
-  stage.await_log("reload: kept all as it was: this gateway is stopping");
+  stage.await_log("reload_rejected error=\"this gateway is stopping\"");
   const auto refused = stage.stranger();
   until(
       [&] {
@@ -396,7 +396,7 @@
     reads_served(*resting, "a", 4);
     reads_served(*silent, "b", 1);
     stage.signal(SIGTERM);
-    stage.await_log("stop: asked to");
+    stage.await_log("shutdown_started");
     stage.freeze();
     pass(600);  // the door is due
     resting->ask(read("resting"));
@@ -547,7 +547,7 @@
         agent.stream->write({std::string(100, '1')});
       },
       "from=42 ");
-  stage.await_log("discovery: watch ended: a malformed chunk");
+  stage.await_log("endpoint_watch_closed reason=\"a malformed chunk\"");
   agent.stream->write({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"});
   stage.members[1]->state = stage.members[2]->state = "up";  // a later word
   agent.list(stage, 44);
--- a/tests/stories/stories.cpp
+++ b/tests/integration/requests_test.cpp
@@ -1,11 +1,11 @@
 // The stories: each protocol goes through the same ones, by the same script, and under the same
 // rules.
-#include "stage.h"
+#include "test_harness.h"
 
 #include <csignal>
 #include <cstring>
 
-using namespace stage;
+using namespace test_harness;
 
 namespace {
 
@@ -501,10 +501,10 @@
         return !stage.attempts.empty() && stage.attempts.back().ask.id == "in-hand";
       },
       "it to go out");
-  stage.reload("nowhere", "reload: kept all as it was: ");
+  stage.reload("nowhere", "reload_rejected");
   CHECK(stage.log.find("config.json: line 1: ") != std::string::npos);
   CHECK(stage.log.find("'discovery'") != std::string::npos && fresh.asked.empty());
-  stage.reload(fresh.listener.address(), "reload: read again");
+  stage.reload(fresh.listener.address(), "reload_complete");
   fresh.welcome();
   CHECK(fresh.asked.find("from=0 ") !=
         std::string::npos);  // the old one's revision tells the new one nothing
--- a/tests/stories/stage.cpp
+++ b/tests/integration/test_harness.cpp
@@ -1,4 +1,4 @@
-#include "stage.h"
+#include "test_harness.h"
 
 #include "net/timer.h"
 
@@ -14,7 +14,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace stage {
+namespace test_harness {
 
 using gorsebeam::net::Listener;
 using gorsebeam::net::SocketHandle;
@@ -336,7 +336,7 @@
   signal(SIGHUP);
   until(
       [&] {
-        return take_log(), log.find("reload: read again", before) != std::string::npos;
+        return take_log(), log.find("reload_complete", before) != std::string::npos;
       },
       "the inventory");
 }
@@ -385,7 +385,8 @@
         static_cast<Stage*>(self)->exited_ = true;
       },
       this);
-  const std::string mark = &protocol == &mongo() ? "MongoDB on " : "PostgreSQL on ";
+  const std::string mark =
+      &protocol == &mongo() ? "protocol=MongoDB address=" : "protocol=PostgreSQL address=";
   until(
       [&] {
         return take_log(), exited_ || log.find(mark) != std::string::npos;
@@ -398,7 +399,8 @@
 }
 
 void Stage::take_address() {
-  const std::string mark = &protocol == &mongo() ? "MongoDB on " : "PostgreSQL on ";
+  const std::string mark =
+      &protocol == &mongo() ? "protocol=MongoDB address=" : "protocol=PostgreSQL address=";
   const std::size_t at = log.rfind(mark) + mark.size();
   address_ = log.substr(at, log.find('\n', at) - at);
 }
@@ -536,4 +538,4 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-}  // namespace stage
+}  // namespace test_harness
--- a/tests/stories/stage.h
+++ b/tests/integration/test_harness.h
@@ -28,7 +28,7 @@
     }                                                                                              \
   } while (false)
 
-namespace stage {
+namespace test_harness {
 
 void until(const std::function<bool()>& condition, const char* what);
 void pass(int ms);  // lets so much time go by
@@ -256,4 +256,4 @@
                          const Site& site = {});
 std::string temporary_folder();
 
-}  // namespace stage
+}  // namespace test_harness
--- a/tests/agreement_test.cpp
+++ b/tests/raft_leases_test.cpp
@@ -1,5 +1,5 @@
-#include "agreement/agreement.h"
-#include "duties/duties.h"
+#include "leases/leases.h"
+#include "raft/node.h"
 
 #include <gtest/gtest.h>
 
@@ -12,42 +12,42 @@
 namespace {
 
 constexpr std::int64_t ms = 1'000'000;
-using agreement::Message;
+using raft::Message;
 
 struct Three {  // voters a, b, c; messages arrive at once, the disk answers at once unless `slow`
-  std::map<std::string, std::unique_ptr<agreement::Voter>> voters;
-  std::map<std::string, std::optional<agreement::Kept>> disks;
+  std::map<std::string, std::unique_ptr<raft::Voter>> voters;
+  std::map<std::string, std::optional<raft::Kept>> disks;
   std::set<std::string> cut, slow, regressed;
   std::int64_t now = 0;
 
   Three() {
     for (const char* name : {"a", "b", "c"})
-      start(name, agreement::Kept{});
+      start(name, raft::Kept{});
   }
 
-  void start(const std::string& name, std::optional<agreement::Kept> kept) {
-    agreement::Settings settings{name, {"a", "b", "c"}};
+  void start(const std::string& name, std::optional<raft::Kept> kept) {
+    raft::Settings settings{name, {"a", "b", "c"}};
     settings.seed = std::hash<std::string>()(name), settings.log_most = 4;
     disks[name] = kept;
-    voters[name] = std::make_unique<agreement::Voter>(settings, kept);
+    voters[name] = std::make_unique<raft::Voter>(settings, kept);
     step(name, [&](auto& voter, auto& out) {
       voter.begin(now, out);
     });
   }
 
-  using Event = std::function<void(agreement::Voter&, agreement::Actions&)>;
+  using Event = std::function<void(raft::Voter&, raft::Actions&)>;
 
   void step(const std::string& name, const Event& event) {
-    agreement::Actions actions;
+    raft::Actions actions;
     event(*voters.at(name), actions);
     for (const auto& action : actions) {
-      if (const auto* save = std::get_if<agreement::Save>(&action); save && !slow.count(name)) {
+      if (const auto* save = std::get_if<raft::Save>(&action); save && !slow.count(name)) {
         disks[name] = save->kept;
         saved(name, save->number);
-      } else if (const auto* send = std::get_if<agreement::Send>(&action)) {
+      } else if (const auto* send = std::get_if<raft::Send>(&action)) {
         if (!cut.count(name) && !cut.count(send->message.to))
           wire.push_back(send->message);
-      } else if (const auto* who = std::get_if<agreement::Regressed>(&action)) {
+      } else if (const auto* who = std::get_if<raft::Regressed>(&action)) {
         regressed.insert(who->voter);
       }
     }
@@ -77,7 +77,7 @@
 
   std::string leader() const {
     for (const auto& [name, voter] : voters)
-      if (voter->role() == agreement::Voter::Role::Leader)
+      if (voter->role() == raft::Voter::Role::Leader)
         return name;
     return "";
   }
@@ -131,9 +131,9 @@
   three.start(other, std::nullopt);
   three.cut = {leader};
   three.pass(20'000 * ms);
-  EXPECT_EQ(three.voters[other]->role(), agreement::Voter::Role::Mute);
+  EXPECT_EQ(three.voters[other]->role(), raft::Voter::Role::Mute);
   for (const auto& [name, voter] : three.voters)
-    EXPECT_NE(voter->role(), agreement::Voter::Role::Leader);
+    EXPECT_NE(voter->role(), raft::Voter::Role::Leader);
 }
 
 TEST(Agreement, ALogThatNobodyTakesIsBounded) {
@@ -150,24 +150,24 @@
 }
 
 TEST(Duties, AGrantHoldsOnlyOverTheTokenItNames) {
-  duties::Table table;
-  EXPECT_EQ(table.apply(5, duties::Table::command("d", "a~1", 0)), "d");
-  EXPECT_EQ(table.apply(6, duties::Table::command("d", "b~1", 0)), "");
+  leases::Table table;
+  EXPECT_EQ(table.apply(5, leases::Table::command("d", "a~1", 0)), "d");
+  EXPECT_EQ(table.apply(6, leases::Table::command("d", "b~1", 0)), "");
   EXPECT_EQ(table.apply(7, "grant d 5 b~1\nrm"), "d");  // what follows the line says nothing
   EXPECT_EQ(table.at("d").holder, "b~1");
-  EXPECT_EQ(duties::Table::unpacked(table.packed())->at("d").token, 7u);
-  EXPECT_FALSE(duties::Table::unpacked("d x"));
+  EXPECT_EQ(leases::Table::unpacked(table.packed())->at("d").token, 7u);
+  EXPECT_FALSE(leases::Table::unpacked("d x"));
 }
 
 TEST(Duties, OneThatAsksAndDoesNotHearIsNotRenewed) {
-  duties::Settings settings{{"d"}};
-  duties::Keeper keeper(settings);
-  duties::Table table;
-  table.apply(1, duties::Table::command("d", "deaf~1", 0));
+  leases::Settings settings{{"d"}};
+  leases::Keeper keeper(settings);
+  leases::Table table;
+  table.apply(1, leases::Table::command("d", "deaf~1", 0));
   keeper.lead(0, table);
   std::string successor;
   for (std::int64_t now = 0, asks = 1; now < 20'000 * ms; now += 100 * ms) {
-    duties::KeeperActions actions;
+    leases::KeeperActions actions;
     if (now % (600 * ms) == 0) {
       keeper.asked(now, {"deaf~1", "", std::uint64_t(asks), 0});
       keeper.asked(now, {"well~1", "", std::uint64_t(asks), std::uint64_t(asks - 1)});
@@ -177,10 +177,10 @@
     keeper.confirming(std::uint64_t(now / ms + 1));
     keeper.confirmed(now, std::uint64_t(now / ms + 1), actions);
     for (const auto& action : actions)
-      if (const auto* propose = std::get_if<duties::Propose>(&action))
+      if (const auto* propose = std::get_if<leases::Propose>(&action))
         successor = propose->body;
   }
-  EXPECT_EQ(successor, duties::Table::command("d", "well~1", 1));
+  EXPECT_EQ(successor, leases::Table::command("d", "well~1", 1));
 }
 
 }  // namespace
--- a/tests/pace_test.cpp
+++ b/tests/reconnect_backoff_test.cpp
@@ -1,4 +1,4 @@
-#include "discovery/pace.h"
+#include "discovery/reconnect_backoff.h"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +13,7 @@
 // A discovery that takes 50 ms for each call, in turn, also for those whose caller gave up after 2
 // s. `gateways` lose their watch at 0. Returns how many have it again by `end`.
 std::size_t back_by(std::size_t gateways, Nanos end) {
-  std::vector<Pace> paces;
+  std::vector<ReconnectBackoff> paces;
   std::multimap<Nanos, std::size_t> calls;
   std::deque<std::pair<Nanos, std::size_t>> queue;  // when it came, and whose
   for (std::size_t i = 0; i < gateways; ++i) {
@@ -43,7 +43,7 @@
 }
 
 TEST(Pace, BoundsDoubleAndStartOver) {
-  Pace few(3, true, 7), many(100, true, 7), agents(300, false, 7);
+  ReconnectBackoff few(3, true, 7), many(100, true, 7), agents(300, false, 7);
   for (const Nanos most : {250, 500, 1000, 2000, 2000}) {
     const Nanos wait = few.next(false);
     EXPECT_GT(wait, most / 8 * ms);
@@ -60,7 +60,7 @@
 TEST(Pace, AfterASilenceTheNextCallIsMadeInTimeToBeAnswered) {
   for (const bool asked : {false, true}) {
     for (std::uint64_t seed = 0; seed < 300; ++seed) {
-      Pace pace(300, asked, seed);
+      ReconnectBackoff pace(300, asked, seed);
       EXPECT_EQ(pace.silence(),
                 asked ? 5000 * ms : 2500 * ms);  // a call in a queue is not given up
       pace.heard();
--- a/tests/adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -1,12 +1,12 @@
 // The adapter: the wire in, the wire out, and plain words on what is malformed.
-#include "wire.h"
+#include "session.h"
 
 #include <gtest/gtest.h>
 
 namespace {
 
-using gorsebeam::adapter::Session;
-using gorsebeam::adapter::WireError;
+using gorsebeam::simulator_adapter::Session;
+using gorsebeam::simulator_adapter::WireError;
 
 const char* const kStart =
     R"({"NEW_INSTANCE":{"router_id":4,"init_seed":9,"profile_data":{"classes":[{"name":"look","aim":100000000,)"
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,7 @@
 // module, in virtual time. At the end of each part the world is quiet for longer than anything is
 // kept, and what the heap holds is counted: it has to be what it was. The world is invented here
 // and drawn by a seed; who is asked what is the module's business.
-#include "broker/core.h"
+#include "proxy/request_broker.h"
 #include "virtual_time.h"
 
 #include <malloc.h>
@@ -63,32 +63,32 @@
 
 using Random = std::mt19937_64;
 
-struct Client : broker::Call {
+struct Client : proxy::ClientCall {
   int answers = 0;
 
-  broker::Parts body(Nanos) override { return {"SELECT"}; }
+  proxy::Parts body(Nanos) override { return {"SELECT"}; }
 
-  void served(const broker::Parts&) override { ++answers; }
+  void respond(const proxy::Parts&) override { ++answers; }
 
-  void refused(Nanos) override { ++answers; }
+  void reject(Nanos) override { ++answers; }
 
-  void failed() override { ++answers; }
+  void fail() override { ++answers; }
 };
 
 struct Machine {
-  broker::Listed listed;
+  proxy::ListedEndpoint listed;
   bool primary = false, silent = false;
 };
 
-class World : public broker::Upstream {
+class World : public proxy::Upstream {
 public:
   explicit World(std::uint64_t seed)
-      : random_(seed), core_(std::make_unique<broker::Core>(settings(), seed)) {
+      : random_(seed), core_(std::make_unique<proxy::RequestBroker>(settings(), seed)) {
     core_->attach(*this);
     for (int group = 0; group < kGroups; ++group)
       for (int i = 0; i < kMembers; ++i)
         machines_.push_back(fresh(static_cast<GroupId>(group), i == 0));
-    tell(MemberList::Kind::Full);
+    tell(EndpointList::Kind::Full);
   }
 
   void part() {  // a busy time, then silence
@@ -105,7 +105,7 @@
     // One request more: what is forgotten as others come is forgotten now.
     for (int i = 0; i < 8; ++i)
       ask();
-    tell(MemberList::Kind::Full);
+    tell(EndpointList::Kind::Full);
     virtual_time::run_until(start + kBusy + 2 * kQuiet);
   }
 
@@ -114,23 +114,25 @@
 private:
   static Settings settings() {
     Settings s;
-    const auto add = [&s](const char* name, ReadLevel level, Effect effect) {
+    const auto add = [&s](const char* name, ConsistencyLevel level, Idempotency idempotency) {
       RequestClass c;
-      c.name = name, c.level = level, c.effect = effect;
-      c.aim = 300 * kMs, c.deadline = 1000 * kMs, c.bound = 200 * kMs, c.window = 2 * kSecond;
-      c.scope = RepeatScope::Group;
+      c.name = name, c.consistency = level, c.idempotency = idempotency;
+      c.latency_objective = 300 * kMs, c.deadline = 1000 * kMs, c.max_staleness = 200 * kMs,
+      c.deduplication_window = 2 * kSecond;
+      c.deduplication_scope = DeduplicationScope::Group;
       s.classes.push_back(c);
     };
-    add("any", ReadLevel::Any, Effect::Safe);
-    add("bounded", ReadLevel::Bounded, Effect::Safe);
-    add("session", ReadLevel::Session, Effect::Safe);
-    add("fresh", ReadLevel::Fresh, Effect::Safe);
-    add("keyed", ReadLevel::Write, Effect::Keyed);
-    s.reports = ReportVia::Answers;
-    s.report_positions = s.report_roles = true;
+    add("any", ConsistencyLevel::Eventual, Idempotency::Idempotent);
+    add("bounded", ConsistencyLevel::BoundedStaleness, Idempotency::Idempotent);
+    add("session", ConsistencyLevel::Session, Idempotency::Idempotent);
+    add("fresh", ConsistencyLevel::Strong, Idempotency::Idempotent);
+    add("keyed", ConsistencyLevel::Write, Idempotency::IdempotencyKey);
+    s.load_report_source = LoadReportSource::Responses;
+    s.load_reports_hold_positions = s.load_reports_hold_roles = true;
     s.max_attempts = 4;
-    s.list_role = ListRole::Start;
-    s.cold_time = 10 * kSecond, s.cold_from = 0.2, s.fall_time = kSecond, s.fall_multiple = 2;
+    s.listed_role = ListedRole::AtStart;
+    s.slow_start_duration = 10 * kSecond, s.slow_start_initial_capacity = 0.2,
+    s.overload_duration = kSecond, s.overload_factor = 2;
     return s;
   }
 
@@ -142,50 +144,50 @@
     Machine machine;
     machine.listed.name = name;
     machine.listed.address = "127.0.0.1:1";
-    machine.listed.member.group = group;
-    machine.listed.member.zone = named_ % 3 ? "a" : "b";
-    machine.listed.member.started_at = named_ > kGroups * kMembers ? net::now() : 0;
-    machine.listed.member.primary = primary;
+    machine.listed.endpoint.group = group;
+    machine.listed.endpoint.zone = named_ % 3 ? "a" : "b";
+    machine.listed.endpoint.started_at = named_ > kGroups * kMembers ? net::now() : 0;
+    machine.listed.endpoint.listed_as_primary = primary;
     machine.primary = primary;
     return machine;
   }
 
-  void tell(MemberList::Kind kind) {
-    std::vector<broker::Listed> all;
+  void tell(EndpointList::Kind kind) {
+    std::vector<proxy::ListedEndpoint> all;
     for (const Machine& machine : machines_)
       all.push_back(machine.listed);
-    core_->list(kind, all);
+    core_->update_endpoints(kind, all);
   }
 
   // Replaced, restarted, silent or awake again; primaries change within their groups.
   void trouble() {
     Machine& machine = machines_[random_() % machines_.size()];
-    const GroupId group = machine.listed.member.group;
+    const GroupId group = machine.listed.endpoint.group;
     const double what = draw();
     if (what < 0.4) {  // under a new name
-      machine.listed.member.state = MemberState::Removed;
-      core_->list(MemberList::Kind::Changes, {machine.listed});
+      machine.listed.endpoint.status = EndpointStatus::Removed;
+      core_->update_endpoints(EndpointList::Kind::Delta, {machine.listed});
       const bool primary = machine.primary;
       machine = fresh(group, primary);
-      core_->list(MemberList::Kind::Changes, {machine.listed});
+      core_->update_endpoints(EndpointList::Kind::Delta, {machine.listed});
     } else if (what < 0.6) {
-      machine.listed.member.started_at = net::now();
-      core_->list(MemberList::Kind::Changes, {machine.listed});
+      machine.listed.endpoint.started_at = net::now();
+      core_->update_endpoints(EndpointList::Kind::Delta, {machine.listed});
     } else if (what < 0.8) {
       for (Machine& other : machines_)
-        if (other.listed.member.group == group)
+        if (other.listed.endpoint.group == group)
           other.primary = &other == &machine;
     } else {
       machine.silent = !machine.silent;
     }
     if (draw() < 0.2)
-      tell(MemberList::Kind::Full);
+      tell(EndpointList::Kind::Full);
     // A group that comes and goes with its only member.
     Machine lone = fresh(1000 + named_, true);
-    core_->list(MemberList::Kind::Changes, {lone.listed});
-    ask(lone.listed.member.group);
-    lone.listed.member.state = MemberState::Removed;
-    core_->list(MemberList::Kind::Changes, {lone.listed});
+    core_->update_endpoints(EndpointList::Kind::Delta, {lone.listed});
+    ask(lone.listed.endpoint.group);
+    lone.listed.endpoint.status = EndpointStatus::Removed;
+    core_->update_endpoints(EndpointList::Kind::Delta, {lone.listed});
   }
 
   void ask() { ask(static_cast<GroupId>(random_() % kGroups)); }
@@ -202,12 +204,12 @@
       request.session = sessions_ += draw() < 0.5;
     auto client = std::make_shared<Client>();
     const Nanos deadline = request.deadline;
-    if (!core_->take(std::move(request), *client))
+    if (!core_->begin_request(std::move(request), *client))
       return void(++unanswered);
     if (draw() < 0.05) {
       virtual_time::at(net::now() + 30 * kMs, [this, client, name = std::string(id)] {
         if (client->answers == 0)
-          core_->gone(name), ++client->answers;
+          core_->client_disconnected(name), ++client->answers;
       });
     }
     virtual_time::at(deadline + 50 * kMs, [this, client] {
@@ -216,11 +218,11 @@
     });
   }
 
-  void listed(MemberId, const std::string&) override {}
+  void add_endpoint(EndpointId, const std::string&) override {}
 
-  void removed(MemberId) override {}
+  void remove_endpoint(EndpointId) override {}
 
-  Machine* machine(MemberId member) {
+  Machine* machine(EndpointId member) {
     char name[24];
     std::snprintf(name, sizeof name, "s-%08x", member);
     for (Machine& machine : machines_)
@@ -229,16 +231,17 @@
     return nullptr;
   }
 
-  broker::Answer answer_of(const Machine& machine) {
-    broker::Answer answer;
-    answer.result = Result::Ok;
+  proxy::UpstreamResponse answer_of(const Machine& machine) {
+    proxy::UpstreamResponse answer;
+    answer.status = AttemptStatus::Ok;
     answer.role = machine.primary ? Role::Primary : Role::Replica;
-    answer.position = net::now() - (machine.primary ? 0 : 20 * kMs);
-    answer.report = {answer.position, machine.primary};
+    answer.replication_position = net::now() - (machine.primary ? 0 : 20 * kMs);
+    answer.load_report = {answer.replication_position, machine.primary};
     return answer;
   }
 
-  void send(broker::AttemptId attempt, MemberId member, broker::Call&, Nanos until) override {
+  void start_attempt(proxy::AttemptId attempt, EndpointId member, proxy::ClientCall&,
+                     Nanos until) override {
     const double luck = draw();
     out_.insert(attempt);
     const Nanos takes = static_cast<Nanos>(10 + random_() % 60) * kMs;
@@ -249,43 +252,44 @@
                        if (!out_.erase(attempt))
                          return;
                        const Machine* from = machine(member);
-                       broker::Answer answer;
+                       proxy::UpstreamResponse answer;
                        if (from && !never && luck > 0.15)
                          answer = answer_of(*from);
-                       answer.result = !from          ? Result::NoConnection
-                                       : never        ? Result::Timeout
-                                       : luck < 0.06  ? Result::Error
-                                       : luck < 0.09  ? Result::Full
-                                       : luck < 0.12  ? Result::Reset
-                                       : luck <= 0.15 ? Result::NoConnection
-                                                      : Result::Ok;
-                       core_->ended(attempt, answer);
+                       answer.status = !from          ? AttemptStatus::ConnectFailed
+                                       : never        ? AttemptStatus::Timeout
+                                       : luck < 0.06  ? AttemptStatus::Error
+                                       : luck < 0.09  ? AttemptStatus::Rejected
+                                       : luck < 0.12  ? AttemptStatus::Reset
+                                       : luck <= 0.15 ? AttemptStatus::ConnectFailed
+                                                      : AttemptStatus::Ok;
+                       core_->complete_attempt(attempt, answer);
                      });
   }
 
-  void probe(MemberId member) override {
+  void start_health_check(EndpointId member) override {
     virtual_time::at(net::now() + 5 * kMs, [this, member] {
       const Machine* from = machine(member);
-      core_->probed(member, from && !from->silent ? answer_of(*from) : broker::Answer{});
+      core_->complete_health_check(member, from && !from->silent ? answer_of(*from)
+                                                                 : proxy::UpstreamResponse{});
     });
   }
 
-  void cancel(broker::AttemptId attempt) override {
+  void cancel_attempt(proxy::AttemptId attempt) override {
     if (!out_.erase(attempt))
       return;
-    broker::Answer answer;
-    answer.result = Result::Cancelled;
-    core_->ended(attempt, answer);
+    proxy::UpstreamResponse answer;
+    answer.status = AttemptStatus::Cancelled;
+    core_->complete_attempt(attempt, answer);
   }
 
-  void withdraw(broker::AttemptId) override {}  // written already: it ends in its time
+  void detach_call(proxy::AttemptId) override {}  // written already: it ends in its time
 
   Random random_;
   unsigned named_ = 0;
   std::uint64_t sessions_ = 1;
   std::vector<Machine> machines_;
-  std::set<broker::AttemptId> out_;
-  std::unique_ptr<broker::Core> core_;
+  std::set<proxy::AttemptId> out_;
+  std::unique_ptr<proxy::RequestBroker> core_;
 };
 
 }  // namespace
--- a/tests/shapes_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -1,12 +1,12 @@
-#include "shapes/sql.h"
+#include "sql_classifier/sql_classifier.h"
 
 #include <gtest/gtest.h>
 
-namespace gorsebeam::shapes {
+namespace gorsebeam::sql_classifier {
 namespace {
 
 TEST(Shapes, ReadsAreKnownAsReads) {
-  const Sql sql({"area_total", "app.last_fault"});
+  const SqlClassifier sql({"area_total", "app.last_fault"});
   for (const char* text : {
            "SELECT 1",
            "SELECT data FROM facts WHERE code = '7f' /* id=a,c=b */",
@@ -39,7 +39,7 @@
 }
 
 TEST(Shapes, NoWriteIsTakenForARead) {
-  const Sql sql;
+  const SqlClassifier sql;
   for (const char* text : {
            "INSERT INTO t VALUES (1)",
            "UPDATE t SET a = 1",
@@ -148,7 +148,7 @@
 }
 
 TEST(Shapes, WhatIsTooLargeOrTooDeepIsUnknownAndEndsNothing) {
-  const Sql sql;
+  const SqlClassifier sql;
   const auto nested = [](int depth) {
     return "SELECT " + std::string(static_cast<std::size_t>(depth), '(') + "1" +
            std::string(static_cast<std::size_t>(depth), ')');
@@ -173,4 +173,4 @@
 }
 
 }  // namespace
-}  // namespace gorsebeam::shapes
+}  // namespace gorsebeam::sql_classifier
--- a/tests/budgets_test.cpp
+++ b/tests/token_buckets_test.cpp
@@ -1,5 +1,5 @@
-#include "budgets/ledger.h"
 #include "grpc/message.h"
+#include "rate_limit/token_buckets.h"
 
 #include <gtest/gtest.h>
 
@@ -8,34 +8,34 @@
 constexpr Nanos s = 1'000'000'000;
 
 TEST(Budgets, ABucketHoldsItsBurstFillsAtItsRateAndSaysWhenTheNextFits) {
-  budgets::Ledger ledger;
-  ledger.set({{"portal", {2, 3}}}, 0);
+  rate_limit::TokenBuckets ledger;
+  ledger.replace_rates({{"portal", {2, 3}}}, 0);
   for (int i = 0; i < 3; ++i)
-    EXPECT_EQ(ledger.charge("portal", 0), 0);
-  EXPECT_EQ(ledger.charge("portal", 0), s / 2);
-  EXPECT_EQ(ledger.charge("portal", s / 4), s / 4);  // a refused one takes nothing
-  EXPECT_EQ(ledger.charge("portal", s / 2), 0);
-  EXPECT_EQ(ledger.charge("portal", 100 * s), 0);  // a long rest fills no more than the burst
-  EXPECT_EQ(ledger.charge("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.charge("portal", 100 * s), 0);
-  EXPECT_GT(ledger.charge("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.charge("without", 0), 0);
+    EXPECT_EQ(ledger.try_acquire("portal", 0), 0);
+  EXPECT_EQ(ledger.try_acquire("portal", 0), s / 2);
+  EXPECT_EQ(ledger.try_acquire("portal", s / 4), s / 4);  // a refused one takes nothing
+  EXPECT_EQ(ledger.try_acquire("portal", s / 2), 0);
+  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);  // a long rest fills no more than the burst
+  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
+  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
+  EXPECT_GT(ledger.try_acquire("portal", 100 * s), 0);
+  EXPECT_EQ(ledger.try_acquire("without", 0), 0);
 }
 
 TEST(Budgets, AChangeOfRatesGivesNoTeamAFreshBucketAndForgetsThoseThatAreGone) {
-  budgets::Ledger ledger;
-  ledger.set({{"portal", {1, 10}}, {"gone", {1, 1}}}, 0);
+  rate_limit::TokenBuckets ledger;
+  ledger.replace_rates({{"portal", {1, 10}}, {"gone", {1, 1}}}, 0);
   for (int i = 0; i < 10; ++i)
-    EXPECT_EQ(ledger.charge("portal", 0), 0);
-  ledger.set({{"portal", {1, 20}}, {"new", {1, 1}}}, 0);
+    EXPECT_EQ(ledger.try_acquire("portal", 0), 0);
+  ledger.replace_rates({{"portal", {1, 20}}, {"new", {1, 1}}}, 0);
   EXPECT_EQ(ledger.size(), 2u);
-  EXPECT_EQ(ledger.charge("portal", 0), s);  // what it had used up stays used up
-  EXPECT_EQ(ledger.charge("gone", 0), 0);
-  EXPECT_EQ(ledger.charge("new", 0), 0);
-  ledger.set({{"portal", {1, 2}}}, 100 * s);  // and a smaller burst binds at once
-  EXPECT_EQ(ledger.charge("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.charge("portal", 100 * s), 0);
-  EXPECT_GT(ledger.charge("portal", 100 * s), 0);
+  EXPECT_EQ(ledger.try_acquire("portal", 0), s);  // what it had used up stays used up
+  EXPECT_EQ(ledger.try_acquire("gone", 0), 0);
+  EXPECT_EQ(ledger.try_acquire("new", 0), 0);
+  ledger.replace_rates({{"portal", {1, 2}}}, 100 * s);  // and a smaller burst binds at once
+  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
+  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
+  EXPECT_GT(ledger.try_acquire("portal", 100 * s), 0);
 }
 
 TEST(GrpcMessages, ComeInPiecesAndLiesEndTheStreamBeforeAnythingIsHeldForThem) {
--- /dev/null
+++ b/tests/upstream_protocol_test.cpp
@@ -0,0 +1,47 @@
+// What PostgreSQL members' answers to probes tell.
+#include "postgres/codec.h"
+#include "postgres/upstream_protocol.h"
+
+#include "net/timer.h"
+
+#include <gtest/gtest.h>
+
+namespace gorsebeam::postgres {
+namespace {
+
+LoadReport report_of(const std::string& gauges) {
+  const std::string column = std::string("\0\1gauges\0", 9) + std::string(18, '\0');
+  const std::string row =
+      std::string("\0\1", 2) + u32(static_cast<std::uint32_t>(gauges.size())) + gauges;
+  const std::string in = message('T', column) + message('D', row) +
+                         message('C', std::string("SELECT 1\0", 9)) + message('Z', "I");
+  proxy::UpstreamResponse answer;
+  std::size_t used = 0;
+  EXPECT_EQ(make_wire()->answer(in, false, true, answer, used), connection_pool::ParseStep::Done);
+  EXPECT_EQ(answer.status, AttemptStatus::Ok);
+  return answer.load_report;
+}
+
+TEST(Wire, AReportsPositionIsInSeconds) {
+  const Nanos at = net::now() / 1'000'000 * 1'000'000 - 150'000'000;
+  const std::string ms = std::to_string(at / 1'000'000);
+  const LoadReport seconds = report_of("x0=" + ms.substr(0, 10) + "." + ms.substr(10) + ",x1=1");
+  ASSERT_TRUE(seconds.replication_position);
+  EXPECT_NEAR(static_cast<double>(*seconds.replication_position), static_cast<double>(at), 1e6);
+  EXPECT_TRUE(seconds.is_primary.value_or(false));
+  const LoadReport milliseconds = report_of("x0=" + ms + ",x1=0");
+  ASSERT_TRUE(milliseconds.replication_position);
+  EXPECT_NEAR(static_cast<double>(*milliseconds.replication_position), static_cast<double>(at),
+              1e6);
+  EXPECT_FALSE(milliseconds.is_primary.value_or(true));
+}
+
+TEST(Wire, AReportNotMadeYetTellsNothing) {
+  const LoadReport blank = report_of("x0=0.000,x1=0");
+  EXPECT_FALSE(blank.replication_position);
+  EXPECT_FALSE(blank.is_primary);  // else each primary would be taken as replaced by every gateway
+                                   // that starts
+}
+
+}  // namespace
+}  // namespace gorsebeam::postgres
--- a/tests/versions_test.cpp
+++ b/tests/version_tracker_test.cpp
@@ -1,13 +1,13 @@
-#include "versions/versions.h"
+#include "config_versions/version_tracker.h"
 
 #include <gtest/gtest.h>
 
 #include <map>
 #include <set>
 
-namespace gorsebeam::versions {
+namespace gorsebeam::config_versions {
 namespace {
-using Ran = versions::Run;  // the tests' base has a Run of its own
+using Ran = config_versions::Run;  // the tests' base has a Run of its own
 constexpr Nanos ms = 1'000'000;
 
 // A body is a number; contracts fit where the number that they refer to is at most the members'.
@@ -385,4 +385,4 @@
 }
 
 }  // namespace
-}  // namespace gorsebeam::versions
+}  // namespace gorsebeam::config_versions
