--- /dev/null
+++ b/src/router/attempt_observer.cpp
@@ -0,0 +1,201 @@
+#include "router/attempt_observer.h"
+
+#include "router/load_admission.h"
+#include "router/replication_positions.h"
+
+#include <algorithm>
+
+namespace gorsebeam::router {
+
+void AttemptObserver::record_answer(EndpointState& endpoint, const AttemptResult& result) {
+  const Nanos now = state_.event.now;
+  // Reads that began before a handover end with the old role. Each would send all that waits to an
+  // endpoint that has turned writes away since, until their attempts are used up.
+  if (result.role == Role::Replica)
+    endpoint.denied_primary_at = now;
+  const bool claims_primary =
+      result.role == Role::Primary && now - result.elapsed > endpoint.denied_primary_at;
+  if (claims_primary || result.role == Role::Replica)
+    state_.roles.record_role_evidence(endpoint,
+                                      {claims_primary, now, RoleEvidence::Source::Answer});
+  if (result.replication_position)
+    advance_replication_position(state_.endpoints, endpoint, *result.replication_position, now);
+  record_load_report(endpoint, result.load_report);
+}
+
+void AttemptObserver::record_load_report(EndpointState& endpoint, const LoadReport& report) {
+  const Nanos now = state_.event.now;
+  state_.outliers.record_connection_use(endpoint);
+  if (report.replication_position)
+    advance_replication_position(state_.endpoints, endpoint, *report.replication_position, now);
+  if (!report.is_primary)
+    return;
+  // A primary's position is the present, so it dates the report.
+  const Nanos dated = report.replication_position.value_or(now - kUndatedRoleAge);
+  state_.roles.record_role_evidence(endpoint,
+                                    {*report.is_primary, dated, RoleEvidence::Source::Report});
+}
+
+void AttemptObserver::record_attempt_end(EndpointState& endpoint, PendingRequest& request,
+                                         UpstreamAttempt& attempt, const AttemptResult& result) {
+  switch (result.status) {
+  case AttemptStatus::Ok:
+    record_success(endpoint, request, attempt, result);
+    break;
+  case AttemptStatus::Misdirected:
+    record_misdirection(endpoint, request, attempt, result);
+    break;
+  case AttemptStatus::Error:
+    state_.outliers.record_error(endpoint, attempt);
+    break;
+  case AttemptStatus::Timeout:
+    record_timeout(endpoint, request, attempt, result);
+    break;
+  case AttemptStatus::ConnectFailed:
+  case AttemptStatus::Reset:
+    record_connection_failure(endpoint, request, attempt, result);
+    break;
+  case AttemptStatus::Rejected:
+    record_rejection(endpoint, request);
+    break;
+  case AttemptStatus::Cancelled:
+  case AttemptStatus::NotSent:
+    break;
+  }
+  const bool may_have_run = RetryPolicy::may_have_run(result.status);
+  state_.sessions.record_end(request, attempt, result, may_have_run, state_.event.now);
+  if (may_have_run && request.may_have_run_at == kUnknown) {
+    request.may_have_run_at = attempt.sent_at;
+    request.may_have_run_on = endpoint.listing.id;
+  }
+}
+
+void AttemptObserver::record_success(EndpointState& endpoint, const PendingRequest& request,
+                                     const UpstreamAttempt& attempt, const AttemptResult& result) {
+  if (!attempt.is_overdue)
+    state_.classes.record_answer(request.request.class_index, static_cast<double>(result.elapsed));
+  if (!state_.event.is_after_stall())
+    record_load(endpoint, objective_fraction(request, result.elapsed));
+  OutlierEjector::record_success(endpoint);
+  // The endpoint checked the read itself, so its answer proves the position that the read needed.
+  const Nanos required = attempt.required_position;
+  if (is_read(request) && state_.settings.staleness_check != StalenessCheck::None &&
+      required != kUnknown) {
+    const Nanos shown_at = required > endpoint.position ? attempt.sent_at : kUnknown;
+    advance_replication_position(state_.endpoints, endpoint, required, shown_at);
+  }
+  state_.outliers.record_answer(endpoint, attempt);
+}
+
+void AttemptObserver::record_misdirection(EndpointState& endpoint, const PendingRequest& request,
+                                          const UpstreamAttempt& attempt,
+                                          const AttemptResult& result) {
+  endpoint.consecutive_failures = 0;
+  if (!is_read(request)) {
+    if (result.role != Role::Primary)
+      state_.roles.record_role_evidence(endpoint,
+                                        {false, state_.event.now, RoleEvidence::Source::Answer});
+    return;
+  }
+  if (attempt.required_position == kUnknown)
+    return;
+  endpoint.stale_before = std::max(endpoint.stale_before, attempt.required_position);
+  state_.health_checks.check(endpoint);
+}
+
+void AttemptObserver::record_timeout(EndpointState& endpoint, const PendingRequest& request,
+                                     const UpstreamAttempt& attempt, const AttemptResult& result) {
+  if (attempt.is_overdue)
+    return;
+  record_silence(endpoint);
+  if (result.elapsed >= retries_.overdue_after(request, endpoint.listing.id))
+    state_.outliers.record_timeout(endpoint, attempt);
+}
+
+void AttemptObserver::record_connection_failure(EndpointState& endpoint,
+                                                const PendingRequest& request,
+                                                UpstreamAttempt& attempt,
+                                                const AttemptResult& result) {
+  attempt.connection_broke = true;
+  // Refused at once, the process is down; run into the timeout, the network path or the set-up may
+  // be slow.
+  const bool is_slow = result.status == AttemptStatus::ConnectFailed &&
+                       result.elapsed >= state_.settings.connect_timeout / 2;
+  if (is_slow)
+    record_load(endpoint, objective_fraction(request, result.elapsed));
+  const auto kind = is_slow ? ConnectionFailureKind::Slow : ConnectionFailureKind::Immediate;
+  if (state_.outliers.record_connection_failure(endpoint, attempt, kind))
+    state_.health_checks.check(endpoint, kHealthCheckGap, HealthCheckBudget::Exempt);
+}
+
+void AttemptObserver::record_rejection(EndpointState& endpoint, PendingRequest& request) {
+  record_load(endpoint, LatencyLoadEstimator::kNoAnswer);
+  if (state_.endpoints.is_primary(endpoint))
+    request.retry_not_before = retries_.retry_after_rejection(request);
+}
+
+// An attempt without an answer is a sign of load only where the answers that do come are slow, or
+// none come: where they are quick, answers are being lost, and holding requests back would not
+// help.
+void AttemptObserver::record_silence(EndpointState& endpoint) {
+  const FadingLoad& pool = state_.pool_of(endpoint);
+  if (pool.count() < 1 || pool.exceeds(kTargetLoad))
+    record_load(endpoint, LatencyLoadEstimator::kNoAnswer);
+}
+
+void AttemptObserver::record_load(EndpointState& endpoint, double objective_fraction) {
+  FadingLoad& pool = state_.pool_of(endpoint);
+  state_.loads.record(endpoint.load, pool, objective_fraction, state_.event.now);
+}
+
+bool AttemptObserver::is_read(const PendingRequest& request) const {
+  return state_.class_of(request).consistency != ConsistencyLevel::Write;
+}
+
+double AttemptObserver::objective_fraction(const PendingRequest& request, Nanos elapsed) const {
+  return static_cast<double>(elapsed) /
+         static_cast<double>(state_.class_of(request).latency_objective);
+}
+
+void AttemptObserver::record_health_check(EndpointState& endpoint,
+                                          const HealthCheckResult& result) {
+  endpoint.has_health_check = false;
+  const GroupId group_id = endpoint.listing.group;
+  // Answers outrank health checks: one that fails ejects no endpoint, as health checks may fail, or
+  // be too many, while requests are served. An endpoint that died shows at the next request's
+  // connection.
+  if (!result.succeeded) {
+    state_.endpoints.mark_dispatchable(group_id);
+    return;
+  }
+  record_load_report(endpoint, result.load_report);
+  if (endpoint.needs_recovery_attempt)
+    return;
+  // Writes must not wait for a discovery after each broken connection: a primary that accepts a new
+  // one and says what it is was not lost. After timeouts only an answer decides, as a health check
+  // proves little.
+  ReplicaGroup& group = state_.endpoints.group(group_id);
+  if (group.primary == endpoint.listing.id && result.load_report.is_primary.value_or(false))
+    group.primary_suspected = false;
+  state_.outliers.readmit(endpoint);
+  state_.endpoints.mark_dispatchable(group_id);
+}
+
+void AttemptObserver::mark_overdue_attempts(PendingRequest& request) {
+  if (state_.event.is_after_stall())
+    return;
+  for (UpstreamAttempt& attempt : request.attempts) {
+    if (!attempt.in_flight || attempt.is_overdue)
+      continue;
+    const Nanos age = state_.event.now - attempt.sent_at;
+    if (age < retries_.overdue_after(request, attempt.endpoint))
+      continue;
+    attempt.is_overdue = true;
+    state_.classes.record_overdue(request.request.class_index);
+    EndpointState& endpoint = state_.endpoints.at(attempt.endpoint);
+    record_silence(endpoint);
+    state_.outliers.record_timeout(endpoint, attempt);
+  }
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/class_statistics.cpp
@@ -0,0 +1,33 @@
+#include "router/class_statistics.h"
+
+namespace gorsebeam::router {
+namespace {
+
+constexpr double kStep = 0.02;  // by which a sample moves a median: about the last fifty count
+constexpr double kInitialObjectiveFraction = 5;  // the first estimate is the objective over this
+
+}  // namespace
+
+ClassStatistics::ClassStatistics(const std::vector<RequestClass>& classes) {
+  for (const RequestClass& request_class : classes) {
+    const auto objective = static_cast<double>(request_class.latency_objective);
+    rows_.push_back({objective / kInitialObjectiveFraction, 0});
+  }
+}
+
+void ClassStatistics::record_request(std::size_t class_index) {
+  for (Row& row : rows_)
+    row.traffic *= 1 - kStep;
+  rows_.at(class_index).traffic += 1;
+}
+
+void ClassStatistics::record_answer(std::size_t class_index, double elapsed) {
+  Row& row = rows_.at(class_index);
+  row.usual_time *= elapsed > row.usual_time ? 1 + kStep : 1 - kStep;
+}
+
+void ClassStatistics::record_overdue(std::size_t class_index) {
+  rows_.at(class_index).usual_time *= 1 + kStep;
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/endpoint_list_updater.cpp
@@ -0,0 +1,92 @@
+#include "router/endpoint_list_updater.h"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace gorsebeam::router {
+namespace {
+
+constexpr Nanos kPollRetryGap = 1000 * kMillisecond;  // until a failed poll is repeated
+
+}  // namespace
+
+void EndpointListUpdater::apply(const EndpointList& list) {
+  const Nanos now = state_.event.now;
+  const bool polls = state_.settings.discovery_mode == DiscoveryMode::Poll;
+  if (list.kind == EndpointList::Kind::Failed) {
+    if (polls)
+      state_.timers.schedule_list_poll(now + kPollRetryGap);
+    return;
+  }
+  if (polls && list.kind == EndpointList::Kind::Cached)
+    state_.timers.schedule_list_poll(now);
+  std::set<EndpointId> listed;
+  for (const Endpoint& entry : list.endpoints) {
+    listed.insert(entry.id);
+    apply_entry(entry, list);
+  }
+  if (list.kind != EndpointList::Kind::Delta) {
+    for (auto& [id, endpoint] : state_.endpoints.all()) {
+      if (listed.count(id) == 0)
+        mark_leaving(endpoint, EndpointStatus::Removed);
+    }
+  }
+  state_.endpoints.forget_removed(now, state_.requests.endpoints_in_use());
+}
+
+void EndpointListUpdater::apply_entry(const Endpoint& entry, const EndpointList& list) {
+  const bool is_new = state_.endpoints.find(entry.id) == nullptr;
+  if (is_new && entry.status == EndpointStatus::Removed)
+    return;
+  EndpointState& endpoint = state_.endpoints.obtain(entry.id);
+  const Nanos previous_start = endpoint.listing.started_at;
+  const bool was_listed_as_primary = endpoint.listing.listed_as_primary;
+  endpoint.listing = entry;
+  std::vector<EndpointId>& ids = state_.endpoints.group(entry.group).endpoints;
+  if (is_new)
+    ids.insert(std::lower_bound(ids.begin(), ids.end(), entry.id), entry.id);
+  const bool has_restarted = is_new || entry.started_at != previous_start;
+  if (entry.started_at > 0 && has_restarted)
+    endpoint.warming_since = std::max(endpoint.warming_since, entry.started_at);
+  if (entry.status != EndpointStatus::Up) {
+    mark_leaving(endpoint, entry.status);
+    return;
+  }
+  endpoint.is_leaving = false;
+  endpoint.removed_at = kNever;
+  if (entry.listed_as_primary && (is_new || !was_listed_as_primary))
+    record_listed_primary(endpoint, list.kind);
+  if (is_new)
+    state_.health_checks.check_new_endpoint(endpoint, list.endpoints.size());
+  state_.endpoints.mark_dispatchable(entry.group);
+}
+
+// The list's word counts only while no primary is known, and a cached list's as the oldest
+// evidence.
+void EndpointListUpdater::record_listed_primary(EndpointState& endpoint, EndpointList::Kind kind) {
+  if (state_.settings.listed_role == ListedRole::None ||
+      state_.endpoints.group_of(endpoint).primary)
+    return;
+  const bool is_cached = kind == EndpointList::Kind::Cached;
+  const Nanos dated = is_cached ? kUnknown + 1 : state_.event.now - kUndatedRoleAge;
+  state_.roles.record_role_evidence(endpoint, {true, dated, RoleEvidence::Source::Report});
+}
+
+// Where only draining is binding, an endpoint listed as removed, or left out, that never drained is
+// assumed to run: lists shrink and recover while endpoints serve, and one that is gone shows at its
+// connections.
+void EndpointListUpdater::mark_leaving(EndpointState& endpoint, EndpointStatus status) {
+  const bool is_removed = status == EndpointStatus::Removed;
+  if (state_.settings.only_draining_is_binding && is_removed && !endpoint.is_leaving) {
+    endpoint.listing.status = EndpointStatus::Up;
+    return;
+  }
+  endpoint.listing.status = status;
+  endpoint.removed_at = is_removed ? std::min(endpoint.removed_at, state_.event.now) : kNever;
+  endpoint.is_leaving = true;
+  state_.roles.suspect_primary(endpoint);
+  state_.endpoints.mark_dispatchable(endpoint.listing.group);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/endpoint_selection.cpp
@@ -0,0 +1,255 @@
+#include "router/endpoint_selection.h"
+
+#include "router/hashing.h"
+#include "router/replication_positions.h"
+#include "router/slow_start.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace gorsebeam::router {
+namespace {
+
+constexpr EndpointId kNoEndpoint = std::numeric_limits<EndpointId>::max();  // reserved
+
+bool needs_current_data(const RequestClass& request_class) {
+  return request_class.consistency == ConsistencyLevel::BoundedStaleness ||
+         request_class.consistency == ConsistencyLevel::Session;
+}
+
+bool only_primary_serves(const RequestClass& request_class) {
+  return request_class.consistency == ConsistencyLevel::Write ||
+         request_class.consistency == ConsistencyLevel::Strong;
+}
+
+}  // namespace
+
+// A read that met a broken connection at every endpoint must not wait while all of them live on:
+// once as many attempts went out as there are endpoints to serve it, one whose connection broke may
+// have it again.
+bool EndpointSelector::was_attempted(const PendingRequest& request, EndpointId id) const {
+  const ReplicaGroup& group = state_.group_of(request);
+  for (const UpstreamAttempt& attempt : request.attempts) {
+    if (attempt.endpoint != id)
+      continue;
+    if (!attempt.connection_broke)
+      return true;
+    const std::size_t unavailable = group.primary_suspected ? 1 : 0;
+    const auto round = static_cast<double>(request.attempts.size() + unavailable);
+    if (round < state_.endpoints.serving_endpoints(group))
+      return true;
+  }
+  return false;
+}
+
+// Deviates from the base design for reads that any endpoint may serve and that run far longer than
+// those which need current data. A replica may apply nothing while it holds one, so they go
+// together to one replica, the same at every router; it serves others when proven current. What
+// finds no room there goes to the primary. Costs latency if such reads fill a machine.
+bool EndpointSelector::is_long_running(std::size_t class_index) const {
+  const std::vector<RequestClass>& classes = state_.settings.classes;
+  if (classes[class_index].consistency != ConsistencyLevel::Eventual)
+    return false;
+  const double usual_time = state_.classes.usual_time(class_index);
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    if (needs_current_data(classes[i]) &&
+        usual_time < kLongReadFactor * state_.classes.usual_time(i))
+      return false;
+  }
+  return true;
+}
+
+std::optional<EndpointId> EndpointSelector::long_read_replica(const ReplicaGroup& group) const {
+  bool has_long_reads = false;
+  for (std::size_t i = 0; i < state_.settings.classes.size(); ++i)
+    has_long_reads |= is_long_running(i);
+  if (!has_long_reads)
+    return std::nullopt;
+  std::optional<EndpointId> best;
+  for (const EndpointId id : group.endpoints) {
+    const EndpointState& endpoint = state_.endpoints.at(id);
+    if (!endpoint.is_usable() || endpoint.is_ejected || group.primary == id)
+      continue;
+    if (slow_start_capacity(endpoint, state_.settings, state_.event.now) < 1)
+      continue;
+    if (!best || mix_hash(id) > mix_hash(*best))
+      best = id;
+  }
+  return best;
+}
+
+// The base design's test and nothing else: not ejected, and known to be current for this read.
+bool EndpointSelector::is_admitted(const EndpointState& endpoint,
+                                   const PendingRequest& request) const {
+  if (endpoint.is_ejected)
+    return false;
+  const RequestClass& request_class = state_.class_of(request);
+  if (request_class.consistency == ConsistencyLevel::Eventual)
+    return true;
+  return needs_current_data(request_class) &&
+         is_proven_current(endpoint, request_class, request, state_.event.now);
+}
+
+// Deviates from the base design where endpoints check reads for staleness and a replica's known
+// position is too old to prove it current. Once it answered, it is taken as current unless a
+// misdirected read, or its position when last shown, says otherwise; its own check keeps the read
+// from stale data. Also covers health checks that fail. Costs a misdirected read where the replica
+// fell behind.
+bool EndpointSelector::is_presumed_current(const EndpointState& endpoint,
+                                           const PendingRequest& request) const {
+  if (state_.settings.staleness_check == StalenessCheck::None || endpoint.is_ejected ||
+      is_known_stale(endpoint))
+    return false;
+  const RequestClass& request_class = state_.class_of(request);
+  if (request_class.consistency == ConsistencyLevel::Session)
+    return true;
+  if (request_class.consistency != ConsistencyLevel::BoundedStaleness)
+    return false;
+  return endpoint.position_shown_at == kUnknown ||
+         endpoint.position_shown_at - endpoint.position <= request_class.max_staleness;
+}
+
+// Deviates from the base design where an even split leaves the replica with the long reads, or the
+// primary once replicas are under pressure (answers take over half of the target load), with less
+// work than the rest. An endpoint's share is what its even share of all work leaves beside what
+// only it can do. Costs balance where other routers have another mix of requests.
+double EndpointSelector::load_share(const ReplicaGroup& group, EndpointId id,
+                                    bool serves_long_reads) const {
+  const bool is_primary = group.primary == id;
+  double all = 0;
+  double own = 0;
+  for (std::size_t i = 0; i < state_.settings.classes.size(); ++i) {
+    const double work = state_.classes.traffic(i) * state_.classes.usual_time(i);
+    all += work;
+    if (is_primary ? only_primary_serves(state_.settings.classes[i])
+                   : serves_long_reads && is_long_running(i))
+      own += work;
+  }
+  return std::max(0.0, all - own * state_.endpoints.serving_endpoints(group));
+}
+
+std::optional<EndpointId> EndpointSelector::pick_by_weighted_hash(const PendingRequest& request,
+                                                                  WeightedIds candidates) {
+  std::uint64_t hash = request.hash_key;
+  while (!candidates.empty()) {
+    double sum = 0;
+    for (const auto& [id, weight] : candidates)
+      sum += weight;
+    double point = unit_interval(hash) * sum;
+    std::size_t picked = 0;
+    while (picked + 1 < candidates.size()) {
+      point -= candidates[picked].second;
+      if (!(point >= 0))
+        break;
+      ++picked;
+    }
+    EndpointState& endpoint = state_.endpoints.at(candidates[picked].first);
+    if (admission_.admits_under_load(endpoint, request) &&
+        admission_.admits_during_slow_start(endpoint, request))
+      return endpoint.listing.id;
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(picked));
+    hash = mix_hash(hash);
+  }
+  return std::nullopt;
+}
+
+bool EndpointSelector::can_recover(const EndpointState& endpoint,
+                                   const PendingRequest& request) const {
+  const Nanos now = state_.event.now;
+  if (!endpoint.is_ejected || endpoint.has_health_check || endpoint.has_recovery_attempt ||
+      now < endpoint.next_recovery_at || !endpoint.is_usable())
+    return false;
+  const RequestClass& request_class = state_.class_of(request);
+  return request_class.consistency == ConsistencyLevel::Eventual ||
+         state_.settings.staleness_check != StalenessCheck::None ||
+         endpoint.position >= required_position(request_class, request, now);
+}
+
+// Deviates from the base design when the health check of an ejected endpoint did not decide: it
+// failed, exceeded the budget, or proves little after timeouts or errors. One idempotent read at a
+// time is sent to it, after a pause that doubles with each failure; this also lets a fresh router's
+// first reads through. It gets no more than the hash would give it, unless no other is left: many
+// routers, each for itself, would overload one that has just started.
+std::optional<EndpointId> EndpointSelector::choose_recovery_attempt(const PendingRequest& request,
+                                                                    RecoveryChoice choice) {
+  if (state_.class_of(request).idempotency != Idempotency::Idempotent || !request.attempts.empty())
+    return std::nullopt;
+  std::vector<EndpointId> slots;
+  for (const EndpointId id : state_.group_of(request).endpoints) {
+    if (can_recover(state_.endpoints.at(id), request))
+      slots.push_back(id);
+    else if (choice == RecoveryChoice::ByHashShare)
+      slots.push_back(kNoEndpoint);
+  }
+  if (slots.empty())
+    return std::nullopt;
+  const EndpointId id = slots[mix_hash(request.draw) % slots.size()];
+  if (id == kNoEndpoint)
+    return std::nullopt;
+  return id;
+}
+
+EndpointSelector::Candidates
+EndpointSelector::collect_candidates(const PendingRequest& request,
+                                     std::optional<EndpointId> long_read_replica) {
+  const ReplicaGroup& group = state_.group_of(request);
+  Candidates candidates;
+  for (const EndpointId id : group.endpoints) {
+    const EndpointState& endpoint = state_.endpoints.at(id);
+    if (!endpoint.is_usable() || endpoint.is_ejected || was_attempted(request, id))
+      continue;
+    const bool serves_long_reads = long_read_replica == id;
+    const double share = load_share(group, id, serves_long_reads);
+    if (group.primary == id) {
+      const double weight = share * admission_.pressure(Role::Replica);
+      if (!group.primary_suspected && weight > 0)
+        candidates.admitted.emplace_back(id, weight);
+      continue;
+    }
+    if (is_admitted(endpoint, request) ||
+        (!serves_long_reads && is_presumed_current(endpoint, request))) {
+      candidates.admitted.emplace_back(id, share);
+      candidates.has_replica = true;
+    }
+    candidates.reachable.push_back(id);
+  }
+  return candidates;
+}
+
+std::optional<EndpointId>
+EndpointSelector::most_advanced(const PendingRequest& request,
+                                const std::vector<EndpointId>& candidates) {
+  const Nanos required = required_position(state_.class_of(request), request, state_.event.now);
+  std::optional<EndpointId> best;
+  for (const EndpointId id : candidates) {
+    EndpointState& endpoint = state_.endpoints.at(id);
+    if (is_known_stale(endpoint) && endpoint.stale_before <= required)
+      continue;
+    if (!admission_.admits_under_load(endpoint, request))
+      continue;
+    if (!best || endpoint.position > state_.endpoints.at(*best).position)
+      best = id;
+  }
+  return best;
+}
+
+std::optional<EndpointId> EndpointSelector::choose_replica(const PendingRequest& request) {
+  const auto gathering = long_read_replica(state_.group_of(request));
+  if (gathering && is_long_running(request.request.class_index)) {
+    if (was_attempted(request, *gathering))
+      return std::nullopt;
+    return pick_by_weighted_hash(request, {{*gathering, 1}});
+  }
+  Candidates candidates = collect_candidates(request, gathering);
+  if (candidates.has_replica)
+    return pick_by_weighted_hash(request, std::move(candidates.admitted));
+  // A replica that is not proven current stays out of bounded and session reads, except where
+  // endpoints check reads themselves: then the most advanced one is asked first, unless it is known
+  // to lag too far.
+  if (state_.settings.staleness_check == StalenessCheck::None)
+    return std::nullopt;
+  return most_advanced(request, candidates.reachable);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/event_context.h
@@ -0,0 +1,34 @@
+/// The event that a router handles: its time, and the actions that it leads to.
+#pragma once
+
+#include "gorsebeam/actions.h"
+#include "gorsebeam/log_messages.h"
+#include "router/time_points.h"
+
+#include <utility>
+#include <vector>
+
+namespace gorsebeam::router {
+
+/// Owned by the router's state and updated with each event; other modules hold a reference.
+struct EventContext {
+  Nanos now = 0;
+  Nanos stalled_at = kNever;  ///< When a timer last came far too late.
+  std::vector<Action>* actions =
+      nullptr;  ///< The caller's list; set only while an event is handled.
+
+  /// Whether the router itself stood still until this event. What it finds then says nothing about
+  /// the endpoints.
+  [[nodiscard]] bool is_after_stall() const { return stalled_at == now; }
+
+  /// Appends an action. Actions are done in this order.
+  template <typename AnyAction>
+  void emit(AnyAction action) const {
+    actions->emplace_back(std::move(action));
+  }
+
+  /// Appends a message for the operators' log.
+  void log(LogMessage message) const { emit(message); }
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/health_check_scheduler.cpp
@@ -0,0 +1,72 @@
+#include "router/health_check_scheduler.h"
+
+#include "router/replication_positions.h"
+
+#include <algorithm>
+
+namespace gorsebeam::router {
+namespace {
+
+constexpr double kBudgetShare = 0.1;  // checks for each request of this router: bounds their cost
+constexpr double kMinProofValue = 0.04;  // of a read's value, for a proof that it alone uses
+
+}  // namespace
+
+void HealthCheckScheduler::accrue_budget(bool read_needs_own_proof, double primary_pressure) {
+  const double value = std::max(kMinProofValue, primary_pressure);
+  const double share =
+      read_needs_own_proof ? value / std::max(settings_.health_check_price, value) : kBudgetShare;
+  budget_ = std::min(budget_ + share, kMaxBudget);
+}
+
+bool HealthCheckScheduler::check(EndpointState& endpoint, Nanos gap, HealthCheckBudget budget) {
+  const bool limited = budget == HealthCheckBudget::Limited;
+  if (!settings_.health_checks_allowed || endpoint.has_health_check || !endpoint.is_usable())
+    return false;
+  if (limited && budget_ < 1)
+    return false;
+  const Nanos last = endpoint.last_health_check_at;
+  if (last != kUnknown && event_.now - last < gap)
+    return false;
+  if (limited)
+    budget_ -= 1;
+  endpoint.has_health_check = true;
+  endpoint.last_health_check_at = event_.now;
+  event_.emit(SendHealthCheck{endpoint.listing.id});
+  return true;
+}
+
+void HealthCheckScheduler::refresh_group(const ReplicaGroup& group,
+                                         const RequestClass& request_class) {
+  for (const EndpointId id : group.endpoints) {
+    EndpointState& endpoint = endpoints_.at(id);
+    if (!endpoint.is_usable())
+      continue;
+    const bool check_can_readmit = !endpoint.needs_recovery_attempt || endpoint.may_have_restarted;
+    if (endpoint.is_ejected && check_can_readmit)
+      check(endpoint, 4 * kHealthCheckGap);
+    refresh_position(endpoint, group, request_class);
+  }
+}
+
+void HealthCheckScheduler::refresh_position(EndpointState& endpoint, const ReplicaGroup& group,
+                                            const RequestClass& request_class) {
+  if (!settings_.load_reports_hold_positions || group.primary == endpoint.listing.id ||
+      endpoint.is_ejected)
+    return;
+  const Nanos max_staleness = request_class.max_staleness;
+  const bool is_old =
+      endpoint.position == kUnknown || event_.now - endpoint.position > max_staleness / 2;
+  const bool is_bounded = request_class.consistency == ConsistencyLevel::BoundedStaleness;
+  if (is_bounded && !group.sparse_bounded_reads && is_old)
+    check(endpoint, max_staleness / 3);
+  if (is_known_stale(endpoint))
+    check(endpoint, 5 * kHealthCheckGap);
+}
+
+void HealthCheckScheduler::check_new_endpoint(EndpointState& endpoint, std::size_t list_size) {
+  if (static_cast<double>(list_size) <= kMaxBudget)
+    check(endpoint);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/health_check_scheduler.h
@@ -0,0 +1,58 @@
+/// Spaces health checks and keeps them within a budget.
+#pragma once
+
+#include "gorsebeam/settings.h"
+#include "router/endpoint_table.h"
+#include "router/event_context.h"
+
+#include <cstddef>
+
+namespace gorsebeam::router {
+
+/// The shortest time between two health checks of one endpoint.
+constexpr Nanos kHealthCheckGap = 100 * kMillisecond;
+
+/// Whether a health check counts against the budget.
+enum class HealthCheckBudget {
+  Limited,  ///< Only sent while the budget lasts.
+  Exempt,   ///< Sent in any case.
+};
+
+/// The budget is a share of this router's own requests, which bounds the cost of health checks.
+class HealthCheckScheduler {
+public:
+  HealthCheckScheduler(const EventContext& event, const Settings& settings,
+                       EndpointTable& endpoints)
+      : event_(event), settings_(settings), endpoints_(endpoints) {}
+
+  /// Adds a request's share to the budget. A read of a group whose bounded reads are sparse may
+  /// spend what its proof is worth to it alone, which rises with the load of the primaries, as
+  /// `primary_pressure` in [0, 1] says.
+  void accrue_budget(bool read_needs_own_proof, double primary_pressure);
+
+  /// Sends a health check if one is allowed, none is in flight and the last is at least `gap` ago.
+  /// Returns whether it was sent.
+  bool check(EndpointState& endpoint, Nanos gap = kHealthCheckGap,
+             HealthCheckBudget budget = HealthCheckBudget::Limited);
+
+  /// Keeps the group of a read known: checks ejected endpoints until they answer, and refreshes
+  /// positions before a staleness bound outlives them.
+  void refresh_group(const ReplicaGroup& group, const RequestClass& request_class);
+
+  /// Checks an endpoint that is new in a list of `list_size` entries. Those of longer lists are
+  /// checked when their group is read, as a fresh router must not check them all at once.
+  void check_new_endpoint(EndpointState& endpoint, std::size_t list_size);
+
+private:
+  void refresh_position(EndpointState& endpoint, const ReplicaGroup& group,
+                        const RequestClass& request_class);
+
+  const EventContext& event_;
+  const Settings& settings_;
+  EndpointTable& endpoints_;
+  double budget_ = kMaxBudget;
+
+  static constexpr double kMaxBudget = 10;  // checks at once: a group's endpoints, and some more
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/load_estimator.h
@@ -0,0 +1,62 @@
+/// Estimates the load of endpoints from how long their answers take.
+///
+/// A sample is an answer's time as a fraction of its latency objective. Samples fade, so that an
+/// estimate follows jams, which last seconds. Few answers of a single endpoint reach a small
+/// router, so they are weighed against those of all endpoints in its zone with its role; this also
+/// covers a slow network path between zones.
+#pragma once
+
+#include "gorsebeam/types.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace gorsebeam::router {
+
+/// A sum of samples in which older ones count less.
+class FadingLoad {
+public:
+  /// Fades all samples up to `now`.
+  FadingLoad& fade(Nanos now);
+
+  /// Adds a sample at the time of the last `fade`. Capped: late is late.
+  void add(double objective_fraction);
+
+  /// Whether the mean of the samples exceeds `target`.
+  [[nodiscard]] bool exceeds(double target) const { return sum_ > target * count_; }
+
+  [[nodiscard]] double sum() const { return sum_; }
+
+  [[nodiscard]] double count() const { return count_; }
+
+private:
+  double sum_ = 0;
+  double count_ = 0;
+  Nanos faded_at_ = 0;
+};
+
+/// Holds the pooled load for each zone and role. Bounded by the zones that the list names.
+class LatencyLoadEstimator {
+public:
+  /// The sample of a request that got no usable answer.
+  static constexpr double kNoAnswer = 2;
+
+  /// The pool of a zone and a role, faded to `now`.
+  [[nodiscard]] FadingLoad& pool(const std::string& zone, Role role, Nanos now);
+
+  /// Adds a sample to an endpoint's own load and to its pool.
+  void record(FadingLoad& own, FadingLoad& pool, double objective_fraction, Nanos now);
+
+  /// `target` divided by the estimated load: above 1 for an endpoint with room. Both loads must be
+  /// faded to the present.
+  [[nodiscard]] double headroom(const FadingLoad& own, const FadingLoad& pool, double target) const;
+
+  /// The mean load of a role over all zones, with the samples of `excluded` left out.
+  [[nodiscard]] double role_mean(Role role, Nanos now, const FadingLoad& excluded = {});
+
+private:
+  std::map<std::pair<std::string, Role>, FadingLoad> pools_;
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/outlier_ejection.cpp
@@ -0,0 +1,124 @@
+#include "router/outlier_ejection.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsebeam::router {
+namespace {
+
+constexpr int kConsecutiveFailures = 2;  // one timeout is chance, two are a symptom, as DESIGN says
+constexpr double kErrorSmoothing = 0.1;  // weight of a new sample: about the last ten count
+constexpr double kMaxErrorRatio = 0.25;  // an endpoint that fails more of its requests is ejected
+constexpr Nanos kMinRestartTime = 300 * kMillisecond;       // back sooner, it has not restarted
+constexpr Nanos kMaxRecoveryBackoff = 4000 * kMillisecond;  // outages last seconds to tens of them
+
+}  // namespace
+
+void OutlierEjector::eject(EndpointState& endpoint, RecoveryProof proof, EjectionReason reason) {
+  roles_.suspect_primary(endpoint);
+  if (proof == RecoveryProof::Attempt)
+    endpoint.needs_recovery_attempt = true;
+  if (endpoint.is_ejected)
+    return;
+  endpoint.is_ejected = true;
+  endpoint.ejected_at = event_.now;
+  back_off_recovery(endpoint);
+  event_.log(EndpointEjected{endpoint.listing.id, reason});
+}
+
+void OutlierEjector::readmit(EndpointState& endpoint) {
+  endpoint.consecutive_failures = 0;
+  const bool may_have_restarted = std::exchange(endpoint.may_have_restarted, false);
+  if (!endpoint.is_ejected)
+    return;
+  endpoint.is_ejected = false;
+  endpoint.needs_recovery_attempt = false;
+  endpoint.error_ratio = 0;
+  if (starts_cold(endpoint, may_have_restarted))
+    endpoint.warming_since = event_.now;
+  endpoints_.mark_dispatchable(endpoint.listing.group);
+  event_.log(EndpointReadmitted{endpoint.listing.id});
+}
+
+// An endpoint can be back before the list says that it restarted: it refused a connection, or was
+// silent and comes back without what was written meanwhile. One that applied the log all the while
+// was only out of reach, by a bad network path or expensive connections, and is warm. Costs an
+// endpoint that hung and comes back some traffic.
+bool OutlierEjector::starts_cold(const EndpointState& endpoint, bool may_have_restarted) const {
+  if (may_have_restarted)
+    return true;
+  const Nanos outage = event_.now - endpoint.ejected_at;
+  const bool applied_meanwhile =
+      endpoint.position > endpoint.ejected_at && event_.now - endpoint.position < outage / 2;
+  return outage > settings_.overload_duration && endpoint.last_answer_at < endpoint.ejected_at &&
+         !applied_meanwhile;
+}
+
+void OutlierEjector::record_answer(EndpointState& endpoint, const UpstreamAttempt& attempt) {
+  if (attempt.is_overdue)
+    return;
+  endpoint.consecutive_failures = 0;
+  if (!attempt.is_recovery && endpoint.needs_recovery_attempt)
+    return;
+  endpoint.recovery_backoff = kInitialRecoveryBackoff;
+  readmit(endpoint);
+}
+
+void OutlierEjector::back_off_recovery(EndpointState& endpoint) const {
+  endpoint.next_recovery_at = event_.now + endpoint.recovery_backoff;
+  endpoint.recovery_backoff = std::min(2 * endpoint.recovery_backoff, kMaxRecoveryBackoff);
+}
+
+void OutlierEjector::record_timeout(EndpointState& endpoint, const UpstreamAttempt& attempt) {
+  if (attempt.is_recovery)
+    back_off_recovery(endpoint);
+  ++endpoint.consecutive_failures;
+  if (endpoint.consecutive_failures >= kConsecutiveFailures)
+    eject(endpoint, RecoveryProof::Attempt, EjectionReason::ConsecutiveTimeouts);
+}
+
+void OutlierEjector::record_success(EndpointState& endpoint) {
+  endpoint.error_ratio -= kErrorSmoothing * endpoint.error_ratio;
+}
+
+void OutlierEjector::record_error(EndpointState& endpoint, const UpstreamAttempt& attempt) {
+  endpoint.error_ratio += kErrorSmoothing * (1 - endpoint.error_ratio);
+  if (attempt.is_recovery)
+    back_off_recovery(endpoint);
+  if (endpoint.error_ratio > kMaxErrorRatio && !endpoints_.is_primary(endpoint))
+    eject(endpoint, RecoveryProof::Attempt, EjectionReason::ErrorRatio);
+}
+
+bool OutlierEjector::record_connection_failure(EndpointState& endpoint,
+                                               const UpstreamAttempt& attempt,
+                                               ConnectionFailureKind kind) {
+  if (attempt.is_recovery)
+    back_off_recovery(endpoint);
+  // One connection broken at once is chance: endpoints reset some and live on, also while ejected
+  // as slow. Two in a row, as with timeouts, are a symptom: of one that died, all break.
+  const bool immediate = kind == ConnectionFailureKind::Immediate;
+  if (immediate) {
+    ++endpoint.connection_breaks;
+    if (endpoint.connection_breaks == 1)
+      endpoint.first_break_at = event_.now;
+  }
+  if (endpoint.connection_breaks >= kConsecutiveFailures)
+    endpoint.may_have_restarted = true;
+  if (immediate && !endpoint.is_ejected) {
+    ++endpoint.consecutive_failures;
+    if (endpoint.consecutive_failures < kConsecutiveFailures)
+      return false;
+  }
+  eject(endpoint, RecoveryProof::HealthCheck, EjectionReason::ConnectionFailure);
+  return true;
+}
+
+void OutlierEjector::record_connection_use(EndpointState& endpoint) const {
+  // One that broke connections and answers this soon on a new one never stopped: restarts take
+  // longer.
+  if (event_.now - endpoint.first_break_at < kMinRestartTime)
+    endpoint.may_have_restarted = false;
+  endpoint.connection_breaks = 0;
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/outlier_ejection.h
@@ -0,0 +1,70 @@
+/// Ejects endpoints that fail and readmits those that answer, as a circuit breaker for each
+/// endpoint: closed, open when ejected, half-open while a recovery attempt is in flight.
+#pragma once
+
+#include "gorsebeam/settings.h"
+#include "router/endpoint_table.h"
+#include "router/event_context.h"
+#include "router/request_table.h"
+#include "router/role_evidence.h"
+
+namespace gorsebeam::router {
+
+/// What ends an ejection.
+enum class RecoveryProof {
+  HealthCheck,  ///< A health check or any answer.
+  Attempt,      ///< Only the answer to a request: a health check proves little after such failures.
+};
+
+/// How a connection failed.
+enum class ConnectionFailureKind {
+  Immediate,  ///< Refused or broken at once: the process may be down.
+  Slow,       ///< Ran into the timeout: the network path or the set-up may be slow.
+};
+
+/// Keeps the failure counts in an endpoint table.
+class OutlierEjector {
+public:
+  OutlierEjector(const EventContext& event, const Settings& settings, EndpointTable& endpoints,
+                 RoleTracker& roles)
+      : event_(event), settings_(settings), endpoints_(endpoints), roles_(roles) {}
+
+  /// Stops reads to the endpoint and suspects it if it is primary.
+  void eject(EndpointState& endpoint, RecoveryProof proof, EjectionReason reason);
+
+  /// Ends the ejection, if there is one. Starts a slow start if the endpoint may have restarted.
+  void readmit(EndpointState& endpoint);
+
+  /// An attempt was answered: counts and backoff start anew, and the endpoint is readmitted.
+  void record_answer(EndpointState& endpoint, const UpstreamAttempt& attempt);
+
+  /// Postpones the next recovery attempt by a pause that doubles.
+  void back_off_recovery(EndpointState& endpoint) const;
+
+  /// An attempt timed out.
+  void record_timeout(EndpointState& endpoint, const UpstreamAttempt& attempt);
+
+  /// An attempt succeeded: the error ratio falls.
+  static void record_success(EndpointState& endpoint);
+
+  /// An attempt was answered with an error.
+  void record_error(EndpointState& endpoint, const UpstreamAttempt& attempt);
+
+  /// A connection failed or broke. Returns whether the endpoint was ejected for it.
+  [[nodiscard]] bool record_connection_failure(EndpointState& endpoint,
+                                               const UpstreamAttempt& attempt,
+                                               ConnectionFailureKind kind);
+
+  /// The endpoint answered on a connection: breaks in a row start anew.
+  void record_connection_use(EndpointState& endpoint) const;
+
+private:
+  [[nodiscard]] bool starts_cold(const EndpointState& endpoint, bool may_have_restarted) const;
+
+  const EventContext& event_;
+  const Settings& settings_;
+  EndpointTable& endpoints_;
+  RoleTracker& roles_;
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/rejection_policy.cpp
@@ -0,0 +1,61 @@
+#include "router/rejection_policy.h"
+
+namespace gorsebeam::router {
+namespace {
+
+// A role that is handed over, rather than lost, has a new holder sooner than this.
+constexpr Nanos kHandoverTime = 1000 * kMillisecond;
+
+}  // namespace
+
+bool RejectionPolicy::reject_over_rate_limit(PendingRequest& request) const {
+  const Nanos retry_after = request.request.rate_limit_retry_after;
+  if (retry_after <= 0)
+    return false;
+  close(request, retry_after);
+  return true;
+}
+
+bool RejectionPolicy::is_out_of_chances(const PendingRequest& request) const {
+  return state_.event.now >= request.give_up_at || !retries_.has_attempts_left(request) ||
+         !retries_.is_repeatable(request);
+}
+
+// A client must not be held for an election, which lasts seconds: what was not sent by half of its
+// time is rejected while its client can still come back. A suspected primary may answer any time,
+// so requests wait for it.
+bool RejectionPolicy::is_discovery_hopeless(const PendingRequest& request,
+                                            const ReplicaGroup& group) const {
+  if (!request.attempts.empty() || group.primary || group.primary_evidence_at == kUnknown)
+    return false;
+  const Nanos now = state_.event.now;
+  const Nanos patience = request.request.deadline - request.arrived_at - 4 * kSweepInterval;
+  const bool half_is_over = 2 * (now - request.arrived_at) >= patience;
+  return half_is_over && group.primary_evidence_at < now - kHandoverTime;
+}
+
+void RejectionPolicy::give_up(PendingRequest& request) const {
+  const bool advise = state_.settings.retry_after_allowed;
+  close(request, advise ? state_.settings.max_retry_after : 0);
+}
+
+// Saying that a request is safe to send again must be true.
+bool RejectionPolicy::can_reject(const PendingRequest& request) const {
+  const RequestClass& request_class = state_.class_of(request);
+  if (request_class.idempotency == Idempotency::Idempotent || request.may_have_run_at == kUnknown)
+    return true;
+  return request_class.idempotency == Idempotency::IdempotencyKey &&
+         request_class.deduplication_scope == DeduplicationScope::All;
+}
+
+void RejectionPolicy::close(PendingRequest& request, Nanos retry_after) const {
+  if (request.is_closed || request.in_flight > 0)
+    return;
+  request.is_closed = true;
+  if (can_reject(request))
+    state_.event.emit(RejectRequest{request.request.id, retry_after});
+  else
+    state_.event.emit(FailRequest{request.request.id});
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/rejection_policy.h
@@ -0,0 +1,37 @@
+/// Policy: decides when a request gets a final answer from the router, and which.
+#pragma once
+
+#include "router/retry_policy.h"
+#include "router/router_state.h"
+
+namespace gorsebeam::router {
+
+/// Every final answer of the router itself passes here.
+class RejectionPolicy {
+public:
+  RejectionPolicy(RouterState& state, const RetryPolicy& retries)
+      : state_(state), retries_(retries) {}
+
+  /// Rejects a request beyond its rate limit before anything is sent, and says when the next one
+  /// fits. Returns whether it did.
+  [[nodiscard]] bool reject_over_rate_limit(PendingRequest& request) const;
+
+  /// Whether a request without an attempt in flight can get no further one.
+  [[nodiscard]] bool is_out_of_chances(const PendingRequest& request) const;
+
+  /// Whether a request that needs its group's unknown primary should not wait for it any longer.
+  [[nodiscard]] bool is_discovery_hopeless(const PendingRequest& request,
+                                           const ReplicaGroup& group) const;
+
+  /// Closes a request without an attempt in flight: rejected when that is true to say, else failed.
+  void give_up(PendingRequest& request) const;
+
+private:
+  [[nodiscard]] bool can_reject(const PendingRequest& request) const;
+  void close(PendingRequest& request, Nanos retry_after) const;
+
+  RouterState& state_;
+  const RetryPolicy& retries_;
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/replication_positions.cpp
@@ -0,0 +1,42 @@
+#include "router/replication_positions.h"
+
+#include <algorithm>
+
+namespace gorsebeam::router {
+
+void advance_replication_position(EndpointTable& endpoints, EndpointState& endpoint, Nanos position,
+                                  Nanos shown_at) {
+  endpoint.position_shown_at = std::max(endpoint.position_shown_at, shown_at);
+  if (position <= endpoint.position)
+    return;
+  endpoint.position = position;
+  endpoints.mark_dispatchable(endpoint.listing.group);
+}
+
+bool is_known_stale(const EndpointState& endpoint) {
+  return endpoint.stale_before != kUnknown && endpoint.stale_before > endpoint.position;
+}
+
+Nanos required_position(const RequestClass& request_class, const PendingRequest& request,
+                        Nanos now) {
+  switch (request_class.consistency) {
+  case ConsistencyLevel::BoundedStaleness:
+    return now - request_class.max_staleness;
+  case ConsistencyLevel::Session:
+    return request.session_token;
+  case ConsistencyLevel::Strong:
+    return request.arrived_at;
+  case ConsistencyLevel::Eventual:
+  case ConsistencyLevel::Write:
+    break;
+  }
+  return kUnknown;
+}
+
+bool is_proven_current(const EndpointState& endpoint, const RequestClass& request_class,
+                       const PendingRequest& request, Nanos now) {
+  return endpoint.position != kUnknown &&
+         endpoint.position >= required_position(request_class, request, now);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/request_table.h
@@ -0,0 +1,75 @@
+/// Holds the open requests and their attempts.
+#pragma once
+
+#include "gorsebeam/events.h"
+#include "gorsebeam/settings.h"
+#include "router/time_points.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace gorsebeam::router {
+
+/// One attempt of a request at an endpoint.
+struct UpstreamAttempt {
+  EndpointId endpoint = 0;
+  Nanos sent_at = 0;
+  Nanos required_position = kUnknown;  ///< The data that the read must see.
+  bool in_flight = true;
+  bool is_overdue = false;
+  bool is_recovery = false;       ///< Sent to an ejected endpoint to see whether it answers.
+  bool connection_broke = false;  ///< Ended by a connection that failed or broke.
+};
+
+/// A request without its final answer, or with attempts in flight after it.
+struct PendingRequest {
+  Request request;
+  std::uint64_t sequence = 0;  ///< By arrival.
+  Nanos arrived_at = 0;
+  Nanos objective_at = 0;          ///< An answer later than this is late.
+  Nanos give_up_at = 0;            ///< No attempt starts after this.
+  Nanos session_token = kUnknown;  ///< The position that a session read must see.
+  std::uint64_t hash_key = 0;      ///< The session's, or its own: places it among the endpoints.
+  std::uint64_t draw = 0;          ///< Its own random number.
+  std::vector<UpstreamAttempt> attempts;
+  Nanos may_have_run_at = kUnknown;  ///< When the first attempt that may have run was sent.
+  EndpointId may_have_run_on = 0;
+  bool is_closed = false;  ///< It has its final answer.
+  bool is_hedged = false;
+  Nanos retry_not_before = 0;
+  Nanos check_at = kNever;  ///< When a timer looks at it next.
+  int in_flight = 0;        ///< Attempts without a result.
+};
+
+/// Owns the open requests. Bounded by what the embedding program leaves open.
+class RequestTable {
+public:
+  /// Adds a request with the next sequence number.
+  PendingRequest& add(const Request& request);
+
+  [[nodiscard]] bool contains(const std::string& id) const { return ids_.count(id) > 0; }
+
+  /// The open request with this id, or nullptr.
+  [[nodiscard]] PendingRequest* find(const std::string& id);
+
+  /// The open request with this sequence number; it must exist.
+  [[nodiscard]] PendingRequest& at(std::uint64_t sequence) { return requests_.at(sequence); }
+
+  /// Forgets a request; references to it end.
+  void remove(const PendingRequest& request);
+
+  /// The endpoints that attempts of open requests went to.
+  [[nodiscard]] std::set<EndpointId> endpoints_in_use() const;
+
+private:
+  std::map<std::uint64_t, PendingRequest> requests_;    // by arrival
+  std::unordered_map<std::string, std::uint64_t> ids_;  // never iterated: its order is not fixed
+  std::uint64_t next_sequence_ = 0;
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/retry_policy.cpp
@@ -0,0 +1,137 @@
+#include "router/retry_policy.h"
+
+#include "router/replication_positions.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace gorsebeam::router {
+namespace {
+
+// Times the median: what one answer in fifty passes where answer times are exponential.
+constexpr double kOverdueFactor = 6;
+constexpr double kHedgeShare = 0.02;  // hedges for each request: bounds the load that they add
+constexpr Nanos kRejectionBackoff = 5 * kSweepInterval;
+
+}  // namespace
+
+void RetryPolicy::accrue_hedge_budget() {
+  hedge_budget_ = std::min(hedge_budget_ + kHedgeShare, kMaxHedgeBudget);
+}
+
+// An attempt is late. Where the settings allow it, a hedge goes to another replica: at once if the
+// endpoint was ejected, else within a small share of all requests.
+HedgeDecision RetryPolicy::decide_hedge(const PendingRequest& request) const {
+  const RequestClass& request_class = state_.class_of(request);
+  const UpstreamAttempt& last = request.attempts.back();
+  if (!state_.settings.hedging_allowed || request.is_hedged || !last.in_flight || !last.is_overdue)
+    return HedgeDecision::None;
+  if (request_class.idempotency == Idempotency::NotIdempotent ||
+      request_class.consistency == ConsistencyLevel::Strong ||
+      request_class.consistency == ConsistencyLevel::Write || !has_attempts_left(request))
+    return HedgeDecision::None;
+  const bool is_ejected = state_.endpoints.at(last.endpoint).is_ejected;
+  if (!is_ejected && hedge_budget_ < 1)
+    return HedgeDecision::None;
+  const auto usual_time = static_cast<Nanos>(state_.usual_time(request));
+  if (state_.event.now + usual_time > request.give_up_at)
+    return HedgeDecision::None;
+  return is_ejected ? HedgeDecision::Free : HedgeDecision::Budgeted;
+}
+
+// Far beyond the usual for the class, and beyond what the other endpoints take now. Where all are
+// slow none is to blame, so a jam ejects no endpoint, puts no primary under suspicion, and load is
+// not driven onto the last one left.
+Nanos RetryPolicy::overdue_after(const PendingRequest& request, EndpointId id) {
+  const RequestClass& request_class = state_.class_of(request);
+  const auto objective = static_cast<double>(request_class.latency_objective);
+  EndpointState& endpoint = state_.endpoints.at(id);
+  const bool is_primary = state_.group_of(request).primary == id;
+  const Role role = is_primary ? Role::Primary : Role::Replica;
+  const Role other_role = is_primary ? Role::Replica : Role::Primary;
+  const Nanos now = state_.event.now;
+  const double peers = state_.loads.role_mean(role, now, state_.load_of(endpoint));
+  const double others = std::max(peers, state_.loads.role_mean(other_role, now));
+  const double limit =
+      std::max(kOverdueFactor * state_.usual_time(request), objective / 4) + 2 * others * objective;
+  return static_cast<Nanos>(std::min(limit, 2.0 * static_cast<double>(request_class.deadline)));
+}
+
+bool RetryPolicy::has_attempts_left(const PendingRequest& request) const {
+  const std::uint32_t by_settings = state_.settings.max_attempts;
+  const std::uint32_t by_contract = request.request.max_attempts;
+  const std::uint32_t limit = by_contract == 0 ? by_settings : std::min(by_settings, by_contract);
+  return request.attempts.size() < limit;
+}
+
+// No effect twice: what may have run goes out again only where its key holds, within its window.
+bool RetryPolicy::is_repeatable(const PendingRequest& request) const {
+  const RequestClass& request_class = state_.class_of(request);
+  if (request.may_have_run_at == kUnknown || request_class.idempotency == Idempotency::Idempotent)
+    return true;
+  if (request_class.idempotency == Idempotency::NotIdempotent)
+    return false;
+  return state_.event.now - request.may_have_run_at <
+         request_class.deduplication_window - state_.settings.clock_resolution;
+}
+
+// A key that holds within a zone binds a request that may have run to the zone where it ran.
+bool RetryPolicy::can_repeat_at(const PendingRequest& request,
+                                const EndpointState& endpoint) const {
+  const RequestClass& request_class = state_.class_of(request);
+  if (request_class.idempotency != Idempotency::IdempotencyKey ||
+      request_class.deduplication_scope != DeduplicationScope::Zone ||
+      request.may_have_run_at == kUnknown)
+    return true;
+  const EndpointState& ran_on = state_.endpoints.at(request.may_have_run_on);
+  return endpoint.listing.zone == ran_on.listing.zone;
+}
+
+bool RetryPolicy::is_attempt_allowed(const PendingRequest& request,
+                                     const EndpointState& endpoint) const {
+  const Nanos now = state_.event.now;
+  if (request.is_closed || now >= request.request.deadline ||
+      endpoint.listing.group != request.request.group)
+    return false;
+  if (!endpoint.is_usable())  // drains are kept
+    return false;
+  if (!is_repeatable(request) || !can_repeat_at(request, endpoint))
+    return false;
+  const RequestClass& request_class = state_.class_of(request);
+  if (state_.settings.staleness_check != StalenessCheck::None ||
+      request_class.consistency == ConsistencyLevel::Write ||
+      request_class.consistency == ConsistencyLevel::Eventual)
+    return true;
+  if (state_.group_of(request).primary == endpoint.listing.id)
+    return true;
+  return is_proven_current(endpoint, request_class, request, now);  // no stale read
+}
+
+bool RetryPolicy::can_start_attempt(const PendingRequest& request,
+                                    const EndpointState& endpoint) const {
+  if (!has_attempts_left(request))
+    return false;
+  const bool is_idempotent = state_.class_of(request).idempotency == Idempotency::Idempotent;
+  if (request.in_flight > 0 && (!state_.settings.hedging_allowed || !is_idempotent))
+    return false;
+  return is_attempt_allowed(request, endpoint);
+}
+
+Nanos RetryPolicy::give_up_at(const PendingRequest& request) const {
+  const Nanos margin = kSweepInterval + 2 * state_.settings.clock_resolution;
+  const Nanos before_deadline = request.request.deadline - margin;
+  if (state_.class_of(request).late_weight_fraction > 0)
+    return before_deadline;
+  return std::min(before_deadline, request.objective_at);  // a late answer has no value
+}
+
+Nanos RetryPolicy::retry_after_rejection(const PendingRequest& request) const {
+  return state_.event.now + (kRejectionBackoff << request.attempts.size());
+}
+
+bool RetryPolicy::may_have_run(AttemptStatus status) {
+  return status == AttemptStatus::Error || status == AttemptStatus::Timeout ||
+         status == AttemptStatus::Reset || status == AttemptStatus::Cancelled;
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/retry_policy.h
@@ -0,0 +1,67 @@
+/// Policy: decides when an attempt is overdue, and whether a request may be sent again or hedged.
+#pragma once
+
+#include "router/router_state.h"
+
+#include <cstddef>
+
+namespace gorsebeam::router {
+
+/// What a hedged request costs.
+enum class HedgeDecision {
+  None,      ///< No hedge.
+  Budgeted,  ///< A hedge out of the budget.
+  Free,      ///< A hedge beyond the budget, as the endpoint of the attempt was ejected.
+};
+
+/// Also keeps the budget of hedges.
+class RetryPolicy {
+public:
+  explicit RetryPolicy(RouterState& state) : state_(state) {}
+
+  /// Adds a request's share to the budget of hedges.
+  void accrue_hedge_budget();
+
+  /// Takes a hedge out of the budget.
+  void spend_hedge_budget() { hedge_budget_ -= 1; }
+
+  /// Whether a hedge may be sent now, while an attempt is in flight.
+  [[nodiscard]] HedgeDecision decide_hedge(const PendingRequest& request) const;
+
+  /// The nanoseconds after which an attempt counts as a timeout of its endpoint.
+  [[nodiscard]] Nanos overdue_after(const PendingRequest& request, EndpointId id);
+
+  /// Whether the request has attempts left, by the settings and its contract.
+  [[nodiscard]] bool has_attempts_left(const PendingRequest& request) const;
+
+  /// Whether another attempt can have no second effect.
+  [[nodiscard]] bool is_repeatable(const PendingRequest& request) const;
+
+  /// The rules on what may go to an endpoint: kept at the decision, and again when it is written.
+  [[nodiscard]] bool is_attempt_allowed(const PendingRequest& request,
+                                        const EndpointState& endpoint) const;
+
+  /// Whether the request may go to the endpoint, given what is in flight for it.
+  [[nodiscard]] bool can_start_attempt(const PendingRequest& request,
+                                       const EndpointState& endpoint) const;
+
+  /// When an arriving request is given up.
+  [[nodiscard]] Nanos give_up_at(const PendingRequest& request) const;
+
+  /// The earliest retry after a primary rejected an attempt: a pause that doubles.
+  [[nodiscard]] Nanos retry_after_rejection(const PendingRequest& request) const;
+
+  /// Whether an attempt that ended so may have had its effect without an answer.
+  [[nodiscard]] static bool may_have_run(AttemptStatus status);
+
+private:
+  [[nodiscard]] bool can_repeat_at(const PendingRequest& request,
+                                   const EndpointState& endpoint) const;
+
+  RouterState& state_;
+  double hedge_budget_ = kMaxHedgeBudget;
+
+  static constexpr double kMaxHedgeBudget = 20;  // at once: one endpoint's requests in flight
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/router_state.cpp
@@ -0,0 +1,31 @@
+#include "router/router_state.h"
+
+#include "settings/validation.h"
+
+#include <utility>
+
+namespace gorsebeam::router {
+namespace {
+
+Settings checked(Settings settings) {
+  settings::check(settings);
+  return settings;
+}
+
+}  // namespace
+
+RouterState::RouterState(Settings checked_settings, std::uint64_t seed)
+    : settings(checked(std::move(checked_settings))), classes(settings.classes),
+      roles(event, endpoints), outliers(event, settings, endpoints, roles),
+      health_checks(event, settings, endpoints), sessions(settings),
+      timers(seed, settings.clock_resolution) {}
+
+FadingLoad& RouterState::pool_of(const EndpointState& endpoint) {
+  return loads.pool(endpoint.listing.zone, endpoints.role_of(endpoint), event.now);
+}
+
+FadingLoad& RouterState::load_of(EndpointState& endpoint) const {
+  return endpoint.load.fade(event.now);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/router_state.h
@@ -0,0 +1,61 @@
+/// Holds all state of one router: its settings, the event in hand, and the modules that keep state
+/// and estimates. The policies decide on it.
+#pragma once
+
+#include "gorsebeam/settings.h"
+#include "router/class_statistics.h"
+#include "router/endpoint_table.h"
+#include "router/event_context.h"
+#include "router/health_check_scheduler.h"
+#include "router/load_estimator.h"
+#include "router/outlier_ejection.h"
+#include "router/request_table.h"
+#include "router/request_timers.h"
+#include "router/role_evidence.h"
+#include "router/session_requirements.h"
+
+#include <cstdint>
+
+namespace gorsebeam::router {
+
+/// Owned by the router. The modules refer to each other, so it is neither copied nor moved.
+struct RouterState {
+  /// Throws std::invalid_argument that names a bad setting.
+  RouterState(Settings checked_settings, std::uint64_t seed);
+  RouterState(const RouterState&) = delete;
+  RouterState& operator=(const RouterState&) = delete;
+
+  [[nodiscard]] const RequestClass& class_of(const PendingRequest& request) const {
+    return settings.classes[request.request.class_index];
+  }
+
+  /// The usual answer time of the request's class, in nanoseconds.
+  [[nodiscard]] double usual_time(const PendingRequest& request) const {
+    return classes.usual_time(request.request.class_index);
+  }
+
+  /// The group of a request, created if it is new.
+  [[nodiscard]] ReplicaGroup& group_of(const PendingRequest& request) {
+    return endpoints.group(request.request.group);
+  }
+
+  /// The load of all endpoints in this one's zone with its role, faded to the present.
+  [[nodiscard]] FadingLoad& pool_of(const EndpointState& endpoint);
+
+  /// The endpoint's own load, faded to the present.
+  [[nodiscard]] FadingLoad& load_of(EndpointState& endpoint) const;
+
+  const Settings settings;
+  EventContext event;
+  EndpointTable endpoints;
+  RequestTable requests;
+  ClassStatistics classes;
+  LatencyLoadEstimator loads;
+  RoleTracker roles;
+  OutlierEjector outliers;
+  HealthCheckScheduler health_checks;
+  SessionRequirements sessions;
+  RequestTimers timers;
+};
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/session_requirements.cpp
@@ -0,0 +1,44 @@
+#include "router/session_requirements.h"
+
+namespace gorsebeam::router {
+
+using session_tokens::SessionWrites;
+
+SessionRequirements::SessionRequirements(const Settings& settings)
+    : settings_(settings), writes_(settings.responses_known_after) {}
+
+Nanos SessionRequirements::token_for(const Request& request, const RequestClass& request_class,
+                                     Nanos now) const {
+  if (request_class.consistency != ConsistencyLevel::Session)
+    return kUnknown;
+  if (settings_.session_token_source == SessionTokenSource::Router)
+    return request.session ? writes_.seen_by(*request.session, now) : kUnknown;
+  const Nanos age = request.session_token_age.value_or(0);
+  return age > 0 ? now - age : kUnknown;
+}
+
+bool SessionRequirements::remembers(const PendingRequest& request) const {
+  const RequestClass& request_class = settings_.classes[request.request.class_index];
+  return request_class.consistency == ConsistencyLevel::Write &&
+         settings_.session_token_source == SessionTokenSource::Router && request.request.session;
+}
+
+void SessionRequirements::record_start(const PendingRequest& request, Nanos now) {
+  if (remembers(request))
+    writes_.sent(*request.request.session, now);
+}
+
+void SessionRequirements::record_end(const PendingRequest& request, const UpstreamAttempt& attempt,
+                                     const AttemptResult& result, bool may_have_run, Nanos now) {
+  if (!remembers(request))
+    return;
+  SessionWrites::End end = SessionWrites::End::NeverRan;
+  if (may_have_run)
+    end = SessionWrites::End::Unknown;
+  else if (result.status == AttemptStatus::Ok)
+    end = SessionWrites::End::Answered;
+  const auto commit = result.commit_position ? result.commit_position : result.replication_position;
+  writes_.ended(*request.request.session, attempt.sent_at, end, commit, now);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/slow_start.cpp
@@ -0,0 +1,18 @@
+#include "router/slow_start.h"
+
+#include <algorithm>
+
+namespace gorsebeam::router {
+
+double slow_start_capacity(const EndpointState& endpoint, const Settings& settings, Nanos now) {
+  if (endpoint.warming_since == kUnknown || settings.slow_start_duration <= 0)
+    return 1;
+  const double progress = static_cast<double>(now - endpoint.warming_since) /
+                          static_cast<double>(settings.slow_start_duration);
+  if (progress >= 1)
+    return 1;
+  const double initial = settings.slow_start_initial_capacity;
+  return initial + (1 - initial) * std::max(0.0, progress);
+}
+
+}  // namespace gorsebeam::router
--- /dev/null
+++ b/src/router/slow_start.h
@@ -0,0 +1,13 @@
+/// Computes the capacity of an endpoint whose process started a short time ago.
+#pragma once
+
+#include "gorsebeam/settings.h"
+#include "router/endpoint_table.h"
+
+namespace gorsebeam::router {
+
+/// The fraction of its full capacity that the endpoint has now, in (0, 1].
+[[nodiscard]] double slow_start_capacity(const EndpointState& endpoint, const Settings& settings,
+                                         Nanos now);
+
+}  // namespace gorsebeam::router
