--- /dev/null
+++ b/tests/fleet/event_digest.h
@@ -0,0 +1,41 @@
+/// A digest over everything that the nodes of a simulated run send, persist, apply and do, in
+/// order. Two builds whose digests agree over the same seeds decide alike.
+#pragma once
+
+#include "leases/leases.h"
+#include "raft/node.h"
+
+#include <cstdint>
+#include <string>
+#include <type_traits>
+
+namespace gorsebeam::simulation {
+
+/// FNV-1a (64 bit) over typed fields; names of types do not enter it, so renaming keeps the value.
+class EventDigest {
+public:
+  [[nodiscard]] std::uint64_t value() const { return value_; }
+
+  template <typename Number, typename = std::enable_if_t<std::is_integral_v<Number>>>
+  void add(Number number) {
+    add_number(static_cast<std::uint64_t>(number));
+  }
+
+  void add(const std::string& text);
+  /// The start of an event: when it happens and at which node.
+  void add_event(raft::Nanos now, int node);
+  void add(const raft::Action& action);
+  void add(const leases::KeeperAction& action);
+  void add(const leases::HolderAction& action);
+
+private:
+  void add_number(std::uint64_t number);
+  void add(const raft::Entry& entry);
+  void add(const raft::Snapshot& snapshot);
+  void add(const raft::Kept& state);
+  void add(const raft::Message& message);
+
+  std::uint64_t value_ = 0xcbf29ce484222325;
+};
+
+}  // namespace gorsebeam::simulation
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -4,9 +4,11 @@
 //
 //   simulation SEEDS [FIRST]      so many seeds; the first that breaks a rule prints a script
 //   simulation --script FILE      that script again
+//   simulation --digest SEEDS     a hash over all that is sent and done, of seeds 0 to SEEDS - 1
 //   simulation --cost GATEWAYS    messages a second with nothing going wrong, leader and others
 //   apart simulation --saboteurs SEEDS  each deliberately broken embedder is caught within so many
 //   seeds
+#include "event_digest.h"
 #include "leases/leases.h"
 #include "raft/node.h"
 
@@ -110,6 +112,7 @@
         throw Broken{"progress: nobody does " + duty};
   }
 
+  simulation::EventDigest digest;
   double leader_sent = 0, others_sent = 0;  // messages between gateways
   std::uint64_t acts = 0, turned_down = 0;
   std::vector<Nanos> gaps;  // from a holder's last act under one token to the first under the next
@@ -214,8 +217,11 @@
   void voter(Node& node, const VoterEvent& event) {
     raft::Actions actions;
     event(*node.voted, node.local(now_), actions);
-    for (const raft::Action& action : actions)
+    for (const raft::Action& action : actions) {
+      digest.add_event(now_, node.number);
+      digest.add(action);
       perform(node, action);
+    }
     arm(node, node.voted, node.voter_due, [this](Node& due) {
       voter(due, [](auto& voter, Nanos now, auto& out) {
         voter.tick(now, out);
@@ -317,6 +323,8 @@
       });
     });
     for (const leases::KeeperAction& action : actions) {
+      digest.add_event(now_, node.number);
+      digest.add(action);
       if (const auto* propose = std::get_if<leases::Propose>(&action)) {
         voter(node, [&](auto& voter, Nanos now, auto& out) {
           voter.propose(now, propose->body, out);
@@ -349,6 +357,8 @@
       });
     });
     for (const leases::HolderAction& action : actions) {
+      digest.add_event(now_, node.number);
+      digest.add(action);
       const auto* ask = std::get_if<leases::Ask>(&action);
       if (!ask)
         continue;
@@ -403,6 +413,10 @@
 
   void resource(const std::string& duty, leases::Token token) {
     const bool pass = sabotage_ == Sabotage::FenceOff || fence_.pass(duty, token);
+    digest.add(now_);
+    digest.add(duty);
+    digest.add(token);
+    digest.add(pass);
     if (!pass)
       return void(++turned_down);
     ++acts;
@@ -629,6 +643,19 @@
     }
     return all ? 0 : 1;
   }
+  if (count == 3 && !std::strcmp(arguments[1], "--digest")) {
+    simulation::EventDigest all;
+    const std::uint64_t seeds = std::strtoull(arguments[2], nullptr, 10);
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+      const Script script = drawn(seed);
+      World world(script, Sabotage::None);
+      world.run();
+      all.add(world.digest.value());
+    }
+    std::printf("digest of %llu seeds: %016llx\n", static_cast<unsigned long long>(seeds),
+                static_cast<unsigned long long>(all.value()));
+    return 0;
+  }
   if (count == 3 && !std::strcmp(arguments[1], "--cost")) {
     Script script;
     script.voters = 5, script.gateways = std::max(5, std::atoi(arguments[2]));
