Name the Raft module after the paper: node, messages, persistent state

Need: the module read in words of its own (voter, mute, promise, told). Change: raft::Node with typed messages, an enum class of roles and one function a transition; PersistentState apart; three source files by concern.

--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -1,34 +1,45 @@
-// One log that a few named voters agree on, so that no minority decides anything: Raft, with
-// pre-vote and check-quorum. Pure: events with their time in, actions out; no I/O, clock, thread or
-// disk. Times are nanoseconds of the caller's own monotonic clock; no two voters' clocks are
-// compared, and no rule of safety hangs on any of them.
-//
-// Disk. What a voter promises (a vote, an entry taken) is told only once the embedder has said by
-// `saved` that it rests on disk; until then the message is held here. The whole of what is kept
-// goes to disk at once, replacing what was there. A voter whose disk fails promises nothing and
-// leads nothing until a save succeeds.
-//
-// A voter that finds nothing on its disk may have voted before and lost it. It is mute (it neither
-// votes nor takes entries) until every other voter has said that it, too, has never voted for
-// anyone: only a fleet's first start looks like that, and the first leader is one that all voters
-// agree on. An older copy of the folder cannot be told from the newest by its owner; the leader
-// tells of a voter that has less than it had (Regressed) and counts it no more in that term. What
-// neither tells: an older copy put back while the leader changes.
-//
-// Invariants, checked by tests/fleet/simulation.cpp over thousands of seeds:
-//  - at most one leader a term;
-//  - what is applied at an index is the same at every voter, for good;
-//  - a number that `confirm` gave is confirmed only if nobody led a later term when it was given.
-//
-// Bounds: a leader's log is compacted beyond `log_most` entries and takes no proposal beyond twice
-// as many; a message holds at most `entries_most` entries; of the messages held for the disk there
-// are two of each kind and receiver.
+/// One node of a Raft group (Ongaro & Ousterhout, "In Search of an Understandable Consensus
+/// Algorithm"; Raft thesis) with pre-vote (thesis 9.6), check-quorum and leader stickiness (6.2,
+/// 4.2.3) and confirmation of leadership for reads (ReadIndex, 6.4).
+///
+/// The node is a deterministic state machine: events with their time go in, actions come out. It
+/// performs no I/O, reads no clock and starts no thread; all calls come from one thread. Times are
+/// nanoseconds of the caller's own monotonic clock. Clocks of different nodes are never compared,
+/// and no safety property depends on them.
+///
+/// Persistence. A message that commits the node to something (a vote, an accepted log entry) is
+/// held back until the embedder reports by `handle_persisted` that the state is on stable storage.
+/// The state is written as a whole and replaces the earlier content. A node whose storage fails
+/// neither votes nor leads until a write succeeds.
+///
+/// Lost state. A node that finds no state may have voted before and lost it. It stays `Recovering`
+/// (it neither votes nor accepts entries) until every other node reports that it has never taken
+/// part either, which holds only at the first start of the whole group; therefore the leader of the
+/// first term needs the pre-votes of all nodes. An older copy of the state cannot be recognized by
+/// its owner: the leader reports a node that holds less than it acknowledged (`ReplicaRegressed`)
+/// and stops counting it in that term. Not detected: an older copy restored while the leader
+/// changes.
+///
+/// Invariants, checked by tests/fleet/ over thousands of seeds:
+///  - there is at most one leader in a term;
+///  - all nodes apply the same entry at an index, for good;
+///  - a round of `confirm_leadership` is confirmed only if no later term had a leader when the
+///  round
+///    started.
+///
+/// Bounds: a leader requests a snapshot beyond `max_log_entries` applied entries and rejects
+/// proposals at twice as many entries. At most two messages of each type and receiver are held
+/// back.
 #pragma once
 
+#include "raft/messages.h"
+#include "raft/persistent_state.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -39,190 +50,228 @@
 namespace gorsebeam::raft {
 
 using Nanos = std::int64_t;
-using Term = std::uint64_t;
-using Index = std::uint64_t;
-constexpr Nanos kNever = INT64_MAX;
-
-struct Entry {
-  Term term = 0;
-  Index index = 0;
-  std::string body;  // empty: a new leader's first, which says nothing
-};
-
-struct Snapshot {  // the state after all entries up to `index`
-  Index index = 0;
-  Term term = 0;
-  std::string body;
-};
-
-struct Kept {  // what rests on disk
-  Term term = 0;
-  std::string vote;  // given in `term`; empty: none
-  Snapshot snapshot;
-  std::vector<Entry> log;  // follows the snapshot without a gap
-};
+constexpr Nanos kNoDeadline = std::numeric_limits<Nanos>::max();
 
 struct Settings {
   std::string self;
-  std::vector<std::string> voters;  // 3, 5 or 7 names, each once, `self` among them
-  Nanos heartbeat = 200'000'000;    // of a leader, while nothing else is said
-  Nanos election =
-      1'000'000'000;  // silence after which a leader is doubted: drawn from this to its double
-  std::size_t log_most = 256;     // entries
-  std::size_t entries_most = 64;  // in one message
-  std::uint64_t seed = 1;
+  std::vector<std::string> voters;  ///< 3, 5 or 7 unique names, `self` among them.
+  Nanos heartbeat_interval = 200'000'000;
+  /// Each election timeout is drawn from this value to its double.
+  Nanos min_election_timeout = 1'000'000'000;
+  std::size_t max_log_entries = 256;
+  std::size_t max_entries_per_message = 64;
+  std::uint64_t random_seed = 1;
 };
 
-struct Message {
-  enum class Kind { AskFresh, Fresh, PreVote, PreVoted, Vote, Voted, Append, Appended, Install };
-  Kind kind = Kind::Append;
-  std::string from, to;
-  Term term = 0;
-  Index index =
-      0;  // the entry before `entries`; a candidate's last; Appended: the last that is the leader's
-  Term log_term = 0;     // that entry's term
-  Index commit = 0;      // Append
-  bool granted = false;  // Fresh, PreVoted, Voted, Appended
-  std::uint64_t round =
-      0;  // Append, Appended: which round of the leader's is answered; AskFresh, Fresh: which start
-  std::vector<Entry> entries;
-  Snapshot snapshot;  // Install
+enum class Role {
+  Recovering,  ///< No persistent state was found; takes no part yet.
+  Follower,
+  PreCandidate,  ///< Asks whether it would win an election; has not changed its term.
+  Candidate,
+  Leader,
 };
 
-// ---- actions
-struct Send {
+/// To be sent at once; it may be lost, delayed, duplicated or reordered.
+struct SendMessage {
   Message message;
 };
 
-struct Save {  // to disk, whole; `saved` tells of the newest that rests there
-  std::uint64_t number = 0;
-  Kept kept;
+/// To be written to stable storage as a whole; answered by `handle_persisted` or
+/// `handle_persist_failure`. Writes finish in order.
+struct PersistState {
+  std::uint64_t number = 0;  ///< Grows by 1.
+  PersistentState state;
 };
 
-struct Apply {  // in order of index, each once since the start or the last Restore
-  Entry entry;
+/// A committed entry, in the order of indexes, each once since the start or the last
+/// RestoreSnapshot.
+struct ApplyEntry {
+  LogEntry entry;
 };
 
-struct Restore {  // forget the state and take this one
+/// Replaces the state machine's state.
+struct RestoreSnapshot {
   Snapshot snapshot;
 };
 
-struct Compact {};  // the log is long: give the state after the last Apply by `compact`
+/// The log is long: pass the state after the last ApplyEntry to `compact_log`.
+struct RequestSnapshot {};
 
-struct Became {  // for the log and for what stands on top
-  enum class Role { Mute, Follower, Candidate, Leader };
+struct RoleChanged {
   Role role = Role::Follower;
   Term term = 0;
-  std::string leader;  // as far as known; empty: nobody
+  std::string leader;  ///< As far as known; empty: none.
 };
 
-struct Confirmed {  // `confirm`s up to this number: when it was given, this voter led, and nobody
-                    // led later
-  std::uint64_t number = 0;
+/// For all rounds up to this one: the node led, and no later term had a leader, when the round
+/// started.
+struct LeadershipConfirmed {
+  std::uint64_t heartbeat_round = 0;
 };
 
-struct Regressed {  // a voter has less than it told before: its folder is an older copy
-  std::string voter;
+/// A node holds less than it acknowledged; its storage was replaced by an older copy.
+struct ReplicaRegressed {
+  std::string node;
 };
 
-using Action = std::variant<Send, Save, Apply, Restore, Compact, Became, Confirmed, Regressed>;
+using Action = std::variant<SendMessage, PersistState, ApplyEntry, RestoreSnapshot, RequestSnapshot,
+                            RoleChanged, LeadershipConfirmed, ReplicaRegressed>;
 using Actions = std::vector<Action>;
 
-class Voter {
+/// Each event appends the actions that it causes to `actions`; the caller performs them in order.
+class Node {
 public:
-  // `kept`: what rested on disk; none: nothing did, or it could not be read.
-  Voter(Settings settings, std::optional<Kept> kept);
-
-  void begin(Nanos now, Actions& actions);
-  void received(Nanos now, const Message& message, Actions& actions);
-  void saved(Nanos now, std::uint64_t number,
-             Actions& actions);  // that one and all before rest on disk
-  void save_failed(Nanos now, Actions& actions);
-  void tick(Nanos now, Actions& actions);  // at due(), or any time
+  /// `stored` is the state read from stable storage; none if there is none or it is unreadable.
+  Node(Settings settings, std::optional<PersistentState> stored);
 
-  Nanos due() const { return std::min(due_, retry_at_); }
+  /// Call once, before any other event.
+  void start(Nanos now, Actions& actions);
+  void handle_message(Nanos now, const Message& message, Actions& actions);
+  /// The write `number` and all earlier ones are on stable storage.
+  void handle_persisted(Nanos now, std::uint64_t number, Actions& actions);
+  void handle_persist_failure(Nanos now, Actions& actions);
+  /// Call at `next_deadline()`; an earlier call does no harm.
+  void tick(Nanos now, Actions& actions);
 
-  // Where this voter leads: appends, and returns the entry's index. Nothing: it does not lead, or
-  // the log is full.
-  std::optional<Index> propose(Nanos now, std::string body, Actions& actions);
-  // Where this voter leads: asks the others whether it still does. The number that Confirmed will
-  // name; 0: it does not.
-  std::uint64_t confirm(Nanos now, Actions& actions);
-  void compact(std::string state, Actions& actions);  // the state after the last Apply
+  [[nodiscard]] Nanos next_deadline() const { return std::min(deadline_, persist_retry_at_); }
 
-  using Role = Became::Role;
+  /// Appends a command and returns its index. None: the node does not lead, or the log is full.
+  std::optional<Index> propose(std::string command, Actions& actions);
+  /// Starts a heartbeat round and returns the number that LeadershipConfirmed will name (thesis,
+  /// 6.4). None: the node does not lead.
+  std::optional<std::uint64_t> confirm_leadership(Actions& actions);
+  /// `state` is the state machine after the last ApplyEntry.
+  void compact_log(std::string state, Actions& actions);
 
-  Role role() const { return role_; }
+  [[nodiscard]] Role role() const { return role_; }
 
-  Term term() const { return kept_.term; }
+  [[nodiscard]] Term current_term() const { return state_.current_term; }
 
-  const std::string& leader() const { return leader_; }
+  /// The leader of the current term as far as known; empty: none.
+  [[nodiscard]] const std::string& leader() const { return leader_; }
 
-  Index commit() const { return commit_; }
+  [[nodiscard]] Index commit_index() const { return commit_index_; }
 
-  Index last() const { return kept_.snapshot.index + kept_.log.size(); }
+  [[nodiscard]] Index last_log_index() const { return state_.last_log_index(); }
 
-  const Snapshot& snapshot() const { return kept_.snapshot; }
+  [[nodiscard]] const Snapshot& snapshot() const { return state_.snapshot; }
 
 private:
-  struct Peer {  // as the leader knows it
-    Index next = 1, match = 0;
-    std::uint64_t round = 0;  // the newest that it answered
-    Nanos heard_at = 0;
-    std::uint64_t matched_in = 0;  // the round whose answer showed `match`
-    bool busy = false;             // entries are out to it
-    bool counted = true;           // false: it has less than it told
+  /// What a leader knows of another node (nextIndex and matchIndex of the paper).
+  struct Progress {
+    Index next_index = 1;
+    Index match_index = 0;
+    std::uint64_t acknowledged_round = 0;
+    Nanos last_response_at = 0;
+    std::uint64_t matched_in_round = 0;  ///< The round whose response set `match_index`.
+    bool entries_in_flight = false;
+    bool counts_for_quorum = true;  ///< False after it regressed.
+  };
+
+  struct HeldMessage {
+    std::uint64_t required_persist = 0;  ///< Sent once this write is on stable storage.
+    Message message;
+  };
+
+  struct PendingPersist {
+    std::uint64_t number = 0;
+    Index last_log_index = 0;  ///< That the write covers and that was not truncated since.
   };
 
-  Term term_at(Index index) const;  // 0: not held
-
-  std::size_t majority() const { return s_.voters.size() / 2 + 1; }
-
-  bool is_voter(const std::string& name) const;
-  Message to(const std::string& name, Message::Kind kind) const;
-  void broadcast(Message::Kind kind, Actions& actions);
-  void tell(Message message, Actions& actions);     // at once
-  void promise(Message message, Actions& actions);  // once all that is kept now rests on disk
-
-  bool on_disk(std::uint64_t number) const { return !sick_ && number <= saved_; }
-
-  void save(Actions& actions);
-  void truncate(Index from);
-  void become(Nanos now, Role role, const std::string& leader, Actions& actions);
-  void follow(Nanos now, Term term, const std::string& leader, Actions& actions);
-  void wait(Nanos now);  // for a leader to speak
-  void campaign(Nanos now, Actions& actions);
-  void count(Nanos now, Actions& actions);  // the votes so far
-  void lead(Nanos now, Actions& actions);
-  void send_entries(const std::string& name, Peer& peer, Actions& actions);
-  void
-  advance(Actions& actions);  // commits what a majority has, and confirms what a majority answered
-  void apply(Actions& actions);
-  void append(const Message& message, Actions& actions);
-  void install(const Message& message, Actions& actions);
-  void appended(Nanos now, const Message& message, Actions& actions);
-  bool newer(const Message& candidate) const;  // its log is at least as new as ours
-
-  Settings s_;
-  Kept kept_;
-  bool fresh_;         // nothing was found on disk
-  bool sick_ = false;  // the last save failed
+  [[nodiscard]] std::size_t majority() const { return settings_.voters.size() / 2 + 1; }
+
+  [[nodiscard]] bool is_campaigning() const {
+    return role_ == Role::PreCandidate || role_ == Role::Candidate;
+  }
+
+  [[nodiscard]] bool is_persisted(std::uint64_t number) const {
+    return !storage_failed_ && number <= persisted_number_;
+  }
+
+  [[nodiscard]] bool is_voter(const std::string& name) const;
+  [[nodiscard]] bool has_heard_from_leader(Nanos now) const;
+  [[nodiscard]] bool is_log_up_to_date(Index last_log_index, Term last_log_term) const;
+  [[nodiscard]] bool has_election_quorum() const;
+  [[nodiscard]] bool has_active_quorum(Nanos now) const;
+
+  // Sending and persisting (node.cpp).
+  [[nodiscard]] Message make_message(const std::string& to, MessageBody body) const;
+  static void send(Message message, Actions& actions);
+  void send_after_persist(Message message, Actions& actions);
+  void send_to_others(const MessageBody& body, Actions& actions);
+  void persist_if_changed(Actions& actions);
+  void truncate_log_from(Index first);
+
+  // Role transitions (node.cpp).
+  void change_role(Nanos now, Role role, const std::string& leader, Actions& actions);
+  void become_recovering(Nanos now, Actions& actions);
+  void become_follower(Nanos now, Term term, const std::string& leader, Actions& actions);
+  void become_pre_candidate(Nanos now, Actions& actions);
+  void become_candidate(Nanos now, Actions& actions);
+  void become_leader(Nanos now, Actions& actions);
+  void advance_election(Nanos now, Actions& actions);
+  void reset_election_timer(Nanos now);
+  void handle_deadline(Nanos now, Actions& actions);
+  void send_heartbeats(Nanos now, Actions& actions);
+
+  // Messages (node_messages.cpp).
+  void handle_recovery_query(const Message& message, const RecoveryQuery& query, Actions& actions);
+  void handle_recovery_reply(Nanos now, const Message& message, const RecoveryReply& reply,
+                             Actions& actions);
+  void handle_pre_vote_request(Nanos now, const Message& message, const PreVoteRequest& request,
+                               Actions& actions);
+  void handle_pre_vote_granted(Nanos now, const Message& message, Actions& actions);
+  void handle_in_current_term(Nanos now, const Message& message, Actions& actions);
+  void reject_stale_message(const Message& message, Actions& actions);
+  void handle_vote_request(Nanos now, const Message& message, const VoteRequest& request,
+                           Actions& actions);
+  void handle_vote_response(Nanos now, const Message& message, const VoteResponse& response,
+                            Actions& actions);
+  /// False: the message is not one that this node may accept from a leader.
+  bool accept_leader(Nanos now, const Message& message, Actions& actions);
+  void append_entries(const Message& message, const AppendEntriesRequest& request,
+                      Actions& actions);
+  /// False: the request contradicts the committed log.
+  bool merge_entries(const std::vector<LogEntry>& entries);
+  void install_snapshot(const Message& message, const InstallSnapshotRequest& request,
+                        Actions& actions);
+
+  // Replication by the leader (node_replication.cpp).
+  void send_entries(const std::string& name, Progress& progress, Actions& actions);
+  void handle_append_response(Nanos now, const Message& message,
+                              const AppendEntriesResponse& response, Actions& actions);
+  void record_match(const std::string& name, Progress& progress,
+                    const AppendEntriesResponse& response, Actions& actions);
+  void record_rejection(const std::string& name, Progress& progress,
+                        const AppendEntriesResponse& response, Actions& actions);
+  void advance_quorum(Actions& actions);
+  void apply_committed(Actions& actions);
+
+  Settings settings_;
+  PersistentState state_;
+  bool state_was_empty_;  ///< Nothing was found on stable storage.
   Role role_ = Role::Follower;
-  bool pre_ = false;  // Candidate: only asks whether it would be elected
   std::string leader_;
-  Index commit_ = 0, applied_ = 0;
-  Nanos due_ = kNever, retry_at_ = kNever;
-  Nanos heard_at_ = -kNever;             // from a leader of this term
-  std::map<std::string, bool> answers_;  // Mute: who is fresh; Candidate: who is for it
-  std::map<std::string, Peer> peers_;    // Leader
-  std::uint64_t round_ = 0, confirmed_ = 0;
-  std::uint64_t saves_ = 0, saved_ = 0,
-                vote_save_ = 0;  // the last is the save that holds our vote for ourselves
-  std::deque<std::pair<std::uint64_t, Index>> out_;  // saves on the way, and the last entry of each
-  Index durable_ = 0;                                // of our own log
-  std::vector<std::pair<std::uint64_t, Message>>
-      held_;  // promises, and the save that each waits for
-  bool dirty_ = false, compacting_ = false;
+  Index commit_index_ = 0;
+  Index last_applied_ = 0;
+  Nanos deadline_ = kNoDeadline;  ///< Election timeout, next heartbeat or next recovery query.
+  Nanos leader_heard_at_ = -kNoDeadline;
+  /// Recovering: who has empty state; PreCandidate and Candidate: who granted its vote.
+  std::map<std::string, bool> responses_;
+  std::map<std::string, Progress> progress_;  ///< Only of a leader.
+  std::uint64_t heartbeat_round_ = 0;         ///< Recovering: the attempt's number.
+  std::uint64_t confirmed_round_ = 0;
+
+  bool state_changed_ = false;  ///< Since the last PersistState.
+  bool storage_failed_ = false;
+  Nanos persist_retry_at_ = kNoDeadline;
+  std::uint64_t issued_persist_ = 0;
+  std::uint64_t persisted_number_ = 0;
+  std::uint64_t own_vote_persist_ = 0;  ///< The write that holds the vote for this node itself.
+  std::deque<PendingPersist> pending_persists_;
+  Index persisted_log_index_ = 0;
+  std::vector<HeldMessage> held_messages_;
+  bool snapshot_requested_ = false;
   std::mt19937_64 random_;
 };
 
--- a/tests/fleet/event_digest.cpp
+++ b/tests/fleet/event_digest.cpp
@@ -21,90 +21,121 @@
   add(node);
 }
 
-void EventDigest::add(const raft::Entry& entry) {
+void EventDigest::add(const raft::LogEntry& entry) {
   add(entry.term);
   add(entry.index);
-  add(entry.body);
+  add(entry.command);
 }
 
 void EventDigest::add(const raft::Snapshot& snapshot) {
   add(snapshot.index);
   add(snapshot.term);
-  add(snapshot.body);
+  add(snapshot.state);
 }
 
-void EventDigest::add(const raft::Kept& state) {
-  add(state.term);
-  add(state.vote);
+void EventDigest::add(const raft::PersistentState& state) {
+  add(state.current_term);
+  add(state.voted_for);
   add(state.snapshot);
   add(state.log.size());
-  for (const raft::Entry& entry : state.log)
+  for (const raft::LogEntry& entry : state.log)
     add(entry);
 }
 
 void EventDigest::add(const raft::Message& message) {
-  using Kind = raft::Message::Kind;
-  add(static_cast<int>(message.kind));
+  add(message.body.index());
   add(message.from);
   add(message.to);
   add(message.term);
-  switch (message.kind) {
-  case Kind::AskFresh:
-    add(message.round);
-    break;
-  case Kind::Fresh:
-    add(message.round);
-    add(message.granted);
-    break;
-  case Kind::PreVote:
-  case Kind::Vote:
-    add(message.index);
-    add(message.log_term);
-    break;
-  case Kind::PreVoted:
-  case Kind::Voted:
-    add(message.granted);
-    break;
-  case Kind::Append:
-    add(message.index);
-    add(message.log_term);
-    add(message.commit);
-    add(message.round);
-    add(message.entries.size());
-    for (const raft::Entry& entry : message.entries)
-      add(entry);
-    break;
-  case Kind::Appended:
-    add(message.index);
-    add(message.granted);
-    add(message.round);
-    break;
-  case Kind::Install:
-    add(message.round);
-    add(message.snapshot);
-    break;
+  std::visit(
+      [this](const auto& body) {
+        add_body(body);
+      },
+      message.body);
+}
+
+void EventDigest::add_body(const raft::RecoveryQuery& body) {
+  add(body.attempt);
+}
+
+void EventDigest::add_body(const raft::RecoveryReply& body) {
+  add(body.attempt);
+  add(body.has_empty_state);
+}
+
+void EventDigest::add_body(const raft::PreVoteRequest& body) {
+  add(body.last_log_index);
+  add(body.last_log_term);
+}
+
+void EventDigest::add_body(const raft::PreVoteResponse& body) {
+  add(body.granted);
+}
+
+void EventDigest::add_body(const raft::VoteRequest& body) {
+  add(body.last_log_index);
+  add(body.last_log_term);
+}
+
+void EventDigest::add_body(const raft::VoteResponse& body) {
+  add(body.granted);
+}
+
+void EventDigest::add_body(const raft::AppendEntriesRequest& body) {
+  add(body.previous_log_index);
+  add(body.previous_log_term);
+  add(body.leader_commit);
+  add(body.heartbeat_round);
+  add(body.entries.size());
+  for (const raft::LogEntry& entry : body.entries)
+    add(entry);
+}
+
+void EventDigest::add_body(const raft::AppendEntriesResponse& body) {
+  add(body.match_index);
+  add(body.success);
+  add(body.heartbeat_round);
+}
+
+void EventDigest::add_body(const raft::InstallSnapshotRequest& body) {
+  add(body.heartbeat_round);
+  add(body.snapshot);
+}
+
+// Pre-candidates and candidates enter the digest alike, as both only wait for votes.
+void EventDigest::add(raft::Role role) {
+  switch (role) {
+  case raft::Role::Recovering:
+    return add_number(0);
+  case raft::Role::Follower:
+    return add_number(1);
+  case raft::Role::PreCandidate:
+  case raft::Role::Candidate:
+    return add_number(2);
+  case raft::Role::Leader:
+    return add_number(3);
   }
 }
 
 void EventDigest::add(const raft::Action& action) {
   add(action.index());
-  if (const auto* send = std::get_if<raft::Send>(&action)) {
+  if (const auto* send = std::get_if<raft::SendMessage>(&action)) {
     add(send->message);
-  } else if (const auto* save = std::get_if<raft::Save>(&action)) {
-    add(save->number);
-    add(save->kept);
-  } else if (const auto* apply = std::get_if<raft::Apply>(&action)) {
+  } else if (const auto* persist = std::get_if<raft::PersistState>(&action)) {
+    add(persist->number);
+    add(persist->state);
+  } else if (const auto* apply = std::get_if<raft::ApplyEntry>(&action)) {
     add(apply->entry);
-  } else if (const auto* restore = std::get_if<raft::Restore>(&action)) {
+  } else if (const auto* restore = std::get_if<raft::RestoreSnapshot>(&action)) {
     add(restore->snapshot);
-  } else if (const auto* became = std::get_if<raft::Became>(&action)) {
-    add(static_cast<int>(became->role));
-    add(became->term);
-    add(became->leader);
-  } else if (const auto* confirmed = std::get_if<raft::Confirmed>(&action)) {
-    add(confirmed->number);
-  } else if (const auto* regressed = std::get_if<raft::Regressed>(&action)) {
-    add(regressed->voter);
+  } else if (const auto* change = std::get_if<raft::RoleChanged>(&action)) {
+    add(change->role);
+    add(change->term);
+    add(change->leader);
+  } else if (const auto* confirmed = std::get_if<raft::LeadershipConfirmed>(&action)) {
+    add(confirmed->heartbeat_round);
+  } else if (const auto* regressed = std::get_if<raft::ReplicaRegressed>(&action)) {
+    add(regressed->node);
   }
 }
 
--- a/tests/fleet/event_digest.h
+++ b/tests/fleet/event_digest.h
@@ -30,10 +30,20 @@
 
 private:
   void add_number(std::uint64_t number);
-  void add(const raft::Entry& entry);
+  void add(const raft::LogEntry& entry);
   void add(const raft::Snapshot& snapshot);
-  void add(const raft::Kept& state);
+  void add(const raft::PersistentState& state);
   void add(const raft::Message& message);
+  void add(raft::Role role);
+  void add_body(const raft::RecoveryQuery& body);
+  void add_body(const raft::RecoveryReply& body);
+  void add_body(const raft::PreVoteRequest& body);
+  void add_body(const raft::PreVoteResponse& body);
+  void add_body(const raft::VoteRequest& body);
+  void add_body(const raft::VoteResponse& body);
+  void add_body(const raft::AppendEntriesRequest& body);
+  void add_body(const raft::AppendEntriesResponse& body);
+  void add_body(const raft::InstallSnapshotRequest& body);
 
   std::uint64_t value_ = 0xcbf29ce484222325;
 };
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -125,8 +125,8 @@
     double rate = 1;
     Nanos offset = 0;
     std::uint64_t start = 0;  // counts starts: what belongs to an earlier one is dropped
-    std::unique_ptr<raft::Voter> voted;
-    std::optional<raft::Kept> disk;
+    std::unique_ptr<raft::Node> voted;
+    std::optional<raft::PersistentState> disk;
     leases::Table table;
     std::unique_ptr<leases::Keeper> keeper;
     std::unique_ptr<leases::Holder> holder;
@@ -197,20 +197,21 @@
     if (!node.voter)
       return;
     raft::Settings settings;
-    settings.self = node.name, settings.voters = voters_, settings.seed = random_();
-    settings.heartbeat = 100 * kMs, settings.election = 400 * kMs, settings.log_most = 8;
+    settings.self = node.name, settings.voters = voters_, settings.random_seed = random_();
+    settings.heartbeat_interval = 100 * kMs, settings.min_election_timeout = 400 * kMs,
+    settings.max_log_entries = 8;
     auto kept = node.disk;
     if (!kept && node.start > 1 && sabotage_ == Sabotage::VotesAfterLoss)
-      kept = raft::Kept{};
-    node.voted = std::make_unique<raft::Voter>(settings, kept);
+      kept = raft::PersistentState{};
+    node.voted = std::make_unique<raft::Node>(settings, kept);
     voter(node, [](auto& voter, Nanos now, auto& actions) {
-      voter.begin(now, actions);
+      voter.start(now, actions);
     });
   }
 
   // ---- the voter
 
-  using VoterEvent = std::function<void(raft::Voter&, Nanos, raft::Actions&)>;
+  using VoterEvent = std::function<void(raft::Node&, Nanos, raft::Actions&)>;
   using KeeperEvent = std::function<void(leases::Keeper&, Nanos, leases::KeeperActions&)>;
   using HolderEvent = std::function<void(leases::Holder&, Nanos, leases::HolderActions&)>;
 
@@ -230,57 +231,57 @@
   }
 
   void perform(Node& node, const raft::Action& action) {
-    if (const auto* send = std::get_if<raft::Send>(&action)) {
+    if (const auto* send = std::get_if<raft::SendMessage>(&action)) {
       const raft::Message message = send->message;
-      ++(node.voted->role() == raft::Voter::Role::Leader ? leader_sent : others_sent);
+      ++(node.voted->role() == raft::Role::Leader ? leader_sent : others_sent);
       Node& to = named(message.to);
       travel(node, to, [this, &to, message] {
         voter(to, [&](auto& voter, Nanos now, auto& out) {
-          voter.received(now, message, out);
+          voter.handle_message(now, message, out);
         });
       });
-    } else if (const auto* save = std::get_if<raft::Save>(&action)) {
+    } else if (const auto* save = std::get_if<raft::PersistState>(&action)) {
       write(node, *save);
-    } else if (const auto* apply = std::get_if<raft::Apply>(&action)) {
+    } else if (const auto* apply = std::get_if<raft::ApplyEntry>(&action)) {
       agree(apply->entry);
-      const std::string duty = node.table.apply(apply->entry.index, apply->entry.body);
+      const std::string duty = node.table.apply(apply->entry.index, apply->entry.command);
       state(apply->entry.index, node.table.packed());
       if (!duty.empty())
         node.keeper->applied(node.local(now_), duty);
-      if (node.voted->role() == raft::Voter::Role::Leader &&
-          apply->entry.term == node.voted->term() && apply->entry.body.empty()) {
+      if (node.voted->role() == raft::Role::Leader &&
+          apply->entry.term == node.voted->current_term() && apply->entry.command.empty()) {
         const Nanos lie = sabotage_ == Sabotage::LeadsAtOnce ? 2 * kLease : 0;
         keeper(node, [&](auto& keeper, Nanos now, auto&) {
           keeper.lead(now - lie, node.table);
         });
       }
-    } else if (const auto* restore = std::get_if<raft::Restore>(&action)) {
-      const auto table = leases::Table::unpacked(restore->snapshot.body);
+    } else if (const auto* restore = std::get_if<raft::RestoreSnapshot>(&action)) {
+      const auto table = leases::Table::unpacked(restore->snapshot.state);
       if (!table)
         throw Broken{"a snapshot that cannot be read"};
       node.table = *table;
       state(restore->snapshot.index, node.table.packed());
-    } else if (std::get_if<raft::Compact>(&action)) {
+    } else if (std::get_if<raft::RequestSnapshot>(&action)) {
       voter(node, [&](auto& voter, Nanos, auto& out) {
-        voter.compact(node.table.packed(), out);
+        voter.compact_log(node.table.packed(), out);
       });
-    } else if (const auto* became = std::get_if<raft::Became>(&action)) {
-      if (became->role == raft::Voter::Role::Leader) {
+    } else if (const auto* became = std::get_if<raft::RoleChanged>(&action)) {
+      if (became->role == raft::Role::Leader) {
         const auto [held, fresh] = leaders_.emplace(became->term, node.number);
         if (!fresh && held->second != node.number)
           throw Broken{"two leaders in term " + std::to_string(became->term)};
       } else {
         node.keeper->stop();
       }
-    } else if (const auto* confirmed = std::get_if<raft::Confirmed>(&action)) {
+    } else if (const auto* confirmed = std::get_if<raft::LeadershipConfirmed>(&action)) {
       keeper(node, [&](auto& keeper, Nanos now, auto& out) {
-        keeper.confirmed(now, confirmed->number, out);
+        keeper.confirmed(now, confirmed->heartbeat_round, out);
       });
     }
   }
 
   // Whole or not at all: a crash leaves the newest that was done.
-  void write(Node& node, const raft::Save& save) {
+  void write(Node& node, const raft::PersistState& save) {
     const bool fails = node.disk_fails;
     const Nanos took = between(1, 25) * kMs;
     node_disk_at_[node.number] = std::max(node_disk_at_[node.number], now_) + took;
@@ -293,14 +294,14 @@
       if (!node.alive || node.start != start)
         return;
       if (!fails)
-        node.disk = save.kept;  // also while the process is stopped
+        node.disk = save.state;  // also while the process is stopped
       if (sabotage_ == Sabotage::PromisesUnsaved)
         return;
       on(node, now_, [this, &node, fails, number = save.number] {
         if (!fails)
           return saved(node, number);
         voter(node, [](auto& voter, Nanos now, auto& out) {
-          voter.save_failed(now, out);
+          voter.handle_persist_failure(now, out);
         });
       });
     });
@@ -308,7 +309,7 @@
 
   void saved(Node& node, std::uint64_t number) {
     voter(node, [&](auto& voter, Nanos now, auto& out) {
-      voter.saved(now, number, out);
+      voter.handle_persisted(now, number, out);
     });
   }
 
@@ -326,13 +327,13 @@
       digest.add_event(now_, node.number);
       digest.add(action);
       if (const auto* propose = std::get_if<leases::Propose>(&action)) {
-        voter(node, [&](auto& voter, Nanos now, auto& out) {
-          voter.propose(now, propose->body, out);
+        voter(node, [&](auto& voter, Nanos, auto& out) {
+          voter.propose(propose->body, out);
         });
       } else if (std::get_if<leases::Confirm>(&action)) {
         std::uint64_t number = 0;
-        voter(node, [&](auto& voter, Nanos now, auto& out) {
-          number = voter.confirm(now, out);
+        voter(node, [&](auto& voter, Nanos, auto& out) {
+          number = voter.confirm_leadership(out).value_or(0);
         });
         node.keeper->confirming(number);
       } else if (const auto* answer = std::get_if<leases::Answer>(&action)) {
@@ -377,15 +378,22 @@
     }
   }
 
+  static Nanos deadline_of(const raft::Node& node) { return node.next_deadline(); }
+
+  template <typename Part>
+  static Nanos deadline_of(const Part& part) {
+    return part.due();
+  }
+
   // What falls due, once for each time that is due.
   template <typename Part, typename Event>
   void arm(Node& node, Part& part, Nanos& armed, Event tick) {
-    const Nanos due = part->due();
+    const Nanos due = deadline_of(*part);
     if (due == leases::kNever || due == armed)
       return;
     armed = due;
     on(node, node.real(due), [this, &node, &part, &armed, due, tick] {
-      if (part->due() != due)
+      if (deadline_of(*part) != due)
         return;
       armed = 0;
       tick(node);
@@ -442,9 +450,9 @@
     }
   }
 
-  void agree(const raft::Entry& entry) {
-    const auto [held, fresh] = log_.emplace(entry.index, std::pair(entry.term, entry.body));
-    if (!fresh && held->second != std::pair(entry.term, entry.body))
+  void agree(const raft::LogEntry& entry) {
+    const auto [held, fresh] = log_.emplace(entry.index, std::pair(entry.term, entry.command));
+    if (!fresh && held->second != std::pair(entry.term, entry.command))
       throw Broken{"log: two entries at " + std::to_string(entry.index)};
   }
 
--- a/tests/raft_leases_test.cpp
+++ b/tests/raft_leases_test.cpp
@@ -15,61 +15,61 @@
 using raft::Message;
 
 struct Three {  // voters a, b, c; messages arrive at once, the disk answers at once unless `slow`
-  std::map<std::string, std::unique_ptr<raft::Voter>> voters;
-  std::map<std::string, std::optional<raft::Kept>> disks;
+  std::map<std::string, std::unique_ptr<raft::Node>> voters;
+  std::map<std::string, std::optional<raft::PersistentState>> disks;
   std::set<std::string> cut, slow, regressed;
   std::int64_t now = 0;
 
   Three() {
     for (const char* name : {"a", "b", "c"})
-      start(name, raft::Kept{});
+      start(name, raft::PersistentState{});
   }
 
-  void start(const std::string& name, std::optional<raft::Kept> kept) {
+  void start(const std::string& name, std::optional<raft::PersistentState> kept) {
     raft::Settings settings{name, {"a", "b", "c"}};
-    settings.seed = std::hash<std::string>()(name), settings.log_most = 4;
+    settings.random_seed = std::hash<std::string>()(name), settings.max_log_entries = 4;
     disks[name] = kept;
-    voters[name] = std::make_unique<raft::Voter>(settings, kept);
+    voters[name] = std::make_unique<raft::Node>(settings, kept);
     step(name, [&](auto& voter, auto& out) {
-      voter.begin(now, out);
+      voter.start(now, out);
     });
   }
 
-  using Event = std::function<void(raft::Voter&, raft::Actions&)>;
+  using Event = std::function<void(raft::Node&, raft::Actions&)>;
 
   void step(const std::string& name, const Event& event) {
     raft::Actions actions;
     event(*voters.at(name), actions);
     for (const auto& action : actions) {
-      if (const auto* save = std::get_if<raft::Save>(&action); save && !slow.count(name)) {
-        disks[name] = save->kept;
+      if (const auto* save = std::get_if<raft::PersistState>(&action); save && !slow.count(name)) {
+        disks[name] = save->state;
         saved(name, save->number);
-      } else if (const auto* send = std::get_if<raft::Send>(&action)) {
+      } else if (const auto* send = std::get_if<raft::SendMessage>(&action)) {
         if (!cut.count(name) && !cut.count(send->message.to))
           wire.push_back(send->message);
-      } else if (const auto* who = std::get_if<raft::Regressed>(&action)) {
-        regressed.insert(who->voter);
+      } else if (const auto* who = std::get_if<raft::ReplicaRegressed>(&action)) {
+        regressed.insert(who->node);
       }
     }
   }
 
   void saved(const std::string& name, std::uint64_t number) {
     step(name, [&](auto& voter, auto& out) {
-      voter.saved(now, number, out);
+      voter.handle_persisted(now, number, out);
     });
   }
 
   void pass(std::int64_t time) {
     for (const std::int64_t end = now + time; now < end; now += 10 * ms) {
       for (const auto& [name, voter] : voters)
-        if (voter->due() <= now)
+        if (voter->next_deadline() <= now)
           step(name, [&](auto& voter, auto& out) {
             voter.tick(now, out);
           });
       for (; !wire.empty(); wire.pop_front()) {
         const Message message = wire.front();
         step(message.to, [&](auto& voter, auto& out) {
-          voter.received(now, message, out);
+          voter.handle_message(now, message, out);
         });
       }
     }
@@ -77,7 +77,7 @@
 
   std::string leader() const {
     for (const auto& [name, voter] : voters)
-      if (voter->role() == raft::Voter::Role::Leader)
+      if (voter->role() == raft::Role::Leader)
         return name;
     return "";
   }
@@ -90,14 +90,14 @@
   three.pass(5000 * ms);
   const std::string leader = three.leader();
   ASSERT_NE(leader, "");
-  const auto term = three.voters[leader]->term();
+  const auto term = three.voters[leader]->current_term();
   const std::string other = leader == "a" ? "b" : "a";
   three.cut = {other};
   three.pass(20'000 * ms);
   three.cut.clear();
   three.pass(5000 * ms);
   EXPECT_EQ(three.leader(), leader);
-  EXPECT_EQ(three.voters[leader]->term(), term);
+  EXPECT_EQ(three.voters[leader]->current_term(), term);
 }
 
 TEST(Agreement, NothingIsPromisedBeforeItRests) {
@@ -115,7 +115,7 @@
   const auto old = three.disks[other];
   for (int i = 0; i < 3; ++i) {
     three.step(leader, [&](auto& voter, auto& out) {
-      voter.propose(three.now, "x", out);
+      voter.propose("x", out);
     });
     three.pass(500 * ms);
   }
@@ -131,9 +131,9 @@
   three.start(other, std::nullopt);
   three.cut = {leader};
   three.pass(20'000 * ms);
-  EXPECT_EQ(three.voters[other]->role(), raft::Voter::Role::Mute);
+  EXPECT_EQ(three.voters[other]->role(), raft::Role::Recovering);
   for (const auto& [name, voter] : three.voters)
-    EXPECT_NE(voter->role(), raft::Voter::Role::Leader);
+    EXPECT_NE(voter->role(), raft::Role::Leader);
 }
 
 TEST(Agreement, ALogThatNobodyTakesIsBounded) {
@@ -144,7 +144,7 @@
   std::size_t taken = 0;
   for (int i = 0; i < 100; ++i)
     three.step(leader, [&](auto& voter, auto& out) {
-      taken += voter.propose(three.now, "x", out).has_value();
+      taken += voter.propose("x", out).has_value();
     });
   EXPECT_LE(taken, 8u);
 }
