Name the token buckets by the field's terms

The module and its test used the house's words (ledger, left, filled) and repeated the refill rule. The refill is one function; members, comments and test names say what they hold. Behaviour and the numbers in the test are the same.

--- a/src/rate_limit/token_buckets.cpp
+++ b/src/rate_limit/token_buckets.cpp
@@ -5,22 +5,25 @@
 
 namespace gorsebeam::rate_limit {
 namespace {
-constexpr double kSecond = 1e9;
+constexpr double kNanosPerSecond = 1e9;
 }
 
-void TokenBuckets::replace_rates(std::map<std::string, Rate> rates, Nanos now) {
-  std::map<std::string, Bucket> fresh;
-  for (auto& [team, rate] : rates) {
+double TokenBuckets::tokens_at(const Bucket& bucket, Nanos now) {
+  const double added =
+      static_cast<double>(now - bucket.updated_at) / kNanosPerSecond * bucket.rate.per_second;
+  return std::min(bucket.rate.burst, bucket.tokens + added);
+}
+
+void TokenBuckets::replace_rates(const std::map<std::string, Rate>& rates, Nanos now) {
+  std::map<std::string, Bucket> buckets;
+  for (const auto& [team, rate] : rates) {
     Bucket bucket{rate, rate.burst, now};
-    const auto known = buckets_.find(team);
-    if (known != buckets_.end()) {
-      const Bucket& old = known->second;
-      const double filled = static_cast<double>(now - old.at) / kSecond * old.rate.per_second;
-      bucket.left = std::min({rate.burst, old.rate.burst, old.left + filled});
-    }
-    fresh.emplace(team, bucket);
+    const auto previous = buckets_.find(team);
+    if (previous != buckets_.end())
+      bucket.tokens = std::min(rate.burst, tokens_at(previous->second, now));
+    buckets.emplace(team, bucket);
   }
-  buckets_ = std::move(fresh);
+  buckets_ = std::move(buckets);
 }
 
 Nanos TokenBuckets::try_acquire(const std::string& team, Nanos now) {
@@ -28,15 +31,14 @@
   if (found == buckets_.end())
     return 0;
   Bucket& bucket = found->second;
-  const double filled = static_cast<double>(now - bucket.at) / kSecond * bucket.rate.per_second;
-  bucket.left = std::min(bucket.rate.burst, bucket.left + filled);
-  bucket.at = now;
-  if (bucket.left >= 1) {
-    bucket.left -= 1;
+  bucket.tokens = tokens_at(bucket, now);
+  bucket.updated_at = now;
+  if (bucket.tokens >= 1) {
+    bucket.tokens -= 1;
     return 0;
   }
-  return std::max<Nanos>(1,
-                         static_cast<Nanos>((1 - bucket.left) / bucket.rate.per_second * kSecond));
+  const double seconds = (1 - bucket.tokens) / bucket.rate.per_second;
+  return std::max<Nanos>(1, static_cast<Nanos>(seconds * kNanosPerSecond));
 }
 
 }  // namespace gorsebeam::rate_limit
--- a/src/rate_limit/token_buckets.h
+++ b/src/rate_limit/token_buckets.h
@@ -1,6 +1,7 @@
-// Budgets of teams at this gateway: a bucket for each that fills at its rate and holds its burst.
-// Pure: time comes in. Beyond a budget the module refuses the request; how long until the next one
-// fits is told from here. Kept per team of the contracts in force and no longer.
+/// Request rate limits of teams at this gateway, as one token bucket per team.
+///
+/// The module is pure: the caller passes the time in, and no call does I/O. It runs on one thread.
+/// It keeps one bucket for each team that has a rate and forgets a bucket when its rate goes.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -10,29 +11,36 @@
 
 namespace gorsebeam::rate_limit {
 
+/// The parameters of one bucket.
 struct Rate {
-  double per_second = 0;  // above 0
-  double burst = 1;       // at least 1
+  double per_second = 0;  ///< Tokens added per second; above 0.
+  double burst = 1;       ///< Capacity in tokens; at least 1.
 };
 
+/// The buckets of all teams. Times are nanoseconds on one clock and never go back.
 class TokenBuckets {
 public:
-  // Replaces all rates. A team that stays keeps what is left of its bucket, at most the new burst;
-  // a new one is full.
-  void replace_rates(std::map<std::string, Rate> rates, Nanos now);
-  // Takes one request off the team's budget. 0: it fits; else how long until one would, and nothing
-  // was taken.
-  Nanos try_acquire(const std::string& team, Nanos now);
+  /// Replaces all rates. A team that already has a bucket keeps its tokens, at most the new burst;
+  /// a new team starts with a full bucket.
+  void replace_rates(const std::map<std::string, Rate>& rates, Nanos now);
 
-  std::size_t size() const { return buckets_.size(); }
+  /// Takes one token from the team's bucket. Returns 0 on success, and for a team without a rate;
+  /// otherwise takes nothing and returns how long, in nanoseconds, until one token is available.
+  [[nodiscard]] Nanos try_acquire(const std::string& team, Nanos now);
+
+  /// Number of buckets held.
+  [[nodiscard]] std::size_t size() const { return buckets_.size(); }
 
 private:
   struct Bucket {
     Rate rate;
-    double left = 0;
-    Nanos at = 0;
+    double tokens = 0;
+    Nanos updated_at = 0;
   };
 
+  /// Tokens in `bucket` at `now`, at most its burst.
+  [[nodiscard]] static double tokens_at(const Bucket& bucket, Nanos now);
+
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/tests/token_buckets_test.cpp
+++ b/tests/token_buckets_test.cpp
@@ -5,37 +5,38 @@
 
 namespace gorsebeam {
 namespace {
-constexpr Nanos s = 1'000'000'000;
+constexpr Nanos kSecond = 1'000'000'000;
 
-TEST(Budgets, ABucketHoldsItsBurstFillsAtItsRateAndSaysWhenTheNextFits) {
-  rate_limit::TokenBuckets ledger;
-  ledger.replace_rates({{"portal", {2, 3}}}, 0);
+TEST(TokenBuckets, AdmitsBurstRefillsAtRateAndReturnsTimeUntilNextToken) {
+  rate_limit::TokenBuckets buckets;
+  buckets.replace_rates({{"portal", {2, 3}}}, 0);
   for (int i = 0; i < 3; ++i)
-    EXPECT_EQ(ledger.try_acquire("portal", 0), 0);
-  EXPECT_EQ(ledger.try_acquire("portal", 0), s / 2);
-  EXPECT_EQ(ledger.try_acquire("portal", s / 4), s / 4);  // a refused one takes nothing
-  EXPECT_EQ(ledger.try_acquire("portal", s / 2), 0);
-  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);  // a long rest fills no more than the burst
-  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
-  EXPECT_GT(ledger.try_acquire("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.try_acquire("without", 0), 0);
+    EXPECT_EQ(buckets.try_acquire("portal", 0), 0);
+  EXPECT_EQ(buckets.try_acquire("portal", 0), kSecond / 2);
+  EXPECT_EQ(buckets.try_acquire("portal", kSecond / 4),
+            kSecond / 4);  // the rejected request took no token
+  EXPECT_EQ(buckets.try_acquire("portal", kSecond / 2), 0);
+  EXPECT_EQ(buckets.try_acquire("portal", 100 * kSecond), 0);  // refills at most to the burst
+  EXPECT_EQ(buckets.try_acquire("portal", 100 * kSecond), 0);
+  EXPECT_EQ(buckets.try_acquire("portal", 100 * kSecond), 0);
+  EXPECT_GT(buckets.try_acquire("portal", 100 * kSecond), 0);
+  EXPECT_EQ(buckets.try_acquire("team_without_rate", 0), 0);
 }
 
-TEST(Budgets, AChangeOfRatesGivesNoTeamAFreshBucketAndForgetsThoseThatAreGone) {
-  rate_limit::TokenBuckets ledger;
-  ledger.replace_rates({{"portal", {1, 10}}, {"gone", {1, 1}}}, 0);
+TEST(TokenBuckets, KeepsTokensWhenRatesAreReplacedAndForgetsRemovedTeams) {
+  rate_limit::TokenBuckets buckets;
+  buckets.replace_rates({{"portal", {1, 10}}, {"removed", {1, 1}}}, 0);
   for (int i = 0; i < 10; ++i)
-    EXPECT_EQ(ledger.try_acquire("portal", 0), 0);
-  ledger.replace_rates({{"portal", {1, 20}}, {"new", {1, 1}}}, 0);
-  EXPECT_EQ(ledger.size(), 2u);
-  EXPECT_EQ(ledger.try_acquire("portal", 0), s);  // what it had used up stays used up
-  EXPECT_EQ(ledger.try_acquire("gone", 0), 0);
-  EXPECT_EQ(ledger.try_acquire("new", 0), 0);
-  ledger.replace_rates({{"portal", {1, 2}}}, 100 * s);  // and a smaller burst binds at once
-  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
-  EXPECT_EQ(ledger.try_acquire("portal", 100 * s), 0);
-  EXPECT_GT(ledger.try_acquire("portal", 100 * s), 0);
+    EXPECT_EQ(buckets.try_acquire("portal", 0), 0);
+  buckets.replace_rates({{"portal", {1, 20}}, {"new", {1, 1}}}, 0);
+  EXPECT_EQ(buckets.size(), 2U);
+  EXPECT_EQ(buckets.try_acquire("portal", 0), kSecond);  // used tokens stay used
+  EXPECT_EQ(buckets.try_acquire("removed", 0), 0);
+  EXPECT_EQ(buckets.try_acquire("new", 0), 0);
+  buckets.replace_rates({{"portal", {1, 2}}}, 100 * kSecond);  // a smaller burst applies at once
+  EXPECT_EQ(buckets.try_acquire("portal", 100 * kSecond), 0);
+  EXPECT_EQ(buckets.try_acquire("portal", 100 * kSecond), 0);
+  EXPECT_GT(buckets.try_acquire("portal", 100 * kSecond), 0);
 }
 
 TEST(GrpcMessages, ComeInPiecesAndLiesEndTheStreamBeforeAnythingIsHeldForThem) {
@@ -55,7 +56,8 @@
   reader.feed({"\0\0\x40\0\0", 5});  // 4 MiB: may be
   EXPECT_EQ(reader.next(message), Step::More);
   EXPECT_FALSE(reader.between());
-  grpc::Reader longer, compressed;
+  grpc::Reader longer;
+  grpc::Reader compressed;
   longer.feed({"\0\0\x40\0\1", 5});
   EXPECT_EQ(longer.next(message), Step::Bad);
   EXPECT_EQ(longer.next(message), Step::Bad);  // and stays so
