--- a/src/router/session_requirements.cpp
+++ b/src/router/session_requirements.cpp
@@ -2,7 +2,7 @@
 
 namespace gorsebeam::router {
 
-using session_tokens::SessionWrites;
+using session_tokens::WriteResult;
 
 SessionRequirements::SessionRequirements(const Settings& settings)
     : settings_(settings), writes_(settings.responses_known_after) {}
@@ -12,7 +12,7 @@
   if (request_class.consistency != ConsistencyLevel::Session)
     return kUnknown;
   if (settings_.session_token_source == SessionTokenSource::Router)
-    return request.session ? writes_.seen_by(*request.session, now) : kUnknown;
+    return request.session ? writes_.required_position(*request.session, now) : kUnknown;
   const Nanos age = request.session_token_age.value_or(0);
   return age > 0 ? now - age : kUnknown;
 }
@@ -25,20 +25,20 @@
 
 void SessionRequirements::record_start(const PendingRequest& request, Nanos now) {
   if (remembers(request))
-    writes_.sent(*request.request.session, now);
+    writes_.begin_write(*request.request.session, now);
 }
 
 void SessionRequirements::record_end(const PendingRequest& request, const UpstreamAttempt& attempt,
                                      const AttemptResult& result, bool may_have_run, Nanos now) {
   if (!remembers(request))
     return;
-  SessionWrites::End end = SessionWrites::End::NeverRan;
+  WriteResult end = WriteResult::NotExecuted;
   if (may_have_run)
-    end = SessionWrites::End::Unknown;
+    end = WriteResult::Unknown;
   else if (result.status == AttemptStatus::Ok)
-    end = SessionWrites::End::Answered;
+    end = WriteResult::Committed;
   const auto commit = result.commit_position ? result.commit_position : result.replication_position;
-  writes_.ended(*request.request.session, attempt.sent_at, end, commit, now);
+  writes_.complete_write(*request.request.session, attempt.sent_at, end, commit, now);
 }
 
 }  // namespace gorsebeam::router
--- a/src/session_tokens/session_writes.cpp
+++ b/src/session_tokens/session_writes.cpp
@@ -4,48 +4,61 @@
 
 namespace gorsebeam::session_tokens {
 
-void SessionWrites::sent(std::uint64_t session, Nanos now) {
+void SessionWrites::begin_write(std::uint64_t session, Nanos now) {
   if (known_after_)
-    out_[session].insert(now);
+    in_flight_[session].insert(now);
 }
 
-void SessionWrites::ended(std::uint64_t session, Nanos sent_at, End end,
-                          std::optional<Nanos> commit, Nanos now) {
-  const auto out = out_.find(session);
-  if (out != out_.end()) {
-    const auto one = out->second.find(sent_at);
-    if (one != out->second.end())
-      out->second.erase(one);
-    if (out->second.empty())
-      out_.erase(out);
-  }
-  if (end == End::NeverRan || (end == End::Unknown && !known_after_))
+void SessionWrites::complete_write(std::uint64_t session, Nanos started_at, WriteResult result,
+                                   std::optional<Nanos> commit_position, Nanos now) {
+  remove_in_flight(session, started_at);
+  if (result == WriteResult::NotExecuted || (result == WriteResult::Unknown && !known_after_))
+    return;
+  // Without a known commit position the write was committed now at the latest.
+  const Nanos position = result == WriteResult::Unknown ? now : commit_position.value_or(now);
+  const auto [entry, is_new] = positions_.try_emplace(session, position);
+  if (is_new)
+    sessions_by_age_.push_back(session);
+  entry->second = std::max(entry->second, position);
+  forget_oldest(now);
+}
+
+void SessionWrites::remove_in_flight(std::uint64_t session, Nanos started_at) {
+  const auto writes = in_flight_.find(session);
+  if (writes == in_flight_.end())
     return;
-  if (end == End::Unknown || !commit)
-    commit = now;  // nothing was told of it: at the latest now
-  const auto [written, fresh] = written_.try_emplace(session, *commit);
-  if (fresh)
-    order_.push_back(session);
-  written->second = std::max(written->second, *commit);
-  // Bounds memory, two steps a write. One that goes on writing keeps those behind it until there
-  // are too many.
-  for (int step = 0; step < 2 && !order_.empty(); ++step) {
-    const auto oldest = written_.find(order_.front());
-    if (oldest->second >= now - kRemember && order_.size() <= kMost)
+  const auto write = writes->second.find(started_at);
+  if (write != writes->second.end())
+    writes->second.erase(write);
+  if (writes->second.empty())
+    in_flight_.erase(writes);
+}
+
+void SessionWrites::forget_oldest(Nanos now) {
+  // Two steps a write bound the memory at a constant cost. A session that goes on writing keeps the
+  // sessions behind it in the queue until there are more than kMaxSessions.
+  constexpr int kStepsPerWrite = 2;
+  for (int step = 0; step < kStepsPerWrite && !sessions_by_age_.empty(); ++step) {
+    const auto oldest = positions_.find(sessions_by_age_.front());
+    if (oldest->second >= now - kRetention && sessions_by_age_.size() <= kMaxSessions)
       return;
-    floor_ = std::max(floor_, oldest->second);
-    written_.erase(oldest);
-    order_.pop_front();
+    forgotten_position_ = std::max(forgotten_position_, oldest->second);
+    positions_.erase(oldest);
+    sessions_by_age_.pop_front();
   }
 }
 
-Nanos SessionWrites::seen_by(std::uint64_t session, Nanos now) const {
-  const auto found = written_.find(session);
-  const Nanos ended = found == written_.end() ? floor_ : found->second;
-  const auto out = out_.find(session);
-  if (out == out_.end() || *out->second.begin() >= now - *known_after_)
-    return ended;
-  return std::max(ended, now - *known_after_);
+Nanos SessionWrites::required_position(std::uint64_t session, Nanos now) const {
+  const auto found = positions_.find(session);
+  const Nanos completed = found == positions_.end() ? forgotten_position_ : found->second;
+  const auto writes = in_flight_.find(session);
+  if (writes == in_flight_.end())
+    return completed;
+  // begin_write fills in_flight_ only where known_after_ has a value.
+  const Nanos known_until = now - known_after_.value_or(0);
+  if (*writes->second.begin() >= known_until)
+    return completed;
+  return std::max(completed, known_until);
 }
 
 }  // namespace gorsebeam::session_tokens
--- a/src/session_tokens/session_writes.h
+++ b/src/session_tokens/session_writes.h
@@ -1,10 +1,15 @@
-// What each session has written through this gateway, for reads that must see it; pure.
-//
-// A write may count before its answer is here: its member may have committed and answered it, and
-// the answer be lost on the way or held up, while the session, told by whatever else, reads. The
-// site says when such an answer counts as known. So while a write is out for longer, a read needs
-// all that may have been answered by then, and after one that ended without a proof that it never
-// ran, all that may have been committed before its end. Times are Unix nanoseconds.
+/// The replication position that the reads of each session require to see the session's own writes.
+///
+/// The module is pure: the caller passes the time in, and no call does I/O. It runs on one thread.
+/// Positions and times are Unix nanoseconds.
+///
+/// A write may take effect before its response reaches this gateway: the endpoint may have
+/// committed and answered, and the response be lost or delayed, while the session learns of the
+/// commit by another way and reads. The site's settings bound how long after the start of a write
+/// its effect counts as known to the session. While a write is in flight for longer than that, a
+/// read requires everything that may have been committed and known by then. After a write that
+/// ended without a proof that it never ran, a read requires everything that may have been committed
+/// before its end.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -17,34 +22,49 @@
 
 namespace gorsebeam::session_tokens {
 
+/// How an attempt of a write ended.
+enum class WriteResult {
+  Committed,    ///< Answered as committed.
+  Unknown,      ///< Not answered; it may have run.
+  NotExecuted,  ///< Proven never to have run.
+};
+
+/// Tracks the writes of all sessions that pass this gateway.
 class SessionWrites {
 public:
-  static constexpr Nanos kNone = INT64_MIN;  // nothing was written
-  static constexpr std::size_t kMost =
-      100'000;  // sessions remembered; older ones fold into one floor
-  static constexpr Nanos kRemember =
-      60'000'000'000;  // and for so long: no replica in use is further behind
-
-  // `known_after`: so long after its writing an answer counts as known, come or not; nothing: once
-  // it came, and then a write that is out, or ended without an answer, binds no read.
+  /// The position of a session that has written nothing.
+  static constexpr Nanos kNoWrite = INT64_MIN;
+  /// Sessions remembered; the oldest beyond them fold into one floor.
+  static constexpr std::size_t kMaxSessions = 100'000;
+  /// How long a session's position is kept at least: no replica in use lags further behind.
+  static constexpr Nanos kRetention = 60'000'000'000;
+
+  /// `known_after`: how long after its start a write counts as known to the session, answered or
+  /// not. Without a value a write counts only once its response came, and one that is in flight or
+  /// ended without a response constrains no read.
   explicit SessionWrites(std::optional<Nanos> known_after) : known_after_(known_after) {}
 
-  void sent(std::uint64_t session, Nanos now);
-  // The end of what was sent then, answered as committed at `commit`, or not answered, though it
-  // may have run.
-  enum class End { Answered, Unknown, NeverRan };
-  void ended(std::uint64_t session, Nanos sent_at, End end, std::optional<Nanos> commit, Nanos now);
-  // What a read that comes now must see. Sessions that are forgotten are held to the newest write
-  // forgotten.
-  Nanos seen_by(std::uint64_t session, Nanos now) const;
+  /// Records an attempt of a write that starts at `now`.
+  void begin_write(std::uint64_t session, Nanos now);
+
+  /// Records the end of the attempt that began at `started_at`; each attempt ends once. Without a
+  /// `commit_position` the write counts as committed at `now`.
+  void complete_write(std::uint64_t session, Nanos started_at, WriteResult result,
+                      std::optional<Nanos> commit_position, Nanos now);
+
+  /// The position that a read of `session` at `now` must see; `kNoWrite` if it requires none. A
+  /// forgotten session is held to the newest position that was forgotten.
+  [[nodiscard]] Nanos required_position(std::uint64_t session, Nanos now) const;
 
 private:
+  void remove_in_flight(std::uint64_t session, Nanos started_at);
+  void forget_oldest(Nanos now);
+
   std::optional<Nanos> known_after_;
-  std::unordered_map<std::uint64_t, Nanos> written_;  // looked up only
-  std::deque<std::uint64_t> order_;                   // of their first writes
-  std::unordered_map<std::uint64_t, std::multiset<Nanos>>
-      out_;  // when sent; ended by each attempt's one end
-  Nanos floor_ = kNone;
+  std::unordered_map<std::uint64_t, Nanos> positions_;  // by session; never iterated
+  std::deque<std::uint64_t> sessions_by_age_;           // in order of their first write
+  std::unordered_map<std::uint64_t, std::multiset<Nanos>> in_flight_;  // start times, by session
+  Nanos forgotten_position_ = kNoWrite;
 };
 
 }  // namespace gorsebeam::session_tokens
