Name the ranking of idle connections by what it returns

rank_replaceable, rank_retirable and retirement_interval replace room_for_new, retire and again; constants and fields are whole words with their reasons beside them. Decisions are the same.

--- a/src/connection_admission/connection_admission.cpp
+++ b/src/connection_admission/connection_admission.cpp
@@ -2,52 +2,66 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace gorsebeam::connection_admission {
 namespace {
-constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kIdleLeast =
-    2050 * kMs;  // the platform's clients may count on 2 s where there is no need
-constexpr Nanos kSilentLeast = 200 * kMs;  // one that never asked makes room for others after this
-constexpr Nanos kOnceLeast =
-    100 * kMs;  // of uses again, nine in ten came sooner on the recorded days
-constexpr Nanos kPressedLeast = 50 * kMs;
-
-bool older(const IdleConnection& a, const IdleConnection& b) {
-  return std::tuple(a.answered > 0, a.since, a.index) <
-         std::tuple(b.answered > 0, b.since, b.index);
+
+constexpr Nanos kMillisecond = 1'000'000;
+// The platform's clients may rely on 2 s while there is no shortage.
+constexpr Nanos kMinIdleTime = 2050 * kMillisecond;
+constexpr Nanos kMinUnusedTime = 200 * kMillisecond;
+// On the recorded days nine in ten further requests came sooner than this.
+constexpr Nanos kMinIdleTimeAfterOneRequest = 100 * kMillisecond;
+constexpr Nanos kMinIdleTimeForReplacement = 50 * kMillisecond;
+constexpr Nanos kBusyInterval = 50 * kMillisecond;
+constexpr Nanos kCalmInterval = 200 * kMillisecond;
+
+bool closes_before(const IdleConnection& left, const IdleConnection& right) {
+  return std::tuple(left.answered_requests > 0, left.idle_since, left.index) <
+         std::tuple(right.answered_requests > 0, right.idle_since, right.index);
+}
+
+void append(std::vector<CloseCandidate>& candidates, const std::vector<CloseCandidate>& more) {
+  candidates.insert(candidates.end(), more.begin(), more.end());
 }
+
 }  // namespace
 
-std::vector<std::size_t> room_for_new(std::vector<IdleConnection> idle, Nanos now) {
-  std::sort(idle.begin(), idle.end(), older);
-  std::vector<std::size_t> order;
-  for (const IdleConnection& one : idle)
-    if (now - one.since >= kPressedLeast)
-      order.push_back(one.index);
-  return order;
+std::vector<std::size_t> rank_replaceable(std::vector<IdleConnection> idle, Nanos now) {
+  std::sort(idle.begin(), idle.end(), closes_before);
+  std::vector<std::size_t> ranked;
+  for (const IdleConnection& connection : idle) {
+    if (now - connection.idle_since >= kMinIdleTimeForReplacement)
+      ranked.push_back(connection.index);
+  }
+  return ranked;
 }
 
-std::vector<CloseCandidate> retire(std::vector<IdleConnection> idle, Nanos now,
-                                   std::size_t connected, std::size_t most) {
-  std::sort(idle.begin(), idle.end(), older);
-  std::vector<CloseCandidate> silent, rested, once;
-  for (const IdleConnection& one : idle) {
-    const Nanos rest = now - one.since;
-    if (one.answered == 0 && connected >= most && rest >= kSilentLeast)
-      silent.push_back({one.index, 0});
-    else if (rest >= kIdleLeast)
-      rested.push_back({one.index, most / 4});
-    else if (one.answered == 1 && rest >= kOnceLeast)
-      once.push_back({one.index, most / 2});
+std::vector<CloseCandidate> rank_retirable(std::vector<IdleConnection> idle, Nanos now,
+                                           std::size_t connected, std::size_t max_connections) {
+  std::sort(idle.begin(), idle.end(), closes_before);
+  std::vector<CloseCandidate> unused;
+  std::vector<CloseCandidate> long_idle;
+  std::vector<CloseCandidate> used_once;
+  for (const IdleConnection& connection : idle) {
+    const Nanos idle_time = now - connection.idle_since;
+    const std::size_t answered = connection.answered_requests;
+    if (answered == 0 && connected >= max_connections && idle_time >= kMinUnusedTime)
+      unused.push_back({connection.index, 0});
+    else if (idle_time >= kMinIdleTime)
+      long_idle.push_back({connection.index, max_connections / 4});
+    else if (answered == 1 && idle_time >= kMinIdleTimeAfterOneRequest)
+      used_once.push_back({connection.index, max_connections / 2});
   }
-  silent.insert(silent.end(), rested.begin(), rested.end());
-  silent.insert(silent.end(), once.begin(), once.end());
-  return silent;
+  std::vector<CloseCandidate> ranked = std::move(unused);
+  append(ranked, long_idle);
+  append(ranked, used_once);
+  return ranked;
 }
 
-Nanos again(std::size_t connected, std::size_t most) {
-  return connected > most / 2 ? 50 * kMs : 200 * kMs;
+Nanos retirement_interval(std::size_t connected, std::size_t max_connections) {
+  return connected > max_connections / 2 ? kBusyInterval : kCalmInterval;
 }
 
 }  // namespace gorsebeam::connection_admission
--- a/src/connection_admission/connection_admission.h
+++ b/src/connection_admission/connection_admission.h
@@ -1,7 +1,9 @@
-// Which idle connection makes room for others. Pure: what is known of the connections in, the order
-// of closing out; no clock, no I/O. A close between requests is allowed at any time, but one that
-// crosses a request costs its client a new connection, so it is put off the longer, the likelier
-// the connection is to be used again.
+/// Which idle client connections are closed to make room for others.
+///
+/// The module is pure: it takes what is known of the connections and returns an order of closing;
+/// it reads no clock and does no I/O. A connection may be closed at any time between two requests,
+/// but a close that crosses a request on its way costs the client a new connection. So a connection
+/// is kept the longer, the likelier its client is to use it again.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -11,30 +13,39 @@
 
 namespace gorsebeam::connection_admission {
 
-struct IdleConnection {      // a connection between requests
-  std::size_t index = 0;     // the caller's, given back
-  Nanos since = 0;           // when it last moved on; module time, ns
-  std::size_t answered = 0;  // requests of it that were answered, 2 standing for more
+/// A connection between two requests.
+struct IdleConnection {
+  std::size_t index = 0;              ///< Chosen by the caller, who gets it back.
+  Nanos idle_since = 0;               ///< When its state last changed, on the clock of `now`.
+  std::size_t answered_requests = 0;  ///< Requests answered on it; 2 stands for 2 or more.
 };
 
+/// A connection that may be closed, as long as there are too many.
 struct CloseCandidate {
-  std::size_t index = 0;
-  std::size_t above = 0;  // to be closed only while more than these are connected
+  std::size_t index = 0;  ///< As in `IdleConnection`.
+  std::size_t above = 0;  ///< It is closed only while more connections than these are open.
 };
 
-// Where a new connection finds none free: at most one is to be closed, the first that can be. Those
-// that never asked come first, then the one idle longest; none that moved within 50 ms, as its
-// request may be on the way.
-std::vector<std::size_t> room_for_new(std::vector<IdleConnection> idle, Nanos now);
-
-// At any time, `most` being how many may be connected. In order: while all are in use, those that
-// never asked, after 0.2 s; above a quarter, those idle for 2 s; above half, those that asked once,
-// after 0.1 s. Clients that ask once and stay must not use up what others need, and what clients
-// may open is often less than what may connect here.
-std::vector<CloseCandidate> retire(std::vector<IdleConnection> idle, Nanos now,
-                                   std::size_t connected, std::size_t most);
-
-// When to ask retire() again, in ns: sooner while more than half are connected.
-Nanos again(std::size_t connected, std::size_t most);
+/// Ranks the connections that may be closed when a new one finds no capacity; the caller closes at
+/// most one, the first that it can. Connections without a request come first, then the longest
+/// idle. A connection whose state changed within the last 50 ms is left out, as a request may be on
+/// its way.
+[[nodiscard]] std::vector<std::size_t> rank_replaceable(std::vector<IdleConnection> idle,
+                                                        Nanos now);
+
+/// Ranks the connections that may be closed at any time, out of `connected` with a maximum of
+/// `max_connections`. In order:
+///  - while all capacity is in use, those without a request, idle for 0.2 s;
+///  - above a quarter of the capacity, those idle for 2.05 s;
+///  - above half of it, those with a single request, idle for 0.1 s.
+/// Clients that ask once and stay must not use up the capacity of others, and clients may often
+/// open fewer connections than this gateway accepts.
+[[nodiscard]] std::vector<CloseCandidate> rank_retirable(std::vector<IdleConnection> idle,
+                                                         Nanos now, std::size_t connected,
+                                                         std::size_t max_connections);
+
+/// Nanoseconds until `rank_retirable` is to be called again: 50 ms while more than half of the
+/// capacity is in use, 200 ms otherwise.
+[[nodiscard]] Nanos retirement_interval(std::size_t connected, std::size_t max_connections);
 
 }  // namespace gorsebeam::connection_admission
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -197,7 +197,7 @@
       linger_([this] {
         end_lingering();
       }) {
-  tidy_.after(connection_admission::again(0, limits_.connections));
+  tidy_.after(connection_admission::retirement_interval(0, limits_.connections));
 }
 
 std::unique_ptr<net::Listener> Frontend::new_listener() {
@@ -254,7 +254,7 @@
 bool Frontend::evict() {
   std::vector<ClientConnection*> which;
   const std::vector<std::size_t> order =
-      connection_admission::room_for_new(idle(which), net::now());
+      connection_admission::rank_replaceable(idle(which), net::now());
   if (order.empty())
     return false;
   which[order.front()]->retire();
@@ -272,7 +272,7 @@
     connection->turn_away(why);
   std::vector<ClientConnection*> which;
   for (const connection_admission::CloseCandidate& close :
-       connection_admission::retire(idle(which), now, connections_.size(), limits_.connections)) {
+       connection_admission::rank_retirable(idle(which), now, connections_.size(), limits_.connections)) {
     if (connections_.size() <= close.above)
       continue;
     ClientConnection* connection = which[close.index];
@@ -281,7 +281,7 @@
     connection->answered_times() == 0 ? connection->turn_away("too many connections")
                                       : connection->retire();
   }
-  tidy_.after(connection_admission::again(connections_.size(), limits_.connections));
+  tidy_.after(connection_admission::retirement_interval(connections_.size(), limits_.connections));
 }
 
 void Frontend::relieve() {
--- a/tests/connection_admission_test.cpp
+++ b/tests/connection_admission_test.cpp
@@ -4,50 +4,55 @@
 
 namespace gorsebeam::connection_admission {
 namespace {
-constexpr Nanos ms = 1'000'000;
-constexpr Nanos now = 100'000 * ms;
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kNow = 100'000 * kMillisecond;
 using Order = std::vector<std::size_t>;
 
-TEST(Admission, ANewConnectionTakesTheRoomOfTheOneLeastLikelyToAsk) {
-  // Those that never asked first, then by rest; whoever moved within 50 ms may have a request on
-  // the way.
-  const std::vector<IdleConnection> idle = {{0, now - 900 * ms, 2},
-                                            {1, now - 60 * ms, 0},
-                                            {2, now - 49 * ms, 0},
-                                            {3, now - 3000 * ms, 1},
-                                            {4, now - 50 * ms, 0}};
-  EXPECT_EQ(room_for_new(idle, now), (Order{1, 4, 3, 0}));
-  EXPECT_TRUE(room_for_new({{0, now - 10 * ms, 1}}, now).empty());
+IdleConnection idle_for(Nanos milliseconds, std::size_t index, std::size_t answered_requests) {
+  return {index, kNow - milliseconds * kMillisecond, answered_requests};
+}
+
+TEST(ConnectionAdmission, ReplacesUnusedThenLongestIdleAndNoneThatMovedWithin50Ms) {
+  const std::vector<IdleConnection> idle = {idle_for(900, 0, 2), idle_for(60, 1, 0),
+                                            idle_for(49, 2, 0), idle_for(3000, 3, 1),
+                                            idle_for(50, 4, 0)};
+
+  EXPECT_EQ(rank_replaceable(idle, kNow), (Order{1, 4, 3, 0}));
+  EXPECT_TRUE(rank_replaceable({idle_for(10, 0, 1)}, kNow).empty());
 }
 
-Order closed(const std::vector<IdleConnection>& idle, std::size_t connected, std::size_t most) {
+/// The connections that a caller closes, in order, when `connected` of `max_connections` are open.
+Order retired(const std::vector<IdleConnection>& idle, std::size_t connected,
+              std::size_t max_connections) {
   Order order;
-  for (const CloseCandidate& close : retire(idle, now, connected, most))
-    if (connected > close.above)
-      order.push_back(close.index), --connected;
+  for (const CloseCandidate& candidate : rank_retirable(idle, kNow, connected, max_connections)) {
+    if (connected <= candidate.above)
+      continue;
+    order.push_back(candidate.index);
+    --connected;
+  }
   return order;
 }
 
-TEST(Admission, ThoseThatAskedOnceMakeRoomBeyondHalfAndThoseThatCameBackDoNot) {
-  const std::vector<IdleConnection> idle = {{0, now - 1500 * ms, 2},
-                                            {1, now - 300 * ms, 1},
-                                            {2, now - 400 * ms, 1},
-                                            {3, now - 99 * ms, 1}};
-  EXPECT_EQ(closed(idle, 53, 100), (Order{2, 1}));
-  EXPECT_EQ(closed(idle, 51, 100), (Order{2}));
-  EXPECT_EQ(closed(idle, 50, 100), Order{});
+TEST(ConnectionAdmission, RetiresConnectionsUsedOnceAboveHalfOfTheCapacity) {
+  const std::vector<IdleConnection> idle = {idle_for(1500, 0, 2), idle_for(300, 1, 1),
+                                            idle_for(400, 2, 1), idle_for(99, 3, 1)};
+
+  EXPECT_EQ(retired(idle, 53, 100), (Order{2, 1}));
+  EXPECT_EQ(retired(idle, 51, 100), (Order{2}));
+  EXPECT_EQ(retired(idle, 50, 100), Order{});
 }
 
-TEST(Admission, LongRestsEndBeyondAQuarterAndSilenceWhereAllIsInUse) {
-  const std::vector<IdleConnection> idle = {{0, now - 2050 * ms, 2},
-                                            {1, now - 2049 * ms, 2},
-                                            {2, now - 200 * ms, 0},
-                                            {3, now - 199 * ms, 0}};
-  EXPECT_EQ(closed(idle, 26, 100), (Order{0}));
-  EXPECT_EQ(closed(idle, 25, 100), Order{});
-  EXPECT_EQ(closed(idle, 100, 100), (Order{2, 0}));
-  EXPECT_EQ(again(51, 100), 50 * ms);
-  EXPECT_EQ(again(50, 100), 200 * ms);
+TEST(ConnectionAdmission, RetiresLongIdleAboveAQuarterAndUnusedAtFullCapacity) {
+  const std::vector<IdleConnection> idle = {idle_for(2050, 0, 2), idle_for(2049, 1, 2),
+                                            idle_for(200, 2, 0), idle_for(199, 3, 0)};
+
+  EXPECT_EQ(retired(idle, 26, 100), (Order{0}));
+  EXPECT_EQ(retired(idle, 25, 100), Order{});
+  EXPECT_EQ(retired(idle, 100, 100), (Order{2, 0}));
+  EXPECT_EQ(retirement_interval(51, 100), 50 * kMillisecond);
+  EXPECT_EQ(retirement_interval(50, 100), 200 * kMillisecond);
 }
 
 }  // namespace
