--- a/src/proxy/contract_enforcer.h
+++ b/src/proxy/contract_enforcer.h
@@ -1,5 +1,7 @@
-// What each team may ask for: its classes, how long its requests may wait, how often they may be
-// tried, and its rate.
+/// The contracts of teams: which request classes and groups a team may use, how long its requests
+/// may wait, how many attempts they get, and its rate limit.
+///
+/// Runs on one thread; the caller passes the time in.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -9,80 +11,58 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 
 namespace gorsebeam::proxy {
 
+/// The limits of one request class in one team's contract.
 struct ClassPolicy {
-  Nanos deadline = 0;              // a request waits no longer; 0: as it asks
-  std::uint32_t max_attempts = 0;  // tries at most; 0: as the settings have it
+  Nanos deadline = 0;              ///< The longest wait of a request; 0: as the request asks.
+  std::uint32_t max_attempts = 0;  ///< Attempts a request gets; 0: as the settings say.
 };
 
+/// What one team may use.
 struct TeamContract {
-  std::map<std::size_t, ClassPolicy> classes;  // by number in the settings
-  std::set<GroupId> groups;                    // that it may ask; none: all
+  std::map<std::size_t, ClassPolicy> classes;  ///< By index into `Settings::classes`.
+  std::set<GroupId> groups;                    ///< Groups it may use; empty: all of them.
 };
 
-// The settings' classes by name, and the teams by theirs. Without any team every caller may ask for
-// everything, as on the platform. Immutable once in force.
+/// All contracts. Without any team every caller may use everything, as on the platform. Immutable
+/// once it is in force.
 struct ContractSet {
-  std::map<std::string, std::size_t> classes;
-  std::map<std::string, TeamContract> teams;
-  std::map<std::string, rate_limit::Rate> rates;
+  std::map<std::string, std::size_t> classes;     ///< Index into `Settings::classes`, by name.
+  std::map<std::string, TeamContract> teams;      ///< By the team's name.
+  std::map<std::string, rate_limit::Rate> rates;  ///< By the team's name; none: unlimited.
 };
 
-// The contracts in force, for all fronts. Replaced as a whole while requests are open; each keeps
-// what it began with.
+/// Applies the contracts in force, for all frontends. A new set replaces the whole old one; a
+/// request that is open keeps the terms it was admitted with.
 class ContractEnforcer {
 public:
   enum class Decision { Admitted, UnknownTeam, ClassNotAllowed, GroupNotAllowed };
 
-  void replace_contracts(std::shared_ptr<const ContractSet> contracts, Nanos now) {
-    now_ = std::move(contracts);
-    ledger_.replace_rates(now_->rates, now);
-  }
-
-  const std::map<std::string, std::size_t>& classes() const { return now_->classes; }
+  /// Puts `contracts`, which is not null, in force at `now`. Token buckets carry over as
+  /// `rate_limit::TokenBuckets::replace_rates` says.
+  void replace_contracts(std::shared_ptr<const ContractSet> contracts, Nanos now);
 
-  bool has_team(const std::string& team) const {
-    return now_->teams.empty() || now_->teams.count(team);
+  /// Request classes by name, valid until the next `replace_contracts`.
+  [[nodiscard]] const std::map<std::string, std::size_t>& classes() const {
+    return contracts_->classes;
   }
 
-  // Writes the team's terms into the request and takes it off the team's budget.
-  Decision admit(const std::string& team, Nanos now, Request& request) {
-    if (now_->teams.empty())
-      return Decision::Admitted;
-    const auto found = now_->teams.find(team);
-    if (found == now_->teams.end())
-      return Decision::UnknownTeam;
-    const TeamContract& contract = found->second;
-    const auto terms = contract.classes.find(request.class_index);
-    if (terms == contract.classes.end())
-      return Decision::ClassNotAllowed;
-    if (!contract.groups.empty() && !contract.groups.count(request.group))
-      return Decision::GroupNotAllowed;
-    request.max_attempts = terms->second.max_attempts;
-    if (terms->second.deadline > 0 && now + terms->second.deadline < request.deadline)
-      request.deadline = now + terms->second.deadline;
-    request.rate_limit_retry_after = ledger_.try_acquire(team, now);
-    return Decision::Admitted;
-  }
+  /// Whether requests of `team` may be admitted at all.
+  [[nodiscard]] bool has_team(const std::string& team) const;
+
+  /// Decides on a request by its class and group. If it is admitted, writes the limits of the
+  /// contract into `request` and takes a token from the team's bucket: a request over the rate
+  /// limit is still admitted and carries `rate_limit_retry_after`, by which the router rejects it.
+  [[nodiscard]] Decision admit(const std::string& team, Nanos now, Request& request);
 
 private:
-  std::shared_ptr<const ContractSet> now_ = std::make_shared<ContractSet>();
-  rate_limit::TokenBuckets ledger_;
+  std::shared_ptr<const ContractSet> contracts_ = std::make_shared<ContractSet>();
+  rate_limit::TokenBuckets buckets_;
 };
 
-// What a front says of a decision that is not fine.
-inline const char* describe(ContractEnforcer::Decision decision) {
-  switch (decision) {
-  case ContractEnforcer::Decision::UnknownTeam:
-    return "the team has no contract any more";
-  case ContractEnforcer::Decision::GroupNotAllowed:
-    return "the team's contract does not hold this group";
-  default:
-    return "the team's contract does not hold this class";
-  }
-}
+/// The text that a frontend sends its client for a `decision` other than `Admitted`.
+[[nodiscard]] const char* describe(ContractEnforcer::Decision decision);
 
 }  // namespace gorsebeam::proxy
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -5,242 +5,282 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <variant>
 
 namespace gorsebeam::proxy {
-
 namespace {
-constexpr std::size_t kIdMost = 128;
+
+constexpr EndpointId kReservedEndpointId = 0xffffffff;
+constexpr std::size_t kIdDigits = 8;
+
+/// FNV-1a, 32 bits.
+std::uint32_t hash_of(const std::string& text) {
+  constexpr std::uint32_t kOffsetBasis = 2166136261;
+  constexpr std::uint32_t kPrime = 16777619;
+  std::uint32_t hash = kOffsetBasis;
+  for (const char c : text)
+    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  return hash;
+}
+
+/// All gateways must order endpoints alike, so an id follows from the name: a name that ends in
+/// eight hex digits, as discovery's names do, has that number, and any other name its hash.
+EndpointId preferred_endpoint_id(const std::string& name) {
+  if (name.size() <= kIdDigits)
+    return hash_of(name);
+  const std::string suffix = name.substr(name.size() - kIdDigits);
+  if (suffix.find_first_not_of("0123456789abcdef") != std::string::npos)
+    return hash_of(name);
+  return static_cast<EndpointId>(std::stoul(suffix, nullptr, 16));
+}
+
 }  // namespace
 
 RequestBroker::RequestBroker(const Settings& settings, std::uint64_t seed)
     : settings_(settings), router_(settings, seed), timer_([this] {
         events_.emplace_back(TimerExpired{});
-        pump();
+        dispatch_events();
       }) {}
 
 bool RequestBroker::begin_request(Request request, ClientCall& call) {
-  // Guards against an id that is still open, a client's own or another's: sent on, it would be a
-  // second copy out beside the first.
+  // An id that is still open, of this client or another, would put a second copy of the request in
+  // flight beside the first.
   const std::string& id = request.id;
-  if (id.empty() || id.size() > kIdMost || jobs_.count(id))
+  if (id.empty() || id.size() > kMaxRequestIdLength || pending_requests_.count(id) > 0)
     return false;
-  Job& job = jobs_[id];
-  job.call = &call;
-  job.deadline = request.deadline;
-  ++open_;
+  PendingRequest& pending = pending_requests_[id];
+  pending.call = &call;
+  pending.deadline = request.deadline;
+  ++open_requests_;
   events_.emplace_back(std::move(request));
-  pump();
+  dispatch_events();
   return true;
 }
 
-void RequestBroker::client_disconnected(const std::string& id) {
-  const auto job = jobs_.find(id);
-  if (job == jobs_.end() || !job->second.call)
+void RequestBroker::client_disconnected(const std::string& request_id) {
+  const auto request = pending_requests_.find(request_id);
+  if (request == pending_requests_.end() || request->second.call == nullptr)
     return;
-  const EventBatch hold(*this);
-  job->second.call = nullptr;
-  --open_;
-  events_.emplace_back(ClientDisconnected{id});
-  if (job->second.out)
-    upstream_->detach_call(job->second.out);
+  const EventBatch batch(*this);
+  request->second.call = nullptr;
+  --open_requests_;
+  events_.emplace_back(ClientDisconnected{request_id});
+  if (request->second.current_attempt != kNoAttempt)
+    upstream_->detach_call(request->second.current_attempt);
   else
-    jobs_.erase(job);
+    pending_requests_.erase(request);
+}
+
+ClientCall* RequestBroker::complete_request(PendingRequests::iterator request) {
+  ClientCall* call = std::exchange(request->second.call, nullptr);
+  --open_requests_;
+  erase_if_finished(request);
+  return call;
 }
 
-void RequestBroker::complete_request(const std::string& id) {
-  jobs_.at(id).call = nullptr;
-  --open_;
-  forget(id);
+void RequestBroker::erase_if_finished(PendingRequests::iterator request) {
+  if (request->second.call == nullptr && request->second.current_attempt == kNoAttempt)
+    pending_requests_.erase(request);
 }
 
-void RequestBroker::forget(const std::string& id) {
-  const auto job = jobs_.find(id);
-  if (job != jobs_.end() && !job->second.call && !job->second.out)
-    jobs_.erase(job);
+ClientCall* RequestBroker::complete_if_open(const std::string& request_id) {
+  const auto request = pending_requests_.find(request_id);
+  if (request == pending_requests_.end() || request->second.call == nullptr)
+    return nullptr;
+  return complete_request(request);
 }
 
-void RequestBroker::complete_attempt(AttemptId number, const UpstreamResponse& answer) {
-  const auto found = attempts_.find(number);
+void RequestBroker::complete_attempt(AttemptId attempt_id, const UpstreamResponse& response) {
+  const auto found = attempts_.find(attempt_id);
   if (found == attempts_.end())
     return;
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
-  const EventBatch hold(*this);
-  Job& job = jobs_.at(attempt.id);
-  job.out = 0;
-  ClientCall* call = job.call;
-  const bool serves = answer.status == AttemptStatus::Ok && call;
-  AttemptResult outcome;
-  outcome.request_id = attempt.id;
-  outcome.attempt = attempt.number;
-  outcome.endpoint = attempt.member;
-  outcome.status = answer.status;
-  outcome.request_finished = serves || !call;
-  outcome.elapsed = net::now() - attempt.sent_at;
-  outcome.role = answer.role;
-  outcome.replication_position = answer.replication_position;
-  outcome.commit_position = answer.commit_position;
-  outcome.load_report = answer.load_report;
-  events_.emplace_back(std::move(outcome));
-  if (!serves)
-    return forget(attempt.id);
-  complete_request(attempt.id);
-  call->respond(answer.value);
-}
-
-bool RequestBroker::is_attempt_allowed(AttemptId number) {
-  const auto attempt = attempts_.find(number);
-  return attempt != attempts_.end() &&
-         router_.is_attempt_allowed(net::now(), attempt->second.id, attempt->second.member);
-}
-
-void RequestBroker::complete_health_check(EndpointId member, const UpstreamResponse& answer) {
-  const auto since = probing_.find(member);
-  if (since == probing_.end())
+  const EventBatch batch(*this);
+  const auto request = pending_requests_.find(attempt.request_id);
+  request->second.current_attempt = kNoAttempt;
+  const bool is_open = request->second.call != nullptr;
+  const bool is_answer = is_open && response.status == AttemptStatus::Ok;
+  AttemptResult result;
+  result.request_id = attempt.request_id;
+  result.attempt = attempt.number;
+  result.endpoint = attempt.endpoint;
+  result.status = response.status;
+  result.request_finished = is_answer || !is_open;
+  result.elapsed = net::now() - attempt.started_at;
+  result.role = response.role;
+  result.replication_position = response.replication_position;
+  result.commit_position = response.commit_position;
+  result.load_report = response.load_report;
+  events_.emplace_back(std::move(result));
+  if (is_answer)
+    complete_request(request)->respond(response.value);
+  else
+    erase_if_finished(request);
+}
+
+bool RequestBroker::is_attempt_allowed(AttemptId attempt_id) {
+  const auto found = attempts_.find(attempt_id);
+  if (found == attempts_.end())
+    return false;
+  const Attempt& attempt = found->second;
+  return router_.is_attempt_allowed(net::now(), attempt.request_id, attempt.endpoint);
+}
+
+void RequestBroker::complete_health_check(EndpointId endpoint, const UpstreamResponse& response) {
+  const auto started = health_checks_.find(endpoint);
+  if (started == health_checks_.end())
     return;
-  HealthCheckResult event;
-  event.endpoint = member;
-  event.succeeded = answer.status == AttemptStatus::Ok;
-  event.elapsed = net::now() - since->second;
-  event.load_report = answer.load_report;
-  probing_.erase(since);
-  events_.emplace_back(event);
-  pump();
-}
-
-// Members have numbers in the module, and all gateways must sort them alike: a name that ends in
-// eight hex digits, as discovery's do, is that number; any other is hashed. A clash takes the next
-// free number.
-EndpointId RequestBroker::id_of(const std::string& name) {
-  const auto known = ids_.find(name);
-  if (known != ids_.end())
+  HealthCheckResult result;
+  result.endpoint = endpoint;
+  result.succeeded = response.status == AttemptStatus::Ok;
+  result.elapsed = net::now() - started->second;
+  result.load_report = response.load_report;
+  health_checks_.erase(started);
+  events_.emplace_back(result);
+  dispatch_events();
+}
+
+EndpointId RequestBroker::assign_endpoint_id(const std::string& name) {
+  const auto known = endpoint_ids_.find(name);
+  if (known != endpoint_ids_.end())
     return known->second;
-  std::uint32_t id = 2166136261u;
-  for (const char c : name)
-    id = (id ^ static_cast<unsigned char>(c)) * 16777619u;
-  const std::string tail = name.size() > 8 ? name.substr(name.size() - 8) : "";
-  if (!tail.empty() && tail.find_first_not_of("0123456789abcdef") == std::string::npos)
-    id = static_cast<std::uint32_t>(std::stoul(tail, nullptr, 16));
-  while (id == 0xffffffffu || names_.count(id))
+  EndpointId id = preferred_endpoint_id(name);
+  while (id == kReservedEndpointId || endpoint_names_.count(id) > 0)
     ++id;
-  ids_[name] = id;
-  names_[id] = name;
+  endpoint_ids_[name] = id;
+  endpoint_names_[id] = name;
   return id;
 }
 
-// Its number follows from its name, should it come back. Where only draining binds it may still be
-// asked.
-void RequestBroker::forget_member(EndpointId id) {
-  upstream_->remove_endpoint(id);
-  const auto known = names_.find(id);
-  ids_.erase(known->second);
-  names_.erase(known);
+void RequestBroker::remove_endpoint(EndpointId endpoint) {
+  upstream_->remove_endpoint(endpoint);
+  const auto name = endpoint_names_.find(endpoint);
+  endpoint_ids_.erase(name->second);
+  endpoint_names_.erase(name);
+}
+
+void RequestBroker::remove_unlisted(const std::vector<ListedEndpoint>& endpoints) {
+  std::set<std::string> listed_names;
+  for (const ListedEndpoint& listed : endpoints)
+    listed_names.insert(listed.name);
+  for (auto next = endpoint_names_.begin(); next != endpoint_names_.end();) {
+    const auto known = next++;  // remove_endpoint invalidates only the iterator to its own entry
+    if (listed_names.count(known->second) == 0)
+      remove_endpoint(known->first);
+  }
 }
 
 void RequestBroker::update_endpoints(EndpointList::Kind kind,
-                                     const std::vector<ListedEndpoint>& members) {
-  const EventBatch hold(*this);
+                                     const std::vector<ListedEndpoint>& endpoints) {
+  const EventBatch batch(*this);
+  // Where only draining is binding, an endpoint that was removed may still be asked.
+  const bool removal_is_binding = !settings_.only_draining_is_binding;
+  // A removal that was never announced must not leave its connections and table entries behind.
+  if (kind == EndpointList::Kind::Full && removal_is_binding)
+    remove_unlisted(endpoints);
   EndpointList event;
   event.kind = kind;
-  // Guards the descriptors and the tables: whoever a full list leaves out is gone as if it had said
-  // so.
-  if (kind == EndpointList::Kind::Full && !settings_.only_draining_is_binding) {
-    std::set<std::string> named;
-    for (const ListedEndpoint& listed : members)
-      named.insert(listed.name);
-    for (auto known = names_.begin(); known != names_.end();) {
-      const auto& [id, name] = *known++;
-      if (!named.count(name))
-        forget_member(id);
-    }
-  }
-  for (const ListedEndpoint& listed : members) {
-    Endpoint member = listed.endpoint;
-    member.id = id_of(listed.name);
-    if (member.status != EndpointStatus::Removed)
-      upstream_->add_endpoint(member.id, listed.address);
-    else if (!settings_.only_draining_is_binding)
-      forget_member(member.id);
-    event.endpoints.push_back(std::move(member));
+  for (const ListedEndpoint& listed : endpoints) {
+    Endpoint endpoint = listed.endpoint;
+    endpoint.id = assign_endpoint_id(listed.name);
+    if (endpoint.status != EndpointStatus::Removed)
+      upstream_->add_endpoint(endpoint.id, listed.address);
+    else if (removal_is_binding)
+      remove_endpoint(endpoint.id);
+    event.endpoints.push_back(std::move(endpoint));
   }
   events_.emplace_back(std::move(event));
 }
 
-void RequestBroker::pump() {
-  if (pumping_ || held_ > 0)
+void RequestBroker::dispatch_events() {
+  if (dispatching_ || open_batches_ > 0)
     return;
-  pumping_ = true;
+  dispatching_ = true;
   while (!events_.empty()) {
     const Event event = std::move(events_.front());
     events_.pop_front();
-    std::vector<Action> actions;
-    actions.swap(actions_);
-    actions.clear();
-    router_.handle(net::now(), event, actions);
-    for (const Action& action : actions)
-      perform(action);
-    actions_.swap(actions);
+    actions_.clear();
+    router_.handle(net::now(), event, actions_);
+    for (const Action& action : actions_)
+      std::visit(
+          [&](const auto& chosen) {
+            perform(chosen);
+          },
+          action);
   }
-  pumping_ = false;
+  dispatching_ = false;
 }
 
-void RequestBroker::perform(const Action& action) {
-  if (const auto* s = std::get_if<StartAttempt>(&action))
-    return send(*s);
-  if (const auto* probe = std::get_if<SendHealthCheck>(&action)) {
-    probing_[probe->endpoint] = net::now();
-    return upstream_->start_health_check(probe->endpoint);
-  }
-  if (const auto* timer = std::get_if<SetTimer>(&action))
-    return timer_.at(timer->at);
-  if (const auto* message = std::get_if<LogMessage>(&action))
-    return net::log(logging::to_record(*message));
-  if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
-    const auto job = jobs_.find(cancel->request_id);
-    if (job != jobs_.end() && job->second.out && job->second.attempts == cancel->attempt + 1)
-      upstream_->cancel_attempt(job->second.out);
+void RequestBroker::perform(const StartAttempt& action) {
+  const auto found = pending_requests_.find(action.request_id);
+  if (found == pending_requests_.end())
+    return;
+  PendingRequest& request = found->second;
+  const Nanos now = net::now();
+  const std::uint32_t number = request.started_attempts++;
+  // Whatever the router decides, a complete request gets no further attempt, and no two attempts of
+  // a request are in flight at once.
+  if (request.call == nullptr || request.current_attempt != kNoAttempt) {
+    skip_attempt(action, number, request.call == nullptr);
     return;
   }
-  const auto* refuse = std::get_if<RejectRequest>(&action);
-  const auto* fail = std::get_if<FailRequest>(&action);
-  if (!refuse && !fail)
-    return;  // WatchList: the list is watched all the time
-  const std::string& id = refuse ? refuse->request_id : fail->request_id;
-  const auto job = jobs_.find(id);
-  if (job == jobs_.end() || !job->second.call)
+  const AttemptId attempt = next_attempt_++;
+  attempts_[attempt] = {action.request_id, number, action.endpoint, now};
+  request.current_attempt = attempt;
+  Nanos deadline = request.deadline;
+  if (action.timeout > 0)
+    deadline = std::min(now + action.timeout, deadline);
+  upstream_->start_attempt(attempt, action.endpoint, *request.call, deadline);
+}
+
+void RequestBroker::skip_attempt(const StartAttempt& action, std::uint32_t number,
+                                 bool request_finished) {
+  AttemptResult result;
+  result.request_id = action.request_id;
+  result.attempt = number;
+  result.endpoint = action.endpoint;
+  result.status = AttemptStatus::NotSent;
+  result.request_finished = request_finished;
+  events_.emplace_back(std::move(result));
+}
+
+void RequestBroker::perform(const SendHealthCheck& action) {
+  health_checks_[action.endpoint] = net::now();
+  upstream_->start_health_check(action.endpoint);
+}
+
+void RequestBroker::perform(const CancelAttempt& action) {
+  const auto found = pending_requests_.find(action.request_id);
+  if (found == pending_requests_.end())
     return;
-  ClientCall* call = job->second.call;
-  complete_request(id);
-  if (refuse)
-    call->reject(refuse->retry_after);
-  else
+  const PendingRequest& request = found->second;
+  const bool is_current = request.started_attempts == action.attempt + 1;
+  if (request.current_attempt != kNoAttempt && is_current)
+    upstream_->cancel_attempt(request.current_attempt);
+}
+
+void RequestBroker::perform(const RejectRequest& action) {
+  ClientCall* const call = complete_if_open(action.request_id);
+  if (call != nullptr)
+    call->reject(action.retry_after);
+}
+
+void RequestBroker::perform(const FailRequest& action) {
+  ClientCall* const call = complete_if_open(action.request_id);
+  if (call != nullptr)
     call->fail();
 }
 
-void RequestBroker::send(const StartAttempt& action) {
-  const auto found = jobs_.find(action.request_id);
-  if (found == jobs_.end())
-    return;
-  Job& job = found->second;
-  const Nanos now = net::now();
-  const std::uint32_t attempt = job.attempts++;
-  // Guards the rule on second attempts, whatever the module asked for: concluded, or one is still
-  // out.
-  if (!job.call || job.out) {
-    AttemptResult outcome;
-    outcome.request_id = action.request_id, outcome.attempt = attempt,
-    outcome.endpoint = action.endpoint;
-    outcome.status = AttemptStatus::NotSent;
-    outcome.request_finished = !job.call;
-    events_.emplace_back(std::move(outcome));
-    return;
-  }
-  const AttemptId number = next_attempt_++;
-  attempts_[number] = {action.request_id, attempt, action.endpoint, now};
-  job.out = number;
-  const Nanos until =
-      action.timeout > 0 ? std::min(now + action.timeout, job.deadline) : job.deadline;
-  upstream_->start_attempt(number, action.endpoint, *job.call, until);
+void RequestBroker::perform(const SetTimer& action) {
+  timer_.at(action.at);
+}
+
+// The endpoint list is watched all the time.
+void RequestBroker::perform(const WatchEndpoints&) {}
+
+void RequestBroker::perform(const LogMessage& message) {
+  net::log(logging::to_record(message));
 }
 
 }  // namespace gorsebeam::proxy
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -1,5 +1,8 @@
-// The core: carries requests, attempts, probes, lists and timers between fronts, upstreams and the
-// module, which makes every decision. Knows no wire.
+/// The request broker: carries requests, attempts, health checks, endpoint lists and timers between
+/// the frontends, the upstream, discovery and the router, which makes every decision.
+///
+/// Runs on one thread and knows no wire protocol; `interfaces.h` states who owns what and what may
+/// be called when.
 #pragma once
 
 #include "interfaces.h"
@@ -13,98 +16,140 @@
 
 namespace gorsebeam::proxy {
 
-struct ListedEndpoint {  // one member, as discovery or an inventory names it
+/// One endpoint, as discovery or an inventory names it.
+struct ListedEndpoint {
   std::string name;
-  std::string address;
-  Endpoint endpoint;  // its id is given by the core
+  std::string address;  ///< "127.0.0.4:6432".
+  Endpoint endpoint;    ///< The broker assigns its id.
 };
 
+/// Connects one router to its frontends and its upstream. Not copyable, not movable.
 class RequestBroker {
 public:
+  /// The longest request id that `begin_request` accepts, in bytes.
+  static constexpr std::size_t kMaxRequestIdLength = 128;
+
+  /// Throws std::invalid_argument that names a bad setting. `seed` feeds the router's random
+  /// choices.
   RequestBroker(const Settings& settings, std::uint64_t seed);
 
+  /// Sets the upstream, which is borrowed. Call once, before any other function.
   void attach(Upstream& upstream) { upstream_ = &upstream; }
 
-  // Fronts. `request.id` is the client's. False, and nothing was done, where it is open already or
-  // is no fit id. The answer may come at once.
-  bool begin_request(Request request, ClientCall& call);
-  void
-  client_disconnected(const std::string& id);  // the client went away; the call is not used again
-
-  // Upstreams.
-  void complete_attempt(AttemptId attempt, const UpstreamResponse& answer);
-  void complete_health_check(EndpointId member, const UpstreamResponse& answer);
-  // Asked at the moment of writing: whether what was decided before still holds; else it ends as
-  // NotSent.
-  bool is_attempt_allowed(AttemptId attempt);
-
-  bool is_health_check_allowed(EndpointId member) const {
-    return router_.is_health_check_allowed(member);
+  /// For frontends: hands a request to the router and borrows `call` until the request is complete;
+  /// the final answer may come before this returns. Returns false, and does nothing, if
+  /// `request.id` is empty, too long, or the id of a request that is still open.
+  [[nodiscard]] bool begin_request(Request request, ClientCall& call);
+
+  /// For frontends: the client of a request disconnected; its call is not used again. Ignored if
+  /// the request is complete.
+  void client_disconnected(const std::string& request_id);
+
+  /// For the upstream: the one end of an attempt. `response.value` is read only during this call.
+  /// Ignored if the attempt has ended.
+  void complete_attempt(AttemptId attempt, const UpstreamResponse& response);
+
+  /// For the upstream: the one end of a health check. Ignored if none is in flight.
+  void complete_health_check(EndpointId endpoint, const UpstreamResponse& response);
+
+  /// For the upstream, right before it writes: whether the router still allows the attempt. If not,
+  /// the attempt ends as `NotSent`.
+  [[nodiscard]] bool is_attempt_allowed(AttemptId attempt);
+
+  /// For the upstream, right before it writes: whether the router still allows the health check.
+  [[nodiscard]] bool is_health_check_allowed(EndpointId endpoint) const {
+    return router_.is_health_check_allowed(endpoint);
   }
 
-  // Discovery and inventories.
-  void update_endpoints(EndpointList::Kind kind, const std::vector<ListedEndpoint>& members);
+  /// For discovery and inventories: a new list of `endpoints`, or changes to it.
+  void update_endpoints(EndpointList::Kind kind, const std::vector<ListedEndpoint>& endpoints);
 
-  std::size_t open_requests() const { return open_; }
+  /// Requests that have neither a final answer nor lost their client.
+  [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
 
-  const Settings& settings() const { return settings_; }
+  [[nodiscard]] const Settings& settings() const { return settings_; }
 
-  // While one stands, events wait; the module has them when the last is gone. Lets a connection be
-  // put back for use, and an answer be written, before the module asks for the next send.
+  /// Holds back events from the router until the last batch is destroyed. So a connection can be
+  /// put back for reuse, and an answer be written, before the router starts the next attempt.
   class EventBatch {
   public:
-    explicit EventBatch(RequestBroker& core) : core_(core) { ++core_.held_; }
+    explicit EventBatch(RequestBroker& broker) : broker_(broker) { ++broker_.open_batches_; }
 
     EventBatch(const EventBatch&) = delete;
     EventBatch& operator=(const EventBatch&) = delete;
 
+    // NOLINTNEXTLINE(bugprone-exception-escape): whatever is thrown here ends the program
     ~EventBatch() {
-      if (--core_.held_ == 0)
-        core_.pump();
+      --broker_.open_batches_;
+      broker_.dispatch_events();
     }
 
   private:
-    RequestBroker& core_;
+    RequestBroker& broker_;
   };
 
 private:
-  struct Job {
-    ClientCall* call = nullptr;  // null once concluded
-    std::uint32_t attempts = 0;
-    AttemptId out = 0;
+  static constexpr AttemptId kNoAttempt = 0;
+
+  /// A request that is open, or whose last attempt is still in flight.
+  struct PendingRequest {
+    ClientCall* call = nullptr;  ///< Null once the request is complete.
+    std::uint32_t started_attempts = 0;
+    AttemptId current_attempt = kNoAttempt;
     Nanos deadline = 0;
   };
 
+  using PendingRequests = std::unordered_map<std::string, PendingRequest>;
+
   struct Attempt {
-    std::string id;
-    std::uint32_t number = 0;
-    EndpointId member = 0;
-    Nanos sent_at = 0;
+    std::string request_id;
+    std::uint32_t number = 0;  ///< Counted from 0 for each request.
+    EndpointId endpoint = 0;
+    Nanos started_at = 0;
   };
 
-  void pump();
-  void perform(const Action& action);
-  void send(const StartAttempt& action);
-  void complete_request(const std::string& id);
-  void forget(const std::string& id);
-  EndpointId id_of(const std::string& name);
-  void forget_member(EndpointId id);  // one that id_of knows
+  /// Passes all waiting events to the router and performs its actions. Does nothing while a batch
+  /// is open, or inside another call of itself.
+  void dispatch_events();
+
+  void perform(const StartAttempt& action);
+  void perform(const SendHealthCheck& action);
+  void perform(const CancelAttempt& action);
+  void perform(const RejectRequest& action);
+  void perform(const FailRequest& action);
+  void perform(const SetTimer& action);
+  static void perform(const WatchEndpoints& action);
+  static void perform(const LogMessage& message);
+
+  /// Adds the event that an attempt which the broker did not start has ended.
+  void skip_attempt(const StartAttempt& action, std::uint32_t number, bool request_finished);
+
+  /// Marks a request as complete, which must be open, and returns its call.
+  ClientCall* complete_request(PendingRequests::iterator request);
+  /// Erases a request that is complete and has no attempt in flight.
+  void erase_if_finished(PendingRequests::iterator request);
+  /// Completes the request if it is open and returns its call; null if it is not open.
+  ClientCall* complete_if_open(const std::string& request_id);
+
+  EndpointId assign_endpoint_id(const std::string& name);
+  void remove_endpoint(EndpointId endpoint);
+  void remove_unlisted(const std::vector<ListedEndpoint>& endpoints);
 
   Settings settings_;
   Router router_;
   Upstream* upstream_ = nullptr;
   net::Timer timer_;
   std::deque<Event> events_;
-  std::vector<Action> actions_;
-  bool pumping_ = false;
-  int held_ = 0;
-  std::unordered_map<std::string, Job> jobs_;
+  std::vector<Action> actions_;  // kept for its memory
+  bool dispatching_ = false;
+  int open_batches_ = 0;
+  PendingRequests pending_requests_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::map<std::string, EndpointId> ids_;
-  std::map<EndpointId, std::string> names_;
-  std::map<EndpointId, Nanos> probing_;
-  AttemptId next_attempt_ = 1;
-  std::size_t open_ = 0;
+  std::map<std::string, EndpointId> endpoint_ids_;
+  std::map<EndpointId, std::string> endpoint_names_;
+  std::map<EndpointId, Nanos> health_checks_;  // when each that is in flight was started
+  AttemptId next_attempt_ = kNoAttempt + 1;
+  std::size_t open_requests_ = 0;
 };
 
 }  // namespace gorsebeam::proxy
