Give settings, configuration and inventories typed errors and the field's terms

Need: a reader of these folders met clipped names, functions of 100 lines, and errors thrown through code that a reload runs.

Change: files of the operators, the platform's configuration and inventories are read into a common::Result with a FileError (file, line, field, message); validation returns a ValidationError with its field path. A reload receives the error as a value. The words of every message stay.

--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -1,6 +1,7 @@
 // What a control service may send: bytes of HTTP/2, of gRPC's framing, and of xDS's messages,
 // through everything that reads them in the gateway, up to the version machine. The first byte
 // tells at which of the three the rest comes in.
+#include "config/conversion.h"
 #include "config_versions/version_tracker.h"
 #include "grpc/session.h"
 #include "xds/xds.h"
@@ -13,10 +14,11 @@
 
 using namespace gorsebeam;
 
-config::Site site() {
-  config::Site s;
+config::ValidationContext site() {
+  config::ValidationContext s;
   s.classes = {{"any", 0}, {"save", 1}};
-  s.postgres_listed = s.mongo = true;
+  s.postgres_listed = true;
+  s.mongo_enabled = true;
   return s;
 }
 
@@ -46,8 +48,8 @@
       if (const auto* run = std::get_if<config_versions::Run>(&action)) {
         if (judge(run->bodies))
           std::abort();
-        config::contracts_of(xds::contracts_of(run->bodies[0]), site_.classes);
-        config::members_of(xds::members_of(run->bodies[1]).postgres());
+        config::to_contract_set(xds::contracts_of(run->bodies[0]), site_.classes);
+        config::to_endpoints(xds::members_of(run->bodies[1]).postgres());
       }
     }
   }
@@ -61,13 +63,13 @@
 
   std::optional<config_versions::Misfit> judge(const config_versions::Bodies& b) const {
     const auto fault =
-        config::check_together(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
+        config::validate_group_references(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
     if (!fault)
       return std::nullopt;
-    return config_versions::Misfit{fault->text(), fault->reference};
+    return config_versions::Misfit{fault->to_string(), fault->is_missing_reference};
   }
 
-  config::Site site_ = site();
+  config::ValidationContext site_ = site();
   config_versions::Machine machine_;
   config_versions::Actions actions_;
   config_versions::Nanos now_ = 1;
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -1,33 +1,27 @@
-// The operators' file, which `serve --file` names: protobuf text format,
-// schema/gorsebeam/config/v1.
+/// Reads the operators' file, which `serve --file` names: protobuf text format,
+/// schema/gorsebeam/config/v1.
 #pragma once
 
-#include "settings/settings.h"
+#include "common/result.h"
+#include "settings/file_error.h"
 #include "validation.h"
 
 #include <string>
 
 namespace gorsebeam::config {
 
-// One checked version of what an operator configures, as the file has it; inventories are read into
-// `members`.
-struct File {
-  pb::Gateway gateway;  // as it was written
-  pb::Members members;  // with the inventories' rows
-  Site site;
+/// One validated version of what an operator configures.
+struct OperatorFile {
+  pb::Gateway gateway;  ///< as it is written
+  pb::Members members;  ///< with the rows of the inventories that the file names
+  ValidationContext context;
 };
 
-// Throws settings::FormatError, one message with file, line, field and the mend. The settings'
-// classes are checked against `classes`; where that is null, any class will do (`config check`
-// without the platform's settings).
-File read_file(const std::string& path, const std::map<std::string, std::size_t>* classes);
-
-// The same text, every field on a line of its own, two blanks a level; comments stay. Throws as
-// read_file does.
-std::string formatted(const std::string& path);
-
-// What differs in meaning, a line each, by team, member and limit: "team 'portal'
-// budget.per_second: 300 -> 200". Order of teams, members, classes and groups means nothing.
-std::vector<std::string> differences(const File& before, const File& after);
+/// Reads and validates the file and the inventories that it names; their paths are relative to its
+/// folder. Classes are validated against `classes`; where that is null, each class that the file
+/// names is accepted, as `config check` has no platform settings. The error's message holds the
+/// remedy.
+[[nodiscard]] common::Result<OperatorFile, settings::FileError>
+read_operator_file(const std::string& path, const ClassIndexes* classes);
 
 }  // namespace gorsebeam::config
--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -8,97 +8,124 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
-#include <iterator>
+#include <string_view>
 
 namespace gorsebeam::config {
 namespace {
 
+using settings::FileError;
 using settings::FormatError;
-using settings::Reader;
+using settings::JsonObjectReader;
 
-constexpr Nanos kAnswersKnown =
-    100'000'000;  // of the protocol on sockets, where answers may be lost on the way
+/// Of the protocol on sockets, where responses may be lost on the way.
+constexpr Nanos kResponsesKnownAfter = 100'000'000;
 
-std::uint64_t seed_of(const std::string& text) {
+std::uint64_t parse_seed(const std::string& text) {
+  constexpr int kHexadecimal = 16;
+  const char* const text_end = text.data() + text.size();
   std::uint64_t seed = 0;
-  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  if (fault != std::errc() || end != text.data() + text.size())
+  const auto [end, error] = std::from_chars(text.data(), text_end, seed, kHexadecimal);
+  if (error != std::errc() || end != text_end)
     throw FormatError("the field 'seed' is not a number in hex");
   return seed;
 }
 
-// JSON keeps no lines, so the field that a message names, in quotes, is looked for in the text:
-// where it first stands as a key; line 1 where it is missing.
-std::size_t line_of_field(const std::string& text, const std::string& message) {
-  const std::size_t open = message.find('\''), close = message.find('\'', open + 1);
+std::size_t line_at(std::string_view text, std::size_t position) {
+  const std::string_view before = text.substr(0, position);
+  return static_cast<std::size_t>(std::count(before.begin(), before.end(), '\n')) + 1;
+}
+
+/// The line where the field that `message` quotes first stands as a key, as the parser of JSON
+/// keeps no lines; 1 where it is absent.
+std::size_t find_line_of_quoted_field(const std::string& text, const std::string& message) {
+  const std::size_t open = message.find('\'');
+  const std::size_t close = message.find('\'', open + 1);
   if (open == std::string::npos || close == std::string::npos)
     return 1;
-  const std::size_t at = text.find('"' + message.substr(open + 1, close - open - 1) + '"');
-  if (at == std::string::npos)
-    return 1;
-  return static_cast<std::size_t>(
-             std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n')) +
-         1;
+  const std::string key = '"' + message.substr(open + 1, close - open - 1) + '"';
+  const std::size_t position = text.find(key);
+  return position == std::string::npos ? 1 : line_at(text, position);
 }
 
-Config read(const settings::Json& document) {
-  const Reader body(document, "the configuration");
-  Config config;
-  config.name = body.text("name");
-  config.listen = body.text("listen");
-  config.discovery = body.text("discovery");
+void read_addresses(const JsonObjectReader& body, PlatformConfig& config) {
+  config.name = body.read_string("name");
+  config.listen_address = body.read_string("listen");
+  config.discovery_address = body.read_string("discovery");
   for (const char* field : {"listen", "discovery"})
-    if (!net::parse_address(body.text(field), 0))
-      body.wrong(field, "an address and a port");
-  config.seed = seed_of(body.text("seed"));
-  if (body.find("limits")) {
-    const Reader limits = body.object("limits");
-    config.memory_mb = static_cast<std::size_t>(limits.within("memory_mb", 16, 1 << 20, 192));
-    config.sockets =
-        static_cast<std::size_t>(limits.within("sockets", kSocketsLeast, 1 << 20, 1024));
-  }
-  if (body.find("known"))
-    config.known = discovery::read_list(body.need("known"), "known");
-  config.profile = settings::read_profile(body.object("settings"));
-  config.profile.settings.responses_known_after = kAnswersKnown;
+    if (!net::parse_address(body.read_string(field), 0))
+      body.throw_invalid(field, "an address and a port");
+}
+
+void read_limits(const JsonObjectReader& body, PlatformConfig& config) {
+  constexpr std::int64_t kMinMemoryMb = 16;
+  constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+  constexpr std::int64_t kMaxSockets = 1 << 20;
+  if (!body.find("limits"))
+    return;
+  const JsonObjectReader limits = body.require_object("limits");
+  config.memory_mb = static_cast<std::size_t>(
+      limits.read_integer_in_range("memory_mb", kMinMemoryMb, kMaxMemoryMb, 192));
+  config.max_sockets = static_cast<std::size_t>(
+      limits.read_integer_in_range("sockets", kMinSockets, kMaxSockets, 1024));
+}
+
+/// Reports what the router itself rejects before anything listens.
+void validate_with_router(const PlatformConfig& config) {
   try {
-    Router(config.profile.settings,
-           config.seed);  // the module's own checks, before anything listens
+    const Router router(config.profile.settings, config.seed);
   } catch (const std::invalid_argument& error) {
     throw FormatError(error.what());
   }
+}
+
+std::string print_restart_only_settings(const JsonObjectReader& body) {
+  std::string printed;
   for (const char* field : {"listen", "limits", "settings"}) {
-    const settings::Json* value = body.find(field);
-    rapidjson::StringBuffer text;
-    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
-    if (value)
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+    if (const settings::Json* value = body.find(field))
       value->Accept(writer);
-    config.fixed.append(text.GetString(), text.GetSize()) += '\n';
+    printed.append(buffer.GetString(), buffer.GetSize());
+    printed += '\n';
   }
+  return printed;
+}
+
+/// Throws FormatError, as the readers of JSON do.
+PlatformConfig read_document(const settings::Json& document) {
+  const JsonObjectReader body(document, "the configuration");
+  PlatformConfig config;
+  read_addresses(body, config);
+  config.seed = parse_seed(body.read_string("seed"));
+  read_limits(body, config);
+  if (body.find("known"))
+    config.initial_endpoints = discovery::read_list(body.require("known"), "known");
+  config.profile = settings::read_deployment_profile(body.require_object("settings"));
+  config.profile.settings.responses_known_after = kResponsesKnownAfter;
+  validate_with_router(config);
+  config.restart_only_settings = print_restart_only_settings(body);
   return config;
 }
 
 }  // namespace
 
-Config read_config(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
-    throw FormatError(path + ": cannot be read");
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
+common::Result<PlatformConfig, FileError> read_platform_config(const std::string& path) {
+  const auto content = settings::read_text_file(path, "cannot be read");
+  if (!content)
+    return content.error();
+  const std::string& text = content.value();
   rapidjson::Document document;
   document.Parse(text.data(), text.size());
   if (document.HasParseError()) {
-    const auto at = static_cast<std::ptrdiff_t>(std::min(document.GetErrorOffset(), text.size()));
-    throw FormatError(path + ": line " +
-                      std::to_string(std::count(text.begin(), text.begin() + at, '\n') + 1) +
-                      ": not JSON: " + rapidjson::GetParseError_En(document.GetParseError()));
+    const std::string reason = rapidjson::GetParseError_En(document.GetParseError());
+    return FileError{path, line_at(text, document.GetErrorOffset()), std::nullopt,
+                     "not JSON: " + reason};
   }
   try {
-    return read(document);
+    return read_document(document);
   } catch (const FormatError& error) {
-    throw FormatError(path + ": line " + std::to_string(line_of_field(text, error.what())) + ": " +
-                      error.what());
+    const std::string message = error.what();
+    return FileError{path, find_line_of_quoted_field(text, message), std::nullopt, message};
   }
 }
 
--- a/src/config/platform_config.h
+++ b/src/config/platform_config.h
@@ -1,27 +1,34 @@
-// The gateway's configuration: what RELAY_CONFIG holds.
+/// Reads the platform's configuration of one gateway: the JSON file that RELAY_CONFIG names.
 #pragma once
 
+#include "common/result.h"
 #include "discovery/endpoint_list.h"
-#include "settings/settings.h"
+#include "settings/deployment_profile.h"
+#include "settings/file_error.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace gorsebeam::config {
 
-constexpr std::size_t kSocketsLeast =
-    48;  // two fronts with a few connections each, and what is kept spare
+/// Enough descriptors for two frontends with a few connections each, and for the spare ones.
+constexpr std::size_t kMinSockets = 48;
 
-struct Config {
-  std::string name, listen, discovery;
+struct PlatformConfig {
+  std::string name;
+  std::string listen_address;     ///< of the PostgreSQL frontend
+  std::string discovery_address;  ///< of the discovery agent
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;
-  std::size_t memory_mb = 192;
-  std::string fixed;  // all that only a new start takes up, as text
-  discovery::EndpointListDocument known;
-  settings::Profile profile;
+  std::size_t max_sockets = 1024;
+  std::size_t memory_mb = 192;        ///< for all buffers, in MiB
+  std::string restart_only_settings;  ///< JSON of what a running gateway does not change
+  discovery::EndpointListDocument initial_endpoints;  ///< until discovery sends its first list
+  settings::DeploymentProfile profile;
 };
 
-Config read_config(const std::string& path);  // throws settings::FormatError naming file and field
+/// The error of a field has its line in the file and a message that names the field.
+[[nodiscard]] common::Result<PlatformConfig, settings::FileError>
+read_platform_config(const std::string& path);
 
 }  // namespace gorsebeam::config
--- a/src/config/validation.h
+++ b/src/config/validation.h
@@ -1,59 +1,54 @@
-// The one check of what an operator configures, whether it stands in a file, was pushed or rested
-// on disk; and what the gateway makes of it. Pure.
+/// Validates what an operator configures, whether a file, a control service or a snapshot holds it.
+/// The functions are pure. Each returns the first error that it finds, or nothing.
 #pragma once
 
-#include "proxy/contract_enforcer.h"
-#include "proxy/request_broker.h"
+#include "validation_error.h"
 
 #include "gorsebeam/config/v1/config.pb.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace gorsebeam::config {
 
 namespace pb = gorsebeam::config::v1;
 
-// Where in a message: fields from its root, with the place in a repeated one, else -1.
-using Path = std::vector<std::pair<std::string, int>>;
+/// Index of each request class of the platform's settings by its name.
+using ClassIndexes = std::map<std::string, std::size_t>;
 
-struct Fault {
-  Path at;
-  std::string what;          // and the mend
-  bool reference = false;    // to something that is not there, and may still come
-  std::string text() const;  // "contracts.team[2].budget.per_second: is ..."
+/// Facts that hold as long as the process runs, against which messages are validated.
+struct ValidationContext {
+  ClassIndexes classes;
+  /// PostgreSQL's endpoints are listed by the operator and do not come from discovery.
+  bool postgres_listed = false;
+  bool mongo_enabled = false;  ///< the MongoDB frontend is on
 };
 
-// What holds as long as the process runs, against which the rest is checked.
-struct Site {
-  std::map<std::string, std::size_t> classes;  // of the platform's settings, by name
-  bool postgres_listed = false;  // PostgreSQL's members come from the operator, not from discovery
-  bool mongo = false;            // the second front is on
-};
-
-constexpr std::size_t kTeamsMost = 10'000, kMembersMost = 100'000, kNameMost = 128;
-
-std::optional<Fault> check(const pb::Contracts& contracts, const Site& site);
-std::optional<Fault> check(const pb::Members& members, const Site& site);
-std::optional<Fault> check(const pb::Limits& limits, const Site& site);
-// Groups that contracts name must have members. Groups of fronts whose members the operator does
-// not list cannot be checked.
-std::optional<Fault> check_together(const pb::Contracts& contracts, const pb::Members& members,
-                                    const Site& site);
-// Fields that this version does not know: what they ask for would not be done, so they are turned
-// down.
-std::optional<Fault> check_unknown(const google::protobuf::Message& message);
-std::optional<Fault> check(const pb::ControlService& service);
-
-// Of messages that were checked.
-proxy::ContractSet contracts_of(const pb::Contracts& contracts,
-                                const std::map<std::string, std::size_t>& classes);
-std::vector<proxy::ListedEndpoint>
-members_of(const google::protobuf::RepeatedPtrField<pb::Member>& members);
-void list_members(const std::vector<proxy::ListedEndpoint>& listed,
-                  google::protobuf::RepeatedPtrField<pb::Member>& members);
+constexpr std::size_t kMaxTeams = 10'000;
+constexpr std::size_t kMaxMembers = 100'000;
+constexpr std::size_t kMaxNameBytes = 128;
+
+/// One overload for each type of resource that a control service sends.
+[[nodiscard]] std::optional<ValidationError> validate_resource(const pb::Contracts& contracts,
+                                                               const ValidationContext& context);
+[[nodiscard]] std::optional<ValidationError> validate_resource(const pb::Members& members,
+                                                               const ValidationContext& context);
+[[nodiscard]] std::optional<ValidationError> validate_resource(const pb::Limits& limits,
+                                                               const ValidationContext& context);
+
+/// Each group that a contract names must have an endpoint. Where discovery supplies PostgreSQL's
+/// endpoints, groups cannot be validated and there is no error.
+[[nodiscard]] std::optional<ValidationError>
+validate_group_references(const pb::Contracts& contracts, const pb::Members& members,
+                          const ValidationContext& context);
+
+/// Rejects fields that this version does not know, as it would not do what they ask for.
+[[nodiscard]] std::optional<ValidationError>
+validate_no_unknown_fields(const google::protobuf::Message& message);
+
+[[nodiscard]] std::optional<ValidationError>
+validate_control_service(const pb::ControlService& service);
 
 }  // namespace gorsebeam::config
--- a/src/control_plane/control_plane_client.cpp
+++ b/src/control_plane/control_plane_client.cpp
@@ -11,7 +11,8 @@
 constexpr Nanos kMs = 1'000'000;
 }
 
-config_versions::Settings Client::settings_of(const config::File& file, std::uint64_t seed) {
+config_versions::Settings Client::settings_of(const config::OperatorFile& file,
+                                              std::uint64_t seed) {
   config_versions::Settings settings;
   const config::pb::ControlService& service = file.gateway.control_service();
   settings.addresses.assign(service.address().begin(), service.address().end());
@@ -27,16 +28,16 @@
   return settings;
 }
 
-Client::Client(const config::File& file, std::uint64_t seed, Run run)
-    : site_(file.site), file_(file.gateway), seed_(seed), run_(std::move(run)),
+Client::Client(const config::OperatorFile& file, std::uint64_t seed, Run run)
+    : site_(file.context), file_(file.gateway), seed_(seed), run_(std::move(run)),
       machine_(
           settings_of(file, seed),
           [this](const config_versions::Bodies& bodies) -> std::optional<config_versions::Misfit> {
-            const auto fault = config::check_together(xds::contracts_of(bodies[0]),
-                                                      xds::members_of(bodies[1]), site_);
+            const auto fault = config::validate_group_references(xds::contracts_of(bodies[0]),
+                                                                 xds::members_of(bodies[1]), site_);
             if (!fault)
               return std::nullopt;
-            return config_versions::Misfit{fault->text(), fault->reference};
+            return config_versions::Misfit{fault->to_string(), fault->is_missing_reference};
           }),
       channel_(*this), writer_([](const std::string& why) {
         if (!why.empty())
@@ -50,7 +51,7 @@
 }
 
 std::array<config_versions::Version, config_versions::kTypes>
-Client::versions_of(const config::File& file) const {
+Client::versions_of(const config::OperatorFile& file) const {
   return {xds::version_of(file.gateway.contracts()), xds::version_of(file.members),
           xds::version_of(file.gateway.limits())};
 }
@@ -90,7 +91,7 @@
   channel_.close();
 }
 
-std::string Client::follow(const config::File& file) {
+std::string Client::follow(const config::OperatorFile& file) {
   std::string why = machine_.file(net::now(), versions_of(file), actions_);
   if (why.empty()) {
     file_ = file.gateway;
--- a/src/control_plane/control_plane_client.h
+++ b/src/control_plane/control_plane_client.h
@@ -21,11 +21,11 @@
   // What is in force from now on; null where it is as it was.
   using Run = std::function<void(const config::pb::Contracts*, const config::pb::Members*,
                                  const config::pb::Limits*)>;
-  Client(const config::File& file, std::uint64_t seed, Run run);
+  Client(const config::OperatorFile& file, std::uint64_t seed, Run run);
   void start();
   void stop();  // no new versions; what runs goes on
   // The file, read again. Not empty: why nothing was changed.
-  std::string follow(const config::File& file);
+  std::string follow(const config::OperatorFile& file);
 
 private:
   void up() override;
@@ -37,11 +37,12 @@
   void store();
   void perform();
   void note(const config_versions::Note& note);
-  static config_versions::Settings settings_of(const config::File& file, std::uint64_t seed);
+  static config_versions::Settings settings_of(const config::OperatorFile& file,
+                                               std::uint64_t seed);
   std::array<config_versions::Version, config_versions::kTypes>
-  versions_of(const config::File& file) const;
+  versions_of(const config::OperatorFile& file) const;
 
-  config::Site site_;
+  config::ValidationContext site_;
   config::pb::Gateway file_;
   std::uint64_t seed_;
   Run run_;
--- a/src/discovery/endpoint_list.h
+++ b/src/discovery/endpoint_list.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "proxy/request_broker.h"
-#include "settings/json_reader.h"
+#include "settings/json_object_reader.h"
 
 #include <vector>
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "config/conversion.h"
 #include "mongo/frontend.h"
 #include "mongo/upstream_protocol.h"
 #include "net/log.h"
@@ -31,9 +32,9 @@
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
-  if (sockets < config::kSocketsLeast)
+  if (sockets < config::kMinSockets)
     throw settings::FormatError("the limit on open files is " + std::to_string(sockets) +
-                                ": raise it to " + std::to_string(config::kSocketsLeast) +
+                                ": raise it to " + std::to_string(config::kMinSockets) +
                                 " at least");
   sockets = std::min(sockets, kSocketsMost);
   const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
@@ -50,14 +51,22 @@
 
 }  // namespace
 
-Plan read_plan(const std::string& config, const std::string& file) {
+common::Result<Plan, settings::FileError> read_plan(const std::string& config,
+                                                    const std::string& file) {
+  auto platform = config::read_platform_config(config);
+  if (!platform)
+    return platform.error();
   Plan plan;
   plan.config_path = config;
   plan.file_path = file;
-  plan.config = config::read_config(config);
-  plan.file.site.classes = plan.config.profile.classes;
-  if (!file.empty())
-    plan.file = config::read_file(file, &plan.config.profile.classes);
+  plan.config = std::move(platform.value());
+  plan.file.context.classes = plan.config.profile.classes;
+  if (file.empty())
+    return plan;
+  auto operators = config::read_operator_file(file, &plan.config.profile.classes);
+  if (!operators)
+    return operators.error();
+  plan.file = std::move(operators.value());
   return plan;
 }
 
@@ -93,11 +102,11 @@
         net::log({"shutdown_deadline_exceeded", {}});
         g_main_loop_quit(loop_);
       }) {
-  const settings::Profile& profile = plan_.config.profile;
+  const settings::DeploymentProfile& profile = plan_.config.profile;
   const bool two = plan_.file.gateway.has_mongo();
   frontend::FrontendLimits fronts;
   connection_pool::PoolLimits pools;
-  share_out(plan_.config.sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
+  share_out(plan_.config.max_sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
   if (profile.settings.connect_timeout > 0)
     pools.connect_timeout = profile.settings.connect_timeout;
   pools.keepalive = profile.keepalive;
@@ -116,7 +125,7 @@
 }
 
 bool Gateway::start(std::string& why) {
-  const config::Config& config = plan_.config;
+  const config::PlatformConfig& config = plan_.config;
   const config::pb::Gateway& file = plan_.file.gateway;
   take_up(file);
   control_ = std::make_unique<control_plane::Client>(plan_.file, config.seed,
@@ -125,9 +134,9 @@
                                                             const config::pb::Limits* limits) {
                                                        run(contracts, members, limits);
                                                      });
-  if (!plan_.file.site.postgres_listed) {
+  if (!plan_.file.context.postgres_listed) {
     watch_ = std::make_unique<discovery::EndpointWatch>(
-        postgres_->core, config.discovery, config.known,
+        postgres_->core, config.discovery_address, config.initial_endpoints,
         discovery::ReconnectBackoff(config.profile.settings.router_count,
                                     config.profile.settings.discovery_mode == DiscoveryMode::Poll,
                                     config.seed));
@@ -143,7 +152,7 @@
     net::log({"listener_started", {{"protocol", protocol}, {"address", front.address()}}});
     return true;
   };
-  return listen(postgres_->front, config.listen, "PostgreSQL") &&
+  return listen(postgres_->front, config.listen_address, "PostgreSQL") &&
          (!mongo_ || listen(mongo_->front, file.mongo().listen(), "MongoDB"));
 }
 
@@ -174,7 +183,7 @@
     return "the second front is turned on or off at the start only, as the descriptors are shared "
            "out then; "
            "restart";
-  if (fresh.file.site.postgres_listed != plan_.file.site.postgres_listed)
+  if (fresh.file.context.postgres_listed != plan_.file.context.postgres_listed)
     return "whether PostgreSQL's members come from discovery or from a list is settled at the "
            "start; restart";
   return "";
@@ -189,12 +198,10 @@
   // Guards the end against an address that would be listened on anew.
   if (stopping_)
     return kept("this gateway is stopping");
-  Plan fresh;
-  try {
-    fresh = read_plan(plan_.config_path, plan_.file_path);
-  } catch (const std::exception& error) {
-    return kept(error.what());
-  }
+  const auto read = read_plan(plan_.config_path, plan_.file_path);
+  if (!read)
+    return kept(read.error().to_string());
+  const Plan& fresh = read.value();
   std::string why = waits_for_start(fresh);
   if (!why.empty())
     return kept(plan_.file_path + ": " + why);
@@ -206,28 +213,28 @@
   if (moves)
     net::log({"listener_started", {{"protocol", "MongoDB"}, {"address", mongo_->front.address()}}});
   take_up(file);
-  if (fresh.config.fixed != plan_.config.fixed)
+  if (fresh.config.restart_only_settings != plan_.config.restart_only_settings)
     net::log({"reload_requires_restart", {{"settings", "platform"}}});
   if (watch_)
-    watch_->follow(fresh.config.discovery);
+    watch_->follow(fresh.config.discovery_address);
   why = control_->follow(fresh.file);
   plan_.file.gateway = fresh.file.gateway;
   if (!why.empty())
     return net::log({"reload_partial", {{"error", why}}});
-  net::log({"reload_complete", {{"discovery", fresh.config.discovery}}});
+  net::log({"reload_complete", {{"discovery", fresh.config.discovery_address}}});
 }
 
 void Gateway::run(const config::pb::Contracts* contracts, const config::pb::Members* members,
                   const config::pb::Limits* limits) {
   if (contracts)
     terms_.replace_contracts(std::make_shared<proxy::ContractSet>(
-                                 config::contracts_of(*contracts, plan_.config.profile.classes)),
+                                 config::to_contract_set(*contracts, plan_.config.profile.classes)),
                              net::now());
-  if (members && plan_.file.site.postgres_listed)
+  if (members && plan_.file.context.postgres_listed)
     postgres_->core.update_endpoints(EndpointList::Kind::Full,
-                                     config::members_of(members->postgres()));
+                                     config::to_endpoints(members->postgres()));
   if (members && mongo_)
-    mongo_->core.update_endpoints(EndpointList::Kind::Full, config::members_of(members->mongo()));
+    mongo_->core.update_endpoints(EndpointList::Kind::Full, config::to_endpoints(members->mongo()));
   if (limits)
     postgres_->limit(*limits);
   if (limits && mongo_)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "control_plane/control_plane_client.h"
 #include "discovery/endpoint_watch.h"
 #include "frontend/frontend.h"
+#include "proxy/contract_enforcer.h"
 #include "sql_classifier/sql_classifier.h"
 
 #include <functional>
@@ -17,19 +18,21 @@
 
 // Everything that is read before it listens.
 struct Plan {
-  config::Config config;
-  config::File file;
+  config::PlatformConfig config;
+  config::OperatorFile file;
   std::string config_path, file_path;  // read again on SIGHUP
 };
 
-Plan read_plan(const std::string& config, const std::string& file);  // throws settings::FormatError
+/// Reads and validates all files.
+[[nodiscard]] common::Result<Plan, settings::FileError> read_plan(const std::string& config,
+                                                                  const std::string& file);
 
 // One protocol's way through: a front on a core of its own, with its own members.
 class Path {
 public:
-  Path(const settings::Profile& profile, std::uint64_t seed, connection_pool::WireFactory wire,
-       const connection_pool::PoolLimits& pool, const frontend::FrontendLimits& limits,
-       frontend::Frontend::ConnectionFactory make)
+  Path(const settings::DeploymentProfile& profile, std::uint64_t seed,
+       connection_pool::WireFactory wire, const connection_pool::PoolLimits& pool,
+       const frontend::FrontendLimits& limits, frontend::Frontend::ConnectionFactory make)
       : core(profile.settings, seed), pool_(core, wire, pool), pool_share_(pool),
         front_share_(limits), front(core, limits, std::move(make)) {
     core.attach(pool_);
--- /dev/null
+++ b/src/inventory/csv_inventory.cpp
@@ -0,0 +1,142 @@
+#include "endpoint_list_builder.h"
+
+#include <csv.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace gorsebeam::inventory {
+namespace {
+
+using settings::FileError;
+
+using Cells = std::vector<std::string>;
+
+struct Table {
+  std::vector<Cells> rows;   ///< one for each line end outside quotes, also empty ones
+  bool is_complete = false;  ///< false: a quote is out of place, and the last row is cut off there
+};
+
+/// Owns a parser of libcsv.
+class CsvParser {
+public:
+  CsvParser()
+      : is_initialized_(csv_init(&parser_, CSV_STRICT | CSV_STRICT_FINI | CSV_REPALL_NL) == 0) {}
+
+  ~CsvParser() {
+    if (is_initialized_)
+      csv_free(&parser_);
+  }
+
+  CsvParser(const CsvParser&) = delete;
+  CsvParser& operator=(const CsvParser&) = delete;
+  CsvParser(CsvParser&&) = delete;
+  CsvParser& operator=(CsvParser&&) = delete;
+
+  [[nodiscard]] bool is_initialized() const { return is_initialized_; }
+
+  [[nodiscard]] Table parse(const std::string& text) {
+    Table table;
+    table.rows.resize(1);
+    const bool is_parsed = csv_parse(&parser_, text.data(), text.size(), append_cell, append_row,
+                                     &table.rows) == text.size();
+    table.is_complete = is_parsed && csv_fini(&parser_, append_cell, append_row, &table.rows) == 0;
+    return table;
+  }
+
+private:
+  // The library's callbacks: no exception may pass through it.
+  static void append_cell(void* text, std::size_t size, void* rows) {
+    static_cast<std::vector<Cells>*>(rows)->back().emplace_back(static_cast<const char*>(text),
+                                                                size);
+  }
+
+  static void append_row(int /*terminator*/, void* rows) {
+    static_cast<std::vector<Cells>*>(rows)->emplace_back();
+  }
+
+  csv_parser parser_{};
+  bool is_initialized_;
+};
+
+bool is_blank_or_comment(const Cells& cells) {
+  return cells.empty() || cells[0].substr(0, 1) == "#";
+}
+
+/// Line ends within quoted cells.
+std::size_t count_line_ends(const Cells& cells) {
+  std::size_t count = 0;
+  for (const std::string& cell : cells)
+    count += static_cast<std::size_t>(std::count(cell.begin(), cell.end(), '\n'));
+  return count;
+}
+
+std::optional<FileError> validate_header(const Cells& columns, std::size_t line,
+                                         const EndpointListBuilder& builder) {
+  for (const std::string& name : columns)
+    if (!EndpointListBuilder::is_column(name))
+      return builder.make_error(line, name, "is no column of an inventory");
+  return std::nullopt;
+}
+
+std::optional<FileError> add_cells(const Cells& columns, const Cells& cells, std::size_t line,
+                                   EndpointListBuilder& builder) {
+  if (cells.size() != columns.size()) {
+    const std::string& last_column = columns[std::min(cells.size(), columns.size()) - 1];
+    return builder.make_error(line, last_column,
+                              std::to_string(cells.size()) + " fields where the header has " +
+                                  std::to_string(columns.size()));
+  }
+  Row row;
+  for (std::size_t i = 0; i < cells.size(); ++i)
+    row[columns[i]] = {cells[i], line};
+  return builder.add_row(row, line);
+}
+
+std::optional<FileError> add_table(const Table& table, EndpointListBuilder& builder) {
+  Cells columns;
+  std::size_t line = 0;
+  for (std::size_t i = 0; i < table.rows.size(); ++i) {
+    const Cells& cells = table.rows[i];
+    ++line;
+    const bool is_cut_off = !table.is_complete && i + 1 == table.rows.size();
+    if (is_cut_off)
+      break;
+    if (is_blank_or_comment(cells))
+      continue;
+    if (columns.empty()) {
+      if (auto error = validate_header(cells, line, builder))
+        return error;
+      columns = cells;
+      continue;
+    }
+    if (auto error = add_cells(columns, cells, line, builder))
+      return error;
+    line += count_line_ends(cells);
+  }
+  if (!table.is_complete)
+    return builder.make_error(line, columns.empty() ? "name" : columns[0],
+                              "a quote is out of place");
+  return std::nullopt;
+}
+
+}  // namespace
+
+InventoryResult read_csv(const std::string& path) {
+  auto content = settings::read_text_file(path, "cannot be read");
+  if (!content)
+    return content.error();
+  std::string& text = content.value();
+  // The library ends a line at each of CR and LF.
+  text.erase(std::remove(text.begin(), text.end(), '\r'), text.end());
+  CsvParser parser;
+  if (!parser.is_initialized())
+    return FileError{path, 0, std::nullopt, "no memory to read it"};
+  EndpointListBuilder builder(path);
+  if (auto error = add_table(parser.parse(text), builder))
+    return *std::move(error);
+  return builder.release_endpoints();
+}
+
+}  // namespace gorsebeam::inventory
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 Settings checked(Settings settings) {
-  settings::check(settings);
+  settings::validate_settings(settings);
   return settings;
 }
 
--- a/src/settings/validation.cpp
+++ b/src/settings/validation.cpp
@@ -4,25 +4,33 @@
 #include <string>
 
 namespace gorsebeam::settings {
+namespace {
 
-void check(const Settings& settings) {
-  const auto refuse = [](const std::string& what) {
-    throw std::invalid_argument("gorsebeam settings: " + what);
-  };
+[[noreturn]] void throw_invalid(const std::string& message) {
+  throw std::invalid_argument("gorsebeam settings: " + message);
+}
+
+void validate_class(const RequestClass& request_class) {
+  const std::string path = "classes." + request_class.name;
+  if (request_class.latency_objective <= 0)
+    throw_invalid(path + ".aim is not above zero");
+  if (request_class.max_staleness < 0)
+    throw_invalid(path + ".bound is below zero");
+  if (request_class.deadline < request_class.latency_objective)
+    throw_invalid(path + ".deadline is before its aim");
+}
+
+}  // namespace
+
+void validate_settings(const Settings& settings) {
   if (settings.classes.empty())
-    refuse("classes is empty");
-  for (const RequestClass& c : settings.classes) {
-    if (c.latency_objective <= 0)
-      refuse("classes." + c.name + ".aim is not above zero");
-    if (c.max_staleness < 0)
-      refuse("classes." + c.name + ".bound is below zero");
-    if (c.deadline < c.latency_objective)
-      refuse("classes." + c.name + ".deadline is before its aim");
-  }
+    throw_invalid("classes is empty");
+  for (const RequestClass& request_class : settings.classes)
+    validate_class(request_class);
   if (settings.max_attempts < 1)
-    refuse("max_attempts is below one");
+    throw_invalid("max_attempts is below one");
   if (settings.slow_start_initial_capacity <= 0 || settings.slow_start_initial_capacity > 1)
-    refuse("cold_from is not within (0, 1]");
+    throw_invalid("cold_from is not within (0, 1]");
 }
 
 }  // namespace gorsebeam::settings
--- a/src/settings/validation.h
+++ b/src/settings/validation.h
@@ -1,10 +1,11 @@
-// Whether the module can run with settings at all; of no file's form.
+/// Checks of the router's settings that hold whatever file they come from.
 #pragma once
 
 #include "gorsebeam/router.h"
 
 namespace gorsebeam::settings {
 
-void check(const Settings& settings);  // throws std::invalid_argument naming the field that is off
+/// Throws std::invalid_argument that names the first field with which the router cannot run.
+void validate_settings(const Settings& settings);
 
 }  // namespace gorsebeam::settings
--- a/src/simulator_adapter/session.cpp
+++ b/src/simulator_adapter/session.cpp
@@ -12,9 +12,9 @@
 namespace gorsebeam::simulator_adapter {
 namespace {
 
-using settings::choose;
 using settings::Json;
-using settings::text_of;
+using settings::parse_enum;
+using settings::string_value;
 constexpr Nanos kMillisecond = 1'000'000;
 constexpr double kSecond = 1e9;
 
@@ -104,16 +104,16 @@
 };
 
 AttemptStatus read_result(const std::string& word) {
-  return choose<AttemptStatus>(word, "code",
-                               {{"GOOD", AttemptStatus::Ok},
-                                {"BAD", AttemptStatus::Error},
-                                {"FULL", AttemptStatus::Rejected},
-                                {"LATE", AttemptStatus::Timeout},
-                                {"NOCONN", AttemptStatus::ConnectFailed},
-                                {"RST", AttemptStatus::Reset},
-                                {"CXL", AttemptStatus::Cancelled},
-                                {"NOP", AttemptStatus::NotSent},
-                                {"MISS", AttemptStatus::Misdirected}});
+  return parse_enum<AttemptStatus>(word, "code",
+                                   {{"GOOD", AttemptStatus::Ok},
+                                    {"BAD", AttemptStatus::Error},
+                                    {"FULL", AttemptStatus::Rejected},
+                                    {"LATE", AttemptStatus::Timeout},
+                                    {"NOCONN", AttemptStatus::ConnectFailed},
+                                    {"RST", AttemptStatus::Reset},
+                                    {"CXL", AttemptStatus::Cancelled},
+                                    {"NOP", AttemptStatus::NotSent},
+                                    {"MISS", AttemptStatus::Misdirected}});
 }
 
 }  // namespace
@@ -149,12 +149,12 @@
         " (byte " + std::to_string(document.GetErrorOffset()) + ")");
   if (!document.IsObject() || document.MemberCount() != 1)
     throw WireError("a message must be an object with a single key, its name");
-  const std::string name = text_of(document.MemberBegin()->name);
-  const Reader body(document.MemberBegin()->value, name);
+  const std::string name = string_value(document.MemberBegin()->name);
+  const JsonObjectReader body(document.MemberBegin()->value, name);
   if (name == "TURN") {
     if (open_)
       throw WireError("TURN inside a batch");
-    const Nanos now = body.integer("time");
+    const Nanos now = body.read_integer("time");
     if (now < now_)
       throw WireError("TURN: the clock went back");
     now_ = now;
@@ -171,12 +171,12 @@
   event(name, body, reply);
 }
 
-void Session::event(const std::string& name, const Reader& body, std::string& reply) {
+void Session::event(const std::string& name, const JsonObjectReader& body, std::string& reply) {
   if (name == "SHEET")
     return list(body);
   if (name == "NEW_INSTANCE")
     return start(body);
-  const std::int64_t number = body.integer("router_id");
+  const std::int64_t number = body.read_integer("router_id");
   const auto found = instances_.find(number);
   if (found == instances_.end())
     throw WireError(name + " for router " + std::to_string(number) +
@@ -190,72 +190,72 @@
   give(number, read_event(name, body, found->second), reply);
 }
 
-Event Session::read_event(const std::string& name, const Reader& body,
+Event Session::read_event(const std::string& name, const JsonObjectReader& body,
                           const Instance& instance) const {
   if (name == "VIEW") {
     EndpointList event;
-    event.kind = choose<EndpointList::Kind>(body.text("kind"), "kind",
-                                            {{"disk", EndpointList::Kind::Cached},
-                                             {"snapshot", EndpointList::Kind::Full},
-                                             {"diff", EndpointList::Kind::Delta},
-                                             {"error", EndpointList::Kind::Failed}});
+    event.kind = parse_enum<EndpointList::Kind>(body.read_string("kind"), "kind",
+                                                {{"disk", EndpointList::Kind::Cached},
+                                                 {"snapshot", EndpointList::Kind::Full},
+                                                 {"diff", EndpointList::Kind::Delta},
+                                                 {"error", EndpointList::Kind::Failed}});
     if (event.kind == EndpointList::Kind::Failed)
       return event;
-    const std::int64_t buffer = body.integer("buffer");
+    const std::int64_t buffer = body.read_integer("buffer");
     if (buffer < 0 || buffer > 15)
-      body.wrong("buffer", "between 0 and 15");
+      body.throw_invalid("buffer", "between 0 and 15");
     event.endpoints = lists_[static_cast<std::size_t>(buffer)];
     return event;
   }
   if (name == "ORDER") {
     Request event;
-    event.id = body.text("op_id");
-    const auto known = instance.profile.classes.find(body.text("tier_class"));
+    event.id = body.read_string("op_id");
+    const auto known = instance.profile.classes.find(body.read_string("tier_class"));
     if (known == instance.profile.classes.end())
-      body.wrong("tier_class", "a class of the settings");
+      body.throw_invalid("tier_class", "a class of the settings");
     event.class_index = known->second;
     if (const Json* realm = body.find("realm"); realm && realm->IsString()) {
-      const auto tenant = instance.profile.tenants.find(text_of(*realm));
+      const auto tenant = instance.profile.tenants.find(string_value(*realm));
       if (tenant != instance.profile.tenants.end())
         event.tenant = tenant->second;
     }
     if (body.find("session"))
-      event.session = static_cast<std::uint64_t>(body.integer("session"));
-    event.deadline = body.integer("valid_until");
-    event.group = body.small("partition_no");
+      event.session = static_cast<std::uint64_t>(body.read_integer("session"));
+    event.deadline = body.read_integer("valid_until");
+    event.group = body.read_uint32("partition_no");
     if (body.find("token_ms"))
-      event.session_token_age = static_cast<Nanos>(body.number("token_ms", 0) * kMillisecond);
-    event.is_client_retry = body.truth("repeat");
+      event.session_token_age = static_cast<Nanos>(body.read_number("token_ms", 0) * kMillisecond);
+    event.is_client_retry = body.read_bool("repeat");
     return event;
   }
   if (name == "OUTCOME") {
     AttemptResult event;
-    event.request_id = body.text("op_id");
-    event.attempt = static_cast<std::uint32_t>(body.integer("try", 0));
-    event.endpoint = body.small("node");
-    event.status = read_result(body.text("code"));
-    event.request_finished = body.truth("closed");
-    event.elapsed = body.integer("delay_seen", 0);
-    if (const std::int64_t mark = body.integer("mark", 0); mark > 0) {
+    event.request_id = body.read_string("op_id");
+    event.attempt = static_cast<std::uint32_t>(body.read_integer("try", 0));
+    event.endpoint = body.read_uint32("node");
+    event.status = read_result(body.read_string("code"));
+    event.request_finished = body.read_bool("closed");
+    event.elapsed = body.read_integer("delay_seen", 0);
+    if (const std::int64_t mark = body.read_integer("mark", 0); mark > 0) {
       event.role = mark % 4 == 1 ? Role::Primary : mark % 4 == 2 ? Role::Replica : Role::Unknown;
       if (mark / 4 > 0)
-        event.replication_position = instance.profile.zero + mark / 4 * kMillisecond;
+        event.replication_position = instance.profile.replication_epoch + mark / 4 * kMillisecond;
     }
-    event.load_report = read_report(body.find("report"), instance.profile.zero);
+    event.load_report = read_report(body.find("report"), instance.profile.replication_epoch);
     return event;
   }
   if (name == "STATUS_BACK") {
     HealthCheckResult event;
-    event.endpoint = body.small("node");
-    event.succeeded = read_result(body.text("code")) == AttemptStatus::Ok;
-    event.elapsed = body.integer("delay_seen", 0);
-    event.load_report = read_report(body.find("report"), instance.profile.zero);
+    event.endpoint = body.read_uint32("node");
+    event.succeeded = read_result(body.read_string("code")) == AttemptStatus::Ok;
+    event.elapsed = body.read_integer("delay_seen", 0);
+    event.load_report = read_report(body.find("report"), instance.profile.replication_epoch);
     return event;
   }
   if (name == "TICK_DUE")
     return TimerExpired{};
   if (name == "VANISHED")
-    return ClientDisconnected{body.text("op_id")};
+    return ClientDisconnected{body.read_string("op_id")};
   throw WireError("unknown event '" + name + "'");
 }
 
@@ -266,35 +266,36 @@
     std::visit(Writer{reply, number}, action);
 }
 
-void Session::list(const Reader& body) {
-  const std::int64_t buffer = body.integer("buffer");
+void Session::list(const JsonObjectReader& body) {
+  const std::int64_t buffer = body.read_integer("buffer");
   if (buffer < 0 || buffer > 15)
-    body.wrong("buffer", "between 0 and 15");
+    body.throw_invalid("buffer", "between 0 and 15");
   std::vector<Endpoint> members;
-  for (const Json& element : body.array("elements").GetArray()) {
-    const Reader entry(element, "SHEET.elements");
+  for (const Json& element : body.require_array("elements").GetArray()) {
+    const JsonObjectReader entry(element, "SHEET.elements");
     Endpoint member;
-    member.id = entry.small("node");
-    member.group = entry.small("cluster");
-    member.zone = entry.text("campus", "");
-    member.status = choose<EndpointStatus>(entry.text("mode"), "mode",
-                                           {{"up", EndpointStatus::Up},
-                                            {"draining", EndpointStatus::Draining},
-                                            {"removed", EndpointStatus::Removed}});
-    member.started_at = entry.integer("started_at", 0);
-    member.listed_as_primary = entry.integer("primary", 0) == 1;
-    member.weight = entry.number("size", 1);
+    member.id = entry.read_uint32("node");
+    member.group = entry.read_uint32("cluster");
+    member.zone = entry.read_string("campus", "");
+    member.status = parse_enum<EndpointStatus>(entry.read_string("mode"), "mode",
+                                               {{"up", EndpointStatus::Up},
+                                                {"draining", EndpointStatus::Draining},
+                                                {"removed", EndpointStatus::Removed}});
+    member.started_at = entry.read_integer("started_at", 0);
+    member.listed_as_primary = entry.read_integer("primary", 0) == 1;
+    member.weight = entry.read_number("size", 1);
     members.push_back(std::move(member));
   }
   lists_[static_cast<std::size_t>(buffer)] = std::move(members);
 }
 
-void Session::start(const Reader& body) {
-  const std::int64_t number = body.integer("router_id");
-  const auto seed = body.need("init_seed").IsUint64()
-                        ? body.need("init_seed").GetUint64()
-                        : static_cast<std::uint64_t>(body.integer("init_seed"));
-  settings::Profile profile = settings::read_profile(body.object("profile_data"));
+void Session::start(const JsonObjectReader& body) {
+  const std::int64_t number = body.read_integer("router_id");
+  const auto seed = body.require("init_seed").IsUint64()
+                        ? body.require("init_seed").GetUint64()
+                        : static_cast<std::uint64_t>(body.read_integer("init_seed"));
+  settings::DeploymentProfile profile =
+      settings::read_deployment_profile(body.require_object("profile_data"));
   instances_.erase(number);
   Router router(profile.settings, seed);
   instances_.emplace(number, Instance{std::move(router), std::move(profile)});
--- a/src/simulator_adapter/session.h
+++ b/src/simulator_adapter/session.h
@@ -1,7 +1,7 @@
 // The simulator's wire: lines of JSON to the library's types and back. No decision is made here.
 #pragma once
 
-#include "settings/settings.h"
+#include "settings/deployment_profile.h"
 
 #include <array>
 #include <iosfwd>
@@ -24,16 +24,17 @@
 private:
   struct Instance {
     Router router;
-    settings::Profile profile;
+    settings::DeploymentProfile profile;
   };
 
-  using Reader = settings::Reader;
+  using JsonObjectReader = settings::JsonObjectReader;
 
-  void event(const std::string& name, const Reader& body, std::string& reply);
-  void start(const Reader& body);
-  void list(const Reader& body);
+  void event(const std::string& name, const JsonObjectReader& body, std::string& reply);
+  void start(const JsonObjectReader& body);
+  void list(const JsonObjectReader& body);
   void give(std::int64_t number, const Event& event, std::string& reply);
-  Event read_event(const std::string& name, const Reader& body, const Instance& instance) const;
+  Event read_event(const std::string& name, const JsonObjectReader& body,
+                   const Instance& instance) const;
 
   bool open_ = false;
   Nanos now_ = 0;
--- a/src/snapshot_store/snapshot_store.cpp
+++ b/src/snapshot_store/snapshot_store.cpp
@@ -52,14 +52,14 @@
 
 template <typename Message>
 std::optional<std::string> take(const state::v1::Part& part, const Message& value,
-                                const config::Site& site,
+                                const config::ValidationContext& site,
                                 std::optional<config_versions::Kept>& into) {
   if (!part.held())
     return std::nullopt;
-  if (const auto fault = config::check_unknown(value))
-    return fault->text();
-  if (const auto fault = config::check(value, site))
-    return fault->text();
+  if (const auto fault = config::validate_no_unknown_fields(value))
+    return fault->to_string();
+  if (const auto fault = config::validate_resource(value, site))
+    return fault->to_string();
   config_versions::Kept kept;
   kept.running = xds::version_of(value);
   kept.running.version = part.version(), kept.running.source = part.source();
@@ -121,7 +121,7 @@
   return good;
 }
 
-std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::Site& site,
+std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::ValidationContext& site,
                             std::string& why) {
   Kept kept;
   auto fault = take(good.contracts(), good.contracts_value(), site, kept[0]);
--- a/src/snapshot_store/snapshot_store.h
+++ b/src/snapshot_store/snapshot_store.h
@@ -30,7 +30,7 @@
 good_of(const config_versions::Machine& machine);  // the parts that a control service pushed
 // The parts, checked as if they had been pushed now. Nothing, and why: one of them does not do any
 // more.
-std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::Site& site,
+std::optional<Kept> kept_of(const state::v1::LastGood& good, const config::ValidationContext& site,
                             std::string& why);
 
 // Nothing with no `why`: there is no file.
--- a/src/xds/xds.cpp
+++ b/src/xds/xds.cpp
@@ -24,7 +24,7 @@
 
 // All resources of a type are one set: merged, checked, and numbered alike.
 template <typename Message>
-void read_set(const v3::DiscoveryResponse& response, const config::Site& site,
+void read_set(const v3::DiscoveryResponse& response, const config::ValidationContext& site,
               config_versions::Offer& offer) {
   auto merged = std::make_shared<Message>();
   if (response.resources().empty())
@@ -38,8 +38,8 @@
           place + "is of type " + response.resources(i).type_url() + ", not of the response's";
     else if (!one.ParseFromString(response.resources(i).value()))
       offer.fault = place + "cannot be read";
-    else if (const auto unknown = config::check_unknown(one))
-      offer.fault = place + unknown->text();
+    else if (const auto unknown = config::validate_no_unknown_fields(one))
+      offer.fault = place + unknown->to_string();
     else if (i > 0 &&
              (one.generation() != offer.generation || one.rolls_back() != offer.rolls_back))
       offer.fault = place + "is of another generation than the first; a response holds one";
@@ -53,8 +53,8 @@
     return;
   merged->set_generation(offer.generation);
   merged->set_rolls_back(offer.rolls_back);
-  if (const auto fault = config::check(*merged, site))
-    offer.fault = fault->text();
+  if (const auto fault = config::validate_resource(*merged, site))
+    offer.fault = fault->to_string();
   offer.print = print_of(*merged);
   offer.body = std::move(merged);
 }
@@ -89,7 +89,7 @@
 }
 
 std::optional<config_versions::Offer> read_response(std::string_view bytes,
-                                                    const config::Site& site) {
+                                                    const config::ValidationContext& site) {
   v3::DiscoveryResponse response;
   if (!response.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return std::nullopt;
--- a/src/xds/xds.h
+++ b/src/xds/xds.h
@@ -21,7 +21,7 @@
 // A response as the machine takes it, checked by itself; nothing: no such message, and the stream
 // is of no use.
 std::optional<config_versions::Offer> read_response(std::string_view bytes,
-                                                    const config::Site& site);
+                                                    const config::ValidationContext& site);
 
 // The bytes of a request. The node is told on the first of a stream.
 std::string request(const config_versions::Ask& ask, const std::string& node,
--- a/tests/integration/files_test.cpp
+++ b/tests/integration/files_test.cpp
@@ -5,7 +5,7 @@
 
 #include "inventory/inventory.h"
 #include "postgres/upstream_protocol.h"
-#include "settings/json_reader.h"
+#include "settings/json_object_reader.h"
 
 #include <csignal>
 #include <cstring>
@@ -23,24 +23,28 @@
 
 void inventories() {
   const std::string folder = temporary_folder();
-  const auto csv = gorsebeam::inventory::read(
+  const auto csv_result = gorsebeam::inventory::read_inventory(
       write(folder, "a.csv",
             "# kept by the tools\r\nname,group,address,zone,role,state,size,started\r\n"
             "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\ndb2,3,127.0.0.1:27018,b,"
             ",draining,"
             ",\r\n"));
+  CHECK(csv_result.has_value());
+  const auto& csv = csv_result.value();
   CHECK(csv.size() == 2 && csv[0].name == "db,1" && csv[0].endpoint.group == 3 &&
         csv[0].endpoint.listed_as_primary);
   CHECK(csv[0].endpoint.weight == 2.5 &&
         csv[0].endpoint.started_at == 1767225600LL * 1'000'000'000);
   CHECK(csv[1].endpoint.status == gorsebeam::EndpointStatus::Draining &&
         !csv[1].endpoint.listed_as_primary);
-  const auto yaml = gorsebeam::inventory::read(write(
+  const auto yaml_result = gorsebeam::inventory::read_inventory(write(
       folder, "a.yaml",
       "all:\n  vars: {zone: a, ansible_user: ops}\n  children:\n    group_three:\n      vars: "
       "{group: 3}\n"
       "      hosts:\n        db1: {ansible_host: 127.0.0.1, ansible_port: 27017, role: primary}\n"
       "        db2: {address: '127.0.0.1:27018', zone: b}\n"));
+  CHECK(yaml_result.has_value());
+  const auto& yaml = yaml_result.value();
   CHECK(yaml.size() == 2 && yaml[0].address == "127.0.0.1:27017" && yaml[0].endpoint.zone == "a");
   CHECK(yaml[1].endpoint.zone == "b" && yaml[1].endpoint.group == 3 &&
         yaml[0].endpoint.listed_as_primary);
