--- a/src/router/attempt_observer.cpp
+++ b/src/router/attempt_observer.cpp
@@ -145,7 +145,7 @@
 
 void AttemptObserver::record_load(EndpointState& endpoint, double objective_fraction) {
   FadingLoad& pool = state_.pool_of(endpoint);
-  state_.loads.record(endpoint.load, pool, objective_fraction, state_.event.now);
+  LatencyLoadEstimator::record(endpoint.load, pool, objective_fraction, state_.event.now);
 }
 
 bool AttemptObserver::is_read(const PendingRequest& request) const {
--- a/src/router/load_admission.cpp
+++ b/src/router/load_admission.cpp
@@ -15,7 +15,7 @@
 bool LoadAdmission::admits_under_load(EndpointState& endpoint, const PendingRequest& request) {
   const FadingLoad& pool = state_.pool_of(endpoint);
   const FadingLoad& own = state_.load_of(endpoint);
-  const double headroom = state_.loads.headroom(own, pool, kTargetLoad);
+  const double headroom = LatencyLoadEstimator::headroom(own, pool, kTargetLoad);
   double value = 0;
   double work = 0;
   for (std::size_t i = 0; i < state_.settings.classes.size(); ++i) {
--- a/src/router/load_estimator.cpp
+++ b/src/router/load_estimator.cpp
@@ -38,7 +38,7 @@
 }
 
 double LatencyLoadEstimator::headroom(const FadingLoad& own, const FadingLoad& pool,
-                                      double target) const {
+                                      double target) {
   // The prior keeps a router with few requests from mistaking chance for load: of a hundred such
   // routers, many would.
   const double pool_mean =
--- a/src/router/load_estimator.h
+++ b/src/router/load_estimator.h
@@ -46,11 +46,12 @@
   [[nodiscard]] FadingLoad& pool(const std::string& zone, Role role, Nanos now);
 
   /// Adds a sample to an endpoint's own load and to its pool.
-  void record(FadingLoad& own, FadingLoad& pool, double objective_fraction, Nanos now);
+  static void record(FadingLoad& own, FadingLoad& pool, double objective_fraction, Nanos now);
 
   /// `target` divided by the estimated load: above 1 for an endpoint with room. Both loads must be
   /// faded to the present.
-  [[nodiscard]] double headroom(const FadingLoad& own, const FadingLoad& pool, double target) const;
+  [[nodiscard]] static double headroom(const FadingLoad& own, const FadingLoad& pool,
+                                       double target);
 
   /// The mean load of a role over all zones, with the samples of `excluded` left out.
   [[nodiscard]] double role_mean(Role role, Nanos now, const FadingLoad& excluded = {});
