--- /dev/null
+++ b/tests/router/hashing_test.cpp
@@ -0,0 +1,35 @@
+/// Tests of src/router/hashing.h.
+#include "router/hashing.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+
+namespace gorsebeam::router {
+namespace {
+
+TEST(Hashing, MixesAsSplitmix64Does) {
+  // The first outputs of the published generator with seed 0.
+  EXPECT_EQ(mix_hash(0), 0xe220a8397b1dcdafULL);
+  EXPECT_EQ(mix_hash(0x9e3779b97f4a7c15ULL), 0x6e789e6aa1b965f4ULL);
+}
+
+TEST(Hashing, UnitIntervalStaysBelowOneWithMeanOfOneHalf) {
+  constexpr std::uint64_t kDraws = 10'000;
+  double sum = 0;
+  for (std::uint64_t key = 0; key < kDraws; ++key) {
+    const double draw = unit_interval(key);
+    ASSERT_GE(draw, 0) << key;
+    ASSERT_LT(draw, 1) << key;
+    sum += draw;
+  }
+  EXPECT_NEAR(sum / kDraws, 0.5, 0.02);
+}
+
+TEST(Hashing, HashesTextAsMixedFnv1a) {
+  EXPECT_EQ(hash_text(""), mix_hash(0xcbf29ce484222325ULL));
+  EXPECT_EQ(hash_text("a"), mix_hash(0xaf63dc4c8601ec8cULL));
+}
+
+}  // namespace
+}  // namespace gorsebeam::router
