Name the lease service after its parts and split the simulation by concern

Need: leases and the simulation read in words of their own (keeper, ask, may, saboteur), in two files of many jobs. Change: leases::LeaseManager, LeaseClient, LeaseTable and TokenFence with messages of their own; the simulation is virtual time, process, disk, network, fault script, history checker, mutants and fleet; raft_leases_test is raft_test and leases_test.

--- /dev/null
+++ b/src/leases/lease_client.h
@@ -0,0 +1,87 @@
+/// Every gateway's side of the lease service: it requests leases and knows which it holds.
+///
+/// A deterministic state machine, as lease_manager.h describes. A lease is measured from before the
+/// request that obtained it, less the clock drift, so that it ends here before the manager regards
+/// it as expired (Gray & Cheriton, section 2).
+#pragma once
+
+#include "leases/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gorsebeam::leases {
+
+struct LeaseAcquired {
+  std::string role;
+  FencingToken token = 0;
+};
+
+enum class LossReason {
+  Expired,   ///< By this gateway's clock.
+  Released,  ///< A response no longer names it, or this gateway leaves.
+};
+
+struct LeaseLost {
+  std::string role;
+  FencingToken token = 0;
+  LossReason reason = LossReason::Released;
+};
+
+using ClientAction = std::variant<LeaseRequest, LeaseAcquired, LeaseLost>;
+using ClientActions = std::vector<ClientAction>;
+
+class LeaseClient {
+public:
+  /// `holder` is NAME~INCARNATION.
+  LeaseClient(Settings settings, std::string holder, std::string zone);
+
+  /// Call once. The first request follows after a random part of the interval, so that gateways
+  /// that start together do not send in step.
+  void start(Nanos now);
+  /// Call at `next_deadline()`; an earlier call does no harm.
+  void tick(Nanos now, ClientActions& actions);
+  void handle_response(Nanos now, const LeaseResponse& response, ClientActions& actions);
+  /// Gives up all roles at once, for good.
+  void leave(ClientActions& actions);
+
+  [[nodiscard]] Nanos next_deadline() const { return deadline_; }
+
+  /// The token to act under; check it before every action. None: the role is not held, or its lease
+  /// has expired.
+  [[nodiscard]] std::optional<FencingToken> valid_token(Nanos now, const std::string& role) const;
+
+private:
+  enum class State { Active, Left };
+
+  struct HeldLease {
+    FencingToken token = 0;
+    Nanos expires_at = 0;
+  };
+
+  using HeldLeases = std::map<std::string, HeldLease>;  // By role.
+
+  [[nodiscard]] Nanos draw_request_interval();
+  void expire_leases(Nanos now, ClientActions& actions);
+  void send_request(Nanos now, ClientActions& actions);
+  void replace_held_leases(Nanos now, HeldLeases new_leases, ClientActions& actions);
+
+  Settings settings_;
+  std::string holder_;
+  std::string zone_;
+  State state_ = State::Active;
+  std::uint64_t last_request_ = 0;
+  std::uint64_t last_response_ = 0;
+  std::map<std::uint64_t, Nanos> unanswered_requests_;  ///< When each was sent; bounded.
+  HeldLeases held_leases_;
+  Nanos next_request_at_ = kNoDeadline;
+  Nanos deadline_ = kNoDeadline;
+  std::mt19937_64 random_;
+};
+
+}  // namespace gorsebeam::leases
--- /dev/null
+++ b/src/leases/messages.h
@@ -0,0 +1,58 @@
+/// What gateways and the lease manager say to each other, and the settings and names both share.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gorsebeam::leases {
+
+/// Of the caller's own monotonic clock; those of two gateways are never compared.
+using Nanos = std::int64_t;
+constexpr Nanos kNoDeadline = std::numeric_limits<Nanos>::max();
+
+/// The index of the log entry that granted the role; 0: never granted.
+using FencingToken = std::uint64_t;
+
+constexpr std::size_t kMaxRoles = 64;
+constexpr std::size_t kMaxNameBytes = 96;
+
+struct Settings {
+  std::vector<std::string> roles;  ///< At most kMaxRoles; the same at every gateway.
+  Nanos lease_duration = 3'000'000'000;
+  /// How far a clock's rate may deviate from true time; below 100,000.
+  std::int64_t max_clock_drift_ppm = 500;
+  std::uint64_t random_seed = 1;
+
+  /// The largest error of a clock over one lease.
+  [[nodiscard]] Nanos max_clock_drift() const {
+    return lease_duration / 1'000'000 * max_clock_drift_ppm;
+  }
+};
+
+/// Sent by each gateway about four times a lease.
+struct LeaseRequest {
+  /// NAME~INCARNATION; the incarnation is drawn at each start, so a restarted gateway, or another
+  /// of the same name, is another holder.
+  std::string holder;
+  std::string zone;
+  std::uint64_t number = 0;         ///< Grows from 1.
+  std::uint64_t last_response = 0;  ///< The newest request that was answered.
+  bool is_leaving = false;          ///< The sender has given up all roles and accepts none.
+};
+
+struct LeaseResponse {
+  std::string holder;
+  std::uint64_t request_number = 0;
+  std::vector<std::pair<std::string, FencingToken>> held_roles;
+};
+
+/// 1 to kMaxNameBytes letters, digits, '.', '_', '-' and '~'.
+[[nodiscard]] bool is_valid_name(const std::string& text);
+/// The holder without its incarnation.
+[[nodiscard]] std::string gateway_name(const std::string& holder);
+
+}  // namespace gorsebeam::leases
--- a/tests/fleet/event_digest.cpp
+++ b/tests/fleet/event_digest.cpp
@@ -139,36 +139,36 @@
   }
 }
 
-void EventDigest::add(const leases::KeeperAction& action) {
+void EventDigest::add(const leases::ManagerAction& action) {
   add(action.index());
-  if (const auto* propose = std::get_if<leases::Propose>(&action)) {
-    add(propose->body);
-  } else if (const auto* answer = std::get_if<leases::Answer>(&action)) {
-    add(answer->to);
-    add(answer->number);
-    add(answer->held.size());
-    for (const auto& [duty, token] : answer->held) {
-      add(duty);
+  if (const auto* propose = std::get_if<leases::ProposeGrant>(&action)) {
+    add(propose->command);
+  } else if (const auto* response = std::get_if<leases::LeaseResponse>(&action)) {
+    add(response->holder);
+    add(response->request_number);
+    add(response->held_roles.size());
+    for (const auto& [role, token] : response->held_roles) {
+      add(role);
       add(token);
     }
   }
 }
 
-void EventDigest::add(const leases::HolderAction& action) {
+void EventDigest::add(const leases::ClientAction& action) {
   add(action.index());
-  if (const auto* ask = std::get_if<leases::Ask>(&action)) {
-    add(ask->from);
-    add(ask->zone);
-    add(ask->number);
-    add(ask->heard);
-    add(ask->leaving);
-  } else if (const auto* started = std::get_if<leases::Started>(&action)) {
-    add(started->duty);
-    add(started->token);
-  } else if (const auto* ended = std::get_if<leases::Ended>(&action)) {
-    add(ended->duty);
-    add(ended->token);
-    add(ended->lapsed);
+  if (const auto* request = std::get_if<leases::LeaseRequest>(&action)) {
+    add(request->holder);
+    add(request->zone);
+    add(request->number);
+    add(request->last_response);
+    add(request->is_leaving);
+  } else if (const auto* acquired = std::get_if<leases::LeaseAcquired>(&action)) {
+    add(acquired->role);
+    add(acquired->token);
+  } else if (const auto* lost = std::get_if<leases::LeaseLost>(&action)) {
+    add(lost->role);
+    add(lost->token);
+    add(lost->reason == leases::LossReason::Expired);
   }
 }
 
--- a/tests/fleet/event_digest.h
+++ b/tests/fleet/event_digest.h
@@ -2,7 +2,8 @@
 /// order. Two builds whose digests agree over the same seeds decide alike.
 #pragma once
 
-#include "leases/leases.h"
+#include "leases/lease_client.h"
+#include "leases/lease_manager.h"
 #include "raft/node.h"
 
 #include <cstdint>
@@ -25,8 +26,8 @@
   /// The start of an event: when it happens and at which node.
   void add_event(raft::Nanos now, int node);
   void add(const raft::Action& action);
-  void add(const leases::KeeperAction& action);
-  void add(const leases::HolderAction& action);
+  void add(const leases::ManagerAction& action);
+  void add(const leases::ClientAction& action);
 
 private:
   void add_number(std::uint64_t number);
--- /dev/null
+++ b/tests/fleet/history_checker.cpp
@@ -0,0 +1,47 @@
+#include "history_checker.h"
+
+namespace gorsebeam::simulation {
+
+void HistoryChecker::record_leader(raft::Term term, int gateway) {
+  const auto [known, is_new] = leaders_.emplace(term, gateway);
+  if (!is_new && known->second != gateway)
+    throw RuleViolation("two leaders in term " + std::to_string(term));
+}
+
+void HistoryChecker::record_applied(const raft::LogEntry& entry) {
+  const std::pair content(entry.term, entry.command);
+  const auto [known, is_new] = applied_.emplace(entry.index, content);
+  if (!is_new && known->second != content)
+    throw RuleViolation("log: two entries at " + std::to_string(entry.index));
+}
+
+void HistoryChecker::record_state(raft::Index index, const std::string& state) {
+  const auto [known, is_new] = states_.emplace(index, state);
+  if (!is_new && known->second != state)
+    throw RuleViolation("state: two states after " + std::to_string(index));
+}
+
+void HistoryChecker::check_exclusive(const std::string& role,
+                                     const std::vector<std::string>& holders) {
+  if (holders.size() > 1)
+    throw RuleViolation("lease: " + holders[0] + " and " + holders[1] +
+                        " both have a valid token of " + role);
+}
+
+void HistoryChecker::record_action(Nanos now, const std::string& role, leases::FencingToken token) {
+  ++actions_;
+  LastAction& last = last_actions_[role];
+  if (token < last.token)
+    throw RuleViolation("fencing: " + role + " done under a token lower than one before");
+  if (token > last.token && last.token > 0)
+    handover_times_.push_back(now - last.at);
+  last = {token, now};
+}
+
+void HistoryChecker::check_progress(const std::string& role, Nanos since) const {
+  const auto last = last_actions_.find(role);
+  if (last == last_actions_.end() || last->second.at < since)
+    throw RuleViolation("progress: nobody does " + role);
+}
+
+}  // namespace gorsebeam::simulation
--- /dev/null
+++ b/tests/fleet/history_checker.h
@@ -0,0 +1,59 @@
+/// Checks the rules of Raft and of the lease service from the history of what was applied and done.
+/// It shares no code with the modules under test and knows nothing of how they decide.
+#pragma once
+
+#include "raft/persistent_state.h"
+#include "virtual_time.h"
+
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gorsebeam::simulation {
+
+/// Ends the run; the text names the rule and what broke it.
+class RuleViolation : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Each check throws RuleViolation.
+class HistoryChecker {
+public:
+  /// Election safety: at most one leader in a term.
+  void record_leader(raft::Term term, int gateway);
+  /// State machine safety: all nodes apply the same entry at an index.
+  void record_applied(const raft::LogEntry& entry);
+  /// All nodes have the same state after an index.
+  void record_state(raft::Index index, const std::string& state);
+  /// Mutual exclusion: at most one gateway has a valid token of a role at a time.
+  static void check_exclusive(const std::string& role, const std::vector<std::string>& holders);
+  /// Fencing: an action was accepted under a token no lower than any before it.
+  void record_action(Nanos now, const std::string& role, leases::FencingToken token);
+  /// Liveness: the role was acted under since that time.
+  void check_progress(const std::string& role, Nanos since) const;
+
+  [[nodiscard]] std::uint64_t actions() const { return actions_; }
+
+  /// For each change of holder, the time from the last action under one token to the first under
+  /// the next.
+  [[nodiscard]] const std::vector<Nanos>& handover_times() const { return handover_times_; }
+
+private:
+  struct LastAction {
+    leases::FencingToken token = 0;
+    Nanos at = 0;
+  };
+
+  std::map<raft::Term, int> leaders_;
+  std::map<raft::Index, std::pair<raft::Term, std::string>> applied_;
+  std::map<raft::Index, std::string> states_;
+  std::map<std::string, LastAction> last_actions_;  ///< By role.
+  std::uint64_t actions_ = 0;
+  std::vector<Nanos> handover_times_;
+};
+
+}  // namespace gorsebeam::simulation
--- /dev/null
+++ b/tests/fleet/main.cpp
@@ -0,0 +1,249 @@
+/// Plays simulated fleets and checks their histories (deterministic simulation testing, as in
+/// FoundationDB).
+///
+///   simulation SEEDS [FIRST]      plays so many seeds; prints the script of the first that breaks
+///   a
+///                                 rule
+///   simulation --script FILE      plays a printed script again
+///   simulation --cost GATEWAYS    messages a second without faults, of the leader and of the
+///   others simulation --mutants SEEDS    each mutant must be detected within so many seeds
+///   simulation --digest SEEDS     a hash over all that is sent and done, of seeds 0 to SEEDS - 1
+///
+/// The exit status is 0 if every rule held, or every mutant was detected, and 1 otherwise.
+#include "simulated_fleet.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstddef>
+#include <cstdint>
+#include <exception>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace gorsebeam::simulation {
+namespace {
+
+/// Of several runs.
+struct Totals {
+  std::uint64_t actions = 0;
+  std::uint64_t rejected_actions = 0;
+  std::vector<Nanos> handover_times;
+
+  void add(const Totals& other) {
+    actions += other.actions;
+    rejected_actions += other.rejected_actions;
+    handover_times.insert(handover_times.end(), other.handover_times.begin(),
+                          other.handover_times.end());
+  }
+};
+
+/// Returns the rule that was broken; none: every rule held, and the run is added to `totals`.
+std::optional<std::string> play(const FaultScript& script, Mutant mutant, Totals& totals) {
+  try {
+    SimulatedFleet fleet(script, mutant);
+    fleet.run();
+    totals.add(
+        {fleet.checker().actions(), fleet.rejected_actions(), fleet.checker().handover_times()});
+  } catch (const RuleViolation& violation) {
+    return violation.what();
+  }
+  return std::nullopt;
+}
+
+double to_milliseconds(Nanos time) {
+  return static_cast<double>(time) / static_cast<double>(kMillisecond);
+}
+
+/// In milliseconds; 0 if there are no times. `sorted_times` is in ascending order.
+double percentile(const std::vector<Nanos>& sorted_times, double share) {
+  if (sorted_times.empty())
+    return 0;
+  const auto last = static_cast<double>(sorted_times.size() - 1);
+  return to_milliseconds(sorted_times[static_cast<std::size_t>(share * last)]);
+}
+
+int play_script(const std::string& path) {
+  std::ifstream file(path);
+  const std::optional<FaultScript> script = read_fault_script(file);
+  if (!script) {
+    std::cerr << path << " is not a script\n";
+    return 1;
+  }
+  Totals totals;
+  const std::optional<std::string> violation = play(*script, Mutant::None, totals);
+  std::cout << violation.value_or("every rule held") << '\n';
+  return violation ? 1 : 0;
+}
+
+int play_mutants(std::uint64_t seeds) {
+  bool all_detected = true;
+  Totals totals;
+  for (const auto& [mutant, name] : kMutants) {
+    std::optional<std::string> violation;
+    std::uint64_t seed = 0;
+    while (!violation && seed < seeds) {
+      ++seed;
+      violation = play(draw_fault_script(seed), mutant, totals);
+    }
+    std::cout << name << ": ";
+    if (violation)
+      std::cout << "detected at seed " << seed << ": " << *violation << '\n';
+    else
+      std::cout << "NOT detected\n";
+    all_detected = all_detected && violation.has_value();
+  }
+  return all_detected ? 0 : 1;
+}
+
+int print_cost(int gateways) {
+  constexpr int kVoters = 5;
+  FaultScript script;
+  script.voters = kVoters;
+  script.gateways = std::max(kVoters, gateways);
+  SimulatedFleet fleet(script, Mutant::None);
+  fleet.run();
+  const double seconds = static_cast<double>(kRunEnd) / static_cast<double>(kSecond);
+  const double of_leader = static_cast<double>(fleet.messages_of_leader()) / seconds;
+  const double of_others = static_cast<double>(fleet.messages_of_others()) / seconds;
+  std::cout << script.gateways << " gateways, " << kVoters << " voters, lease " << std::fixed
+            << std::setprecision(0) << to_milliseconds(kLeaseDuration)
+            << " ms, heartbeat 100 ms: the leader sends " << std::setprecision(1) << of_leader
+            << " messages a second, each other gateway " << of_others / (script.gateways - 1)
+            << '\n';
+  return 0;
+}
+
+int print_digest(std::uint64_t seeds) {
+  EventDigest digest;
+  for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+    SimulatedFleet fleet(draw_fault_script(seed), Mutant::None);
+    fleet.run();
+    digest.add(fleet.digest().value());
+  }
+  std::cout << "digest of " << seeds << " seeds: " << std::hex << std::setfill('0') << std::setw(16)
+            << digest.value() << '\n';
+  return 0;
+}
+
+void print_totals(std::uint64_t seeds, Totals totals) {
+  std::vector<Nanos>& times = totals.handover_times;
+  std::sort(times.begin(), times.end());
+  std::cout << seeds << " seeds: every rule held; " << totals.actions << " actions, "
+            << totals.rejected_actions << " rejected by their token; " << times.size()
+            << " handovers, ms between actions " << std::fixed << std::setprecision(0) << "p50 "
+            << percentile(times, 0.5) << " p99 " << percentile(times, 0.99) << " max "
+            << percentile(times, 1) << ", lease " << to_milliseconds(kLeaseDuration) << '\n';
+}
+
+/// Plays seeds on several threads; they are independent.
+class SeedRunner {
+public:
+  SeedRunner(std::uint64_t first, std::uint64_t seeds) : first_(first), seeds_(seeds) {}
+
+  int run() {
+    const unsigned workers = std::clamp(std::thread::hardware_concurrency(), 1U, 8U);
+    std::vector<std::thread> threads;
+    for (unsigned worker = 0; worker < workers; ++worker)
+      threads.emplace_back([this, worker, workers] {
+        play_share(worker, workers);
+      });
+    for (std::thread& thread : threads)
+      thread.join();
+    if (violations_.empty()) {
+      print_totals(seeds_, totals_);
+      return 0;
+    }
+    const auto& [seed, rule] = *violations_.begin();
+    std::cout << "seed " << seed << ": " << rule << "\nthe script, for --script:\n";
+    print_fault_script(draw_fault_script(seed), std::cout);
+    return 1;
+  }
+
+private:
+  // Each worker plays every `workers`th seed and stops at its first violation, so the lowest seed
+  // that breaks a rule is among those found.
+  void play_share(unsigned worker, unsigned workers) {
+    Totals totals;
+    std::optional<std::string> violation;
+    std::uint64_t seed = first_ + worker;
+    while (seed < first_ + seeds_) {
+      violation = play(draw_fault_script(seed), Mutant::None, totals);
+      if (violation)
+        break;
+      seed += workers;
+    }
+    const std::lock_guard lock(mutex_);
+    totals_.add(totals);
+    if (violation)
+      violations_[seed] = *violation;
+  }
+
+  std::uint64_t first_;
+  std::uint64_t seeds_;
+  std::mutex mutex_;
+  Totals totals_;                                    ///< Guarded by `mutex_`.
+  std::map<std::uint64_t, std::string> violations_;  ///< By seed; guarded by `mutex_`.
+};
+
+std::optional<std::uint64_t> parse_number(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end)
+    return std::nullopt;
+  return number;
+}
+
+int print_usage() {
+  std::cerr << "simulation SEEDS [FIRST] | --script FILE | --cost GATEWAYS | --mutants SEEDS | "
+               "--digest SEEDS\n";
+  return 1;
+}
+
+int run_option(const std::string& option, const std::string& argument) {
+  if (option == "--script")
+    return play_script(argument);
+  const std::optional<std::uint64_t> number = parse_number(argument);
+  if (!number)
+    return print_usage();
+  if (option == "--mutants")
+    return play_mutants(*number);
+  if (option == "--digest")
+    return print_digest(*number);
+  if (option == "--cost")
+    return print_cost(static_cast<int>(*number));
+  return print_usage();
+}
+
+int run(const std::vector<std::string>& arguments) {
+  constexpr std::uint64_t kDefaultSeeds = 1000;
+  if (arguments.size() > 2)
+    return print_usage();
+  if (arguments.size() == 2 && arguments[0].rfind("--", 0) == 0)
+    return run_option(arguments[0], arguments[1]);
+  const auto seeds = arguments.empty() ? kDefaultSeeds : parse_number(arguments[0]);
+  const auto first = arguments.size() < 2 ? 1 : parse_number(arguments[1]);
+  if (!seeds || !first)
+    return print_usage();
+  return SeedRunner(*first, *seeds).run();
+}
+
+}  // namespace
+}  // namespace gorsebeam::simulation
+
+int main(int count, char** arguments) {
+  try {
+    return gorsebeam::simulation::run({arguments + 1, arguments + count});
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/tests/fleet/virtual_time.h
@@ -0,0 +1,75 @@
+/// Virtual time: a queue of events in order of true time, a seeded source of chance, and clocks
+/// that deviate from true time.
+#pragma once
+
+#include "leases/messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace gorsebeam::simulation {
+
+using leases::Nanos;
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kSecond = 1000 * kMillisecond;
+
+using Callback = std::function<void()>;
+
+class Random {
+public:
+  explicit Random(std::uint64_t seed) : generator_(seed) {}
+
+  std::uint64_t next() { return generator_(); }
+
+  /// Uniform; both bounds are included.
+  Nanos between(Nanos least, Nanos most) {
+    return std::uniform_int_distribution<Nanos>(least, most)(generator_);
+  }
+
+  bool chance(double probability) {
+    return std::uniform_real_distribution<>(0, 1)(generator_) < probability;
+  }
+
+private:
+  std::mt19937_64 generator_;
+};
+
+/// Events of the same time run in the order in which they were scheduled.
+class EventQueue {
+public:
+  [[nodiscard]] Nanos now() const { return now_; }
+
+  /// A time in the past means now.
+  void schedule(Nanos at, Callback callback);
+  void run_until(Nanos end);
+
+private:
+  struct Event {
+    Nanos at = 0;
+    std::uint64_t order = 0;
+    Callback callback;
+
+    // The queue's top is its greatest element: the earliest event.
+    bool operator<(const Event& other) const {
+      return at != other.at ? other.at < at : other.order < order;
+    }
+  };
+
+  std::priority_queue<Event> events_;
+  std::uint64_t next_order_ = 0;
+  Nanos now_ = 0;
+};
+
+struct SimulatedClock {
+  double rate = 1;
+  Nanos offset = 0;
+
+  [[nodiscard]] Nanos local_time(Nanos true_time) const;
+  /// When an event loop that waits for `local` wakes: late by a little, never early.
+  [[nodiscard]] Nanos wake_time(Nanos local) const;
+};
+
+}  // namespace gorsebeam::simulation
