Split the simulator adapter into reader, writer and session; test settings

Need: the adapter's session read, decided and wrote in functions of 60 lines, and the settings' and inventories' readers had no unit tests.

Change: event_reader translates messages, action_writer prints actions, Session keeps the batches. tests/settings_test.cpp and tests/inventory_test.cpp are new. An inventory that is a folder and a path that is empty give the messages that they gave before.

--- a/src/inventory/yaml_inventory.cpp
+++ b/src/inventory/yaml_inventory.cpp
@@ -3,6 +3,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <ios>
 #include <optional>
 
 namespace gorsebeam::inventory {
@@ -169,6 +170,9 @@
     return FileError{path, 0, std::nullopt, "cannot be read"};
   } catch (const YAML::Exception& error) {
     return builder.make_error(line_of(error.mark), "yaml", error.msg);
+  } catch (const std::ios_base::failure& error) {
+    // The buffer throws where the system cannot read what was opened, e.g. a folder.
+    return FileError{std::nullopt, 0, std::nullopt, error.what()};
   }
   return builder.release_endpoints();
 }
--- a/src/settings/file_error.cpp
+++ b/src/settings/file_error.cpp
@@ -8,8 +8,8 @@
 
 std::string FileError::to_string() const {
   std::string text;
-  if (!file.empty())
-    text += file + ": ";
+  if (file)
+    text += *file + ": ";
   if (line > 0)
     text += "line " + std::to_string(line) + ": ";
   if (field)
@@ -26,7 +26,7 @@
   try {
     return std::string{std::istreambuf_iterator<char>(file), {}};
   } catch (const std::exception& error) {
-    return FileError{"", 0, std::nullopt, error.what()};
+    return FileError{std::nullopt, 0, std::nullopt, error.what()};
   }
 }
 
--- a/src/settings/file_error.h
+++ b/src/settings/file_error.h
@@ -11,7 +11,7 @@
 
 /// An error in a file. Lines count from 1.
 struct FileError {
-  std::string file;                  ///< path as it was given; empty where the message stands alone
+  std::optional<std::string> file;   ///< path as it was given; absent where the system names none
   std::size_t line = 0;              ///< 0 where the error concerns no single line
   std::optional<std::string> field;  ///< absent where the error concerns no single field
   std::string message;               ///< what is wrong, with the remedy where there is one
--- /dev/null
+++ b/src/simulator_adapter/action_writer.h
@@ -0,0 +1,16 @@
+/// Writes the router's actions as lines of the simulator's protocol.
+#pragma once
+
+#include "gorsebeam/router.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gorsebeam::simulator_adapter {
+
+/// Appends one line of JSON for each action to `reply`, in order. `router_id` is the simulator's
+/// number of the router that decided them.
+void write_actions(const std::vector<Action>& actions, std::int64_t router_id, std::string& reply);
+
+}  // namespace gorsebeam::simulator_adapter
--- a/src/simulator_adapter/session.h
+++ b/src/simulator_adapter/session.h
@@ -1,25 +1,23 @@
-// The simulator's wire: lines of JSON to the library's types and back. No decision is made here.
+/// A conversation with the simulator: lines of JSON in batches, with one reply to each batch.
 #pragma once
 
-#include "settings/deployment_profile.h"
+#include "event_reader.h"
 
-#include <array>
-#include <iosfwd>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace gorsebeam::simulator_adapter {
 
-using WireError = settings::FormatError;
-
+/// Holds the routers that the simulator started and passes them its events. Makes no decisions.
 class Session {
 public:
-  // Takes one line; appends the reply's lines, ending with the one that ends a reply, once a batch
-  // is whole.
-  void line(const std::string& text, std::string& reply);
+  /// Handles one line of input and appends the reply's lines to `reply`, which is complete when the
+  /// session is no longer inside a batch. Throws WireError.
+  void handle_line(const std::string& text, std::string& reply);
 
-  bool inside_batch() const { return open_; }
+  [[nodiscard]] bool is_inside_batch() const { return is_inside_batch_; }
 
 private:
   struct Instance {
@@ -27,20 +25,19 @@
     settings::DeploymentProfile profile;
   };
 
-  using JsonObjectReader = settings::JsonObjectReader;
-
-  void event(const std::string& name, const JsonObjectReader& body, std::string& reply);
-  void start(const JsonObjectReader& body);
-  void list(const JsonObjectReader& body);
-  void give(std::int64_t number, const Event& event, std::string& reply);
-  Event read_event(const std::string& name, const JsonObjectReader& body,
-                   const Instance& instance) const;
+  void begin_batch(const settings::JsonObjectReader& body);
+  void handle_message(const std::string& name, const settings::JsonObjectReader& body,
+                      std::string& reply);
+  void start_router(const settings::JsonObjectReader& body);
+  /// Messages to one of the routers.
+  void handle_router_message(const std::string& name, const settings::JsonObjectReader& body,
+                             std::string& reply);
 
-  bool open_ = false;
+  bool is_inside_batch_ = false;
   Nanos now_ = 0;
-  std::map<std::int64_t, Instance> instances_;
-  std::array<std::vector<Endpoint>, 16> lists_;
-  std::vector<Action> actions_;  // kept to spare allocations
+  std::map<std::int64_t, Instance> instances_;  // by the simulator's number of the router
+  EndpointBuffers endpoint_buffers_;
+  std::vector<Action> actions_;  // empty between events; a member to save allocations
 };
 
 }  // namespace gorsebeam::simulator_adapter
--- /dev/null
+++ b/tests/inventory_test.cpp
@@ -0,0 +1,89 @@
+/// Inventories of both formats: the endpoints that they list, and where an error is located.
+#include "inventory/inventory.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace {
+
+using gorsebeam::EndpointStatus;
+using gorsebeam::inventory::InventoryResult;
+using gorsebeam::inventory::read_inventory;
+using gorsebeam::settings::FileError;
+
+/// Reads `text` as the content of a file whose name ends in `extension`.
+InventoryResult read_text(const std::string& text, const std::string& extension) {
+  const std::string test = testing::UnitTest::GetInstance()->current_test_info()->name();
+  const std::string path = testing::TempDir() + test + extension;
+  std::ofstream(path) << text;
+  InventoryResult result = read_inventory(path);
+  std::remove(path.c_str());
+  return result;
+}
+
+void expect_error(const InventoryResult& result, std::size_t line, const std::string& field,
+                  const std::string& message) {
+  ASSERT_FALSE(result.has_value());
+  const FileError& error = result.error();
+  EXPECT_EQ(error.line, line);
+  EXPECT_EQ(error.field.value_or("none"), field);
+  EXPECT_EQ(error.message, message);
+}
+
+TEST(Inventory, ReadsCsvWithOptionalColumns) {
+  const auto result = read_text("# comment\r\nname,group,address,state,size\r\n"
+                                "\"db,1\",3,127.0.0.1:1,draining,2.5\r\ndb2,3,127.0.0.1:2,,\r\n",
+                                ".csv");
+  ASSERT_TRUE(result.has_value()) << result.error().to_string();
+  ASSERT_EQ(result.value().size(), 2U);
+  EXPECT_EQ(result.value()[0].name, "db,1");
+  EXPECT_EQ(result.value()[0].endpoint.status, EndpointStatus::Draining);
+  EXPECT_EQ(result.value()[0].endpoint.weight, 2.5);
+  EXPECT_EQ(result.value()[1].endpoint.status, EndpointStatus::Up);
+  EXPECT_EQ(result.value()[1].endpoint.weight, 1);
+}
+
+TEST(Inventory, ReadsYamlWithInheritedVariables) {
+  const auto result = read_text("all:\n  vars: {zone: a, ansible_user: ops}\n  children:\n"
+                                "    three:\n      vars: {group: 3}\n      hosts:\n"
+                                "        db1: {ansible_host: 127.0.0.1, ansible_port: 1}\n"
+                                "        db2: {address: '127.0.0.1:2', zone: b}\n",
+                                ".yml");
+  ASSERT_TRUE(result.has_value()) << result.error().to_string();
+  ASSERT_EQ(result.value().size(), 2U);
+  EXPECT_EQ(result.value()[0].address, "127.0.0.1:1");
+  EXPECT_EQ(result.value()[0].endpoint.zone, "a");
+  EXPECT_EQ(result.value()[1].endpoint.zone, "b");
+  EXPECT_EQ(result.value()[1].endpoint.group, 3U);
+}
+
+TEST(Inventory, LocatesErrorsOfCsv) {
+  expect_error(read_text("name,address,group\na,127.0.0.1:1,0\na,127.0.0.1:2,0\n", ".csv"), 3,
+               "name", "'a' stands twice");
+  expect_error(read_text("name,address,colour\n", ".csv"), 1, "colour",
+               "is no column of an inventory");
+  expect_error(read_text("name,address,group\n\"a\nb\",127.0.0.1:1,0\nc,127.0.0.1:2,x\n", ".csv"),
+               4, "group", "'x' is no whole number");
+  expect_error(read_text("name,address,group\na,\"127.0.0.1:1,0\n", ".csv"), 2, "name",
+               "a quote is out of place");
+}
+
+TEST(Inventory, LocatesErrorsOfYaml) {
+  expect_error(read_text("all:\n  hosts:\n    a: {address: '127.0.0.1:1', role: king}\n", ".yaml"),
+               3, "group", "is missing");
+  expect_error(read_text("all:\n  machines: {}\n", ".yaml"), 2, "machines",
+               "is none of hosts, children and vars");
+}
+
+TEST(Inventory, RejectsAnEmptyListAndOtherExtensions) {
+  const auto empty = read_text("name,address,group\n", ".csv");
+  ASSERT_FALSE(empty.has_value());
+  EXPECT_EQ(empty.error().message, "names no member");
+  EXPECT_EQ(read_inventory("hosts.txt").error().to_string(),
+            "hosts.txt: an inventory's name ends in .csv, .yaml or .yml");
+}
+
+}  // namespace
