--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -99,7 +99,7 @@
   config.seed = parse_seed(body.read_string("seed"));
   read_limits(body, config);
   if (body.find("known"))
-    config.initial_endpoints = discovery::read_list(body.require("known"), "known");
+    config.initial_endpoints = discovery::parse_endpoint_list(body.require("known"), "known");
   config.profile = settings::read_deployment_profile(body.require_object("settings"));
   config.profile.settings.responses_known_after = kResponsesKnownAfter;
   validate_with_router(config);
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -2,34 +2,44 @@
 
 #include "net/stream.h"
 
+#include <utility>
+
 namespace gorsebeam::discovery {
+namespace {
+
+constexpr Nanos kNanosPerMillisecond = 1'000'000;
+
+EndpointStatus read_status(const settings::JsonObjectReader& entry) {
+  return entry.read_enum<EndpointStatus>("phase", {{"ready", EndpointStatus::Up},
+                                                   {"draining", EndpointStatus::Draining},
+                                                   {"gone", EndpointStatus::Removed}});
+}
+
+proxy::ListedEndpoint parse_endpoint(const settings::JsonObjectReader& entry) {
+  proxy::ListedEndpoint listed;
+  listed.name = entry.read_string("id");
+  Endpoint& endpoint = listed.endpoint;
+  endpoint.status = read_status(entry);
+  listed.address = entry.read_string("host_port", "");
+  if (endpoint.status != EndpointStatus::Removed && !net::parse_address(listed.address))
+    entry.throw_invalid("host_port", "an address and a port");
+  endpoint.group = static_cast<GroupId>(entry.read_integer("cell", 0));
+  endpoint.zone = entry.read_string("locality", "");
+  endpoint.started_at = entry.read_integer("up_since_ms", 0) * kNanosPerMillisecond;
+  endpoint.listed_as_primary = entry.read_string("part", "") == "master";
+  endpoint.weight = entry.read_number("size", 1);
+  return listed;
+}
 
-using settings::JsonObjectReader;
+}  // namespace
 
-EndpointListDocument read_list(const settings::Json& value, const std::string& where) {
-  const JsonObjectReader body(value, where);
+EndpointListDocument parse_endpoint_list(const settings::Json& value, const std::string& where) {
+  const settings::JsonObjectReader body(value, where);
   EndpointListDocument list;
   list.revision = body.read_integer("revision", 0);
   list.complete = body.read_bool("complete");
-  for (const settings::Json& element : body.require_array("members").GetArray()) {
-    const JsonObjectReader entry(element, where + ".members");
-    proxy::ListedEndpoint listed;
-    listed.name = entry.read_string("id");
-    Endpoint& member = listed.endpoint;
-    member.status =
-        entry.read_enum<EndpointStatus>("phase", {{"ready", EndpointStatus::Up},
-                                                  {"draining", EndpointStatus::Draining},
-                                                  {"gone", EndpointStatus::Removed}});
-    listed.address = entry.read_string("host_port", "");
-    if (member.status != EndpointStatus::Removed && !net::parse_address(listed.address))
-      entry.throw_invalid("host_port", "an address and a port");
-    member.group = static_cast<GroupId>(entry.read_integer("cell", 0));
-    member.zone = entry.read_string("locality", "");
-    member.started_at = entry.read_integer("up_since_ms", 0) * 1'000'000;
-    member.listed_as_primary = entry.read_string("part", "") == "master";
-    member.weight = entry.read_number("size", 1);
-    list.members.push_back(std::move(listed));
-  }
+  for (const settings::Json& element : body.require_array("members").GetArray())
+    list.endpoints.push_back(parse_endpoint(settings::JsonObjectReader(element, where + ".members")));
   return list;
 }
 
--- a/src/discovery/endpoint_list.h
+++ b/src/discovery/endpoint_list.h
@@ -1,20 +1,26 @@
-// Discovery's lists in JSON, as the watch and the configuration's `known` hold them.
+/// Discovery's endpoint lists in JSON, as the watch receives them and the configuration's `known`
+/// holds them.
 #pragma once
 
 #include "proxy/request_broker.h"
 #include "settings/json_object_reader.h"
 
+#include <cstdint>
+#include <string>
 #include <vector>
 
 namespace gorsebeam::discovery {
 
+/// One list as discovery writes it.
 struct EndpointListDocument {
-  std::int64_t revision = 0;
-  bool complete = false;
-  std::vector<proxy::ListedEndpoint> members;
+  std::int64_t revision = 0;  ///< Counted by discovery; a later list has a higher one.
+  bool complete = false;      ///< Names all endpoints; otherwise only those that changed.
+  std::vector<proxy::ListedEndpoint> endpoints;
 };
 
-EndpointListDocument read_list(const settings::Json& value,
-                               const std::string& where);  // throws settings::FormatError
+/// Translates discovery's field names and words. `where` names the value in error texts. Throws
+/// settings::FormatError that says what is missing or wrong.
+[[nodiscard]] EndpointListDocument parse_endpoint_list(const settings::Json& value,
+                                                       const std::string& where);
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -4,68 +4,96 @@
 
 #include <rapidjson/document.h>
 
+#include <algorithm>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace gorsebeam::discovery {
 namespace {
 
-constexpr std::size_t kHeadMost = 16 * 1024;
-constexpr std::size_t kSizeMost = 64;  // bytes that tell the size of a chunk
+constexpr std::size_t kMaxHeadSize = 16 * 1024;
+constexpr std::size_t kMaxChunkSizeLine = 64;
+constexpr std::size_t kMaxLoggedStatusLine = 80;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kVersion = "HTTP/1.1 ";
+constexpr std::string_view kOk = "200";
+
+bool has_ok_status(std::string_view head) {
+  return head.substr(0, kVersion.size()) == kVersion &&
+         head.substr(kVersion.size(), kOk.size()) == kOk;
+}
+
+bool is_chunked(std::string_view head) {
+  std::string lower(head);
+  for (char& c : lower)
+    c = g_ascii_tolower(c);
+  return lower.find("transfer-encoding: chunked") != std::string::npos;
+}
+
+/// Throws settings::FormatError.
+EndpointListDocument parse_list(const JsonObjectSplitter::Output& output) {
+  rapidjson::Document document;
+  if (output.status == JsonObjectSplitter::Status::Object)
+    document.Parse(output.object.data(), output.object.size());
+  if (output.status == JsonObjectSplitter::Status::Malformed || document.HasParseError())
+    throw settings::FormatError("not JSON");
+  return parse_endpoint_list(document, "discovery's list");
+}
 
 }  // namespace
 
-EndpointWatch::EndpointWatch(proxy::RequestBroker& core, std::string address,
-                             EndpointListDocument known, ReconnectBackoff pace)
-    : core_(core), address_(std::move(address)), revision_(known.revision), silence_([this] {
-        again("silent", true);
+EndpointWatch::EndpointWatch(proxy::RequestBroker& broker, std::string address,
+                             EndpointListDocument known, ReconnectBackoff reconnect_backoff)
+    : broker_(broker), address_(std::move(address)), revision_(known.revision),
+      silence_timer_([this] {
+        schedule_reconnect("silent", WatchEnd::Silent);
       }),
-      retry_([this] {
+      reconnect_timer_([this] {
         start();
       }),
-      pace_(pace) {
-  newest_.take(known, true);
-  core_.update_endpoints(EndpointList::Kind::Cached, known.members);
+      reconnect_backoff_(reconnect_backoff) {
+  revision_filter_.remove_outdated(known, ListOrder::FirstOfWatch);
+  broker_.update_endpoints(EndpointList::Kind::Cached, known.endpoints);
 }
 
 void EndpointWatch::start() {
-  head_read_ = chunked_ = false;
-  first_ = true;
-  objects_.clear();
-  silence_.after(pace_.silence());
+  response_state_ = ResponseState::Head;
+  next_list_ = ListOrder::FirstOfWatch;
+  body_.clear();
+  silence_timer_.after(reconnect_backoff_.silence_timeout());
   stream_ = net::Stream::connect(address_, *this);
   if (!stream_)
-    again("no socket");
+    schedule_reconnect("no socket");
 }
 
 void EndpointWatch::stop() {
-  silence_.stop();
-  retry_.stop();
+  silence_timer_.stop();
+  reconnect_timer_.stop();
   if (stream_)
     stream_->close();
 }
 
-// Guards against a revision of the old address that the new one counts otherwise: the whole list is
-// asked for.
-void EndpointWatch::follow(const std::string& address) {
+void EndpointWatch::change_address(const std::string& address) {
   if (address == address_)
     return;
   stop();
   address_ = address;
+  // The new address may count revisions differently, so the whole list is asked for.
   revision_ = 0;
-  newest_.recount();
-  told_.clear();
-  pace_.moved();
+  revision_filter_.start_new_epoch();
+  logged_reason_.clear();
+  reconnect_backoff_.reset();
   start();
 }
 
-void EndpointWatch::again(const std::string& why, bool silent) {
-  // Told once for each cause while the agent stays away.
-  if (why != told_)
-    net::log({"endpoint_watch_closed", {{"reason", why}}});
-  told_ = why;
+void EndpointWatch::schedule_reconnect(const std::string& reason, WatchEnd end) {
+  if (reason != logged_reason_)
+    net::log({"endpoint_watch_closed", {{"reason", reason}}});
+  logged_reason_ = reason;
   stop();
-  retry_.after(pace_.next(silent));
+  reconnect_timer_.after(reconnect_backoff_.next_delay(end));
 }
 
 void EndpointWatch::connected() {
@@ -76,103 +104,104 @@
 }
 
 void EndpointWatch::ended(const std::string& why) {
-  again(why);
+  schedule_reconnect(why);
 }
 
 void EndpointWatch::received() {
-  take();
+  read_response();
+  // The timeout depends on whether a list has arrived.
   if (stream_->open())
-    silence_.after(pace_.silence());  // by what has come of it so far
+    silence_timer_.after(reconnect_backoff_.silence_timeout());
 }
 
-void EndpointWatch::take() {
-  if (!head_read_ && !head())
+void EndpointWatch::read_response() {
+  if (response_state_ == ResponseState::Head && !read_head())
     return;
-  if (!chunked_) {
-    objects_.add(stream_->input().view());
+  if (response_state_ == ResponseState::PlainBody) {
+    body_.add(stream_->input().view());
     stream_->input().consume(stream_->input().size());
   }
-  while (chunked_ && stream_->open() && chunk()) {
+  if (response_state_ == ResponseState::ChunkedBody) {
+    while (stream_->open() && read_chunk()) {
+    }
   }
   if (stream_->open())
-    lists();
+    apply_lists();
 }
 
-bool EndpointWatch::head() {
-  const std::string_view in = stream_->input().view();
-  const std::size_t end = in.find("\r\n\r\n");
+bool EndpointWatch::read_head() {
+  const std::string_view input = stream_->input().view();
+  const std::size_t end = input.find(kHeadEnd);
   if (end == std::string_view::npos) {
-    if (in.size() > kHeadMost)
-      again("the answer's head is too long");
+    if (input.size() > kMaxHeadSize)
+      schedule_reconnect("the answer's head is too long");
     return false;
   }
-  if (in.substr(0, 9) != "HTTP/1.1 " || in.substr(9, 3) != "200") {
-    again("answered " + std::string(in.substr(0, std::min<std::size_t>(in.find('\r'), 80))));
+  if (!has_ok_status(input)) {
+    const std::size_t length = std::min(input.find('\r'), kMaxLoggedStatusLine);
+    schedule_reconnect("answered " + std::string(input.substr(0, length)));
     return false;
   }
-  std::string lower(in.substr(0, end));
-  for (char& c : lower)
-    c = g_ascii_tolower(c);
-  chunked_ = lower.find("transfer-encoding: chunked") != std::string::npos;
-  stream_->input().consume(end + 4);
-  head_read_ = true;
+  response_state_ =
+      is_chunked(input.substr(0, end)) ? ResponseState::ChunkedBody : ResponseState::PlainBody;
+  stream_->input().consume(end + kHeadEnd.size());
   return true;
 }
 
-// Takes one chunk into the body. False: no whole one there.
-bool EndpointWatch::chunk() {
-  const std::string_view in = stream_->input().view();
-  const std::size_t line = in.find("\r\n");
+bool EndpointWatch::read_chunk() {
+  const std::string_view input = stream_->input().view();
+  const std::size_t line = input.find(kLineEnd);
   if (line == std::string_view::npos) {
-    if (in.size() > kSizeMost)
-      again("a malformed chunk");
+    if (input.size() > kMaxChunkSizeLine)
+      schedule_reconnect("a malformed chunk");
     return false;
   }
   std::size_t size = 0;
-  const auto [end, fault] = std::from_chars(in.data(), in.data() + line, size, 16);
-  if (fault != std::errc() || end == in.data() || size > JsonObjectSplitter::kMost) {
-    again("a malformed chunk");
+  const auto [end, error] = std::from_chars(input.data(), input.data() + line, size, 16);
+  const bool is_number = error == std::errc() && end != input.data();
+  if (!is_number || size > JsonObjectSplitter::kMaxObjectSize) {
+    schedule_reconnect("a malformed chunk");
     return false;
   }
-  if (in.size() < line + 2 + size + 2)
+  const std::size_t begin = line + kLineEnd.size();
+  const std::size_t chunk_size = begin + size + kLineEnd.size();
+  if (input.size() < chunk_size)
     return false;
   if (size == 0) {
-    lists();
+    apply_lists();
     if (stream_->open())
-      again("the answer ended");
+      schedule_reconnect("the answer ended");
     return false;
   }
-  objects_.add(in.substr(line + 2, size));
-  stream_->input().consume(line + 2 + size + 2);
+  body_.add(input.substr(begin, size));
+  stream_->input().consume(chunk_size);
   return true;
 }
 
-void EndpointWatch::lists() {
-  std::string_view object;
-  for (JsonObjectSplitter::Step step;
-       (step = objects_.next(object)) != JsonObjectSplitter::Step::More;) {
-    rapidjson::Document document;
-    if (step == JsonObjectSplitter::Step::Object)
-      document.Parse(object.data(), object.size());
+void EndpointWatch::apply_lists() {
+  while (true) {
+    const JsonObjectSplitter::Output output = body_.next();
+    if (output.status == JsonObjectSplitter::Status::NeedsInput)
+      return;
     try {
-      if (step == JsonObjectSplitter::Step::Broken || document.HasParseError())
-        throw settings::FormatError("not JSON");
-      apply(read_list(document, "discovery's list"));
+      apply(parse_list(output));
     } catch (const settings::FormatError& error) {
       // What was missed cannot be known: the whole list is asked for again.
       revision_ = 0;
-      return again(error.what());
+      schedule_reconnect(error.what());
+      return;
     }
   }
 }
 
 void EndpointWatch::apply(EndpointListDocument list) {
-  newest_.take(list, std::exchange(first_, false));
-  revision_ = newest_.revision();
-  told_.clear();
-  pace_.heard();
-  core_.update_endpoints(list.complete ? EndpointList::Kind::Full : EndpointList::Kind::Delta,
-                         list.members);
+  revision_filter_.remove_outdated(list, std::exchange(next_list_, ListOrder::Later));
+  revision_ = revision_filter_.revision();
+  logged_reason_.clear();
+  reconnect_backoff_.record_list();
+  const EndpointList::Kind kind =
+      list.complete ? EndpointList::Kind::Full : EndpointList::Kind::Delta;
+  broker_.update_endpoints(kind, list.endpoints);
 }
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -1,4 +1,5 @@
-// Follows the member list: an HTTP/1.1 watch, opened again whenever it ends or falls silent.
+/// Follows discovery's endpoint list by an HTTP/1.1 watch, which it opens again whenever the watch
+/// ends or falls silent.
 #pragma once
 
 #include "endpoint_list.h"
@@ -9,42 +10,63 @@
 #include "net/stream.h"
 #include "net/timer.h"
 
-#include <functional>
+#include <cstdint>
 #include <memory>
 #include <string>
 
 namespace gorsebeam::discovery {
 
+/// Passes each list that arrives to the broker, which it borrows. Runs on the main loop's thread;
+/// owns its connection and its timers, so nothing is called after it is destroyed or stopped.
 class EndpointWatch : public net::Stream::Events {
 public:
-  // `known`: the list as last held.
-  EndpointWatch(proxy::RequestBroker& core, std::string address, EndpointListDocument known,
-                ReconnectBackoff pace);
+  /// Passes `known`, the list as it was last held, to the broker at once. `address` is
+  /// "127.0.0.4:8080".
+  EndpointWatch(proxy::RequestBroker& broker, std::string address, EndpointListDocument known,
+                ReconnectBackoff reconnect_backoff);
+
+  /// Opens the watch. Call once; it reopens itself until `stop`.
   void start();
+
+  /// Closes the watch and opens none again.
   void stop();
-  void follow(const std::string& address);  // goes over to it; the list as held goes on meanwhile
+
+  /// Watches discovery at another address; does nothing if it is the same. The endpoints that the
+  /// broker holds stay in use meanwhile.
+  void change_address(const std::string& address);
 
 private:
+  /// What of the HTTP response is read next.
+  enum class ResponseState { Head, PlainBody, ChunkedBody };
+
   void connected() override;
   void received() override;
   void ended(const std::string& why) override;
-  void take();
-  bool head();
-  bool chunk();
-  void lists();
+
+  void read_response();
+  /// Returns whether the whole head was read; false also if it was refused.
+  [[nodiscard]] bool read_head();
+  /// Moves one chunk into the body. Returns whether there was a whole one, and it was not the last.
+  [[nodiscard]] bool read_chunk();
+  /// Applies all whole lists of the body.
+  void apply_lists();
   void apply(EndpointListDocument list);
-  void again(const std::string& why, bool silent = false);
+  /// Closes the watch and opens it again after a backoff; logs `reason` unless it is the same as
+  /// the last time.
+  void schedule_reconnect(const std::string& reason, WatchEnd end = WatchEnd::Closed);
 
-  proxy::RequestBroker& core_;
+  proxy::RequestBroker& broker_;
   std::string address_;
-  std::int64_t revision_;  // up to which the next call need not tell; 0: everything, please
+  std::int64_t revision_;  // the next watch asks for what is later; 0: for the whole list
   std::shared_ptr<net::Stream> stream_;
-  net::Timer silence_, retry_;
-  ReconnectBackoff pace_;
-  RevisionFilter newest_;
-  JsonObjectSplitter objects_;                                // of the answer
-  bool head_read_ = false, chunked_ = false, first_ = false;  // first_: of this watch's lists
-  std::string told_;                                          // why it ended, as last logged
+  net::Timer silence_timer_;
+  net::Timer reconnect_timer_;
+  ReconnectBackoff reconnect_backoff_;
+  RevisionFilter revision_filter_;
+  JsonObjectSplitter body_;
+  ResponseState response_state_ = ResponseState::Head;
+  ListOrder next_list_ = ListOrder::FirstOfWatch;
+  std::string logged_reason_;  // empty once a list arrived
 };
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/json_object_splitter.h
+++ b/src/discovery/json_object_splitter.h
@@ -1,8 +1,8 @@
-// Cuts a stream of bytes into JSON objects, wherever its lines and its reads end; pure.
-//
-// Between two objects stand only spaces and line ends. Within one stands no blank line: discovery's
-// beat there means that the rest of a list was lost on its way. Holds at most kMost bytes; each is
-// looked at once.
+/// Splits a stream of bytes into JSON objects, wherever its lines and its reads end.
+///
+/// The module is pure and runs on one thread. Between two objects it accepts only spaces and line
+/// ends. Within an object it accepts no blank line: a blank line is discovery's heartbeat, and one
+/// inside an object means that the rest of the object was lost.
 #pragma once
 
 #include <cstddef>
@@ -11,24 +11,47 @@
 
 namespace gorsebeam::discovery {
 
+/// Holds the bytes of one object at most, up to `kMaxObjectSize` and what was added last. Looks at
+/// each byte once.
 class JsonObjectSplitter {
 public:
-  static constexpr std::size_t kMost = 8 << 20;  // bytes of one object, indented or not
+  /// Bytes of one object, white space included.
+  static constexpr std::size_t kMaxObjectSize = 8 << 20;
 
-  enum class Step { More, Object, Broken };
+  enum class Status {
+    NeedsInput,  ///< No whole object is left; add bytes.
+    Object,      ///< A whole object was found.
+    Malformed,   ///< The stream is broken or an object too long; nothing more is read.
+  };
+
+  struct Output {
+    Status status = Status::NeedsInput;
+    /// With `Object`: its text, balanced but not otherwise checked; valid until the next call.
+    std::string_view object;
+  };
 
   void add(std::string_view bytes) { text_.append(bytes); }
 
-  // Object: it stands in `object` until the next call, and may still be no JSON within. Broken:
-  // nothing more is read.
-  Step next(std::string_view& object);
+  /// Returns the next object of what was added.
+  [[nodiscard]] Output next();
+
+  /// Forgets all bytes and starts a new stream.
   void clear();
 
 private:
+  enum class Scan { Continue, ObjectEnd, Malformed };
+
+  [[nodiscard]] Scan scan(char c);
+  [[nodiscard]] Scan scan_quoted(char c);
+  [[nodiscard]] Scan scan_line_end();
+
   std::string text_;
-  std::size_t begin_ = 0, at_ = 0;  // of the object, and how far it was looked at
-  std::size_t depth_ = 0;           // of braces and brackets; 0: between two objects
-  bool quoted_ = false, escaped_ = false, blank_ = false;
+  std::size_t begin_ = 0;     // of the object
+  std::size_t position_ = 0;  // bytes of text_ that were scanned
+  std::size_t depth_ = 0;     // of open braces and brackets; 0: between two objects
+  bool in_string_ = false;
+  bool escaped_ = false;     // by a backslash in a string
+  bool blank_line_ = false;  // the line has held only white space so far
 };
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/reconnect_backoff.cpp
+++ b/src/discovery/reconnect_backoff.cpp
@@ -4,28 +4,48 @@
 #include <utility>
 
 namespace gorsebeam::discovery {
+namespace {
 
-ReconnectBackoff::ReconnectBackoff(std::uint32_t gateways, bool asked, std::uint64_t seed)
-    : random_(seed), asked_(asked),
-      first_(asked ? std::max(kFirst, static_cast<Nanos>(gateways) * kCall) : kAgent),
-      most_(first_) {}
-
-Nanos ReconnectBackoff::next(bool silent) {
-  const bool was_heard = std::exchange(heard_, false);
-  const Nanos most = silent && was_heard ? std::min(most_, kTold - kOpen - kInTime) : most_;
-  if (asked_)
-    most_ = std::min(2 * most_, 8 * first_);
-  return std::uniform_int_distribution<Nanos>(most / 8 + 1, most)(random_);
+constexpr Nanos kMaxGrowth = 8;
+
+Nanos first_bound_of(std::uint32_t gateways, DiscoveryService service) {
+  if (service == DiscoveryService::LocalAgent)
+    return ReconnectBackoff::kAgentBackoffMax;
+  const Nanos all_calls = static_cast<Nanos>(gateways) * ReconnectBackoff::kCallDuration;
+  return std::max(ReconnectBackoff::kMinSharedBackoffMax, all_calls);
+}
+
+}  // namespace
+
+ReconnectBackoff::ReconnectBackoff(std::uint32_t gateways, DiscoveryService service,
+                                   std::uint64_t seed)
+    : random_(seed), service_(service), first_bound_(first_bound_of(gateways, service)),
+      bound_(first_bound_) {}
+
+Nanos ReconnectBackoff::silence_timeout() const {
+  if (service_ == DiscoveryService::Shared && !list_received_)
+    return kFirstAnswerTimeout;
+  return kSilenceTimeout;
+}
+
+Nanos ReconnectBackoff::next_delay(WatchEnd end) {
+  const bool had_list = std::exchange(list_received_, false);
+  Nanos bound = bound_;
+  if (end == WatchEnd::Silent && had_list)
+    bound = std::min(bound, kNotifiedAfter - kSilenceTimeout - kCallReserve);
+  if (service_ == DiscoveryService::Shared)
+    bound_ = std::min(2 * bound_, kMaxGrowth * first_bound_);
+  return std::uniform_int_distribution<Nanos>(bound / 8 + 1, bound)(random_);
 }
 
-void ReconnectBackoff::heard() {
-  moved();
-  heard_ = true;
+void ReconnectBackoff::record_list() {
+  reset();
+  list_received_ = true;
 }
 
-void ReconnectBackoff::moved() {
-  heard_ = false;
-  most_ = first_;
+void ReconnectBackoff::reset() {
+  list_received_ = false;
+  bound_ = first_bound_;
 }
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/reconnect_backoff.h
+++ b/src/discovery/reconnect_backoff.h
@@ -1,16 +1,20 @@
-// When a watch on the member list counts as broken, and when a broken one is opened again; pure.
-//
-// A watch that fell silent tells nothing more, and what it misses counts as told 6 s after its last
-// byte, arrived or not: a member that drains must not be asked from then on. So silence is noticed
-// as soon as the beat of empty lines allows, and the next call goes out early enough to be answered
-// in time.
-//
-// Where an agent on the gateway's own machine has the list, a call costs nobody else anything, and
-// what the agent has counts as told whether or not a call is open: it is opened again at once, well
-// within a drain's grace. Where all gateways ask one discovery, it has room for a few calls a
-// second and works on calls that have waited too long as on any other: gateways that all lost their
-// watch, and come back sooner than it can take them, keep it busy with dead calls. There waits
-// follow the number of gateways, but for the first after a silence.
+/// When a watch on the endpoint list counts as broken, and when a broken one is opened again.
+///
+/// The module is pure, but for its random numbers, which follow from a seed. Times are nanoseconds.
+///
+/// A watch that falls silent delivers nothing more, and the site counts what it misses as notified
+/// 6 s after its last byte, whether it arrived or not: from then on an endpoint that drains must
+/// not be asked. So silence is noticed as soon as the heartbeat of empty lines allows, and the next
+/// call is made early enough to be answered in time.
+///
+/// With an agent on the gateway's own machine a call costs nobody else anything, and what the agent
+/// has counts as notified whether a call is open or not. The watch is reopened at once, well within
+/// the grace time of a drain.
+///
+/// Where all gateways call one discovery service, it handles a few calls a second and works on
+/// calls whose caller gave up as on any other. Gateways that lose their watch together and come
+/// back faster than it can answer keep it busy with abandoned calls. There the backoff grows with
+/// the number of gateways, except for the first one after a silence.
 #pragma once
 
 #include "gorsebeam/router.h"
@@ -20,40 +24,58 @@
 
 namespace gorsebeam::discovery {
 
-// Waits are drawn evenly up to a bound; on one discovery it doubles with each, up to eight times
-// the first, and an answer, which `heard` tells, starts over. Times are nanoseconds.
+/// Whom the watch calls.
+enum class DiscoveryService {
+  LocalAgent,  ///< Each gateway has an agent of its own.
+  Shared,      ///< All gateways call one service.
+};
+
+/// How a watch ended.
+enum class WatchEnd {
+  Closed,  ///< The connection failed or closed, or its content was refused.
+  Silent,  ///< Nothing arrived for `silence_timeout()`.
+};
+
+/// Draws delays evenly from above an eighth of a bound up to the bound. With a shared service the
+/// bound doubles with each delay, up to eight times the first; a list that arrives resets it.
 class ReconnectBackoff {
 public:
-  static constexpr Nanos kTold =
-      6'000'000'000;  // after a watch's last byte: what it misses counts as told
-  static constexpr Nanos kOpen =
-      2'500'000'000;  // silence of an open watch: an empty line is due every 2 s
-  static constexpr Nanos kUnheard =
-      5'000'000'000;  // silence of a call on one discovery: it may be queued
-  static constexpr Nanos kInTime = 1'500'000'000;  // of kTold, kept for the call itself
-  static constexpr Nanos kCall =
-      50'000'000;  // allowed for one call: at size one was seen to take 49 to 84 ms
-  static constexpr Nanos kAgent =
-      50'000'000;  // the bound of each wait where each gateway has an agent
-  static constexpr Nanos kFirst = 250'000'000;  // the least first bound: few gateways harm no one
-
-  // `asked`: all gateways ask one discovery; else each asks an agent of its own.
-  ReconnectBackoff(std::uint32_t gateways, bool asked, std::uint64_t seed);
-
-  // How long a watch may say nothing from now on.
-  Nanos silence() const { return asked_ && !heard_ ? kUnheard : kOpen; }
-
-  Nanos next(
-      bool silent);  // how long to wait from now, above zero; `silent`: that is how the watch ended
-  void heard();      // a list came
-  void moved();      // discovery has another address: as at the start
+  /// After a watch's last byte: what it misses counts as notified.
+  static constexpr Nanos kNotifiedAfter = 6'000'000'000;
+  /// Silence of an open watch that breaks it: an empty line is due every 2 s.
+  static constexpr Nanos kSilenceTimeout = 2'500'000'000;
+  /// Silence of a call to a shared service that was not answered yet: it may be queued.
+  static constexpr Nanos kFirstAnswerTimeout = 5'000'000'000;
+  /// The part of kNotifiedAfter that is left for the call itself.
+  static constexpr Nanos kCallReserve = 1'500'000'000;
+  /// Allowed for one call to a shared service; with many gateways one took 49 to 84 ms.
+  static constexpr Nanos kCallDuration = 50'000'000;
+  /// The bound of each delay with a local agent.
+  static constexpr Nanos kAgentBackoffMax = 50'000'000;
+  /// The least first bound with a shared service, which few gateways cannot overload.
+  static constexpr Nanos kMinSharedBackoffMax = 250'000'000;
+
+  /// `gateways` share the service, if it is shared.
+  ReconnectBackoff(std::uint32_t gateways, DiscoveryService service, std::uint64_t seed);
+
+  /// How long a watch may stay silent from now on.
+  [[nodiscard]] Nanos silence_timeout() const;
+
+  /// The delay from now, above 0, until the watch that ended is opened again.
+  [[nodiscard]] Nanos next_delay(WatchEnd end);
+
+  /// A list arrived.
+  void record_list();
+
+  /// Discovery has another address: starts over.
+  void reset();
 
 private:
   std::mt19937_64 random_;
-  bool asked_;
-  Nanos first_;
-  Nanos most_;          // bound of the next wait
-  bool heard_ = false;  // since the last wait
+  DiscoveryService service_;
+  Nanos first_bound_;
+  Nanos bound_;                 // of the next delay
+  bool list_received_ = false;  // since the last delay
 };
 
 }  // namespace gorsebeam::discovery
--- a/src/discovery/revision_filter.cpp
+++ b/src/discovery/revision_filter.cpp
@@ -1,67 +1,80 @@
 #include "revision_filter.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace gorsebeam::discovery {
 
-void RevisionFilter::recount() {
-  ++count_;
-  newest_ = 0;
+void RevisionFilter::start_new_epoch() {
+  ++epoch_;
+  newest_revision_ = 0;
 }
 
-// Of two counts: told to leave in the other, and since then neither started again nor named by a
-// later list.
-bool RevisionFilter::still_leaving(const Told& told, const Endpoint& member) const {
-  const bool left = told.state != EndpointStatus::Up && !told.left_out && told.count != count_;
-  return left && member.status == EndpointStatus::Up && member.started_at <= told.started_at;
+bool RevisionFilter::is_still_leaving(const LastWatchEvent& event, const Endpoint& endpoint) const {
+  if (event.epoch == epoch_ || event.status == EndpointStatus::Up || event.left_out)
+    return false;
+  return endpoint.status == EndpointStatus::Up && endpoint.started_at <= event.started_at;
 }
 
-void RevisionFilter::take(EndpointListDocument& list, bool first) {
-  if (list.complete && first && list.revision < newest_)
-    recount();
-  const bool newest = list.revision >= newest_;
-  newest_ = std::max(newest_, list.revision);
-  std::set<std::string> named;
+void RevisionFilter::remove_outdated(EndpointListDocument& list, ListOrder order) {
+  if (list.complete && order == ListOrder::FirstOfWatch && list.revision < newest_revision_)
+    start_new_epoch();
+  const bool is_newest = list.revision >= newest_revision_;
+  newest_revision_ = std::max(newest_revision_, list.revision);
+  std::set<std::string> listed_names;
   std::vector<proxy::ListedEndpoint> news;
-  for (proxy::ListedEndpoint& listed : list.members) {
-    Endpoint& member = listed.endpoint;
-    named.insert(listed.name);
-    const auto held = told_.find(listed.name);
-    const bool older = held != told_.end() && held->second.count == count_ &&
-                       list.revision < held->second.revision;
-    if (older && !newest)
-      continue;
-    if (older || (held != told_.end() && still_leaving(held->second, member))) {
-      Told& told = held->second;
-      member.status = told.state;
-      told.count = count_, told.revision = list.revision + 1;  // until a later word
-    } else {
-      told_[listed.name] = {count_, list.revision, member.status, member.started_at};
-    }
-    news.push_back(std::move(listed));
+  for (proxy::ListedEndpoint& entry : list.endpoints) {
+    listed_names.insert(entry.name);
+    if (record_entry(entry, list.revision, is_newest))
+      news.push_back(std::move(entry));
   }
-  list.members = std::move(news);
-  if (list.complete && newest)
-    for (auto& [name, told] : told_)
-      if (!named.count(name))
-        told = {count_, list.revision, EndpointStatus::Removed, told.started_at, true};
-  list.complete &= newest;
-  forget_gone();
+  list.endpoints = std::move(news);
+  if (list.complete && is_newest)
+    remove_unlisted(listed_names, list.revision);
+  list.complete = list.complete && is_newest;
+  forget_removed();
 }
 
-void RevisionFilter::forget_gone() {
-  std::vector<std::pair<std::int64_t, std::string>> gone;
-  for (const auto& [name, told] : told_)
-    if (told.state == EndpointStatus::Removed)
-      gone.push_back({told.revision, name});
-  if (gone.size() <= kGoneMost)
+bool RevisionFilter::record_entry(proxy::ListedEndpoint& entry, std::int64_t revision,
+                                  bool is_newest) {
+  const auto last = last_events_.find(entry.name);
+  const bool is_known = last != last_events_.end();
+  const bool is_older =
+      is_known && last->second.epoch == epoch_ && revision < last->second.revision;
+  if (is_older && !is_newest)
+    return false;
+  if (is_older || (is_known && is_still_leaving(last->second, entry.endpoint))) {
+    // The status stays until a list with a higher revision.
+    entry.endpoint.status = last->second.status;
+    last->second.epoch = epoch_;
+    last->second.revision = revision + 1;
+    return true;
+  }
+  last_events_[entry.name] = {epoch_, revision, entry.endpoint.status, entry.endpoint.started_at};
+  return true;
+}
+
+void RevisionFilter::remove_unlisted(const std::set<std::string>& listed_names,
+                                     std::int64_t revision) {
+  for (auto& [name, event] : last_events_) {
+    if (listed_names.count(name) == 0)
+      event = {epoch_, revision, EndpointStatus::Removed, event.started_at, true};
+  }
+}
+
+void RevisionFilter::forget_removed() {
+  std::vector<std::pair<std::int64_t, std::string>> removed;
+  for (const auto& [name, event] : last_events_) {
+    if (event.status == EndpointStatus::Removed)
+      removed.emplace_back(event.revision, name);
+  }
+  if (removed.size() <= kMaxRemovedEndpoints)
     return;
-  std::sort(gone.begin(), gone.end());
-  gone.resize(gone.size() - kGoneMost);
-  for (const auto& [revision, name] : gone)
-    told_.erase(name);
+  std::sort(removed.begin(), removed.end());
+  removed.resize(removed.size() - kMaxRemovedEndpoints);
+  for (const auto& [revision, name] : removed)
+    last_events_.erase(name);
 }
 
 }  // namespace gorsebeam::discovery
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,7 +138,9 @@
     watch_ = std::make_unique<discovery::EndpointWatch>(
         postgres_->core, config.discovery_address, config.initial_endpoints,
         discovery::ReconnectBackoff(config.profile.settings.router_count,
-                                    config.profile.settings.discovery_mode == DiscoveryMode::Poll,
+                                    config.profile.settings.discovery_mode == DiscoveryMode::Poll
+                                        ? discovery::DiscoveryService::Shared
+                                        : discovery::DiscoveryService::LocalAgent,
                                     config.seed));
     watch_->start();
   }
@@ -216,7 +218,7 @@
   if (fresh.config.restart_only_settings != plan_.config.restart_only_settings)
     net::log({"reload_requires_restart", {{"settings", "platform"}}});
   if (watch_)
-    watch_->follow(fresh.config.discovery_address);
+    watch_->change_address(fresh.config.discovery_address);
   why = control_->follow(fresh.file);
   plan_.file.gateway = fresh.file.gateway;
   if (!why.empty())
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -9,132 +9,146 @@
 namespace gorsebeam::discovery {
 namespace {
 
-// What is cut out of `text` when it comes `piece` bytes at a time; "!" stands for a break.
-std::vector<std::string> cut(const std::string& text, std::size_t piece) {
-  JsonObjectSplitter objects;
-  std::vector<std::string> found;
+using Status = JsonObjectSplitter::Status;
+
+/// The objects of `text` when it arrives `piece` bytes at a time; "!" stands for malformed input.
+std::vector<std::string> split(const std::string& text, std::size_t piece) {
+  JsonObjectSplitter splitter;
+  std::vector<std::string> objects;
   for (std::size_t at = 0; at < text.size(); at += piece) {
-    objects.add(std::string_view(text).substr(at, piece));
-    std::string_view object;
-    for (JsonObjectSplitter::Step step;
-         (step = objects.next(object)) != JsonObjectSplitter::Step::More;) {
-      found.emplace_back(step == JsonObjectSplitter::Step::Object ? object : "!");
-      if (step == JsonObjectSplitter::Step::Broken)
-        return found;
+    splitter.add(std::string_view(text).substr(at, piece));
+    JsonObjectSplitter::Output output = splitter.next();
+    for (; output.status == Status::Object; output = splitter.next())
+      objects.emplace_back(output.object);
+    if (output.status == Status::Malformed) {
+      objects.emplace_back("!");
+      return objects;
     }
   }
-  return found;
+  return objects;
 }
 
-TEST(Objects, AreCutOutWhereverLinesAndReadsEnd) {
-  const std::string plain = R"({"a":"}\"{","b":[{"c":1},{}]})",
-                    indented = "{\n  \"a\": [\n    1\n  ]\r\n}";
+TEST(JsonObjectSplitter, SplitsObjectsWhereverLinesAndReadsEnd) {
+  const std::string plain = R"({"a":"}\"{","b":[{"c":1},{}]})";
+  const std::string indented = "{\n  \"a\": [\n    1\n  ]\r\n}";
   const std::string text =
-      plain + "\n\n\r\n" + indented + "\n" + plain + plain;  // and none behind the last
+      plain + "\n\n\r\n" + indented + "\n" + plain + plain;  // no line end after the last
   for (std::size_t piece = 1; piece <= text.size(); ++piece)
-    EXPECT_EQ(cut(text, piece), (std::vector<std::string>{plain, indented, plain, plain})) << piece;
+    EXPECT_EQ(split(text, piece), (std::vector<std::string>{plain, indented, plain, plain}))
+        << piece;
 }
 
-TEST(Objects, BreakWhereAPartWasLost) {
+TEST(JsonObjectSplitter, RejectsInputOfWhichAPartWasLost) {
   using Found = std::vector<std::string>;
-  EXPECT_EQ(cut("{\"a\":[\n\n{\"a\":1}\n", 3), (Found{"!"}));  // the beat, within an object
-  EXPECT_EQ(cut("{\"a\":\"lo\n{\"a\":1}\n", 3), (Found{"!"}));
-  EXPECT_EQ(cut("{}\nnonsense\n{}\n", 3), (Found{"{}", "!"}));
-  EXPECT_EQ(cut("{}]", 3), (Found{"{}", "!"}));
-  EXPECT_EQ(cut("{\"a\":[", 1), Found{});  // cut short is no object
+  EXPECT_EQ(split("{\"a\":[\n\n{\"a\":1}\n", 3), (Found{"!"}));  // the heartbeat, within an object
+  EXPECT_EQ(split("{\"a\":\"lo\n{\"a\":1}\n", 3), (Found{"!"}));
+  EXPECT_EQ(split("{}\nnonsense\n{}\n", 3), (Found{"{}", "!"}));
+  EXPECT_EQ(split("{}]", 3), (Found{"{}", "!"}));
+  EXPECT_EQ(split("{\"a\":[", 1), Found{});  // an incomplete object
 }
 
-TEST(Objects, HoldNoMoreThanTheirBound) {
-  JsonObjectSplitter objects;
-  std::string_view object;
-  objects.add("{\"a\":\"");
+TEST(JsonObjectSplitter, RejectsAnObjectOverItsMaximumSize) {
+  JsonObjectSplitter splitter;
+  splitter.add(R"({"a":")");
   const std::string part(1 << 20, 'x');
   int parts = 0;
-  while (objects.next(object) == JsonObjectSplitter::Step::More && parts <= 20)
-    objects.add(part), ++parts;
+  while (splitter.next().status == Status::NeedsInput && parts <= 20) {
+    splitter.add(part);
+    ++parts;
+  }
   EXPECT_EQ(parts, 8);
 }
 
-proxy::ListedEndpoint member(const std::string& name, EndpointStatus state, Nanos started = 0) {
+proxy::ListedEndpoint endpoint(const std::string& name, EndpointStatus status,
+                               Nanos started_at = 0) {
   proxy::ListedEndpoint listed;
   listed.name = name;
-  listed.endpoint.status = state;
-  listed.endpoint.started_at = started;
+  listed.endpoint.status = status;
+  listed.endpoint.started_at = started_at;
   return listed;
 }
 
-constexpr EndpointStatus up = EndpointStatus::Up, draining = EndpointStatus::Draining,
-                         gone = EndpointStatus::Removed;
-
-// What is left of a list, as words.
-std::string taken(RevisionFilter& newest, std::int64_t revision, bool complete,
-                  std::vector<proxy::ListedEndpoint> members, bool first = false) {
-  EndpointListDocument list{revision, complete, std::move(members)};
-  newest.take(list, first);
-  std::string words = list.complete ? "all" : "";
-  for (const auto& listed : list.members)
-    words += " " + listed.name +
-             (listed.endpoint.status == up     ? "+"
-              : listed.endpoint.status == gone ? "-"
-                                               : "~");
-  return words;
+constexpr EndpointStatus kUp = EndpointStatus::Up;
+constexpr EndpointStatus kDraining = EndpointStatus::Draining;
+constexpr EndpointStatus kRemoved = EndpointStatus::Removed;
+
+/// The news of a list as text: "all" for a complete one, then each name with + for up, ~ for
+/// draining and - for removed.
+std::string news_of(RevisionFilter& filter, std::int64_t revision, bool complete,
+                    std::vector<proxy::ListedEndpoint> endpoints,
+                    ListOrder order = ListOrder::Later) {
+  EndpointListDocument list{revision, complete, std::move(endpoints)};
+  filter.remove_outdated(list, order);
+  std::string text = list.complete ? "all" : "";
+  for (const proxy::ListedEndpoint& listed : list.endpoints) {
+    const EndpointStatus status = listed.endpoint.status;
+    const char* mark = status == kUp ? "+" : status == kRemoved ? "-" : "~";
+    text += " " + listed.name + mark;
+  }
+  return text;
 }
 
-TEST(Newest, AnOldListAfterANewOneChangesNothingThatTheNewOneTold) {
-  RevisionFilter newest;
-  EXPECT_EQ(taken(newest, 40, true, {member("a", up), member("b", up)}, true), "all a+ b+");
-  EXPECT_EQ(taken(newest, 44, false, {member("a", draining)}), " a~");
-  EXPECT_EQ(taken(newest, 42, false, {member("a", up), member("b", draining)}),
-            " b~");  // of b it is the newest
-  EXPECT_EQ(taken(newest, 43, true, {member("a", up), member("c", up)}),
-            " c+");  // and b is not gone
-  EXPECT_EQ(taken(newest, 45, false, {member("a", gone)}), " a-");
-  EXPECT_EQ(taken(newest, 44, false, {member("a", draining)}), "");
-  EXPECT_EQ(taken(newest, 45, false, {member("a", gone)}), " a-");  // told again, it is the same
-  EXPECT_EQ(taken(newest, 46, false, {member("a", up, 7)}), " a+");
-  EXPECT_EQ(taken(newest, 47, true, {member("a", up, 7)}), "all a+");
-  EXPECT_EQ(taken(newest, 46, false, {member("c", up)}), "");  // left out of a newer one
-  EXPECT_EQ(newest.revision(), 47);
+TEST(RevisionFilter, DropsEntriesOlderThanTheLastEventOfTheirEndpoint) {
+  RevisionFilter filter;
+  EXPECT_EQ(
+      news_of(filter, 40, true, {endpoint("a", kUp), endpoint("b", kUp)}, ListOrder::FirstOfWatch),
+      "all a+ b+");
+  EXPECT_EQ(news_of(filter, 44, false, {endpoint("a", kDraining)}), " a~");
+  EXPECT_EQ(news_of(filter, 42, false, {endpoint("a", kUp), endpoint("b", kDraining)}),
+            " b~");  // the newest of b
+  EXPECT_EQ(news_of(filter, 43, true, {endpoint("a", kUp), endpoint("c", kUp)}),
+            " c+");  // b is not removed
+  EXPECT_EQ(news_of(filter, 45, false, {endpoint("a", kRemoved)}), " a-");
+  EXPECT_EQ(news_of(filter, 44, false, {endpoint("a", kDraining)}), "");
+  EXPECT_EQ(news_of(filter, 45, false, {endpoint("a", kRemoved)}),
+            " a-");  // repeated, it is the same
+  EXPECT_EQ(news_of(filter, 46, false, {endpoint("a", kUp, 7)}), " a+");
+  EXPECT_EQ(news_of(filter, 47, true, {endpoint("a", kUp, 7)}), "all a+");
+  EXPECT_EQ(news_of(filter, 46, false, {endpoint("c", kUp)}), "");  // a newer list left c out
+  EXPECT_EQ(filter.revision(), 47);
 }
 
-TEST(Newest, InAnotherCountWhoWasToldToLeaveIsBackOnlyByAStartOrALaterWord) {
-  for (const bool moved : {true, false}) {
-    RevisionFilter newest;
-    taken(newest, 40, true,
-          {member("a", draining, 5), member("b", draining, 5), member("c", up), member("d", up)},
-          true);
-    EXPECT_EQ(taken(newest, 41, false, {member("d", gone)}), " d-");
-    EXPECT_EQ(taken(newest, 42, true,
-                    {member("a", draining, 5), member("b", draining, 5), member("d", gone)}),
+TEST(RevisionFilter, ReadmitsALeavingEndpointInANewEpochOnlyAfterARestartOrALaterList) {
+  for (const bool address_changed : {true, false}) {
+    RevisionFilter filter;
+    news_of(filter, 40, true,
+            {endpoint("a", kDraining, 5), endpoint("b", kDraining, 5), endpoint("c", kUp),
+             endpoint("d", kUp)},
+            ListOrder::FirstOfWatch);
+    EXPECT_EQ(news_of(filter, 41, false, {endpoint("d", kRemoved)}), " d-");
+    EXPECT_EQ(news_of(filter, 42, true,
+                      {endpoint("a", kDraining, 5), endpoint("b", kDraining, 5),
+                       endpoint("d", kRemoved)}),
               "all a~ b~ d-");  // c is left out
-    if (moved)
-      newest.recount();
-    EXPECT_EQ(taken(newest, 7, true,
-                    {member("a", up, 5), member("b", up, 6), member("c", up), member("d", up)},
-                    true),
+    if (address_changed)
+      filter.start_new_epoch();
+    EXPECT_EQ(news_of(filter, 7, true,
+                      {endpoint("a", kUp, 5), endpoint("b", kUp, 6), endpoint("c", kUp),
+                       endpoint("d", kUp)},
+                      ListOrder::FirstOfWatch),
               "all a~ b+ c+ d-");
-    EXPECT_EQ(newest.revision(), 7);
-    EXPECT_EQ(taken(newest, 7, true, {member("a", up, 5)}), "all a~");  // no later word
-    EXPECT_EQ(taken(newest, 8, false, {member("a", up, 5), member("d", up)}), " a+ d+");
+    EXPECT_EQ(filter.revision(), 7);
+    EXPECT_EQ(news_of(filter, 7, true, {endpoint("a", kUp, 5)}), "all a~");  // not a later list
+    EXPECT_EQ(news_of(filter, 8, false, {endpoint("a", kUp, 5), endpoint("d", kUp)}), " a+ d+");
   }
 }
 
-TEST(Newest, AfterAMoveAHigherCountIsTakenWithTheSameCare) {
-  RevisionFilter newest;
-  taken(newest, 40, true, {member("a", draining)}, true);
-  newest.recount();
-  EXPECT_EQ(taken(newest, 39, true, {member("a", up)}, true),
+TEST(RevisionFilter, KeepsALeavingEndpointAfterAnAddressChangeToAHigherRevision) {
+  RevisionFilter filter;
+  news_of(filter, 40, true, {endpoint("a", kDraining)}, ListOrder::FirstOfWatch);
+  filter.start_new_epoch();
+  EXPECT_EQ(news_of(filter, 39, true, {endpoint("a", kUp)}, ListOrder::FirstOfWatch),
             "all a~");  // the agent there is behind
-  EXPECT_EQ(taken(newest, 41, false, {member("a", up)}), " a+");
+  EXPECT_EQ(news_of(filter, 41, false, {endpoint("a", kUp)}), " a+");
 }
 
-TEST(Newest, ForgetsMembersThatAreGone) {
-  RevisionFilter newest;
+TEST(RevisionFilter, ForgetsRemovedEndpointsBeyondTheMaximum) {
+  RevisionFilter filter;
   for (int i = 0; i < 3000; ++i)
-    taken(newest, 2 * i + 2, false, {member("m" + std::to_string(i), gone)});
-  EXPECT_EQ(taken(newest, 1, false, {member("m2999", up)}), "");
-  EXPECT_EQ(taken(newest, 1, false, {member("m0", up)}),
-            " m0+");  // forgotten, and so taken for news
+    news_of(filter, 2 * i + 2, false, {endpoint("m" + std::to_string(i), kRemoved)});
+  EXPECT_EQ(news_of(filter, 1, false, {endpoint("m2999", kUp)}), "");
+  EXPECT_EQ(news_of(filter, 1, false, {endpoint("m0", kUp)}),
+            " m0+");  // forgotten, so it counts as news
 }
 
 }  // namespace
--- a/tests/reconnect_backoff_test.cpp
+++ b/tests/reconnect_backoff_test.cpp
@@ -8,67 +8,72 @@
 
 namespace gorsebeam::discovery {
 namespace {
-constexpr Nanos ms = 1'000'000;
+constexpr Nanos kMillisecond = 1'000'000;
 
-// A discovery that takes 50 ms for each call, in turn, also for those whose caller gave up after 2
-// s. `gateways` lose their watch at 0. Returns how many have it again by `end`.
-std::size_t back_by(std::size_t gateways, Nanos end) {
-  std::vector<ReconnectBackoff> paces;
+/// A discovery service that works 50 ms on each call, in turn, also on those whose caller gave up
+/// after 2 s. All `gateways` lose their watch at 0. Returns how many have reopened it by `end`.
+std::size_t reopened_by(std::size_t gateways, Nanos end) {
+  std::vector<ReconnectBackoff> backoffs;
   std::multimap<Nanos, std::size_t> calls;
-  std::deque<std::pair<Nanos, std::size_t>> queue;  // when it came, and whose
+  std::deque<std::pair<Nanos, std::size_t>> queue;  // when each arrived, and whose
   for (std::size_t i = 0; i < gateways; ++i) {
-    paces.emplace_back(static_cast<std::uint32_t>(gateways), true, i);
-    calls.insert({paces[i].next(false), i});
+    backoffs.emplace_back(static_cast<std::uint32_t>(gateways), DiscoveryService::Shared, i);
+    calls.insert({backoffs[i].next_delay(WatchEnd::Closed), i});
   }
-  std::size_t back = 0;
-  for (Nanos now = 0; now < end; now += 50 * ms) {
+  std::size_t reopened = 0;
+  for (Nanos now = 0; now < end; now += 50 * kMillisecond) {
     for (; !calls.empty() && calls.begin()->first <= now; calls.erase(calls.begin())) {
-      queue.push_back({calls.begin()->first, calls.begin()->second});
+      queue.emplace_back(calls.begin()->first, calls.begin()->second);
     }
     if (queue.empty())
       continue;
-    const auto [came, gateway] = queue.front();
+    const auto [arrived, gateway] = queue.front();
     queue.pop_front();
-    const bool dead = now - came > 2000 * ms;
-    back += !dead;
-    if (dead)
-      calls.insert({came + 2000 * ms + paces[gateway].next(true), gateway});
+    const bool abandoned = now - arrived > 2000 * kMillisecond;
+    if (abandoned)
+      calls.insert({arrived + 2000 * kMillisecond + backoffs[gateway].next_delay(WatchEnd::Silent),
+                    gateway});
+    else
+      ++reopened;
   }
-  return back;
+  return reopened;
 }
 
-TEST(Pace, AHundredGatewaysThatLostTheirWatchAtOnceAllHaveItAgain) {
-  EXPECT_EQ(back_by(100, 10'000 * ms), 100u);
-  EXPECT_EQ(back_by(3, 500 * ms), 3u);  // and few need not wait for it
+TEST(ReconnectBackoff, LetsAHundredGatewaysThatLostTheirWatchTogetherReopenIt) {
+  EXPECT_EQ(reopened_by(100, 10'000 * kMillisecond), 100U);
+  EXPECT_EQ(reopened_by(3, 500 * kMillisecond), 3U);  // few gateways need not wait long
 }
 
-TEST(Pace, BoundsDoubleAndStartOver) {
-  ReconnectBackoff few(3, true, 7), many(100, true, 7), agents(300, false, 7);
-  for (const Nanos most : {250, 500, 1000, 2000, 2000}) {
-    const Nanos wait = few.next(false);
-    EXPECT_GT(wait, most / 8 * ms);
-    EXPECT_LE(wait, most * ms);
-    EXPECT_LE(many.next(false), 20 * most * ms);
-    EXPECT_LE(agents.next(false),
-              50 * ms);  // who asks an agent of its own harms nobody, and must never miss it long
+TEST(ReconnectBackoff, DoublesItsBoundUpToAMaximumAndResetsOnAList) {
+  ReconnectBackoff few(3, DiscoveryService::Shared, 7);
+  ReconnectBackoff many(100, DiscoveryService::Shared, 7);
+  ReconnectBackoff agents(300, DiscoveryService::LocalAgent, 7);
+  for (const Nanos bound : {250, 500, 1000, 2000, 2000}) {
+    const Nanos wait = few.next_delay(WatchEnd::Closed);
+    EXPECT_GT(wait, bound / 8 * kMillisecond);
+    EXPECT_LE(wait, bound * kMillisecond);
+    EXPECT_LE(many.next_delay(WatchEnd::Closed), 20 * bound * kMillisecond);
+    EXPECT_LE(agents.next_delay(WatchEnd::Closed),
+              50 * kMillisecond);  // calls to a local agent cost nobody anything
   }
-  few.heard();
-  EXPECT_LE(few.next(false), 250 * ms);
+  few.record_list();
+  EXPECT_LE(few.next_delay(WatchEnd::Closed), 250 * kMillisecond);
 }
 
-// What a watch that fell silent misses counts as told 6 s later, at any number of gateways.
-TEST(Pace, AfterASilenceTheNextCallIsMadeInTimeToBeAnswered) {
-  for (const bool asked : {false, true}) {
+// What a silent watch misses counts as notified 6 s after its last byte, at any number of gateways.
+TEST(ReconnectBackoff, ReopensASilentWatchInTimeForAnAnswer) {
+  for (const DiscoveryService service : {DiscoveryService::LocalAgent, DiscoveryService::Shared}) {
+    // A call that waits in the queue of a shared service is not given up.
+    const Nanos first_timeout = (service == DiscoveryService::Shared ? 5000 : 2500) * kMillisecond;
     for (std::uint64_t seed = 0; seed < 300; ++seed) {
-      ReconnectBackoff pace(300, asked, seed);
-      EXPECT_EQ(pace.silence(),
-                asked ? 5000 * ms : 2500 * ms);  // a call in a queue is not given up
-      pace.heard();
-      const Nanos noticed = pace.silence();
-      EXPECT_GT(noticed, 2000 * ms);  // the beat of a sound watch
-      EXPECT_LE(noticed + pace.next(true), 4500 * ms);
-      EXPECT_EQ(pace.silence(),
-                asked ? 5000 * ms : 2500 * ms);  // nothing has come of that call yet
+      ReconnectBackoff backoff(300, service, seed);
+      EXPECT_EQ(backoff.silence_timeout(), first_timeout);
+      backoff.record_list();
+      const Nanos noticed = backoff.silence_timeout();
+      EXPECT_GT(noticed, 2000 * kMillisecond);  // the heartbeat of a sound watch
+      EXPECT_LE(noticed + backoff.next_delay(WatchEnd::Silent), 4500 * kMillisecond);
+      EXPECT_EQ(backoff.silence_timeout(),
+                first_timeout);  // that call was not answered yet
     }
   }
 }
