--- a/tests/version_tracker_test.cpp
+++ b/tests/version_tracker_test.cpp
@@ -2,8 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <variant>
+#include <vector>
 
 namespace gorsebeam::config_versions {
 namespace {
@@ -384,5 +391,244 @@
   early.from({}, 3);
 }
 
+// A hash over every action of drawn histories, field by field. It pins the decisions: a change of
+// names or structure leaves it as it is.
+class ActionDigest {
+public:
+  [[nodiscard]] std::uint64_t value() const { return value_; }
+
+  void add(std::uint64_t number) {
+    for (int shift = 0; shift < 64; shift += 8)
+      add_byte(static_cast<unsigned char>(number >> shift & 0xff));
+  }
+
+  void add(const std::string& text) {
+    add(static_cast<std::uint64_t>(text.size()));
+    for (const char c : text)
+      add_byte(static_cast<unsigned char>(c));
+  }
+
+  void add(const std::optional<Type>& type) {
+    add(type ? static_cast<std::uint64_t>(*type) : std::uint64_t{99});
+  }
+
+  void add(const Action& action) {
+    add(static_cast<std::uint64_t>(action.index()));
+    std::visit(
+        [this](const auto& content) {
+          add_fields(content);
+        },
+        action);
+  }
+
+  void add(const Machine& machine) {
+    for (const Type type : {Type::Contracts, Type::Members, Type::Limits}) {
+      const Kept& kept = machine.kept(type);
+      add(kept.newest);
+      add(static_cast<std::uint64_t>(value_of(kept.running.body)));
+      add(kept.running.version);
+      add(kept.running.generation);
+      add(kept.running.print);
+      add(kept.running.source);
+      add(static_cast<std::uint64_t>(kept.running.accepted_at));
+    }
+    add(static_cast<std::uint64_t>(machine.due()));
+    add(static_cast<std::uint64_t>(machine.streaming()));
+    add(machine.address());
+  }
+
+private:
+  void add_byte(unsigned char byte) {  // FNV-1a
+    value_ ^= byte;
+    value_ *= 0x100000001b3ULL;
+  }
+
+  static int value_of(const Body& body) { return *static_cast<const int*>(body.get()); }
+
+  void add_fields(const Dial& dial) { add(dial.address); }
+
+  void add_fields(const HangUp&) {}
+
+  void add_fields(const Ping&) {}
+
+  void add_fields(const Ask& ask) {
+    add(ask.type);
+    add(ask.type_url);
+    add(ask.version);
+    add(ask.nonce);
+    add(ask.error);
+  }
+
+  void add_fields(const Ran& run) {
+    for (std::size_t i = 0; i < kTypes; ++i) {
+      add(static_cast<std::uint64_t>(value_of(run.bodies[i])));
+      add(static_cast<std::uint64_t>(run.changed[i]));
+    }
+  }
+
+  void add_fields(const Store&) {}
+
+  void add_fields(const Note& note) {
+    add(static_cast<std::uint64_t>(note.kind));
+    add(note.type);
+    add(note.version);
+    add(note.nonce);
+    add(note.text);
+  }
+
+  std::uint64_t value_ = 0xcbf29ce484222325ULL;
+};
+
+// Plays drawn events against one machine and adds each action and the state after each event.
+class DrawnHistory {
+public:
+  DrawnHistory(std::uint64_t seed, ActionDigest& digest) : random_(seed + 1), digest_(digest) {
+    settings_.seed = seed;
+    for (std::uint64_t i = draw(4); i > 0; --i)
+      settings_.addresses.push_back("a" + std::to_string(i));
+    machine_ = std::make_unique<Machine>(settings_, judge);
+  }
+
+  void play(int events) {
+    machine_->file_at_start(drawn_file());
+    if (draw(2) == 0)
+      digest_.add(machine_->stored(drawn_snapshot()));
+    machine_->begin(now_, actions_);
+    record();
+    for (int i = 0; i < events; ++i) {
+      play_event();
+      record();
+    }
+  }
+
+private:
+  // As fits(), and limits above 6 fit with nothing.
+  static std::optional<Misfit> judge(const Bodies& bodies) {
+    if (value(bodies[2]) > 6)
+      return Misfit{"limits " + std::to_string(value(bodies[2])) + " are too high", false};
+    return fits(bodies);
+  }
+
+  std::uint64_t draw(std::uint64_t bound) {  // splitmix64
+    random_ += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t z = random_;
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return (z ^ (z >> 31)) % bound;
+  }
+
+  Version drawn_version() {
+    Version version;
+    const int content = static_cast<int>(draw(5));
+    version.body = body(content);
+    version.print = static_cast<std::uint64_t>(content);
+    version.generation = draw(2) == 0 ? 0 : draw(8);
+    return version;
+  }
+
+  std::array<Version, kTypes> drawn_file() {
+    std::array<Version, kTypes> file;
+    for (Version& version : file)
+      version = drawn_version();
+    return file;
+  }
+
+  std::array<std::optional<Kept>, kTypes> drawn_snapshot() {
+    std::array<std::optional<Kept>, kTypes> snapshot;
+    for (std::optional<Kept>& kept : snapshot) {
+      if (draw(3) == 0)
+        continue;
+      kept = Kept{};
+      kept->running = drawn_version();
+      kept->running.version = "s" + std::to_string(draw(9));
+      kept->running.source = "a1";
+      kept->newest = kept->running.generation + draw(2);
+    }
+    return snapshot;
+  }
+
+  Offer drawn_offer() {
+    Offer drawn;
+    const std::uint64_t type = draw(16);
+    if (type < 15)
+      drawn.type = static_cast<Type>(type % kTypes);
+    drawn.type_url = "u" + std::to_string(type % kTypes);
+    drawn.nonce = "n" + std::to_string(++nonces_);
+    drawn.version = "v" + std::to_string(draw(20));
+    drawn.generation = next_generation_ + draw(4);
+    if (draw(3) == 0)
+      ++next_generation_;
+    if (draw(5) == 0)
+      drawn.rolls_back = next_generation_ + draw(4);
+    const int content = static_cast<int>(draw(8));
+    drawn.body = body(content);
+    drawn.print = static_cast<std::uint64_t>(content);
+    if (draw(12) == 0)
+      drawn.fault = "fault " + std::to_string(draw(5));
+    return drawn;
+  }
+
+  void play_event() {
+    switch (draw(16)) {
+    case 0:
+    case 1:
+    case 2:
+      return machine_->connected(now_, actions_);
+    case 3:
+      return machine_->lost(now_, "reset " + std::to_string(draw(3)), actions_);
+    case 4:
+      return machine_->heard(now_);
+    case 5:
+      digest_.add(machine_->file(now_, drawn_file(), actions_));
+      return;
+    case 6:
+      return follow();
+    case 7:
+    case 8:
+      now_ = std::max(now_, std::min(machine_->due(), now_ + 60'000 * ms));
+      return machine_->tick(now_, actions_);
+    case 9:
+    case 10:
+      now_ += static_cast<Nanos>(draw(200)) * ms;
+      return machine_->tick(now_, actions_);
+    default:
+      return machine_->offered(now_, drawn_offer(), actions_);
+    }
+  }
+
+  void follow() {
+    if (draw(4) == 0)
+      settings_.addresses.assign(draw(3), "b" + std::to_string(draw(9)));
+    settings_.hold = static_cast<Nanos>(1000 + draw(3000)) * ms;
+    settings_.silence = static_cast<Nanos>(5000 + draw(5000)) * ms;
+    machine_->follow(now_, settings_, actions_);
+  }
+
+  void record() {
+    for (const Action& action : actions_)
+      digest_.add(action);
+    actions_.clear();
+    digest_.add(*machine_);
+  }
+
+  std::uint64_t random_;
+  ActionDigest& digest_;
+  Settings settings_;
+  std::unique_ptr<Machine> machine_;
+  Actions actions_;
+  Nanos now_ = 1000 * ms;
+  std::uint64_t nonces_ = 0;
+  std::uint64_t next_generation_ = 0;
+};
+
+TEST(Versions, DrawnHistoriesGiveTheRecordedActions) {
+  constexpr std::uint64_t kSeeds = 2000;
+  constexpr int kEventsPerSeed = 200;
+  ActionDigest digest;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed)
+    DrawnHistory(seed, digest).play(kEventsPerSeed);
+  EXPECT_EQ(digest.value(), 12568706761982383764u);
+}
+
 }  // namespace
 }  // namespace gorsebeam::config_versions
