--- a/bench/grpc_idle.cpp
+++ b/bench/grpc_idle.cpp
@@ -1,10 +1,10 @@
-// What the way not taken costs: an idle xDS stream on libgrpc++. Prints the process's resident
-// memory, in KiB, before and after, and its threads. For nghttp2 the same is done with a session on
-// a socket of the loop.
+// Compares the memory of an idle xDS stream on libgrpc++, which the gateway does not use, with that
+// of a session on nghttp2 and the main loop, which it does. Prints the resident memory of the
+// process, in KiB, before and after, and its threads.
 #include "control/service.h"
 
 #include "grpc/channel.h"
-#include "xds/xds.h"
+#include "xds/discovery_codec.h"
 
 #include "ads.grpc.pb.h"
 
@@ -13,61 +13,77 @@
 #include <cstdio>
 #include <cstring>
 #include <fstream>
+#include <string>
+#include <string_view>
 
 namespace {
 
-void show(const char* what) {
+void print_memory_and_threads(const char* label) {
   std::ifstream status("/proc/self/status");
-  std::string line, text;
+  std::string line;
+  std::string text;
   while (std::getline(status, line))
     if (line.compare(0, 6, "VmRSS:") == 0 || line.compare(0, 8, "Threads:") == 0)
       text += line + "  ";
-  std::printf("%s: %s\n", what, text.c_str());
+  std::printf("%s: %s\n", label, text.c_str());
 }
 
-struct Quiet : gorsebeam::grpc::Channel::Events {
-  void up() override { ready = true; }
+class IdleChannelEvents : public gorsebeam::grpc::Channel::Events {
+public:
+  void on_connected() override { connected_ = true; }
 
-  void heard() override {}
+  void on_bytes_received() override {}
 
-  void message(std::string_view) override {}
+  void on_message(std::string_view) override {}
 
-  void down(const std::string&) override {}
+  void on_disconnected(const gorsebeam::grpc::ChannelError&) override {}
 
-  bool ready = false;
+  [[nodiscard]] bool is_connected() const { return connected_; }
+
+private:
+  bool connected_ = false;
 };
 
-}  // namespace
+int open_with_grpc(const char* address, const std::string& request) {
+  const auto channel = ::grpc::CreateChannel(address, ::grpc::InsecureChannelCredentials());
+  const auto stub = envoy::service::discovery::v3::AggregatedDiscoveryService::NewStub(channel);
+  ::grpc::ClientContext context;
+  const auto stream = stub->StreamAggregatedResources(&context);
+  gorsebeam::xds::v3::DiscoveryRequest message;
+  message.ParseFromString(request);
+  if (!stream->Write(message))
+    return 1;
+  test_harness::pass(1000);
+  print_memory_and_threads("after ");
+  context.TryCancel();
+  return 0;
+}
 
-// grpc_idle grpc|nghttp2 ADDRESS
-int main(int count, char** arguments) {
-  if (count != 3)
-    return 2;
-  const std::string request = gorsebeam::xds::request({}, "idle", "bench");
-  show("before");
-  if (std::strcmp(arguments[1], "grpc") == 0) {
-    const auto channel = ::grpc::CreateChannel(arguments[2], ::grpc::InsecureChannelCredentials());
-    const auto stub = envoy::service::discovery::v3::AggregatedDiscoveryService::NewStub(channel);
-    ::grpc::ClientContext context;
-    const auto stream = stub->StreamAggregatedResources(&context);
-    gorsebeam::xds::v3::DiscoveryRequest message;
-    message.ParseFromString(request);
-    if (!stream->Write(message))
-      return 1;
-    test_harness::pass(1000);
-    show("after ");
-    context.TryCancel();
-    return 0;
-  }
-  Quiet events;
+int open_with_nghttp2(const char* address, const std::string& request) {
+  IdleChannelEvents events;
   gorsebeam::grpc::Channel channel(events);
-  channel.dial(arguments[2], gorsebeam::xds::kPath);
+  if (channel.open(address, gorsebeam::xds::kAggregatedStreamPath))
+    return 1;
   test_harness::until(
       [&] {
-        return events.ready;
+        return events.is_connected();
       },
       "the connection");
-  channel.send(request);
+  channel.send_message(request);
   test_harness::pass(1000);
-  show("after ");
+  print_memory_and_threads("after ");
+  return 0;
+}
+
+}  // namespace
+
+// grpc_idle grpc|nghttp2 ADDRESS
+int main(int count, char** arguments) {
+  if (count != 3)
+    return 2;
+  const std::string request = gorsebeam::xds::encode_request({}, {"idle", "bench"});
+  print_memory_and_threads("before");
+  if (std::strcmp(arguments[1], "grpc") == 0)
+    return open_with_grpc(arguments[2], request);
+  return open_with_nghttp2(arguments[2], request);
 }
--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -1,109 +1,140 @@
-// What a control service may send: bytes of HTTP/2, of gRPC's framing, and of xDS's messages,
-// through everything that reads them in the gateway, up to the version machine. The first byte
-// tells at which of the three the rest comes in.
-#include "config/conversion.h"
+// Feeds bytes of a hostile control service to everything in the gateway that reads them, up to the
+// version tracker. The first byte selects where the rest enters: as an xDS message, as gRPC frames
+// or as HTTP/2.
 #include "config_versions/version_tracker.h"
 #include "grpc/session.h"
-#include "xds/xds.h"
+#include "xds/discovery_codec.h"
+#include "xds/resources.h"
 
 #include <cstdint>
 #include <cstdlib>
-#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
 
 namespace {
 
 using namespace gorsebeam;
 
-config::ValidationContext site() {
-  config::ValidationContext s;
-  s.classes = {{"any", 0}, {"save", 1}};
-  s.postgres_listed = true;
-  s.mongo_enabled = true;
-  return s;
+constexpr std::size_t kFramingPieceBytes = 7;
+constexpr std::size_t kHttp2PieceBytes = 64;
+constexpr std::int64_t kTimePerPiece = 1'000'000;
+
+config::ValidationContext make_site() {
+  config::ValidationContext site;
+  site.classes = {{"any", 0}, {"save", 1}};
+  site.postgres_listed = true;
+  site.mongo_enabled = true;
+  return site;
+}
+
+config_versions::Settings make_settings() {
+  config_versions::Settings settings;
+  settings.stream.addresses = {"127.0.0.1:1"};
+  return settings;
 }
 
-// A machine that holds its promise whatever is offered: what runs fits together.
-class Taker {
+// A tracker on an open stream. It aborts if the tracker applies what is not valid together.
+class CheckedTracker {
 public:
-  Taker()
-      : machine_(settings(), [this](const config_versions::Bodies& b) {
-          return judge(b);
+  CheckedTracker()
+      : tracker_(make_settings(), [this](const config_versions::Bodies& bodies) {
+          return validate(bodies);
         }) {
-    machine_.file_at_start({xds::version_of(config::pb::Contracts()),
-                            xds::version_of(config::pb::Members()),
-                            xds::version_of(config::pb::Limits())});
-    machine_.begin(1, actions_);
-    machine_.connected(1, actions_);
+    tracker_.set_file_versions({xds::make_file_version(config::pb::Contracts()),
+                                xds::make_file_version(config::pb::Members()),
+                                xds::make_file_version(config::pb::Limits())});
+    tracker_.start(now_, actions_);
+    tracker_.on_stream_opened(now_, actions_);
   }
 
-  void message(const std::string& bytes) {
-    const auto offer = xds::read_response(bytes, site_);
-    if (!offer)
+  void receive_message(std::string_view bytes) {
+    const auto response = xds::decode_response(bytes, site_);
+    if (!response)
       return;
+    ++now_;
     actions_.clear();
-    machine_.offered(++now_, *offer, actions_);
-    for (const config_versions::Action& action : actions_) {
-      if (const auto* ask = std::get_if<config_versions::Ask>(&action))
-        xds::request(*ask, "node", "cluster");
-      if (const auto* run = std::get_if<config_versions::Run>(&action)) {
-        if (judge(run->bodies))
-          std::abort();
-        config::to_contract_set(xds::contracts_of(run->bodies[0]), site_.classes);
-        config::to_endpoints(xds::members_of(run->bodies[1]).postgres());
-      }
-    }
+    tracker_.on_response(now_, response.value(), actions_);
+    for (const config_versions::Action& action : actions_)
+      check(action);
   }
 
 private:
-  static config_versions::Settings settings() {
-    config_versions::Settings s;
-    s.addresses = {"127.0.0.1:1"};
-    return s;
+  void check(const config_versions::Action& action) const {
+    if (const auto* request = std::get_if<config_versions::DiscoveryRequest>(&action))
+      static_cast<void>(xds::encode_request(*request, {"node", "cluster"}));
+    const auto* applied = std::get_if<config_versions::ApplyConfiguration>(&action);
+    if (!applied)
+      return;
+    if (validate(applied->bodies))
+      std::abort();
+    config::to_contract_set(xds::contracts_of(applied->bodies[0]), site_.classes);
+    config::to_endpoints(xds::members_of(applied->bodies[1]).postgres());
   }
 
-  std::optional<config_versions::Misfit> judge(const config_versions::Bodies& b) const {
+  [[nodiscard]] std::optional<config_versions::ValidationError>
+  validate(const config_versions::Bodies& bodies) const {
+    using Code = config_versions::ValidationError::Code;
     const auto fault =
-        config::validate_group_references(xds::contracts_of(b[0]), xds::members_of(b[1]), site_);
+        config::validate_group_references(xds::contracts_of(bodies[0]), xds::members_of(bodies[1]), site_);
     if (!fault)
       return std::nullopt;
-    return config_versions::Misfit{fault->to_string(), fault->is_missing_reference};
+    return config_versions::ValidationError{
+        fault->is_missing_reference ? Code::UnresolvedReference : Code::InvalidContent, fault->to_string()};
   }
 
-  config::ValidationContext site_ = site();
-  config_versions::Machine machine_;
+  config::ValidationContext site_ = make_site();
+  config_versions::VersionTracker tracker_;
   config_versions::Actions actions_;
   config_versions::Nanos now_ = 1;
 };
 
+void feed_frames(std::string_view bytes, CheckedTracker& tracker) {
+  grpc::MessageReader reader;
+  std::string message;
+  for (std::size_t at = 0; at < bytes.size(); at += kFramingPieceBytes) {
+    reader.feed(bytes.substr(at, kFramingPieceBytes));
+    while (reader.next(message) == grpc::MessageReader::Status::Complete)
+      tracker.receive_message(message);
+  }
+}
+
+void discard_output(grpc::Session& session) {
+  while (!session.next_output().empty()) {
+  }
+}
+
+void feed_http2(std::string_view bytes, CheckedTracker& tracker) {
+  grpc::Session session("127.0.0.1:1", xds::kAggregatedStreamPath);
+  discard_output(session);
+  std::string message;
+  std::int64_t now = 0;
+  for (std::size_t at = 0; at < bytes.size() && !session.error(); at += kHttp2PieceBytes) {
+    now += kTimePerPiece;
+    session.receive(bytes.substr(at, kHttp2PieceBytes), now);
+    while (session.next_message(message))
+      tracker.receive_message(message);
+    discard_output(session);
+  }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0)
     return 0;
   const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-  Taker taker;
-  std::string message;
-  if (data[0] % 3 == 0) {
-    taker.message(std::string(bytes));
-  } else if (data[0] % 3 == 1) {
-    grpc::Reader reader;
-    for (std::size_t at = 0; at < bytes.size(); at += 7) {  // in pieces
-      reader.feed(bytes.substr(at, 7));
-      while (reader.next(message) == grpc::Reader::Step::Whole)
-        taker.message(message);
-    }
-  } else {
-    grpc::Session session("127.0.0.1:1", xds::kPath);
-    std::int64_t now = 0;
-    while (!session.output().empty()) {
-    }
-    for (std::size_t at = 0; at < bytes.size() && session.fault().empty(); at += 64) {
-      session.feed(bytes.substr(at, 64), now += 1'000'000);
-      while (session.next(message))
-        taker.message(message);
-      while (!session.output().empty()) {
-      }
-    }
+  CheckedTracker tracker;
+  switch (data[0] % 3) {
+  case 0:
+    tracker.receive_message(bytes);
+    break;
+  case 1:
+    feed_frames(bytes, tracker);
+    break;
+  default:
+    feed_http2(bytes, tracker);
   }
   return 0;
 }
--- a/src/command_line/show_snapshot.cpp
+++ b/src/command_line/show_snapshot.cpp
@@ -1,7 +1,7 @@
 #include "show_snapshot.h"
 
 #include "exit_status.h"
-#include "snapshot_store/snapshot_store.h"
+#include "snapshot_store/snapshot_file.h"
 
 #include <google/protobuf/text_format.h>
 
@@ -43,17 +43,20 @@
 }  // namespace
 
 int show_snapshot(const std::string& state_folder) {
-  std::string error;
-  const auto snapshot = snapshot_store::load(state_folder, error);
+  using snapshot_store::SnapshotError;
+  const auto snapshot = snapshot_store::load_snapshot(state_folder);
   if (!snapshot) {
-    if (error.empty())
-      error = state_folder + ": holds no last good version";
-    std::cerr << "gorsebeam: " << error << '\n';
+    const SnapshotError& error = snapshot.error();
+    const bool is_missing = error.code == SnapshotError::Code::NotFound;
+    const std::string message =
+        is_missing ? state_folder + ": holds no last good version" : error.message;
+    std::cerr << "gorsebeam: " << message << '\n';
     return kExitUnusable;
   }
-  print_part("contracts", snapshot->contracts(), snapshot->contracts_value());
-  print_part("members", snapshot->members(), snapshot->members_value());
-  print_part("limits", snapshot->limits(), snapshot->limits_value());
+  const state::v1::LastGood& good = snapshot.value();
+  print_part("contracts", good.contracts(), good.contracts_value());
+  print_part("members", good.members(), good.members_value());
+  print_part("limits", good.limits(), good.limits_value());
   return kExitSuccess;
 }
 
--- /dev/null
+++ b/src/config_versions/generation_order.h
@@ -0,0 +1,15 @@
+/// Decides whether a response may follow what has been accepted of its type.
+#pragma once
+
+#include "configuration.h"
+
+#include <optional>
+
+namespace gorsebeam::config_versions {
+
+/// Returns why `response` may not replace what runs, or nothing if it may. Generations have an
+/// order; the version names of a control service have none.
+[[nodiscard]] std::optional<RejectionError>
+check_generation_order(const AcceptedVersion& accepted, const DiscoveryResponse& response);
+
+}  // namespace gorsebeam::config_versions
--- a/src/config_versions/version_tracker.cpp
+++ b/src/config_versions/version_tracker.cpp
@@ -1,351 +1,350 @@
 #include "version_tracker.h"
 
+#include "generation_order.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace gorsebeam::config_versions {
+namespace {
+
+// Every set of types, the largest first.
+constexpr std::array<unsigned, 7> kTypeSetsLargestFirst = {0b111, 0b011, 0b101, 0b110,
+                                                           0b001, 0b010, 0b100};
+static_assert(kResourceTypeCount == 3, "the sets above are those of three types");
 
-const char* name_of(Type type) {
-  constexpr const char* names[kTypes] = {"contracts", "members", "limits"};
-  return names[static_cast<std::size_t>(type)];
+bool contains(unsigned types, std::size_t index) {
+  return ((types >> index) & 1U) != 0;
 }
 
-Machine::Machine(Settings settings, Judge judge)
-    : s_(std::move(settings)), judge_(std::move(judge)), random_(s_.seed | 1) {}
+ResponseIdentity identity_of(const DiscoveryResponse& response) {
+  return {response.type, response.version, response.nonce};
+}
 
-std::uint64_t Machine::draw() {  // xorshift64*
-  random_ ^= random_ >> 12, random_ ^= random_ << 25, random_ ^= random_ >> 27;
-  return random_ * 0x2545F4914F6CDD1DULL;
+bool is_running(const Version& running, const DiscoveryResponse& response) {
+  return response.generation == running.generation && response.content_hash == running.content_hash;
 }
 
-Bodies Machine::running() const {
+}  // namespace
+
+VersionTracker::VersionTracker(Settings settings, Validator validator)
+    : settings_(std::move(settings)), validator_(std::move(validator)),
+      stream_(settings_.stream, settings_.seed) {}
+
+// ---- what runs
+
+Bodies VersionTracker::running_bodies() const {
   Bodies bodies;
-  for (std::size_t i = 0; i < kTypes; ++i)
-    bodies[i] = types_[i].kept.running.body;
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i)
+    bodies[i] = types_[i].accepted.running.body;
   return bodies;
 }
 
-void Machine::file_at_start(std::array<Version, kTypes> versions) {
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    types_[i].kept.newest = versions[i].generation;
-    types_[i].kept.running = std::move(versions[i]);
+void VersionTracker::set_file_versions(FileVersions versions) {
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    types_[i].accepted.newest_generation = versions[i].generation;
+    types_[i].accepted.running = std::move(versions[i]);
   }
 }
 
-std::string Machine::stored(std::array<std::optional<Kept>, kTypes> kept) {
-  Bodies bodies = running();
-  for (std::size_t i = 0; i < kTypes; ++i)
-    if (kept[i] && kept[i]->newest >= types_[i].kept.newest)
-      bodies[i] = kept[i]->running.body;
-    else
-      kept[i].reset();  // the file's is newer
-  if (const auto misfit = judge_(bodies))
-    return misfit->why;
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    if (!kept[i])
+std::optional<ValidationError> VersionTracker::restore_snapshot(SnapshotVersions snapshot) {
+  Bodies bodies = running_bodies();
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    std::optional<AcceptedVersion>& restored = snapshot[i];
+    if (restored && restored->newest_generation < types_[i].accepted.newest_generation)
+      restored.reset();
+    if (restored)
+      bodies[i] = restored->running.body;
+  }
+  if (auto error = validator_(bodies))
+    return error;
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    if (!snapshot[i])
       continue;
-    types_[i].told = kept[i]->running.version;
-    types_[i].kept = std::move(*kept[i]);
+    types_[i].acknowledged_version = snapshot[i]->running.version;
+    types_[i].accepted = std::move(*snapshot[i]);
   }
-  return "";
+  return std::nullopt;
 }
 
-void Machine::begin(Nanos now, Actions& actions) {
-  run(now, actions);
-  actions.pop_back();  // what rests on disk rests there already
-  if (!s_.addresses.empty())
-    dial(now, actions);
+void VersionTracker::start(Nanos now, Actions& actions) {
+  apply(now, actions);
+  actions.pop_back();  // the snapshot on disk already holds this
+  stream_.start(now, actions);
 }
 
-std::string Machine::file(Nanos now, std::array<Version, kTypes> versions, Actions& actions) {
-  Bodies bodies = running();
-  std::array<bool, kTypes> taken{};
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    const Kept& kept = types_[i].kept;
-    taken[i] = kept.running.source == "file" || versions[i].generation > kept.newest;
-    if (taken[i])
+std::optional<ValidationError>
+VersionTracker::replace_file_versions(Nanos now, FileVersions versions, Actions& actions) {
+  Bodies bodies = running_bodies();
+  std::array<bool, kResourceTypeCount> replaces{};
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    const AcceptedVersion& accepted = types_[i].accepted;
+    replaces[i] =
+        accepted.running.is_from_file() || versions[i].generation > accepted.newest_generation;
+    if (replaces[i])
       bodies[i] = versions[i].body;
   }
-  if (const auto misfit = judge_(bodies))
-    return misfit->why;
-  bool differs = false;
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    if (!taken[i])
+  if (auto error = validator_(bodies))
+    return error;
+  bool content_changed = false;
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    if (!replaces[i])
       continue;
-    Kept& kept = types_[i].kept;
-    differs |= kept.running.print != versions[i].print;
-    kept.newest = std::max(kept.newest, versions[i].generation);
-    kept.running = std::move(versions[i]);
-    kept.running.accepted_at = now;
+    AcceptedVersion& accepted = types_[i].accepted;
+    if (accepted.running.content_hash != versions[i].content_hash)
+      content_changed = true;
+    accepted.newest_generation = std::max(accepted.newest_generation, versions[i].generation);
+    accepted.running = std::move(versions[i]);
+    accepted.running.accepted_at = now;
   }
-  if (differs)
-    run(now, actions);   // an operator waits for it
-  settle(now, actions);  // what was held may fit now
-  return "";
+  // Not delayed by apply_interval: an operator waits for it.
+  if (content_changed)
+    apply(now, actions);
+  // Pending responses may be valid with the new versions.
+  accept_pending(now, actions);
+  return std::nullopt;
 }
 
-void Machine::follow(Nanos now, Settings settings, Actions& actions) {
-  const bool moved = settings.addresses != s_.addresses;
-  s_ = std::move(settings);
-  if (!moved)
-    return;
-  if (state_ == State::Dialing || state_ == State::Streaming)
-    actions.emplace_back(HangUp{});
-  for (PerType& type : types_)
-    type.held.reset();
-  state_ = State::Off, at_ = kNever, next_address_ = 0, failures_ = 0;
-  if (!s_.addresses.empty())
-    dial(now, actions);
+void VersionTracker::update_settings(Nanos now, Settings settings, Actions& actions) {
+  settings_ = std::move(settings);
+  stream_.update_settings(now, settings_.stream, actions);
+  drop_pending_without_stream();
 }
 
-void Machine::dial(Nanos now, Actions& actions) {
-  address_ = s_.addresses[next_address_++ % s_.addresses.size()];
-  state_ = State::Dialing;
-  at_ = now + s_.dial_most;
-  actions.emplace_back(Dial{address_});
-}
+// ---- the stream
 
-// Exponential with full jitter: many gateways that lost one service must not come back as one.
-void Machine::wait(Nanos now) {
-  const int doublings = std::min(failures_++, 30);
-  const Nanos most = s_.reconnect_first > s_.reconnect_most >> doublings
-                         ? s_.reconnect_most
-                         : s_.reconnect_first << doublings;
-  state_ = State::Waiting;
-  at_ = now + static_cast<Nanos>(draw() % static_cast<std::uint64_t>(std::max<Nanos>(most, 1) + 1));
+// Pending responses cannot be answered after their stream; the next stream sends them again.
+void VersionTracker::drop_pending_without_stream() {
+  if (stream_.is_streaming())
+    return;
+  for (TypeState& state : types_)
+    state.pending.reset();
 }
 
-void Machine::connected(Nanos now, Actions& actions) {
-  if (state_ != State::Dialing)
+void VersionTracker::on_stream_opened(Nanos now, Actions& actions) {
+  if (!stream_.on_opened(now))
     return;
-  state_ = State::Streaming;
-  at_ = kNever, heard_at_ = now, pinged_ = false;
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    Ask ask;
-    ask.type = static_cast<Type>(i);
-    ask.version = types_[i].told;
-    actions.emplace_back(std::move(ask));
+  for (const ResourceType type : kResourceTypes) {
+    DiscoveryRequest subscription;
+    subscription.type = type;
+    subscription.version = state_of(type).acknowledged_version;
+    actions.emplace_back(std::move(subscription));
   }
 }
 
-void Machine::heard(Nanos now) {
-  heard_at_ = now, pinged_ = false;
+void VersionTracker::on_bytes_received(Nanos now) {
+  stream_.on_bytes_received(now);
 }
 
-void Machine::lost(Nanos now, const std::string& why, Actions& actions) {
-  if (state_ != State::Dialing && state_ != State::Streaming)
-    return;
-  // What was held cannot be answered any more; the next stream offers it again.
-  for (PerType& type : types_)
-    type.held.reset();
-  Note note;
-  note.kind = Note::Kind::Lost, note.text = why;
-  actions.emplace_back(std::move(note));
-  was_lost_ = true;
-  wait(now);
+void VersionTracker::on_stream_lost(Nanos now, const StreamError& error, Actions& actions) {
+  stream_.on_lost(now, error, actions);
+  drop_pending_without_stream();
 }
 
-// Why an offer may not replace what runs; empty: it may. The service's own versions have no order,
-// generations do.
-std::string Machine::out_of_order(const PerType& type, const Offer& offer) const {
-  const std::string generation = std::to_string(offer.generation),
-                    newest = std::to_string(type.kept.newest);
-  if (offer.generation == 0)
-    return "it has no generation; number changes from 1";
-  if (offer.rolls_back != 0) {
-    if (offer.rolls_back >= type.kept.newest)
-      return "";
-    return "it rolls back generation " + std::to_string(offer.rolls_back) + ", but " + newest +
-           " is the newest accepted";
-  }
-  if (offer.generation > type.kept.newest)
-    return "";
-  if (offer.generation < type.kept.newest)
-    return "generation " + generation + " is older than " + newest + ", the newest accepted";
-  if (type.kept.running.generation < type.kept.newest)
-    return "generation " + generation + " was rolled back";
-  return "generation " + generation + " came before with other content";
-}
+// ---- responses
 
-void Machine::offered(Nanos now, const Offer& offer, Actions& actions) {
-  if (state_ != State::Streaming)
+void VersionTracker::on_response(Nanos now, const DiscoveryResponse& response, Actions& actions) {
+  if (!stream_.is_streaming())
     return;
-  heard(now);
-  Note note;
-  note.kind = Note::Kind::Offered;
-  note.type = offer.type, note.version = offer.version, note.nonce = offer.nonce;
-  actions.emplace_back(std::move(note));
-  if (!offer.type)
-    return turn_down(offer, "type " + offer.type_url + " is not known here", actions);
-  PerType& type = of(*offer.type);
-  if (type.held) {
-    const Held old = std::move(*type.held);
-    type.held.reset();
-    turn_down(old.offer, "version " + offer.version + " came before what it refers to: " + old.why,
-              actions);
-  }
-  if (!offer.fault.empty())
-    return turn_down(offer, offer.fault, actions);
-  if (offer.generation != 0 && offer.generation == type.kept.running.generation &&
-      offer.print == type.kept.running.print) {
-    type.held = Held{offer, now, ""};  // it is what runs
-    accept(now, *offer.type, actions);
+  stream_.on_bytes_received(now);
+  actions.emplace_back(VersionReceived{identity_of(response)});
+  if (!response.type)
+    return reject(response,
+                  {RejectionError::Code::UnknownResourceType,
+                   "type " + response.type_url + " is not known here"},
+                  actions);
+  TypeState& state = state_of(*response.type);
+  reject_superseded(state, response, actions);
+  if (response.error)
+    return reject(response, *response.error, actions);
+  if (response.generation != 0 && is_running(state.accepted.running, response)) {
+    // The same content: there is nothing to apply.
+    static_cast<void>(accept(now, *response.type, response, actions));
     return;
   }
-  const std::string order = out_of_order(type, offer);
-  if (!order.empty())
-    return turn_down(offer, order, actions);
-  type.held = Held{offer, now + s_.hold, ""};
-  settle(now, actions);
-  if (!type.held)
+  if (const auto error = check_generation_order(state.accepted, response))
+    return reject(response, *error, actions);
+  wait_for_dependency(now, response, actions);
+}
+
+void VersionTracker::reject_superseded(TypeState& state, const DiscoveryResponse& successor,
+                                       Actions& actions) {
+  if (!state.pending)
     return;
-  Bodies bodies = running();
-  bodies[static_cast<std::size_t>(*offer.type)] = offer.body;
-  const auto misfit = judge_(bodies);
-  type.held->why = misfit ? misfit->why : "";
-  if (misfit && !misfit->reference) {
-    type.held.reset();
-    return turn_down(offer, misfit->why, actions);
-  }
-  Note waits;
-  waits.kind = Note::Kind::Held;
-  waits.type = offer.type, waits.version = offer.version, waits.nonce = offer.nonce,
-  waits.text = type.held->why;
-  actions.emplace_back(std::move(waits));
+  const PendingDependency superseded = std::move(*state.pending);
+  state.pending.reset();
+  reject(superseded.response,
+         {RejectionError::Code::Superseded,
+          "version " + successor.version + " came before what it refers to: " + superseded.missing},
+         actions);
 }
 
-// Takes the largest set of held offers that fits together with what runs: together or not at all.
-void Machine::settle(Nanos now, Actions& actions) {
-  std::vector<unsigned> sets;
-  for (unsigned set = 1; set < 1u << kTypes; ++set) {
-    bool all_held = true;
-    for (std::size_t i = 0; i < kTypes; ++i)
-      all_held &= !(set >> i & 1) || types_[i].held.has_value();
-    if (all_held)
-      sets.push_back(set);
+// Accepts the response at once if it is valid with what runs and what is pending; otherwise keeps
+// it pending if another type may still bring what it refers to, or rejects it.
+void VersionTracker::wait_for_dependency(Nanos now, const DiscoveryResponse& response,
+                                         Actions& actions) {
+  TypeState& state = state_of(*response.type);
+  state.pending = PendingDependency{response, now + settings_.dependency_timeout, ""};
+  accept_pending(now, actions);
+  if (!state.pending)
+    return;
+  Bodies bodies = running_bodies();
+  bodies[index_of(*response.type)] = response.body;
+  const auto error = validator_(bodies);
+  if (error && error->code != ValidationError::Code::UnresolvedReference) {
+    state.pending.reset();
+    return reject(response, {RejectionError::Code::InvalidContent, error->message}, actions);
   }
-  const auto size = [](unsigned set) {
-    return (set & 1) + (set >> 1 & 1) + (set >> 2 & 1);
-  };
-  std::stable_sort(sets.begin(), sets.end(), [&](unsigned a, unsigned b) {
-    return size(a) > size(b);
-  });
-  for (const unsigned set : sets) {
-    Bodies bodies = running();
-    for (std::size_t i = 0; i < kTypes; ++i)
-      if (set >> i & 1)
-        bodies[i] = types_[i].held->offer.body;
-    if (judge_(bodies))
+  state.pending->missing = error ? error->message : "";
+  actions.emplace_back(VersionPending{identity_of(response), state.pending->missing});
+}
+
+bool VersionTracker::is_pending(TypeSet types) const {
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i)
+    if (contains(types, i) && !types_[i].pending)
+      return false;
+  return true;
+}
+
+Bodies VersionTracker::bodies_with_pending(TypeSet types) const {
+  Bodies bodies = running_bodies();
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i)
+    if (contains(types, i))
+      bodies[i] = types_[i].pending->response.body;
+  return bodies;
+}
+
+// Accepts the largest set of pending responses that is valid with what runs, as a whole.
+void VersionTracker::accept_pending(Nanos now, Actions& actions) {
+  for (const TypeSet types : kTypeSetsLargestFirst) {
+    if (!is_pending(types) || validator_(bodies_with_pending(types)))
       continue;
-    bool differs = false;  // run only once all are in place
-    for (std::size_t i = 0; i < kTypes; ++i)
-      if (set >> i & 1)
-        differs |= accept(now, static_cast<Type>(i), actions);
-    if (differs)
-      changed(now, actions);
+    // Applied only once all types of the set are in place.
+    if (accept_all(now, types, actions))
+      schedule_apply(now, actions);
     return;
   }
 }
 
-bool Machine::accept(Nanos now, Type which, Actions& actions) {
-  PerType& type = of(which);
-  const Offer offer = std::move(type.held->offer);
-  type.held.reset();
-  const bool same =
-      offer.generation == type.kept.running.generation && offer.print == type.kept.running.print;
-  type.kept.newest = std::max(type.kept.newest, offer.generation);
-  type.kept.running.generation = offer.generation;
-  type.kept.running.version = type.told = offer.version;
-  const bool rests = same && type.kept.running.source != "file";
-  type.kept.running.source = address_;
-  if (same && !rests)
-    actions.emplace_back(Store{});
-  if (!same) {
-    type.kept.running.body = offer.body;
-    type.kept.running.print = offer.print;
-    type.kept.running.accepted_at = now;
+bool VersionTracker::accept_all(Nanos now, TypeSet types, Actions& actions) {
+  bool content_changed = false;
+  for (const ResourceType type : kResourceTypes) {
+    if (!contains(types, index_of(type)))
+      continue;
+    const DiscoveryResponse response = std::move(state_of(type).pending->response);
+    state_of(type).pending.reset();
+    if (accept(now, type, response, actions))
+      content_changed = true;
   }
-  failures_ = 0;  // a service that gives something good is worth coming back to at once
-  if (std::exchange(was_lost_, false)) {
-    Note found;
-    found.kind = Note::Kind::Found;
-    actions.emplace_back(std::move(found));
+  return content_changed;
+}
+
+// Returns whether the content that runs has changed.
+bool VersionTracker::accept(Nanos now, ResourceType type, const DiscoveryResponse& response,
+                            Actions& actions) {
+  const bool content_changed = replace_running(now, state_of(type), response, actions);
+  stream_.on_response_accepted(actions);
+  acknowledge(type, response, content_changed, actions);
+  return content_changed;
+}
+
+// Returns whether the content that runs has changed.
+bool VersionTracker::replace_running(Nanos now, TypeState& state, const DiscoveryResponse& response,
+                                     Actions& actions) {
+  Version& running = state.accepted.running;
+  const bool content_changed = !is_running(running, response);
+  const bool was_from_file = running.is_from_file();
+  state.accepted.newest_generation =
+      std::max(state.accepted.newest_generation, response.generation);
+  state.acknowledged_version = response.version;
+  running.generation = response.generation;
+  running.version = response.version;
+  running.source = stream_.address();
+  if (content_changed) {
+    running.body = response.body;
+    running.content_hash = response.content_hash;
+    running.accepted_at = now;
+  } else if (was_from_file) {
+    actions.emplace_back(WriteSnapshot{});
   }
-  actions.emplace_back(Ask{which, offer.type_url, offer.version, offer.nonce, ""});
-  Note note;
-  note.kind = Note::Kind::Accepted;
-  note.type = which, note.version = offer.version, note.nonce = offer.nonce;
-  note.text = same ? "the same as runs" : "generation " + std::to_string(offer.generation);
-  actions.emplace_back(std::move(note));
-  return !same;
+  return content_changed;
 }
 
-void Machine::turn_down(const Offer& offer, const std::string& why, Actions& actions) {
-  Ask ask{offer.type, offer.type_url, offer.type ? of(*offer.type).told : "", offer.nonce, why};
-  actions.emplace_back(std::move(ask));
-  Note note;
-  note.kind = Note::Kind::TurnedDown;
-  note.type = offer.type, note.version = offer.version, note.nonce = offer.nonce, note.text = why;
-  actions.emplace_back(std::move(note));
+void VersionTracker::acknowledge(ResourceType type, const DiscoveryResponse& response,
+                                 bool content_changed, Actions& actions) {
+  actions.emplace_back(
+      DiscoveryRequest{type, response.type_url, response.version, response.nonce, std::nullopt});
+  std::string detail =
+      content_changed ? "generation " + std::to_string(response.generation) : "the same as runs";
+  actions.emplace_back(
+      VersionAccepted{{type, response.version, response.nonce}, std::move(detail)});
 }
 
-// Many versions in a burst run as one: only the newest need be applied.
-void Machine::changed(Nanos now, Actions& actions) {
-  dirty_ = true;
-  if (ran_at_ < 0 || now - ran_at_ >= s_.run_pause)
-    run(now, actions);
+void VersionTracker::reject(const DiscoveryResponse& response, const RejectionError& error,
+                            Actions& actions) {
+  const std::string running =
+      response.type ? state_of(*response.type).acknowledged_version : std::string();
+  actions.emplace_back(
+      DiscoveryRequest{response.type, response.type_url, running, response.nonce, error});
+  actions.emplace_back(VersionRejected{identity_of(response), error.message});
 }
 
-void Machine::run(Nanos now, Actions& actions) {
-  Run run{running(), {}};
-  for (std::size_t i = 0; i < kTypes; ++i) {
-    const std::uint64_t print = types_[i].kept.running.print;
-    run.changed[i] = ran_at_ < 0 || print != ran_[i];
-    ran_[i] = print;
-  }
-  dirty_ = false;
-  ran_at_ = now;
-  actions.emplace_back(std::move(run));
-  actions.emplace_back(Store{});
+// ---- putting versions in force
+
+// Responses of a burst are applied together: only the last of each type matters.
+void VersionTracker::schedule_apply(Nanos now, Actions& actions) {
+  apply_pending_ = true;
+  if (last_applied_at_ < 0 || is_apply_due(now))
+    apply(now, actions);
 }
 
-Nanos Machine::due() const {
-  Nanos due = at_;
-  if (dirty_)
-    due = std::min(due, ran_at_ + s_.run_pause);
-  if (state_ != State::Streaming)
-    return due;
-  due = std::min(due, heard_at_ + s_.silence * (pinged_ ? 2 : 1));
-  for (const PerType& type : types_)
-    if (type.held)
-      due = std::min(due, type.held->until);
-  return due;
+bool VersionTracker::is_apply_due(Nanos now) const {
+  return apply_pending_ && now - last_applied_at_ >= settings_.apply_interval;
 }
 
-void Machine::tick(Nanos now, Actions& actions) {
-  if (dirty_ && now - ran_at_ >= s_.run_pause)
-    run(now, actions);
-  if (state_ == State::Waiting && now >= at_)
-    return dial(now, actions);
-  if (state_ == State::Dialing && now >= at_) {
-    actions.emplace_back(HangUp{});
-    return lost(now, "it did not come up in time", actions);
+void VersionTracker::apply(Nanos now, Actions& actions) {
+  ApplyConfiguration configuration{running_bodies(), {}};
+  for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
+    const std::uint64_t hash = types_[i].accepted.running.content_hash;
+    configuration.changed[i] = last_applied_at_ < 0 || hash != applied_hashes_[i];
+    applied_hashes_[i] = hash;
   }
-  if (state_ != State::Streaming)
-    return;
-  for (PerType& type : types_) {
-    if (!type.held || now < type.held->until)
+  apply_pending_ = false;
+  last_applied_at_ = now;
+  actions.emplace_back(std::move(configuration));
+  actions.emplace_back(WriteSnapshot{});
+}
+
+// ---- time
+
+Nanos VersionTracker::next_deadline() const {
+  Nanos deadline = stream_.next_deadline();
+  if (apply_pending_)
+    deadline = std::min(deadline, last_applied_at_ + settings_.apply_interval);
+  for (const TypeState& state : types_)
+    if (state.pending)
+      deadline = std::min(deadline, state.pending->deadline);
+  return deadline;
+}
+
+void VersionTracker::on_timer(Nanos now, Actions& actions) {
+  if (is_apply_due(now))
+    apply(now, actions);
+  reject_expired(now, actions);
+  stream_.on_timer(now, actions);
+  drop_pending_without_stream();
+}
+
+void VersionTracker::reject_expired(Nanos now, Actions& actions) {
+  for (TypeState& state : types_) {
+    if (!state.pending || now < state.pending->deadline)
       continue;
-    const Held held = std::move(*type.held);
-    type.held.reset();
-    turn_down(held.offer, held.why + "; nothing brought it in time", actions);
-  }
-  if (!pinged_ && now - heard_at_ >= s_.silence) {
-    pinged_ = true;
-    actions.emplace_back(Ping{});
-  } else if (pinged_ && now - heard_at_ >= 2 * s_.silence) {
-    actions.emplace_back(HangUp{});
-    lost(now, "it is silent, also when asked", actions);
+    const PendingDependency expired = std::move(*state.pending);
+    state.pending.reset();
+    reject(
+        expired.response,
+        {RejectionError::Code::DependencyTimeout, expired.missing + "; nothing brought it in time"},
+        actions);
   }
 }
 
--- a/src/config_versions/version_tracker.h
+++ b/src/config_versions/version_tracker.h
@@ -1,181 +1,138 @@
-// Which version of what a control service pushes runs, and what the service is told: the xDS state
-// of the world, a version machine for types that refer to each other. Pure: events with their time
-// in, actions out; no I/O, clock or thread. Times are nanoseconds that never go back. What is kept
-// is bounded: per type one version that runs and one that waits for another type.
-//
-// Invariants, walked in tests/versions_test.cpp and modelled in model/versions.pml:
-//  - what runs was accepted whole, and its parts fit together;
-//  - nothing older replaces newer without a rollback that names the newest;
-//  - each offer of a stream is answered at most once, and exactly once if the stream lasts for
-//  `hold`;
-//  - after a loss there is always a next dial, within `reconnect_most`.
+/// Decides which version of each resource type runs, and what the control service is told: the
+/// client of the xDS transport protocol, state of the world, for types that refer to each other.
+/// Source: "xDS REST and gRPC protocol", Envoy documentation.
+///
+/// Pure: events with their time in, actions out; no I/O, clock or thread. Memory is bounded: per
+/// type one version that runs and one that waits for another type.
+///
+/// Invariants, checked by tests/version_tracker_test.cpp and model/versions.pml:
+///  - what runs was accepted as a whole, and its types are valid together;
+///  - no older generation replaces a newer one without a rollback that names the newest;
+///  - after a loss, another attempt to connect follows within `reconnect_max`;
+///  - each response of a stream is answered at most once, and exactly once if the stream lasts for
+///    `dependency_timeout`.
 #pragma once
 
+#include "actions.h"
+#include "configuration.h"
+#include "stream_lifecycle.h"
+
 #include <array>
+#include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <memory>
 #include <optional>
 #include <string>
-#include <variant>
-#include <vector>
 
 namespace gorsebeam::config_versions {
 
-using Nanos = std::int64_t;
-enum class Type : std::size_t { Contracts, Members, Limits };
-constexpr std::size_t kTypes = 3;
-const char* name_of(Type type);  // "contracts", "members", "limits"
-
-using Body = std::shared_ptr<const void>;  // the embedder's; never looked into
-using Bodies = std::array<Body, kTypes>;
-
-struct Version {
-  Body body;
-  std::string version;           // as its service named it; empty for the file's
-  std::uint64_t generation = 0;  // 0: not numbered, the file's alone
-  std::uint64_t print = 0;       // hash of the content
-  std::string source = "file";   // "file", or the control address that it came from
-  Nanos accepted_at = 0;
-};
-
-struct Kept {  // of one type
-  Version running;
-  std::uint64_t newest = 0;  // the highest generation ever accepted
-};
-
-// Why bodies do not fit together; `reference` where another type may still bring what is missing.
-struct Misfit {
-  std::string why;
-  bool reference = false;
-};
-
-using Judge = std::function<std::optional<Misfit>(const Bodies&)>;
-
+/// All durations are in nanoseconds.
 struct Settings {
-  std::vector<std::string> addresses;     // tried in turn; none: nothing is ever dialled
-  Nanos reconnect_first = 250'000'000;    // waits: evenly drawn from 0 to this, doubled each time,
-  Nanos reconnect_most = 30'000'000'000;  // up to this
-  Nanos dial_most = 5'000'000'000;        // a connection that is not up by then is lost
-  Nanos silence = 10'000'000'000;  // heard nothing for so long: asked; and lost after as long again
-  Nanos hold = 3'000'000'000;      // how long an offer waits for another type
-  Nanos run_pause = 50'000'000;    // between two runs; what comes meanwhile runs as one
+  StreamSettings stream;
+  /// How long a response waits for another type that it refers to.
+  Nanos dependency_timeout = 3'000'000'000;
+  /// Shortest time between two ApplyConfiguration actions that responses cause.
+  Nanos apply_interval = 50'000'000;
   std::uint64_t seed = 1;
 };
 
-struct Offer {               // one response of the service, read and checked by itself
-  std::optional<Type> type;  // none: `type_url` is unknown
-  std::string type_url, version, nonce;
-  std::uint64_t generation = 0, rolls_back = 0, print = 0;
-  Body body;
-  std::string fault;  // why it cannot be used; empty: fine by itself
-};
-
-// ---- actions
-struct Dial {
-  std::string address;
-};
+/// Times passed to one tracker never decrease. Actions are appended in the order in which they must
+/// be carried out.
+class VersionTracker {
+public:
+  VersionTracker(Settings settings, Validator validator);
 
-struct HangUp {};
+  /// Sets what runs first. Call it before `start`.
+  void set_file_versions(FileVersions versions);
 
-struct Ping {};
+  /// Replaces the file's versions by those of a snapshot that are at least as new: all of them, or
+  /// none if the result is not valid. Call it after `set_file_versions` and before `start`.
+  [[nodiscard]] std::optional<ValidationError> restore_snapshot(SnapshotVersions snapshot);
 
-struct Ask {  // a request on the stream: to subscribe (no nonce), to accept, or to turn down
-              // (`error` says why)
-  std::optional<Type> type;
-  std::string type_url, version, nonce, error;
-};
+  /// Applies what there is and connects.
+  void start(Nanos now, Actions& actions);
 
-struct Run {  // these are in force from now on
-  Bodies bodies;
-  std::array<bool, kTypes> changed{};  // since the Run before, in content
-};
+  /// Takes over the operators' file, read again. It replaces versions of the file, and versions of
+  /// a control service only where its generation is newer. Changes nothing on an error.
+  [[nodiscard]] std::optional<ValidationError>
+  replace_file_versions(Nanos now, FileVersions versions, Actions& actions);
 
-struct Store {};  // what is kept has changed and should rest on disk
+  /// Takes over the settings, read again. A change of addresses ends the stream.
+  void update_settings(Nanos now, Settings settings, Actions& actions);
 
-struct Note {
-  enum class Kind { Lost, Found, Offered, Accepted, TurnedDown, Held };
-  Kind kind = Kind::Lost;
-  std::optional<Type> type;
-  std::string version, nonce, text;
-};
+  void on_stream_opened(Nanos now, Actions& actions);
 
-using Action = std::variant<Dial, HangUp, Ping, Ask, Run, Store, Note>;
-using Actions = std::vector<Action>;
+  /// Reports that anything at all came from the control service.
+  void on_bytes_received(Nanos now);
 
-class Machine {
-public:
-  Machine(Settings settings, Judge judge);
-
-  // Before begin(): what runs at first, and what rested on disk. The disk's parts are taken all or
-  // none, where they fit and each is at least as new as the file's; else the reason is told, and
-  // the file's run.
-  void file_at_start(std::array<Version, kTypes> versions);
-  std::string stored(std::array<std::optional<Kept>, kTypes> kept);
+  void on_response(Nanos now, const DiscoveryResponse& response, Actions& actions);
+  void on_stream_lost(Nanos now, const StreamError& error, Actions& actions);
 
-  void begin(Nanos now, Actions& actions);  // runs what there is and dials
-  // The file, read again. It replaces what came from a file, and what was pushed only where it is
-  // numbered newer. Not empty: why nothing was changed.
-  std::string file(Nanos now, std::array<Version, kTypes> versions, Actions& actions);
-  // The control service's own settings as read again. A change of addresses ends the stream.
-  void follow(Nanos now, Settings settings, Actions& actions);
+  /// Call it at `next_deadline`, or at any other time.
+  void on_timer(Nanos now, Actions& actions);
 
-  void connected(Nanos now, Actions& actions);  // the stream stands
-  void heard(Nanos now);                        // anything came from the service
-  void offered(Nanos now, const Offer& offer, Actions& actions);
-  void lost(Nanos now, const std::string& why, Actions& actions);
-  void tick(Nanos now, Actions& actions);  // at due(), or any time
-  Nanos due() const;  // the next time that something falls due; kNever: nothing
+  /// The next time at which `on_timer` has an effect, or `kNever`.
+  [[nodiscard]] Nanos next_deadline() const;
 
-  static constexpr Nanos kNever = INT64_MAX;
+  [[nodiscard]] const AcceptedVersion& accepted(ResourceType type) const {
+    return types_[index_of(type)].accepted;
+  }
 
-  const Kept& kept(Type type) const { return types_[static_cast<std::size_t>(type)].kept; }
+  [[nodiscard]] bool is_streaming() const { return stream_.is_streaming(); }
 
-  bool streaming() const { return state_ == State::Streaming; }
-
-  const std::string& address() const { return address_; }
+  /// The address of the current or the last connection; empty before the first one.
+  [[nodiscard]] const std::string& address() const { return stream_.address(); }
 
 private:
-  enum class State { Off, Waiting, Dialing, Streaming };
-
-  struct Held {
-    Offer offer;
-    Nanos until = 0;
-    std::string why;
+  /// A response that is valid by itself and refers to what another type has not brought yet.
+  struct PendingDependency {
+    DiscoveryResponse response;
+    Nanos deadline = 0;
+    std::string missing;
   };
 
-  struct PerType {
-    Kept kept;
-    std::optional<Held> held;
-    std::string told;  // the version that the service was last told we run, on whatever stream
+  struct TypeState {
+    AcceptedVersion accepted;
+    std::optional<PendingDependency> pending;
+    /// The version that the control service was last told to run here, on whatever stream.
+    std::string acknowledged_version;
   };
 
-  PerType& of(Type type) { return types_[static_cast<std::size_t>(type)]; }
-
-  std::string out_of_order(const PerType& type, const Offer& offer) const;
-  void settle(Nanos now, Actions& actions);
-  bool accept(Nanos now, Type type, Actions& actions);  // whether anything else runs now
-  void turn_down(const Offer& offer, const std::string& why, Actions& actions);
-  void changed(Nanos now, Actions& actions);
-  void run(Nanos now, Actions& actions);
-  void wait(Nanos now);
-  void dial(Nanos now, Actions& actions);
-  Bodies running() const;
-  std::uint64_t draw();
-
-  Settings s_;
-  Judge judge_;
-  std::array<PerType, kTypes> types_;
-  State state_ = State::Off;
-  std::string address_;
-  std::size_t next_address_ = 0;
-  int failures_ = 0;
-  bool was_lost_ = false, pinged_ = false, dirty_ = false;
-  Nanos at_ = kNever;                        // Waiting: the next dial; Dialing: when it is given up
-  Nanos heard_at_ = 0;                       // Streaming
-  std::array<std::uint64_t, kTypes> ran_{};  // prints of what runs
-  Nanos ran_at_ = -1;                        // -1: never
-  std::uint64_t random_;
+  /// A set of types: bit i stands for the type of index i.
+  using TypeSet = unsigned;
+
+  [[nodiscard]] TypeState& state_of(ResourceType type) { return types_[index_of(type)]; }
+
+  [[nodiscard]] Bodies running_bodies() const;
+  [[nodiscard]] bool is_pending(TypeSet types) const;
+  [[nodiscard]] Bodies bodies_with_pending(TypeSet types) const;
+
+  void drop_pending_without_stream();
+
+  void reject_superseded(TypeState& state, const DiscoveryResponse& successor, Actions& actions);
+  void reject_expired(Nanos now, Actions& actions);
+  void reject(const DiscoveryResponse& response, const RejectionError& error, Actions& actions);
+  void wait_for_dependency(Nanos now, const DiscoveryResponse& response, Actions& actions);
+  void accept_pending(Nanos now, Actions& actions);
+  [[nodiscard]] bool accept_all(Nanos now, TypeSet types, Actions& actions);
+  [[nodiscard]] bool accept(Nanos now, ResourceType type, const DiscoveryResponse& response,
+                            Actions& actions);
+  [[nodiscard]] bool replace_running(Nanos now, TypeState& state, const DiscoveryResponse& response,
+                                     Actions& actions);
+  void acknowledge(ResourceType type, const DiscoveryResponse& response, bool content_changed,
+                   Actions& actions);
+
+  void schedule_apply(Nanos now, Actions& actions);
+  void apply(Nanos now, Actions& actions);
+  [[nodiscard]] bool is_apply_due(Nanos now) const;
+
+  Settings settings_;
+  Validator validator_;
+  StreamLifecycle stream_;
+  std::array<TypeState, kResourceTypeCount> types_;
+  bool apply_pending_ = false;
+  /// Negative: never.
+  Nanos last_applied_at_ = -1;
+  std::array<std::uint64_t, kResourceTypeCount> applied_hashes_{};
 };
 
 }  // namespace gorsebeam::config_versions
--- a/src/control_plane/control_plane_client.cpp
+++ b/src/control_plane/control_plane_client.cpp
@@ -1,206 +1,288 @@
 #include "control_plane_client.h"
 
 #include "net/log.h"
-#include "xds/xds.h"
+#include "snapshot_store/snapshot_codec.h"
+#include "snapshot_store/snapshot_file.h"
+#include "xds/discovery_codec.h"
+#include "xds/resources.h"
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace gorsebeam::control_plane {
 namespace {
-constexpr Nanos kMs = 1'000'000;
+
+using config_versions::Nanos;
+using config_versions::ResourceType;
+using config_versions::StreamError;
+using config_versions::ValidationError;
+using snapshot_store::SnapshotError;
+
+constexpr Nanos kNanosPerMs = 1'000'000;
+
+config_versions::StreamSettings make_stream_settings(const config::pb::ControlService& service) {
+  config_versions::StreamSettings settings;
+  settings.addresses.assign(service.address().begin(), service.address().end());
+  if (service.reconnect_most_ms() != 0)
+    settings.reconnect_max = service.reconnect_most_ms() * kNanosPerMs;
+  settings.reconnect_first = std::min(settings.reconnect_first, settings.reconnect_max);
+  if (service.silence_ms() != 0)
+    settings.silence = service.silence_ms() * kNanosPerMs;
+  settings.connect_timeout = std::min(settings.connect_timeout, settings.silence);
+  return settings;
 }
 
-config_versions::Settings Client::settings_of(const config::OperatorFile& file,
-                                              std::uint64_t seed) {
-  config_versions::Settings settings;
+config_versions::Settings make_settings(const config::OperatorFile& file, std::uint64_t seed) {
   const config::pb::ControlService& service = file.gateway.control_service();
-  settings.addresses.assign(service.address().begin(), service.address().end());
-  if (service.reconnect_most_ms())
-    settings.reconnect_most = service.reconnect_most_ms() * kMs;
-  settings.reconnect_first = std::min(settings.reconnect_first, settings.reconnect_most);
-  if (service.silence_ms())
-    settings.silence = service.silence_ms() * kMs;
-  if (service.hold_ms())
-    settings.hold = service.hold_ms() * kMs;
-  settings.dial_most = std::min(settings.dial_most, settings.silence);
+  config_versions::Settings settings;
+  settings.stream = make_stream_settings(service);
+  if (service.hold_ms() != 0)
+    settings.dependency_timeout = service.hold_ms() * kNanosPerMs;
   settings.seed = seed;
   return settings;
 }
 
-Client::Client(const config::OperatorFile& file, std::uint64_t seed, Run run)
-    : site_(file.context), file_(file.gateway), seed_(seed), run_(std::move(run)),
-      machine_(
-          settings_of(file, seed),
-          [this](const config_versions::Bodies& bodies) -> std::optional<config_versions::Misfit> {
-            const auto fault = config::validate_group_references(xds::contracts_of(bodies[0]),
-                                                                 xds::members_of(bodies[1]), site_);
-            if (!fault)
-              return std::nullopt;
-            return config_versions::Misfit{fault->to_string(), fault->is_missing_reference};
-          }),
-      channel_(*this), writer_([](const std::string& why) {
-        if (!why.empty())
-          net::log({"snapshot_write_failed", {{"error", why}}});
-      }),
-      timer_([this] {
-        machine_.tick(net::now(), actions_);
-        perform();
+config_versions::FileVersions make_file_versions(const config::OperatorFile& file) {
+  return {xds::make_file_version(file.gateway.contracts()), xds::make_file_version(file.members),
+          xds::make_file_version(file.gateway.limits())};
+}
+
+void log_snapshot_write(const std::optional<SnapshotError>& error) {
+  if (error)
+    net::log({"snapshot_write_failed", {{"error", error->message}}});
+}
+
+logging::Fields make_fields(const config_versions::ResponseIdentity& response) {
+  logging::Fields fields;
+  if (response.type)
+    fields.emplace_back("type", config_versions::resource_type_name(*response.type));
+  if (!response.version.empty())
+    fields.emplace_back("version", response.version);
+  if (!response.nonce.empty())
+    fields.emplace_back("nonce", response.nonce);
+  return fields;
+}
+
+}  // namespace
+
+ControlPlaneClient::ControlPlaneClient(const config::OperatorFile& file, std::uint64_t seed,
+                                       ApplyCallback apply)
+    : site_(file.context), file_(file.gateway), seed_(seed), apply_(std::move(apply)),
+      tracker_(make_settings(file, seed),
+               [this](const config_versions::Bodies& bodies) {
+                 return validate(bodies);
+               }),
+      channel_(*this), snapshot_writer_(&log_snapshot_write), timer_([this] {
+        on_timer();
       }) {
-  machine_.file_at_start(versions_of(file));
-}
-
-std::array<config_versions::Version, config_versions::kTypes>
-Client::versions_of(const config::OperatorFile& file) const {
-  return {xds::version_of(file.gateway.contracts()), xds::version_of(file.members),
-          xds::version_of(file.gateway.limits())};
-}
-
-void Client::start() {
-  if (file_.has_control_service() && !file_.state_folder().empty())
-    load();
-  machine_.begin(net::now(), actions_);
-  perform();
-}
-
-// A gateway that finds no control service in sight serves from the last good version.
-void Client::load() {
-  std::string why;
-  const auto good = snapshot_store::load(file_.state_folder(), why);
-  if (good) {
-    auto kept = snapshot_store::kept_of(*good, site_, why);
-    if (kept)
-      why = machine_.stored(std::move(*kept));
-    if (why.empty()) {
-      std::string text;
-      for (const auto type : {config_versions::Type::Contracts, config_versions::Type::Members,
-                              config_versions::Type::Limits})
-        if (machine_.kept(type).running.source != "file")
-          text += std::string(text.empty() ? "" : ", ") + config_versions::name_of(type) +
-                  " version " + machine_.kept(type).running.version;
-      return net::log({"snapshot_restored", {{"versions", text}}});
-    }
-  }
-  if (!why.empty())
-    net::log({"snapshot_rejected", {{"error", why}}});
+  tracker_.set_file_versions(make_file_versions(file));
+}
+
+std::optional<ValidationError>
+ControlPlaneClient::validate(const config_versions::Bodies& bodies) const {
+  const auto fault = config::validate_group_references(
+      xds::contracts_of(bodies[config_versions::index_of(ResourceType::Contracts)]),
+      xds::members_of(bodies[config_versions::index_of(ResourceType::Members)]), site_);
+  if (!fault)
+    return std::nullopt;
+  return ValidationError{fault->is_missing_reference ? ValidationError::Code::UnresolvedReference
+                                          : ValidationError::Code::InvalidContent,
+                         fault->to_string()};
 }
 
-void Client::stop() {
+void ControlPlaneClient::start() {
+  if (uses_snapshots())
+    load_snapshot();
+  tracker_.start(net::now(), actions_);
+  execute_actions();
+}
+
+void ControlPlaneClient::stop() {
   stopped_ = true;
   timer_.stop();
   channel_.close();
 }
 
-std::string Client::follow(const config::OperatorFile& file) {
-  std::string why = machine_.file(net::now(), versions_of(file), actions_);
-  if (why.empty()) {
+std::optional<ValidationError> ControlPlaneClient::reload_file(const config::OperatorFile& file) {
+  auto error = tracker_.replace_file_versions(net::now(), make_file_versions(file), actions_);
+  if (!error) {
     file_ = file.gateway;
-    machine_.follow(net::now(), settings_of(file, seed_), actions_);
+    tracker_.update_settings(net::now(), make_settings(file, seed_), actions_);
+  }
+  execute_actions();
+  return error;
+}
+
+// ---- the snapshot
+
+bool ControlPlaneClient::uses_snapshots() const {
+  return file_.has_control_service() && !file_.state_folder().empty();
+}
+
+// A gateway that reaches no control service serves from the last good versions.
+void ControlPlaneClient::load_snapshot() {
+  const auto reject = [](const std::string& error) {
+    net::log({"snapshot_rejected", {{"error", error}}});
+  };
+  const auto snapshot = snapshot_store::load_snapshot(file_.state_folder());
+  if (!snapshot) {
+    if (snapshot.error().code != SnapshotError::Code::NotFound)
+      reject(snapshot.error().message);
+    return;
+  }
+  auto versions = snapshot_store::validate_snapshot(snapshot.value(), site_);
+  if (!versions)
+    return reject(versions.error().message);
+  if (const auto error = tracker_.restore_snapshot(std::move(versions.value())))
+    return reject(error->message);
+  net::log({"snapshot_restored", {{"versions", describe_pushed_versions()}}});
+}
+
+// "contracts version c3, limits version l1"
+std::string ControlPlaneClient::describe_pushed_versions() const {
+  std::string text;
+  for (const ResourceType type : config_versions::kResourceTypes) {
+    const config_versions::Version& running = tracker_.accepted(type).running;
+    if (running.is_from_file())
+      continue;
+    if (!text.empty())
+      text += ", ";
+    text += config_versions::resource_type_name(type);
+    text += " version " + running.version;
   }
-  perform();
-  return why;
+  return text;
 }
 
-void Client::store() {
-  if (!file_.has_control_service() || file_.state_folder().empty())
+void ControlPlaneClient::write_snapshot() {
+  if (!uses_snapshots())
     return;
-  const state::v1::LastGood good = snapshot_store::good_of(machine_);
-  if (good.contracts().held() || good.members().held() || good.limits().held())
-    writer_.save(file_.state_folder(), snapshot_store::packed(good));
+  const state::v1::LastGood snapshot = snapshot_store::make_snapshot(tracker_);
+  if (snapshot.contracts().held() || snapshot.members().held() || snapshot.limits().held())
+    snapshot_writer_.write(file_.state_folder(), snapshot_store::encode_snapshot(snapshot));
 }
 
-void Client::up() {
-  machine_.connected(net::now(), actions_);
-  perform();
+// ---- events
+
+void ControlPlaneClient::on_connected() {
+  tracker_.on_stream_opened(net::now(), actions_);
+  execute_actions();
 }
 
-void Client::heard() {
-  machine_.heard(net::now());
+void ControlPlaneClient::on_bytes_received() {
+  tracker_.on_bytes_received(net::now());
 }
 
-void Client::message(std::string_view bytes) {
-  const auto offer = xds::read_response(bytes, site_);
-  if (offer) {
-    machine_.offered(net::now(), *offer, actions_);
+void ControlPlaneClient::on_message(std::string_view bytes) {
+  const auto response = xds::decode_response(bytes, site_);
+  if (response) {
+    tracker_.on_response(net::now(), response.value(), actions_);
   } else {
     channel_.close();
-    machine_.lost(net::now(), "it sent a message that cannot be read", actions_);
+    tracker_.on_stream_lost(
+        net::now(), {StreamError::Code::UnreadableMessage, "it sent a message that cannot be read"},
+        actions_);
   }
-  perform();
+  execute_actions();
 }
 
-void Client::down(const std::string& why) {
-  machine_.lost(net::now(), why, actions_);
-  perform();
+void ControlPlaneClient::on_disconnected(const grpc::ChannelError& error) {
+  tracker_.on_stream_lost(net::now(), {StreamError::Code::Disconnected, error.message}, actions_);
+  execute_actions();
 }
 
-void Client::note(const config_versions::Note& note) {
-  logging::Fields fields;
-  if (note.type)
-    fields.emplace_back("type", config_versions::name_of(*note.type));
-  if (!note.version.empty())
-    fields.emplace_back("version", note.version);
-  if (!note.nonce.empty())
-    fields.emplace_back("nonce", note.nonce);
-  switch (note.kind) {
-  case config_versions::Note::Kind::Lost:
-    fields.emplace_back("address", machine_.address());
-    fields.emplace_back("error", note.text);
-    return net::log({"control_stream_lost", fields});
-  case config_versions::Note::Kind::Found:
-    fields.emplace_back("address", machine_.address());
-    return net::log({"control_stream_restored", fields});
-  case config_versions::Note::Kind::Offered:
-    return net::log({"config_version_received", fields});
-  case config_versions::Note::Kind::Accepted:
-    if (!note.text.empty())
-      fields.emplace_back("detail", note.text);
-    return net::log({"config_version_accepted", fields});
-  case config_versions::Note::Kind::TurnedDown:
-    fields.emplace_back("error", note.text);
-    return net::log({"config_version_rejected", fields});
-  case config_versions::Note::Kind::Held:
-    fields.emplace_back("waiting_for", note.text);
-    return net::log({"config_version_pending", fields});
-  }
+void ControlPlaneClient::on_timer() {
+  tracker_.on_timer(net::now(), actions_);
+  execute_actions();
 }
 
-// What the machine asks for may bring it new events at once; they are taken in turn.
-void Client::perform() {
-  if (performing_)
+// ---- actions
+
+// An action may cause new events at once; their actions are executed after those of this round.
+void ControlPlaneClient::execute_actions() {
+  if (executing_)
     return;
-  performing_ = true;
+  executing_ = true;
   while (!actions_.empty()) {
-    config_versions::Actions actions;
-    actions.swap(actions_);
-    for (const config_versions::Action& action : actions) {
+    config_versions::Actions round;
+    round.swap(actions_);
+    for (const config_versions::Action& action : round) {
       if (stopped_)
         break;
-      if (const auto* dial = std::get_if<config_versions::Dial>(&action)) {
-        if (!channel_.dial(dial->address, xds::kPath))
-          machine_.lost(net::now(), "no connection can be opened", actions_);
-      } else if (std::holds_alternative<config_versions::HangUp>(action)) {
-        channel_.close();
-      } else if (std::holds_alternative<config_versions::Ping>(action)) {
-        channel_.ping();
-      } else if (const auto* ask = std::get_if<config_versions::Ask>(&action)) {
-        channel_.send(
-            xds::request(*ask, file_.control_service().node(), file_.control_service().cluster()));
-      } else if (const auto* run = std::get_if<config_versions::Run>(&action)) {
-        run_(run->changed[0] ? &xds::contracts_of(run->bodies[0]) : nullptr,
-             run->changed[1] ? &xds::members_of(run->bodies[1]) : nullptr,
-             run->changed[2] ? &xds::limits_of(run->bodies[2]) : nullptr);
-      } else if (std::holds_alternative<config_versions::Store>(action)) {
-        store();
-      } else if (const auto* text = std::get_if<config_versions::Note>(&action)) {
-        note(*text);
-      }
+      std::visit(
+          [this](const auto& typed_action) {
+            execute(typed_action);
+          },
+          action);
     }
   }
-  performing_ = false;
-  const Nanos due = machine_.due();
-  if (!stopped_ && due != config_versions::Machine::kNever)
-    timer_.at(due);
+  executing_ = false;
+  const Nanos deadline = tracker_.next_deadline();
+  if (!stopped_ && deadline != config_versions::kNever)
+    timer_.at(deadline);
+}
+
+void ControlPlaneClient::execute(const config_versions::OpenStream& action) {
+  if (const auto error = channel_.open(action.address, xds::kAggregatedStreamPath))
+    tracker_.on_stream_lost(net::now(), {StreamError::Code::CannotConnect, error->message},
+                            actions_);
+}
+
+void ControlPlaneClient::execute(const config_versions::CloseStream&) {
+  channel_.close();
+}
+
+void ControlPlaneClient::execute(const config_versions::SendPing&) {
+  channel_.send_ping();
+}
+
+void ControlPlaneClient::execute(const config_versions::DiscoveryRequest& request) {
+  const config::pb::ControlService& service = file_.control_service();
+  channel_.send_message(xds::encode_request(request, {service.node(), service.cluster()}));
+}
+
+void ControlPlaneClient::execute(const config_versions::ApplyConfiguration& action) {
+  const auto& [contracts, members, limits] = action.bodies;
+  const auto& [contracts_changed, members_changed, limits_changed] = action.changed;
+  apply_(contracts_changed ? &xds::contracts_of(contracts) : nullptr,
+         members_changed ? &xds::members_of(members) : nullptr,
+         limits_changed ? &xds::limits_of(limits) : nullptr);
+}
+
+void ControlPlaneClient::execute(const config_versions::WriteSnapshot&) {
+  write_snapshot();
+}
+
+// ---- log events
+
+void ControlPlaneClient::execute(const config_versions::StreamLost& event) {
+  net::log({"control_stream_lost", {{"address", tracker_.address()}, {"error", event.error}}});
+}
+
+void ControlPlaneClient::execute(const config_versions::StreamRestored&) {
+  net::log({"control_stream_restored", {{"address", tracker_.address()}}});
+}
+
+void ControlPlaneClient::execute(const config_versions::VersionReceived& event) {
+  net::log({"config_version_received", make_fields(event.response)});
+}
+
+void ControlPlaneClient::execute(const config_versions::VersionAccepted& event) {
+  logging::Fields fields = make_fields(event.response);
+  fields.emplace_back("detail", event.detail);
+  net::log({"config_version_accepted", std::move(fields)});
+}
+
+void ControlPlaneClient::execute(const config_versions::VersionRejected& event) {
+  logging::Fields fields = make_fields(event.response);
+  fields.emplace_back("error", event.error);
+  net::log({"config_version_rejected", std::move(fields)});
+}
+
+void ControlPlaneClient::execute(const config_versions::VersionPending& event) {
+  logging::Fields fields = make_fields(event.response);
+  fields.emplace_back("waiting_for", event.waiting_for);
+  net::log({"config_version_pending", std::move(fields)});
 }
 
 }  // namespace gorsebeam::control_plane
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,12 +128,12 @@
   const config::PlatformConfig& config = plan_.config;
   const config::pb::Gateway& file = plan_.file.gateway;
   take_up(file);
-  control_ = std::make_unique<control_plane::Client>(plan_.file, config.seed,
-                                                     [this](const config::pb::Contracts* contracts,
-                                                            const config::pb::Members* members,
-                                                            const config::pb::Limits* limits) {
-                                                       run(contracts, members, limits);
-                                                     });
+  control_ = std::make_unique<control_plane::ControlPlaneClient>(
+      plan_.file, config.seed,
+      [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
+             const config::pb::Limits* limits) {
+        run(contracts, members, limits);
+      });
   if (!plan_.file.context.postgres_listed) {
     watch_ = std::make_unique<discovery::EndpointWatch>(
         postgres_->core, config.discovery_address, config.initial_endpoints,
@@ -219,10 +219,10 @@
     net::log({"reload_requires_restart", {{"settings", "platform"}}});
   if (watch_)
     watch_->change_address(fresh.config.discovery_address);
-  why = control_->follow(fresh.file);
+  const auto error = control_->reload_file(fresh.file);
   plan_.file.gateway = fresh.file.gateway;
-  if (!why.empty())
-    return net::log({"reload_partial", {{"error", why}}});
+  if (error)
+    return net::log({"reload_partial", {{"error", error->message}}});
   net::log({"reload_complete", {{"discovery", fresh.config.discovery_address}}});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -83,7 +83,7 @@
       shapes_;  // null: statements are not parsed
   std::unique_ptr<Path> postgres_, mongo_;
   std::unique_ptr<discovery::EndpointWatch> watch_;
-  std::unique_ptr<control_plane::Client> control_;
+  std::unique_ptr<control_plane::ControlPlaneClient> control_;
   net::Timer door_, empty_, last_;
   bool stopping_ = false;
 };
--- a/src/grpc/channel.cpp
+++ b/src/grpc/channel.cpp
@@ -4,11 +4,14 @@
 
 namespace gorsebeam::grpc {
 
-bool Channel::dial(const std::string& address, const std::string& path) {
+std::optional<ChannelError> Channel::open(const std::string& address, const std::string& path) {
   close();
-  authority_ = address, path_ = path;
+  authority_ = address;
+  path_ = path;
   stream_ = net::Stream::connect(address, *this);
-  return stream_ != nullptr;
+  if (!stream_)
+    return ChannelError{ChannelError::Code::InvalidAddress, "no connection can be opened"};
+  return std::nullopt;
 }
 
 void Channel::close() {
@@ -18,37 +21,41 @@
   session_.reset();
 }
 
-void Channel::fail(const std::string& why) {
-  if (!open())
+void Channel::fail(const ChannelError& error) {
+  if (!is_open())
     return;
   close();
-  events_.down(why);
+  events_.on_disconnected(error);
 }
 
 void Channel::connected() {
   session_ = std::make_shared<Session>(authority_, path_);
-  events_.up();
-  pump();
+  events_.on_connected();
+  write_output();
 }
 
-void Channel::send(std::string_view message) {
+void Channel::ended(const std::string& why) {
+  fail({ChannelError::Code::ConnectionLost, why});
+}
+
+void Channel::send_message(std::string_view message) {
   if (!session_)
     return;
-  session_->send(message);
-  pump();
+  session_->send_message(message);
+  write_output();
 }
 
-void Channel::ping() {
+void Channel::send_ping() {
   if (!session_)
     return;
-  session_->ping();
-  pump();
+  session_->send_ping();
+  write_output();
 }
 
-void Channel::pump() {
-  while (session_ && stream_ &&
-         stream_->all_written()) {  // what the kernel does not take goes on when it has gone
-    const std::string_view bytes = session_->output();
+// What the kernel does not accept stays in the session until the connection has been flushed.
+void Channel::write_output() {
+  while (session_ && stream_ && stream_->all_written()) {
+    const std::string_view bytes = session_->next_output();
     if (bytes.empty())
       return;
     stream_->write({bytes});
@@ -56,19 +63,18 @@
 }
 
 void Channel::received() {
-  const auto session = session_;  // a message may end the channel, or dial it anew
-  session->feed(stream_->input().view(), net::now());
+  const auto session = session_;  // a message may close the channel, or open it anew
+  session->receive(stream_->input().view(), net::now());
   stream_->input().consume(stream_->input().size());
-  events_.heard();
+  events_.on_bytes_received();
   std::string message;
-  while (session_ == session && session->next(message))
-    events_.message(message);
+  while (session_ == session && session->next_message(message))
+    events_.on_message(message);
   if (session_ != session)
     return;
-  pump();
-  const std::string fault = session->fault();
-  if (!fault.empty())
-    fail(fault);
+  write_output();
+  if (const auto error = session->error())
+    fail({ChannelError::Code::SessionEnded, error->message});
 }
 
 }  // namespace gorsebeam::grpc
--- a/src/grpc/channel.h
+++ b/src/grpc/channel.h
@@ -1,25 +1,49 @@
-// A session on a socket of the house's loop, without TLS.
+/// A gRPC session on a TCP connection of the main loop, without TLS.
 #pragma once
 
 #include "net/stream.h"
 #include "session.h"
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace gorsebeam::grpc {
 
+/// States why a channel is not connected; `message` is one clause for the log.
+struct ChannelError {
+  enum class Code { InvalidAddress, ConnectionLost, SessionEnded };
+
+  Code code = Code::ConnectionLost;
+  std::string message;
+};
+
+/// Carries bytes between one connection and one session. All runs on the main loop's thread.
 class Channel : net::Stream::Events {
 public:
+  /// Receives what happens on the channel, from the main loop. Each function may close the channel
+  /// or open it anew.
   class Events {
   public:
+    Events() = default;
+    Events(const Events&) = delete;
+    Events& operator=(const Events&) = delete;
     virtual ~Events() = default;
-    virtual void up() = 0;                          // the connection stands and the call is made
-    virtual void heard() = 0;                       // anything came
-    virtual void message(std::string_view m) = 0;   // a whole one
-    virtual void down(const std::string& why) = 0;  // once, from the loop; not after close()
+
+    /// The connection is established, and the call is submitted.
+    virtual void on_connected() = 0;
+
+    /// Bytes came, of whatever kind.
+    virtual void on_bytes_received() = 0;
+
+    virtual void on_message(std::string_view message) = 0;
+
+    /// The connection or the session has ended; called once, and never after `close`.
+    virtual void on_disconnected(const ChannelError& error) = 0;
   };
 
+  /// `events` must outlive the channel.
   explicit Channel(Events& events) : events_(events) {}
 
   ~Channel() override { close(); }
@@ -27,28 +51,37 @@
   Channel(const Channel&) = delete;
   Channel& operator=(const Channel&) = delete;
 
-  bool dial(const std::string& address, const std::string& path);  // false: no such address
-  void send(std::string_view message);
-  void ping();
+  /// Closes the channel and connects to a numeric address and port, to call the method `path`.
+  /// Error: InvalidAddress.
+  [[nodiscard]] std::optional<ChannelError> open(const std::string& address,
+                                                 const std::string& path);
+
+  /// Does nothing unless the channel is connected.
+  void send_message(std::string_view message);
+
+  /// Does nothing unless the channel is connected.
+  void send_ping();
+
   void close();
 
-  bool open() const { return stream_ != nullptr; }
+  [[nodiscard]] bool is_open() const { return stream_ != nullptr; }
 
 private:
   void connected() override;
   void received() override;
 
-  void flushed() override { pump(); }
+  void flushed() override { write_output(); }
 
-  void ended(const std::string& why) override { fail(why); }
+  void ended(const std::string& why) override;
 
-  void pump();
-  void fail(const std::string& why);
+  void write_output();
+  void fail(const ChannelError& error);
 
   Events& events_;
   std::shared_ptr<net::Stream> stream_;
   std::shared_ptr<Session> session_;
-  std::string authority_, path_;
+  std::string authority_;
+  std::string path_;
 };
 
 }  // namespace gorsebeam::grpc
--- /dev/null
+++ b/src/grpc/message_framing.cpp
@@ -0,0 +1,63 @@
+#include "message_framing.h"
+
+#include <cstdint>
+
+namespace gorsebeam::grpc {
+namespace {
+
+constexpr std::size_t kPrefixSize = 5;
+constexpr char kUncompressed = '\0';
+
+std::uint32_t message_size(std::string_view prefix) {
+  std::uint32_t size = 0;
+  for (std::size_t i = 1; i < kPrefixSize; ++i)
+    size = size << 8 | static_cast<unsigned char>(prefix[i]);
+  return size;
+}
+
+}  // namespace
+
+std::string frame_message(std::string_view message) {
+  std::string bytes(1, kUncompressed);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    bytes += static_cast<char>(message.size() >> shift & 0xff);
+  return bytes.append(message);
+}
+
+const char* framing_error_message(FramingError error) {
+  switch (error) {
+  case FramingError::CompressedMessage:
+    return "a message is said to be compressed, which was not agreed";
+  case FramingError::MessageTooLong:
+    return "a message is said to be longer than 4 MiB";
+  }
+  return "";
+}
+
+MessageReader::Status MessageReader::next(std::string& message) {
+  if (error_)
+    return Status::Malformed;
+  if (bytes_.empty())
+    return Status::Incomplete;
+  if (bytes_[0] != kUncompressed)
+    return fail(FramingError::CompressedMessage);
+  if (bytes_.size() < kPrefixSize)
+    return Status::Incomplete;
+  const std::uint32_t size = message_size(bytes_);
+  if (size > kMaxMessageBytes)
+    return fail(FramingError::MessageTooLong);
+  if (bytes_.size() < kPrefixSize + size)
+    return Status::Incomplete;
+  message.assign(bytes_, kPrefixSize, size);
+  bytes_.erase(0, kPrefixSize + size);
+  if (bytes_.empty())
+    std::string().swap(bytes_);  // an idle stream holds no memory
+  return Status::Complete;
+}
+
+MessageReader::Status MessageReader::fail(FramingError error) {
+  error_ = error;
+  return Status::Malformed;
+}
+
+}  // namespace gorsebeam::grpc
--- /dev/null
+++ b/src/snapshot_store/snapshot_codec.cpp
@@ -0,0 +1,121 @@
+#include "snapshot_codec.h"
+
+#include "xds/resources.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace gorsebeam::snapshot_store {
+namespace {
+
+using config_versions::AcceptedVersion;
+using config_versions::ResourceType;
+using Code = SnapshotError::Code;
+
+constexpr char kMagic[] = "gorsebeam state\n";
+constexpr std::size_t kMagicSize = sizeof kMagic - 1;
+constexpr std::size_t kChecksumSize = 8;
+constexpr std::size_t kHeaderSize = kMagicSize + kChecksumSize;
+constexpr std::int64_t kNanosPerMs = 1'000'000;
+
+std::string checksum(const char* bytes, std::size_t size) {
+  XXH64_canonical_t canonical;
+  XXH64_canonicalFromHash(&canonical, XXH3_64bits(bytes, size));
+  return {reinterpret_cast<const char*>(canonical.digest), sizeof canonical.digest};
+}
+
+/// Returns the accepted version of one type, nothing if the snapshot does not hold it, or why it is
+/// not valid.
+template <typename Message>
+common::Result<std::optional<AcceptedVersion>, SnapshotError>
+validate_part(const state::v1::Part& part, const Message& value, const config::ValidationContext& site) {
+  if (!part.held())
+    return std::optional<AcceptedVersion>();
+  std::optional<config::Fault> fault = config::validate_no_unknown_fields(value);
+  if (!fault)
+    fault = config::validate_resource(value, site);
+  if (fault)
+    return SnapshotError{Code::InvalidContent, "it does not fit here any more: " + fault->to_string()};
+  AcceptedVersion accepted;
+  accepted.running = xds::make_file_version(value);
+  accepted.running.version = part.version();
+  accepted.running.source = part.source();
+  accepted.running.generation = part.generation();
+  accepted.running.accepted_at = part.accepted_unix_ms() * kNanosPerMs;
+  accepted.newest_generation = std::max(part.newest(), part.generation());
+  return std::optional<AcceptedVersion>(std::move(accepted));
+}
+
+/// Returns whether a control service set the type, and fills `part` if so.
+bool fill_part(const AcceptedVersion& accepted, state::v1::Part& part) {
+  if (accepted.running.is_from_file())
+    return false;
+  part.set_held(true);
+  part.set_version(accepted.running.version);
+  part.set_source(accepted.running.source);
+  part.set_accepted_unix_ms(accepted.running.accepted_at / kNanosPerMs);
+  part.set_generation(accepted.running.generation);
+  part.set_newest(accepted.newest_generation);
+  return true;
+}
+
+}  // namespace
+
+std::string encode_snapshot(const state::v1::LastGood& snapshot) {
+  const std::string bytes = snapshot.SerializeAsString();
+  return kMagic + checksum(bytes.data(), bytes.size()) + bytes;
+}
+
+common::Result<state::v1::LastGood, SnapshotError> decode_snapshot(const std::string& bytes) {
+  if (bytes.size() < kHeaderSize || bytes.compare(0, kMagicSize, kMagic) != 0)
+    return SnapshotError{Code::InvalidHeader,
+                         "it is no state of this program, or its head is damaged"};
+  const char* content = bytes.data() + kHeaderSize;
+  const std::size_t content_size = bytes.size() - kHeaderSize;
+  if (bytes.compare(kMagicSize, kChecksumSize, checksum(content, content_size)) != 0)
+    return SnapshotError{Code::ChecksumMismatch, "it is damaged: its checksum does not fit"};
+  state::v1::LastGood snapshot;
+  if (!snapshot.ParseFromArray(content, static_cast<int>(content_size)))
+    return SnapshotError{Code::Unparsable, "it is damaged: it cannot be read"};
+  if (snapshot.schema() > kSchema)
+    return SnapshotError{Code::UnsupportedSchema,
+                         "it is of schema " + std::to_string(snapshot.schema()) +
+                             ", newer than this program's " + std::to_string(kSchema)};
+  return snapshot;
+}
+
+state::v1::LastGood make_snapshot(const config_versions::VersionTracker& tracker) {
+  const AcceptedVersion& contracts = tracker.accepted(ResourceType::Contracts);
+  const AcceptedVersion& members = tracker.accepted(ResourceType::Members);
+  const AcceptedVersion& limits = tracker.accepted(ResourceType::Limits);
+  state::v1::LastGood snapshot;
+  snapshot.set_schema(kSchema);
+  if (fill_part(contracts, *snapshot.mutable_contracts()))
+    *snapshot.mutable_contracts_value() = xds::contracts_of(contracts.running.body);
+  if (fill_part(members, *snapshot.mutable_members()))
+    *snapshot.mutable_members_value() = xds::members_of(members.running.body);
+  if (fill_part(limits, *snapshot.mutable_limits()))
+    *snapshot.mutable_limits_value() = xds::limits_of(limits.running.body);
+  return snapshot;
+}
+
+common::Result<config_versions::SnapshotVersions, SnapshotError>
+validate_snapshot(const state::v1::LastGood& snapshot, const config::ValidationContext& site) {
+  auto contracts = validate_part(snapshot.contracts(), snapshot.contracts_value(), site);
+  if (!contracts)
+    return contracts.error();
+  auto members = validate_part(snapshot.members(), snapshot.members_value(), site);
+  if (!members)
+    return members.error();
+  auto limits = validate_part(snapshot.limits(), snapshot.limits_value(), site);
+  if (!limits)
+    return limits.error();
+  return config_versions::SnapshotVersions{std::move(contracts.value()), std::move(members.value()),
+                                           std::move(limits.value())};
+}
+
+}  // namespace gorsebeam::snapshot_store
--- a/tests/integration/control_plane_test.cpp
+++ b/tests/integration/control_plane_test.cpp
@@ -3,7 +3,8 @@
 // is what was accepted.
 #include "control/service.h"
 
-#include "snapshot_store/snapshot_store.h"
+#include "snapshot_store/snapshot_codec.h"
+#include "snapshot_store/snapshot_file.h"
 
 #include <csignal>
 #include <cstring>
@@ -559,26 +560,25 @@
   };
   serves(Final::Failed,
          "snapshot_restored versions=\"contracts version c3\"");  // its team may only save
-  std::string why;
-  const auto good = gorsebeam::snapshot_store::load(folder, why);
+  const auto good = gorsebeam::snapshot_store::load_snapshot(folder);
   CHECK(good);
   const auto put = [&](const std::string& bytes) {
     std::ofstream(file, std::ios::binary) << bytes;
   };
-  const std::string bytes = gorsebeam::snapshot_store::packed(*good);
+  const std::string bytes = gorsebeam::snapshot_store::encode_snapshot(good.value());
   put(bytes.substr(0, bytes.size() - 3));
   serves(Final::Served, "snapshot_rejected");
   std::string flipped = bytes;
   flipped[flipped.size() / 2] ^= 1;
   put(flipped);
   serves(Final::Served, "it is damaged: its checksum does not fit");
-  auto newer = *good;
+  auto newer = good.value();
   newer.set_schema(99);
-  put(gorsebeam::snapshot_store::packed(newer));
+  put(gorsebeam::snapshot_store::encode_snapshot(newer));
   serves(Final::Served, "newer than this program's");
-  auto unfit = *good;
+  auto unfit = good.value();
   unfit.mutable_contracts_value()->mutable_team(0)->mutable_class_(0)->set_name("gone");
-  put(gorsebeam::snapshot_store::packed(unfit));
+  put(gorsebeam::snapshot_store::encode_snapshot(unfit));
   serves(Final::Served, "it does not fit here any more");
   unlink(file.c_str());
   unlink((file + ".new").c_str());    // of a program that was killed as it wrote
--- a/tests/token_buckets_test.cpp
+++ b/tests/token_buckets_test.cpp
@@ -1,4 +1,4 @@
-#include "grpc/message.h"
+#include "grpc/message_framing.h"
 #include "rate_limit/token_buckets.h"
 
 #include <gtest/gtest.h>
@@ -40,29 +40,29 @@
 }
 
 TEST(GrpcMessages, ComeInPiecesAndLiesEndTheStreamBeforeAnythingIsHeldForThem) {
-  using Step = grpc::Reader::Step;
-  grpc::Reader reader;
+  using Status = grpc::MessageReader::Status;
+  grpc::MessageReader reader;
   std::string message;
-  const std::string bytes =
-      grpc::framed("first") + grpc::framed("") + grpc::framed(std::string(70'000, 'x'));
+  const std::string bytes = grpc::frame_message("first") + grpc::frame_message("") +
+                            grpc::frame_message(std::string(70'000, 'x'));
   std::vector<std::size_t> sizes;
   for (const char c : bytes) {
     reader.feed({&c, 1});
-    while (reader.next(message) == Step::Whole)
+    while (reader.next(message) == Status::Complete)
       sizes.push_back(message.size());
   }
   EXPECT_EQ(sizes, (std::vector<std::size_t>{5, 0, 70'000}));
-  EXPECT_TRUE(reader.between());
+  EXPECT_TRUE(reader.is_between_messages());
   reader.feed({"\0\0\x40\0\0", 5});  // 4 MiB: may be
-  EXPECT_EQ(reader.next(message), Step::More);
-  EXPECT_FALSE(reader.between());
-  grpc::Reader longer;
-  grpc::Reader compressed;
+  EXPECT_EQ(reader.next(message), Status::Incomplete);
+  EXPECT_FALSE(reader.is_between_messages());
+  grpc::MessageReader longer;
+  grpc::MessageReader compressed;
   longer.feed({"\0\0\x40\0\1", 5});
-  EXPECT_EQ(longer.next(message), Step::Bad);
-  EXPECT_EQ(longer.next(message), Step::Bad);  // and stays so
+  EXPECT_EQ(longer.next(message), Status::Malformed);
+  EXPECT_EQ(longer.next(message), Status::Malformed);  // and stays so
   compressed.feed({"\1", 1});
-  EXPECT_EQ(compressed.next(message), Step::Bad);
+  EXPECT_EQ(compressed.next(message), Status::Malformed);
 }
 
 }  // namespace
