--- a/src/snapshot_store/snapshot_codec.cpp
+++ b/src/snapshot_store/snapshot_codec.cpp
@@ -35,7 +35,7 @@
 validate_part(const state::v1::Part& part, const Message& value, const config::ValidationContext& site) {
   if (!part.held())
     return std::optional<AcceptedVersion>();
-  std::optional<config::Fault> fault = config::validate_no_unknown_fields(value);
+  std::optional<config::ValidationError> fault = config::validate_no_unknown_fields(value);
   if (!fault)
     fault = config::validate_resource(value, site);
   if (fault)
