Name the network and frontend layers in the field's terms, with typed errors

Need: src/net and src/frontend used house words, bool parameters, error texts through out-parameters and one file for several classes. Change: net splits the address parser and the input buffer from the stream, Listener::listen and Frontend::listen return an optional ListenError, reading is paused with an enum, every GLib handle has an owner. The client connection has a file of its own and an enum of its states; bytes, bounds, timing and texts stay.

--- a/src/connection_pool/connection_pool.cpp
+++ b/src/connection_pool/connection_pool.cpp
@@ -160,7 +160,7 @@
       return pool_.drop(this);  // nothing was asked
     UpstreamResponse answer;
     const ParseStep step = wire_->answer(in, false, errand_.probe, answer, used);
-    const bool roomy = net::buffered() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
+    const bool roomy = net::total_buffered_bytes() <= pool_.limits_.buffered || in.size() <= kAnswerSmall;
     // Also of a whole one, so that it does not matter in how many reads it came.
     const bool fits = (step == ParseStep::Done ? used : in.size()) <= pool_.limits_.answer_bytes;
     if (step == ParseStep::More && fits && roomy) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,13 +38,13 @@
                                 " at least");
   sockets = std::min(sockets, kSocketsMost);
   const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
-  fronts.crowded = std::max<std::size_t>(use / 20, 1);
+  fronts.rejecting = std::max<std::size_t>(use / 20, 1);
   fronts.lingering = std::max<std::size_t>(use / 20, 1);
-  fronts.connections = use / 2 - fronts.crowded - fronts.lingering;
+  fronts.connections = use / 2 - fronts.rejecting - fronts.lingering;
   pools.connections = use - use / 2;
   // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent
   // messages, so that answers always find room.
-  fronts.buffered = (memory_mb << 20) / 8;
+  fronts.buffered_bytes = (memory_mb << 20) / 8;
   pools.buffered = (memory_mb << 20) / 4;
   pools.per_member = std::max<std::size_t>(4, pools.connections / 3);
 }
@@ -77,7 +77,8 @@
     return wanted ? std::min(share, wanted) : share;
   };
   fronts.connections = at_most(fronts.connections, limits.client_connections());
-  fronts.buffered = at_most(fronts.buffered, static_cast<std::size_t>(limits.buffered_mib()) << 20);
+  fronts.buffered_bytes =
+      at_most(fronts.buffered_bytes, static_cast<std::size_t>(limits.buffered_mib()) << 20);
   if (limits.message_kib())
     fronts.message_bytes = static_cast<std::size_t>(limits.message_kib()) << 10;
   pools.connections = at_most(pools.connections, limits.member_connections());
@@ -147,8 +148,8 @@
   control_->start();
   const auto listen = [&why](frontend::Frontend& front, const std::string& address,
                              const char* protocol) {
-    if (!front.listen(address, why)) {
-      why = "cannot listen on " + address + ": " + why;
+    if (const auto error = front.listen(address)) {
+      why = "cannot listen on " + address + ": " + error->message;
       return false;
     }
     net::log({"listener_started", {{"protocol", protocol}, {"address", front.address()}}});
@@ -210,8 +211,10 @@
   const config::pb::Gateway& file = fresh.file.gateway;
   // Last of what can fail, as it changes something.
   const bool moves = mongo_ && file.mongo().listen() != plan_.file.gateway.mongo().listen();
-  if (moves && !mongo_->front.listen(file.mongo().listen(), why))
-    return kept("cannot listen on " + file.mongo().listen() + ": " + why);
+  if (moves) {
+    if (const auto error = mongo_->front.listen(file.mongo().listen()))
+      return kept("cannot listen on " + file.mongo().listen() + ": " + error->message);
+  }
   if (moves)
     net::log({"listener_started", {{"protocol", "MongoDB"}, {"address", mongo_->front.address()}}});
   take_up(file);
--- a/src/mongo/frontend.cpp
+++ b/src/mongo/frontend.cpp
@@ -2,6 +2,8 @@
 
 #include "codec.h"
 
+#include "frontend/session_hash.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -71,9 +73,9 @@
 
 class MongoConnection : public frontend::ClientConnection {
 public:
-  MongoConnection(frontend::Frontend& front, net::SocketHandle socket,
+  MongoConnection(frontend::Frontend& frontend, net::SocketHandle socket,
                   proxy::ContractEnforcer& terms)
-      : ClientConnection(front, std::move(socket)), terms_(terms) {}
+      : ClientConnection(frontend, std::move(socket)), terms_(terms) {}
 
   // The message as the client sent it, but for three fields of its command: the time to wait, which
   // is written anew; a read's $readPreference, as replicas serve only reads that allow it; and a
@@ -81,7 +83,7 @@
   proxy::Parts body(Nanos left) override {
     Message m;
     OpMsg msg;
-    read_message(stream_->input().view(), front_.limits().message_bytes, m);
+    read_message(stream_->input().view(), frontend_.limits().message_bytes, m);
     read_op_msg(m.payload, msg);
     proxy::Parts parts{rewritten_, msg.before, rewritten_};
     std::size_t size = 5;
@@ -151,7 +153,7 @@
 
   void finish() {
     stream_->input().consume(message_size_);
-    answered();
+    finish_request();
   }
 
   void decline(std::int32_t code, const char* name, const std::string& text) {
@@ -159,7 +161,7 @@
     stream_->input().consume(message_size_);
   }
 
-  void farewell(const char* why) override { reject(why); }
+  void send_closing_error(const char* reason) override { reject(reason); }
 
   // What cannot be read, or not be answered in the protocol: told where it can be, and the
   // connection closed.
@@ -170,7 +172,7 @@
 
   void parse() override {
     Message m;
-    switch (read_message(stream_->input().view(), front_.limits().message_bytes, m)) {
+    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, m)) {
     case Framing::More:
       return;
     case Framing::Malformed:
@@ -207,12 +209,12 @@
                                        "only a greeting may be an OP_QUERY");
     stream_->write({op_reply(reply.take(), ++sent_, request_id_)});
     stream_->input().consume(message_size_);
-    if (crowded())
+    if (is_over_limit())
       close_when_written();
   }
 
   Writer greet(std::string_view body) {
-    if (crowded())
+    if (is_over_limit())
       return fault(kRateLimitExceeded, "IngressRequestRateLimitExceeded", "too many connections");
     if (const auto client = find(body, "client"); client && client->type == '\x03')
       if (const auto application = find(client->value, "application");
@@ -223,8 +225,8 @@
     reply.truth("helloOk", true).truth("ismaster", true).truth("isWritablePrimary", true);
     reply.text("msg",
                "isdbgrid");  // a router before groups: drivers leave the choice of member to us
-    reply.small("maxBsonObjectSize", static_cast<std::int32_t>(front_.limits().message_bytes));
-    reply.small("maxMessageSizeBytes", static_cast<std::int32_t>(front_.limits().message_bytes));
+    reply.small("maxBsonObjectSize", static_cast<std::int32_t>(frontend_.limits().message_bytes));
+    reply.small("maxMessageSizeBytes", static_cast<std::int32_t>(frontend_.limits().message_bytes));
     reply.small("maxWriteBatchSize", 1000).large("localTime", net::now() / kMs, '\x09');
     reply.small("logicalSessionTimeoutMinutes", 30).small("connectionId", 1);
     reply.small("minWireVersion", kOldestWire)
@@ -240,9 +242,9 @@
     if (among(first.name, kHellos)) {
       answer(greet(body));
       stream_->input().consume(message_size_);
-      return crowded() ? close_when_written() : void();
+      return is_over_limit() ? close_when_written() : void();
     }
-    if (crowded()) {
+    if (is_over_limit()) {
       answer(fault(kRateLimitExceeded, "IngressRequestRateLimitExceeded", "too many connections"));
       return close_when_written();
     }
@@ -280,7 +282,7 @@
       return parse_error("the command's comment names no known class");
     if (terms.group.empty() || *end != '\0' || group > 0xffffffffu)
       return parse_error("the command's comment names no cluster");
-    const RequestClass& c = front_.core().settings().classes[found->second];
+    const RequestClass& c = frontend_.broker().settings().classes[found->second];
     if (read_ != (c.consistency != ConsistencyLevel::Write))
       return parse_error("the command does not fit its class");
     const auto session = find(body, "lsid");
@@ -298,7 +300,7 @@
     if (named &&
         (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Session)) {
       const auto id = find(session->value, "id");
-      request.session = frontend::hash_name(id ? id->value : session->value);
+      request.session = frontend::hash_session_name(id ? id->value : session->value);
     }
     const Nanos now = net::now();
     Nanos wait = c.deadline;
@@ -315,7 +317,7 @@
     const auto verdict = terms_.admit(team_, now, request);
     if (verdict != proxy::ContractEnforcer::Decision::Admitted)
       return decline(kUnauthorized, "Unauthorized", proxy::describe(verdict));
-    if (!begin(std::move(request), message_size_))
+    if (!begin_request(std::move(request), message_size_))
       parse_error("a request with this id is open, or it is no fit id");
   }
 
@@ -329,8 +331,8 @@
 }  // namespace
 
 frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& terms) {
-  return [&terms](frontend::Frontend& front, net::SocketHandle socket) {
-    return std::make_unique<MongoConnection>(front, std::move(socket), terms);
+  return [&terms](frontend::Frontend& frontend, net::SocketHandle socket) {
+    return std::make_unique<MongoConnection>(frontend, std::move(socket), terms);
   };
 }
 
--- a/src/net/handles.h
+++ b/src/net/handles.h
@@ -1,4 +1,4 @@
-// RAII over GLib's handles.
+/// RAII owners of GLib handles. They are used on the thread of the main loop only.
 #pragma once
 
 #include <gio/gio.h>
@@ -15,11 +15,22 @@
   void operator()(GError* error) const { g_error_free(error); }
 };
 
+struct StringFree {
+  void operator()(gchar* text) const { g_free(text); }
+};
+
+struct MainLoopUnref {
+  void operator()(GMainLoop* loop) const { g_main_loop_unref(loop); }
+};
+
 using SocketHandle = std::unique_ptr<GSocket, ObjectUnref>;
 using AddressHandle = std::unique_ptr<GSocketAddress, ObjectUnref>;
 using ErrorHandle = std::unique_ptr<GError, ErrorFree>;
+using StringHandle = std::unique_ptr<gchar, StringFree>;
+using MainLoopHandle = std::unique_ptr<GMainLoop, MainLoopUnref>;
 
-// Owns a source attached to the main loop; gone with its owner.
+/// Owns a source of the default main context. The source is destroyed with its owner, and its
+/// callback does not run after that.
 class SourceHandle {
 public:
   SourceHandle() = default;
@@ -28,6 +39,7 @@
 
   ~SourceHandle() { reset(); }
 
+  /// Destroys the present source and takes over the caller's reference to `source`.
   void reset(GSource* source = nullptr) {
     if (source_) {
       g_source_destroy(source_);
@@ -36,13 +48,14 @@
     source_ = source;
   }
 
+  /// Calls `ready(socket, condition, data)` from the main loop whenever `condition` holds.
   void watch(GSocket* socket, GIOCondition condition, GSocketSourceFunc ready, gpointer data) {
     reset(g_socket_create_source(socket, condition, nullptr));
     g_source_set_callback(source_, G_SOURCE_FUNC(ready), data, nullptr);
     g_source_attach(source_, nullptr);
   }
 
-  GSource* get() const { return source_; }
+  [[nodiscard]] GSource* get() const { return source_; }
 
   explicit operator bool() const { return source_ != nullptr; }
 
--- /dev/null
+++ b/src/net/input_buffer.h
@@ -0,0 +1,51 @@
+/// The received bytes of one connection, parsed in place.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace gorsebeam::net {
+
+/// Bytes that all buffers of all connections hold now. Memory is bounded by this sum, not only by
+/// the size of each message.
+std::size_t total_buffered_bytes();
+
+/// Adds to or subtracts from `total_buffered_bytes`; for the owners of buffers only.
+void count_buffered(std::size_t added, std::size_t removed);
+
+/// Views of the content stay valid until the next call of a non-const member function.
+class InputBuffer {
+public:
+  InputBuffer() = default;
+  InputBuffer(const InputBuffer&) = delete;
+  InputBuffer& operator=(const InputBuffer&) = delete;
+
+  ~InputBuffer() { release(); }
+
+  [[nodiscard]] std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
+
+  [[nodiscard]] std::size_t size() const { return end_ - begin_; }
+
+  /// Drops the first `count` bytes; an empty buffer frees its memory.
+  void consume(std::size_t count);
+
+  /// Makes space for at least `min_size` more bytes and returns where they are to be written.
+  char* reserve_space(std::size_t min_size);
+
+  /// Bytes that can be written at the place that `reserve_space` returned.
+  [[nodiscard]] std::size_t free_space() const { return bytes_.size() - end_; }
+
+  /// Adds `count` bytes, which were written at the place that `reserve_space` returned.
+  void append_written(std::size_t count) { end_ += count; }
+
+  /// Drops all bytes and frees the memory.
+  void release();
+
+private:
+  std::vector<char> bytes_;
+  std::size_t begin_ = 0;
+  std::size_t end_ = 0;
+};
+
+}  // namespace gorsebeam::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,5 +1,7 @@
 #include "log.h"
 
+#include "handles.h"
+
 #include <glib.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -8,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace gorsebeam::net {
@@ -15,15 +18,17 @@
 
 LogFormat format = LogFormat::Text;
 
+std::shared_ptr<spdlog::logger> create_logger() {
+  auto created = std::make_shared<spdlog::logger>(
+      "gorsebeam", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  created->set_pattern("%v");
+  created->flush_on(spdlog::level::info);
+  return created;
+}
+
 spdlog::logger& logger() {
-  static const auto made = [] {
-    auto l = std::make_shared<spdlog::logger>("gorsebeam",
-                                              std::make_shared<spdlog::sinks::stderr_sink_st>());
-    l->set_pattern("%v");
-    l->flush_on(spdlog::level::info);
-    return l;
-  }();
-  return *made;
+  static const std::shared_ptr<spdlog::logger> kLogger = create_logger();
+  return *kLogger;
 }
 
 std::string to_json(const logging::LogRecord& record) {
@@ -36,23 +41,23 @@
   writer.String(record.event);
   for (const auto& [name, value] : record.fields) {
     writer.Key(name);
-    gchar* valid = g_utf8_make_valid(value.data(), static_cast<gssize>(value.size()));
-    writer.String(valid);
-    g_free(valid);
+    const StringHandle valid(g_utf8_make_valid(value.data(), static_cast<gssize>(value.size())));
+    writer.String(valid.get());
   }
   writer.EndObject();
   return buffer.GetString();
 }
 
-/// What was written of one event name within the present second.
+/// Lines of one event name within the present second.
 struct RecentLines {
-  gint64 since = 0;
+  gint64 since = 0;  ///< Monotonic time in microseconds at which the second began.
   int written = 0;
   int suppressed = 0;
 };
 
-/// Whether a line may be written now; moves the number of those left out before into `suppressed`.
-bool admit_line(const char* event, int& suppressed) {
+/// Returns how many lines of this event were suppressed before, or nothing where this line is to be
+/// suppressed as well.
+std::optional<int> admit_line(const char* event) {
   static std::map<std::string, RecentLines> events;  // bounded: event names are literals
   RecentLines& recent = events[event];
   const gint64 now = g_get_monotonic_time();
@@ -63,10 +68,9 @@
   ++recent.written;
   if (recent.written > kMaxLinesPerSecond) {
     ++recent.suppressed;
-    return false;
+    return std::nullopt;
   }
-  suppressed = std::exchange(recent.suppressed, 0);
-  return true;
+  return std::exchange(recent.suppressed, 0);
 }
 
 }  // namespace
@@ -76,11 +80,11 @@
 }
 
 void log(logging::LogRecord record) {
-  int suppressed = 0;
-  if (!admit_line(record.event, suppressed))
+  const std::optional<int> suppressed = admit_line(record.event);
+  if (!suppressed)
     return;
-  if (suppressed > 0)
-    record.fields.emplace_back("suppressed", std::to_string(suppressed));
+  if (*suppressed > 0)
+    record.fields.emplace_back("suppressed", std::to_string(*suppressed));
   const bool json = format == LogFormat::Json;
   logger().info("{}", json ? to_json(record) : "gorsebeam: " + logging::to_text(record));
 }
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -8,7 +8,7 @@
 enum class LogFormat { Text, Json };
 
 /// Applies to every line from now on.
-void set_log_format(LogFormat format);
+void set_log_format(LogFormat wanted);
 
 /// Lines of one event name that are written within a second; more are counted and left out.
 constexpr int kMaxLinesPerSecond = 5;
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -1,5 +1,6 @@
-// Signals as events of the main loop, with no thread of their own: GLib's take one, which on a
-// platform that lets one thread run at a time can hold a lock while the other waits for it.
+/// Signals as events of the main loop, without a thread of their own. GLib's signal sources use a
+/// thread, which can hold a lock while the main thread waits for it where only one thread runs at a
+/// time.
 #pragma once
 
 #include "handles.h"
@@ -9,22 +10,24 @@
 
 namespace gorsebeam::net {
 
-// One at a time in a process. While it stands, each of the signals is told from the main loop,
-// several of one kind that came together once; what was set for them before holds again after.
+/// At most one instance exists in a process. Each of the given signals runs the handler from the
+/// main loop, once for several that arrive together. The destructor restores the previous actions.
 class Signals {
 public:
-  Signals(const std::vector<int>& numbers,
-          std::function<void(int)> told);  // throws std::runtime_error
+  using Handler = std::function<void(int number)>;
+
+  /// Throws std::runtime_error where no descriptor is left.
+  Signals(const std::vector<int>& numbers, Handler handler);
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
   ~Signals();
 
 private:
+  struct PreviousAction;
   static gboolean on_ready(gint, GIOCondition, gpointer self);
-  struct Before;
 
-  std::function<void(int)> told_;
-  std::vector<Before> before_;
+  Handler handler_;
+  std::vector<PreviousAction> previous_actions_;
   SourceHandle source_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,97 +7,51 @@
 #include <poll.h>
 
 #include <algorithm>
-#include <cstring>
+#include <array>
 #include <exception>
 #include <utility>
 
 namespace gorsebeam::net {
 namespace {
 
-constexpr std::size_t kReadSize = 4 * 1024;  // at least; doubles while a message goes on
-std::size_t buffered_bytes = 0;
-constexpr std::size_t kVectorsMost = 16;
-// The peer's end, also behind bytes not read. GLib has no name for it and hands the bit on to poll
-// as it is.
-constexpr auto kPeerEnd = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR | POLLRDHUP);
+constexpr std::size_t kMinReadSize = 4 * 1024;  // doubles while a message goes on
+constexpr std::size_t kMaxVectors = 16;
+
+// The peer's end, also behind unread bytes. GLib has no name for POLLRDHUP and passes the bit on
+// to poll as it is.
+constexpr auto kPeerClosed = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR | POLLRDHUP);
+constexpr auto kReadable = static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR);
 
 bool would_block(const ErrorHandle& error) {
-  return g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+  return g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
 }
 
 }  // namespace
 
-AddressHandle parse_address(const std::string& text, unsigned least_port) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return nullptr;
-  guint64 port = 0;
-  if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, least_port, 65535, &port, nullptr))
-    return nullptr;
-  const std::string host = text.substr(0, colon);
-  return AddressHandle(
-      g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port)));
-}
-
-std::size_t buffered() {
-  return buffered_bytes;
-}
-
-// An empty buffer is given back at once: hundreds of connections stand idle, and memory is short.
-void Input::consume(std::size_t count) {
-  begin_ += count;
-  if (begin_ >= end_)
-    release();
-}
-
-void Input::release() {
-  begin_ = end_ = 0;
-  buffered_bytes -= bytes_.size();
-  std::vector<char>().swap(bytes_);
-}
-
-char* Input::room(std::size_t least) {
-  if (bytes_.size() - end_ < least && begin_ > 0) {
-    std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
-    end_ -= begin_, begin_ = 0;
-  }
-  if (bytes_.size() - end_ < least) {
-    buffered_bytes -= bytes_.size();
-    bytes_.resize(std::max(bytes_.size() * 2, end_ + least));
-    buffered_bytes += bytes_.size();
-  }
-  return bytes_.data() + end_;
-}
-
 Stream::Stream(SocketHandle socket, Events& events) : events_(&events), socket_(std::move(socket)) {
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
 
-std::shared_ptr<Stream> Stream::connect(const std::string& text, Events& events) {
-  const AddressHandle address = parse_address(text);
-  if (!address)
+std::shared_ptr<Stream> Stream::connect(const std::string& address, Events& events) {
+  const AddressHandle parsed = parse_address(address);
+  if (!parsed)
     return nullptr;
-  GError* raw = nullptr;
-  SocketHandle socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
-                                   G_SOCKET_PROTOCOL_TCP, &raw));
-  ErrorHandle error(raw);
+  SocketHandle socket(g_socket_new(g_socket_address_get_family(parsed.get()), G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, nullptr));
   if (!socket)
     return nullptr;
   std::shared_ptr<Stream> stream(new Stream(std::move(socket), events));
-  raw = nullptr;
-  // Also where it fails at once the end is told from the main loop, by the source, never from in
-  // here.
-  g_socket_connect(stream->socket_.get(), address.get(), nullptr, &raw);
-  error.reset(raw);
+  // An immediate failure is also reported by the source, from the main loop.
+  g_socket_connect(stream->socket_.get(), parsed.get(), nullptr, nullptr);
   stream->connecting_ = true;
-  stream->watch_out();
+  stream->watch_writable();
   return stream;
 }
 
 std::shared_ptr<Stream> Stream::adopt(SocketHandle socket, Events& events) {
   std::shared_ptr<Stream> stream(new Stream(std::move(socket), events));
-  stream->watch_in();
+  stream->watch_readable();
   return stream;
 }
 
@@ -106,61 +60,59 @@
 }
 
 void Stream::close() {
-  in_.reset();
-  out_.reset();
-  end_.reset();
+  readable_source_.reset();
+  writable_source_.reset();
+  peer_close_source_.reset();
   if (socket_)
     g_socket_close(socket_.get(), nullptr);
   socket_.reset();
-  buffered_bytes -= output_.size();
-  std::string().swap(output_);
-  written_ = 0;
+  release_output();
 }
 
-void Stream::shut() {
+void Stream::shut_down_sending() {
   if (socket_)
     g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
-void Stream::watch_in() {
-  if (in_ || paused_ || !socket_ || connecting_)
+void Stream::watch_readable() {
+  if (readable_source_ || paused_ || !socket_ || connecting_)
     return;
-  in_.watch(socket_.get(), G_IO_IN, &Stream::on_in, this);
+  readable_source_.watch(socket_.get(), G_IO_IN, &Stream::on_readable, this);
 }
 
-void Stream::watch_out() {
-  if (out_ || !socket_)
+void Stream::watch_writable() {
+  if (writable_source_ || !socket_)
     return;
-  out_.watch(socket_.get(), G_IO_OUT, &Stream::on_out, this);
+  writable_source_.watch(socket_.get(), G_IO_OUT, &Stream::on_writable, this);
+}
+
+void Stream::pause_reading(PeerCloseWatch watch) {
+  if (watch == PeerCloseWatch::Off)
+    peer_close_source_.reset();
+  else if (!peer_close_source_ && socket_)
+    peer_close_source_.watch(socket_.get(), kPeerClosed, &Stream::on_peer_closed, this);
+  paused_ = true;
+  readable_source_.reset();
 }
 
-void Stream::pause_reading(bool pause, bool heed_end) {
-  if (!pause || !heed_end)
-    end_.reset();
-  if (pause && heed_end && !end_ && socket_)
-    end_.watch(socket_.get(), kPeerEnd, &Stream::on_end, this);
-  if (paused_ == pause)
+void Stream::resume_reading() {
+  peer_close_source_.reset();
+  if (!paused_)
     return;
-  paused_ = pause;
-  if (pause)
-    in_.reset();
-  else
-    watch_in();
+  paused_ = false;
+  watch_readable();
 }
 
-bool Stream::peer_left() const {
-  return !socket_ || g_socket_condition_check(socket_.get(), kPeerEnd) != 0;
+bool Stream::has_peer_closed() const {
+  return !socket_ || g_socket_condition_check(socket_.get(), kPeerClosed) != 0;
 }
 
 bool Stream::readable() const {
-  return socket_ &&
-         g_socket_condition_check(socket_.get(),
-                                  static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0;
+  return socket_ && g_socket_condition_check(socket_.get(), kReadable) != 0;
 }
 
-// Whatever is thrown while one connection is served ends that connection and nothing else.
-template <typename F>
-void Stream::guarded(F&& step) {
+template <typename Step>
+void Stream::run_guarded(Step&& step) {
   try {
     step();
   } catch (const std::exception& error) {
@@ -169,111 +121,117 @@
   }
 }
 
-gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
+gboolean Stream::on_readable(GSocket*, GIOCondition, gpointer self) {
   auto* stream = static_cast<Stream*>(self);
-  const auto keep = stream->shared_from_this();
-  stream->guarded([&] {
+  const auto keep_alive = stream->shared_from_this();
+  stream->run_guarded([stream] {
     stream->read_some();
   });
-  return stream->in_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+  return stream->readable_source_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
-gboolean Stream::on_end(GSocket*, GIOCondition, gpointer self) {
+gboolean Stream::on_peer_closed(GSocket*, GIOCondition, gpointer self) {
   auto* stream = static_cast<Stream*>(self);
-  const auto keep = stream->shared_from_this();
-  stream->end_.reset();
-  stream->guarded([&] {
-    stream->events_->left();
+  const auto keep_alive = stream->shared_from_this();
+  stream->peer_close_source_.reset();
+  stream->run_guarded([stream] {
+    stream->events_->peer_closed();
   });
   return G_SOURCE_REMOVE;
 }
 
-gboolean Stream::on_out(GSocket*, GIOCondition, gpointer self) {
+gboolean Stream::on_writable(GSocket*, GIOCondition, gpointer self) {
   auto* stream = static_cast<Stream*>(self);
-  const auto keep = stream->shared_from_this();
-  stream->guarded([&] {
-    if (stream->connecting_) {
-      GError* raw = nullptr;
-      const bool up = g_socket_check_connect_result(stream->socket_.get(), &raw);
-      const ErrorHandle error(raw);
-      // A socket whose connect failed at once has no peer, and no error left to tell it.
-      if (!up || !g_socket_is_connected(stream->socket_.get()))
-        return stream->fail(error ? error->message : "not connected");
-      stream->connecting_ = false;
-      stream->out_.reset();
-      stream->watch_in();
-      if (!stream->all_written())
-        stream->watch_out();  // what was written before it was up
-      stream->events_->connected();
-      return;
-    }
-    stream->write_some();
+  const auto keep_alive = stream->shared_from_this();
+  stream->run_guarded([stream] {
+    if (stream->connecting_)
+      stream->finish_connecting();
+    else
+      stream->write_some();
   });
-  return stream->out_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+  return stream->writable_source_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
-void Stream::fail(const std::string& why) {
+void Stream::finish_connecting() {
+  GError* raw = nullptr;
+  const bool succeeded = g_socket_check_connect_result(socket_.get(), &raw) != FALSE;
+  const ErrorHandle error(raw);
+  // A socket whose connect failed at once has no peer, and its error was consumed by that call.
+  if (!succeeded || g_socket_is_connected(socket_.get()) == FALSE)
+    return fail(error ? error->message : "not connected");
+  connecting_ = false;
+  writable_source_.reset();
+  watch_readable();
+  if (!all_written())
+    watch_writable();  // bytes were written before the connection was established
+  events_->connected();
+}
+
+void Stream::fail(const std::string& reason) {
   if (!socket_)
     return;
   close();
-  events_->ended(why);
+  events_->ended(reason);
 }
 
 void Stream::read_some() {
-  char* room = input_.room(kReadSize);
+  char* space = input_.reserve_space(kMinReadSize);
   GError* raw = nullptr;
-  const gssize got = g_socket_receive(socket_.get(), room, input_.room_size(), nullptr, &raw);
+  const gssize size = g_socket_receive(socket_.get(), space, input_.free_space(), nullptr, &raw);
   const ErrorHandle error(raw);
-  if (got < 0 && would_block(error))
+  if (size < 0 && would_block(error))
     return;
-  if (got < 0)
+  if (size < 0)
     return fail(error->message);
-  if (got == 0)
+  if (size == 0)
     return fail("closed by the peer");
-  input_.filled(static_cast<std::size_t>(got));
+  input_.append_written(static_cast<std::size_t>(size));
   events_->received();
 }
 
 void Stream::write(const Parts& parts) {
   if (!socket_)
     return;
-  if (!all_written() || connecting_ || parts.size() > kVectorsMost) {
-    keep_rest(parts, 0);
-    return watch_out();
+  if (!all_written() || connecting_ || parts.size() > kMaxVectors) {
+    buffer_unsent(parts, 0);
+    return watch_writable();
   }
-  GOutputVector vectors[kVectorsMost];
+  std::array<GOutputVector, kMaxVectors> vectors;
   std::size_t total = 0;
   for (std::size_t i = 0; i < parts.size(); ++i) {
     vectors[i] = {parts[i].data(), parts[i].size()};
     total += parts[i].size();
   }
-  GError* raw = nullptr;
-  const gssize sent =
-      g_socket_send_message(socket_.get(), nullptr, vectors, static_cast<gint>(parts.size()),
-                            nullptr, 0, G_SOCKET_MSG_NONE, nullptr, &raw);
-  const ErrorHandle error(raw);
-  const std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
-  if (done == total && sent >= 0)
+  const gssize result =
+      g_socket_send_message(socket_.get(), nullptr, vectors.data(), static_cast<gint>(parts.size()),
+                            nullptr, 0, G_SOCKET_MSG_NONE, nullptr, nullptr);
+  const std::size_t sent = result > 0 ? static_cast<std::size_t>(result) : 0;
+  if (result >= 0 && sent == total)
     return;
-  // The rest waits; a broken connection is told from the main loop, when its source finds it
-  // broken.
-  keep_rest(parts, done);
-  watch_out();
+  // A broken connection is reported from the main loop, when the source finds it broken.
+  buffer_unsent(parts, sent);
+  watch_writable();
 }
 
-void Stream::keep_rest(const Parts& parts, std::size_t done) {
+void Stream::buffer_unsent(const Parts& parts, std::size_t sent) {
   for (const std::string_view part : parts) {
-    const std::size_t skip = std::min(done, part.size());
-    done -= skip;
-    output_.append(part.substr(skip));
-    buffered_bytes += part.size() - skip;
+    const std::size_t skipped = std::min(sent, part.size());
+    sent -= skipped;
+    output_.append(part.substr(skipped));
+    count_buffered(part.size() - skipped, 0);
   }
 }
 
+void Stream::release_output() {
+  written_ = 0;
+  count_buffered(0, output_.size());
+  std::string().swap(output_);
+}
+
 void Stream::write_some() {
   GError* raw = nullptr;
   const gssize sent =
-      g_socket_send(socket_.get(), output_.data() + written_, pending(), nullptr, &raw);
+      g_socket_send(socket_.get(), output_.data() + written_, unsent_size(), nullptr, &raw);
   const ErrorHandle error(raw);
   if (sent < 0 && would_block(error))
     return;
@@ -282,10 +240,8 @@
   written_ += static_cast<std::size_t>(sent);
   if (!all_written())
     return;
-  written_ = 0;
-  buffered_bytes -= output_.size();
-  std::string().swap(output_);
-  out_.reset();
+  release_output();
+  writable_source_.reset();
   events_->flushed();
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -1,7 +1,9 @@
-// A TCP connection as an object with callbacks, on GIO sockets and GLib's main loop; never blocks.
+/// A TCP connection with callbacks on GIO sockets and GLib's main loop; it never blocks.
 #pragma once
 
+#include "address.h"
 #include "handles.h"
+#include "input_buffer.h"
 
 #include <cstddef>
 #include <memory>
@@ -11,106 +13,102 @@
 
 namespace gorsebeam::net {
 
+/// Pieces of one message, written one after the other without being joined first.
 using Parts = std::vector<std::string_view>;
 
-// "127.0.0.4:6432"; no names are looked up. Nothing where the text is no numeric address and port.
-AddressHandle parse_address(const std::string& text, unsigned least_port = 1);
-
-// Bytes that all buffers of all connections hold now. What bounds memory bounds this, not only each
-// message.
-std::size_t buffered();
-
-// Received bytes, parsed in place: views stay good until the next consume, or the next read.
-class Input {
-public:
-  Input() = default;
-  Input(const Input&) = delete;
-  Input& operator=(const Input&) = delete;
-
-  ~Input() { release(); }
-
-  std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
-
-  std::size_t size() const { return end_ - begin_; }
-
-  void consume(std::size_t count);
-  char* room(std::size_t least);
-
-  std::size_t room_size() const { return bytes_.size() - end_; }
-
-  void filled(std::size_t count) { end_ += count; }
-
-  void release();  // all of it, with its memory
-
-private:
-  std::vector<char> bytes_;
-  std::size_t begin_ = 0, end_ = 0;
-};
+/// Whether the peer's end of the connection is reported while reading is paused.
+enum class PeerCloseWatch { Off, On };
 
 class Stream : public std::enable_shared_from_this<Stream> {
 public:
+  /// Called from the main loop. An exception ends the connection and nothing else.
   class Events {
   public:
     virtual ~Events() = default;
 
     virtual void connected() {}
 
-    virtual void received() = 0;  // bytes were added to input()
+    /// Bytes were added to `input()`.
+    virtual void received() = 0;
 
-    virtual void flushed() {}  // all that was written has gone to the kernel
+    /// The kernel has accepted all that was written.
+    virtual void flushed() {}
 
-    virtual void ended(const std::string& why) = 0;  // by the peer or by an error, not by close()
+    /// The connection was ended by the peer or by an error; not called after `close()`.
+    virtual void ended(const std::string& reason) = 0;
 
-    virtual void left() {}  // the peer's end, while reading is paused and it is heeded
+    /// The peer closed its sending side while reading is paused with `PeerCloseWatch::On`.
+    virtual void peer_closed() {}
   };
 
-  static std::shared_ptr<Stream> connect(const std::string& address,
-                                         Events& events);  // null: no such address
+  /// Begins to connect to a numeric address; null where the address is invalid or no socket can be
+  /// opened. `events` outlives the stream or its `close()`. A failure to connect is reported from
+  /// the main loop, never from within this call.
+  static std::shared_ptr<Stream> connect(const std::string& address, Events& events);
+
+  /// Takes over a connected socket.
   static std::shared_ptr<Stream> adopt(SocketHandle socket, Events& events);
   ~Stream();
 
-  Input& input() { return input_; }
+  InputBuffer& input() { return input_; }
 
+  /// Sends the parts, or keeps a copy of what the kernel does not accept now.
   void write(const Parts& parts);
 
-  bool all_written() const { return output_.size() == written_; }
+  [[nodiscard]] bool all_written() const { return unsent_size() == 0; }
+
+  [[nodiscard]] std::size_t unsent_size() const { return output_.size() - written_; }
 
-  std::size_t pending() const { return output_.size() - written_; }
+  /// Bytes in the buffers of this stream.
+  [[nodiscard]] std::size_t buffered_bytes() const { return input_.size() + output_.size(); }
 
-  std::size_t held() const { return input_.size() + output_.size(); }
+  void pause_reading(PeerCloseWatch watch = PeerCloseWatch::Off);
+  void resume_reading();
 
-  // `heed_end`: the peer's end is told by left() all the same, with what was not read before it.
-  void pause_reading(bool pause, bool heed_end = false);
-  bool readable() const;  // something has come that was not read: bytes, or the end
-  bool peer_left()
-      const;     // its end has come, or the connection broke; also behind bytes that were not read
-  void close();  // no callback follows
-  void shut();   // ends the sending side; what still comes is told as before
+  /// Whether bytes or the peer's end wait unread in the kernel.
+  [[nodiscard]] bool readable() const;
 
-  bool open() const { return socket_ != nullptr; }
+  /// Whether the peer closed its sending side, also behind unread bytes, or the connection broke.
+  [[nodiscard]] bool has_peer_closed() const;
+
+  /// Closes the connection at once; no callback follows.
+  void close();
+
+  /// Closes the sending side; received bytes are reported as before.
+  void shut_down_sending();
+
+  [[nodiscard]] bool open() const { return socket_ != nullptr; }
 
 private:
   Stream(SocketHandle socket, Events& events);
-  static gboolean on_in(GSocket*, GIOCondition, gpointer self);
-  static gboolean on_end(GSocket*, GIOCondition, gpointer self);
-  static gboolean on_out(GSocket*, GIOCondition, gpointer self);
-  template <typename F>
-  void guarded(F&& step);
-  void watch_in();
-  void watch_out();
+  static gboolean on_readable(GSocket*, GIOCondition, gpointer self);
+  static gboolean on_peer_closed(GSocket*, GIOCondition, gpointer self);
+  static gboolean on_writable(GSocket*, GIOCondition, gpointer self);
+
+  /// Runs `step`; an exception in it ends this connection.
+  template <typename Step>
+  void run_guarded(Step&& step);
+  void watch_readable();
+  void watch_writable();
+  void finish_connecting();
   void read_some();
   void write_some();
-  void fail(const std::string& why);
-  void keep_rest(const Parts& parts,
-                 std::size_t done);  // what the kernel did not take waits in output_
+  void fail(const std::string& reason);
+
+  /// Copies all but the first `sent` bytes of `parts` to the output buffer.
+  void buffer_unsent(const Parts& parts, std::size_t sent);
+  void release_output();
 
   Events* events_;
   SocketHandle socket_;
-  SourceHandle in_, out_, end_;  // end_: while reading is paused and the end is heeded
-  Input input_;
+  SourceHandle readable_source_;
+  SourceHandle writable_source_;
+  SourceHandle peer_close_source_;
+  InputBuffer input_;
   std::string output_;
-  std::size_t written_ = 0;
-  bool connecting_ = false, paused_ = false;
+  std::size_t written_ = 0;  ///< Bytes of `output_` that the kernel has accepted.
+  bool connecting_ = false;
+  bool paused_ = false;
 };
 
 }  // namespace gorsebeam::net
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -13,64 +13,73 @@
 namespace gorsebeam::net {
 namespace {
 
-constexpr std::int64_t kMicrosecond = 1000, kMillisecond = 1000 * kMicrosecond;
+constexpr std::int64_t kMicrosecond = 1000;
+constexpr std::int64_t kMillisecond = 1000 * kMicrosecond;
 
-std::int64_t
-offset() {  // microseconds from the monotonic clock to Unix time, fixed at the first call
-  static const std::int64_t fixed = g_get_real_time() - g_get_monotonic_time();
-  return fixed;
+/// Microseconds from the monotonic clock to Unix time, fixed at the first call.
+std::int64_t unix_time_offset() {
+  static const std::int64_t kOffset = g_get_real_time() - g_get_monotonic_time();
+  return kOffset;
 }
 
-struct Queue {
-  std::map<Timer::Place, Timer*> timers;
-  std::uint64_t set = 0;
+struct TimerQueue {
+  std::map<Timer::QueueKey, Timer*> timers;
+  std::uint64_t last_sequence = 0;
 };
 
-gboolean prepare(GSource*, gint* wait);
-gboolean due(GSource*);
-gboolean dispatch(GSource*, GSourceFunc, gpointer);
-
-GSourceFuncs kQueueSource = {prepare, due, dispatch, nullptr, nullptr, nullptr};
-
-// Guards against a wake-up of the loop by itself at each setting, as a source's own ready time has
-// it: two in five of all waits ended for nothing else.
-Queue& queue() {
-  static Queue& one = *[] {
-    GSource* source = g_source_new(&kQueueSource, sizeof(GSource));
-    g_source_attach(source, nullptr);
-    g_source_unref(source);  // the loop's
-    return new Queue;  // for as long as the process: timers may outlive whatever else is static
-  }();
-  return one;
+gboolean prepare_queue(GSource*, gint* timeout_ms);
+gboolean is_queue_due(GSource*);
+gboolean dispatch_queue(GSource*, GSourceFunc, gpointer);
+
+GSourceFuncs queue_source_functions = {prepare_queue, is_queue_due, dispatch_queue,
+                                       nullptr,       nullptr,      nullptr};
+
+/// Lives as long as the process, as timers may outlive other static objects.
+TimerQueue* create_queue() {
+  // A ready time of the source would wake the loop each time that it is set: measured, two in five
+  // waits of the loop ended for nothing else. The prepare function avoids that.
+  GSource* source = g_source_new(&queue_source_functions, sizeof(GSource));
+  g_source_attach(source, nullptr);
+  g_source_unref(source);  // the main context holds it
+  return new TimerQueue;
 }
 
-gboolean due(GSource*) {
+TimerQueue& queue() {
+  static TimerQueue& instance = *create_queue();
+  return instance;
+}
+
+gboolean is_queue_due(GSource*) {
   const auto& timers = queue().timers;
-  return !timers.empty() && timers.begin()->first.first <= now();
+  const bool is_due = !timers.empty() && timers.begin()->first.first <= now();
+  return is_due ? TRUE : FALSE;
 }
 
-// Rounded up: a loop that wakes early finds nothing due.
-gboolean prepare(GSource*, gint* wait) {
+// The timeout is rounded up, as a loop that wakes early finds nothing due.
+gboolean prepare_queue(GSource*, gint* timeout_ms) {
   const auto& timers = queue().timers;
-  *wait = -1;
+  *timeout_ms = -1;
   if (timers.empty())
     return FALSE;
-  const std::int64_t left = timers.begin()->first.first - now();
-  *wait = static_cast<gint>(
-      std::clamp<std::int64_t>((left + kMillisecond - 1) / kMillisecond, 0, G_MAXINT));
-  return left <= 0;
+  const std::int64_t remaining = timers.begin()->first.first - now();
+  const std::int64_t rounded_up = (remaining + kMillisecond - 1) / kMillisecond;
+  *timeout_ms = static_cast<gint>(std::clamp<std::int64_t>(rounded_up, 0, G_MAXINT));
+  return remaining <= 0 ? TRUE : FALSE;
 }
 
-// What is due now, each once: an action may set, stop or end any timer, and what it sets waits for
-// the next round.
-gboolean dispatch(GSource*, GSourceFunc, gpointer) {
+// Fires each timer that is due now once: an action may set, stop or destroy any timer, and what it
+// sets waits for the next iteration.
+gboolean dispatch_queue(GSource*, GSourceFunc, gpointer) {
   auto& timers = queue().timers;
-  std::vector<Timer::Place> places;
+  std::vector<Timer::QueueKey> due;
   const std::int64_t time = now();
-  for (auto at = timers.begin(); at != timers.end() && at->first.first <= time; ++at)
-    places.push_back(at->first);
-  for (const Timer::Place& place : places) {
-    const auto found = timers.find(place);
+  for (const auto& [key, timer] : timers) {
+    if (key.first > time)
+      break;
+    due.push_back(key);
+  }
+  for (const Timer::QueueKey& key : due) {
+    const auto found = timers.find(key);
     if (found != timers.end())
       found->second->fire();
   }
@@ -80,26 +89,26 @@
 }  // namespace
 
 std::int64_t now() {
-  return (offset() + g_get_monotonic_time()) * kMicrosecond;
+  return (unix_time_offset() + g_get_monotonic_time()) * kMicrosecond;
 }
 
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
   stop();
-  place_ = {when, ++queue().set};
-  queue().timers[place_] = this;
-  set_ = true;
+  queue_key_ = {when, ++queue().last_sequence};
+  queue().timers[queue_key_] = this;
+  is_set_ = true;
 }
 
 void Timer::stop() {
-  if (std::exchange(set_, false))
-    queue().timers.erase(place_);
+  if (std::exchange(is_set_, false))
+    queue().timers.erase(queue_key_);
 }
 
 void Timer::fire() {
   stop();
-  const auto action = action_;  // the action may end the timer's owner
+  const auto action = action_;  // the action may destroy the timer
   try {
     action();
   } catch (const std::exception& error) {
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -1,4 +1,4 @@
-// One-shot timers on the main loop, and the gateway's clock.
+/// One-shot timers on the main loop, and the gateway's clock.
 #pragma once
 
 #include <cstdint>
@@ -7,37 +7,42 @@
 
 namespace gorsebeam::net {
 
-// Unix nanoseconds that never go back: the wall clock is read once, at the first call, and the
-// monotonic clock carries it on. Guards the module, whose time must not go back, against a clock
-// that is set while we run; positions, starts and discovery's times are Unix times and need no
-// further mapping.
+/// Unix time in nanoseconds that never goes back: the wall clock is read once, at the first call,
+/// and the monotonic clock carries it on. A change of the system clock while the process runs
+/// therefore has no effect; replication positions, start times and discovery's times are Unix
+/// times and need no mapping.
 std::int64_t now();
 
-// All timers of the process stand in one queue, and the loop has one source for it: setting one
-// wakes nobody.
+/// All timers of the process are in one queue, and the main loop has one source for it: setting a
+/// timer does not wake the loop. Times are nanoseconds.
 class Timer {
 public:
+  /// `action` runs on the main loop; it may set, stop or destroy any timer. An exception in it is
+  /// logged.
   explicit Timer(std::function<void()> action);
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
 
   ~Timer() { stop(); }
 
-  void at(std::int64_t when);  // replaces what was set; one set while timers fire has its turn in
-                               // the next round
+  /// Sets the timer to a time of `now()`, in place of what was set before. A timer that is set
+  /// while timers fire waits for the next iteration of the loop.
+  void at(std::int64_t when);
 
   void after(std::int64_t delay) { at(now() + delay); }
 
   void stop();
-  void fire();  // the queue's: what it was set for, now
 
-  using Place = std::pair<std::int64_t,
-                          std::uint64_t>;  // in the queue: by time, then by the order of setting
+  /// Runs the action now; called by the queue.
+  void fire();
+
+  /// Position in the queue: by time, then by the order in which timers were set.
+  using QueueKey = std::pair<std::int64_t, std::uint64_t>;
 
 private:
   std::function<void()> action_;
-  Place place_{};
-  bool set_ = false;
+  QueueKey queue_key_{};
+  bool is_set_ = false;
 };
 
 }  // namespace gorsebeam::net
--- a/src/postgres/frontend.cpp
+++ b/src/postgres/frontend.cpp
@@ -2,6 +2,8 @@
 
 #include "codec.h"
 
+#include "frontend/session_hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -20,14 +22,15 @@
     hex &= g_ascii_isxdigit(c) != 0;
     value = value << 4 | static_cast<std::uint64_t>(std::max(0, g_ascii_xdigit_value(c)));
   }
-  return hex ? value : frontend::hash_name(key);
+  return hex ? value : frontend::hash_session_name(key);
 }
 
 class PgConnection : public frontend::ClientConnection {
 public:
-  PgConnection(frontend::Frontend& front, net::SocketHandle socket, proxy::ContractEnforcer& terms,
+  PgConnection(frontend::Frontend& frontend, net::SocketHandle socket,
+               proxy::ContractEnforcer& terms,
                const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes)
-      : ClientConnection(front, std::move(socket)), terms_(terms), shapes_(shapes),
+      : ClientConnection(frontend, std::move(socket)), terms_(terms), shapes_(shapes),
         ready_(message('Z', "I")) {}
 
   proxy::Parts body(Nanos left) override {
@@ -57,7 +60,7 @@
   void finish(const proxy::Parts& parts) {
     stream_->write(parts);
     stream_->input().consume(query_size_ + 6);
-    answered();
+    finish_request();
   }
 
   // A protocol error: told, and the connection closed.
@@ -66,7 +69,9 @@
     close_when_written();
   }
 
-  void farewell(const char* why) override { reject(crowded() ? "53300" : "57014", why); }
+  void send_closing_error(const char* reason) override {
+    reject(is_over_limit() ? "53300" : "57014", reason);
+  }
 
   // An error in one command: told, and the connection goes on.
   void decline(const Message& m, const char* code, const std::string& text) {
@@ -78,7 +83,7 @@
     if (!started_)
       return start();
     Message m;
-    switch (read_message(stream_->input().view(), front_.limits().message_bytes, m)) {
+    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, m)) {
     case Framing::More:
       return;
     case Framing::Malformed:
@@ -135,7 +140,7 @@
     }
     if (version >> 16 != 3)
       return reject("0A000", "only version 3 of the protocol is served");
-    if (crowded())
+    if (is_over_limit())
       return reject("53300", "too many connections");
     user_ = startup_parameter(body, "user").value_or("");
     if (user_.empty())
@@ -183,7 +188,7 @@
       return decline(m, "42601", "the statement's comment holds no time to wait");
     if (!group)
       return decline(m, "42601", "the statement's comment names no cluster");
-    const RequestClass& c = front_.core().settings().classes[found->second];
+    const RequestClass& c = frontend_.broker().settings().classes[found->second];
     // Guards the rules on repeats: a write under a reading class would be repeated as if it changed
     // nothing.
     sql_classifier::Verdict verdict_of_text{
@@ -217,7 +222,7 @@
     query_size_ = text.size();
     deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
     deadline_size_ = s.deadline.size();
-    if (!begin(std::move(request), m.whole.size()))
+    if (!begin_request(std::move(request), m.whole.size()))
       decline(m, "42710", "a request with this id is open, or it is no fit id");
   }
 
@@ -234,8 +239,8 @@
 frontend::Frontend::ConnectionFactory
 make_connection(proxy::ContractEnforcer& terms,
                 const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes) {
-  return [&terms, &shapes](frontend::Frontend& front, net::SocketHandle socket) {
-    return std::make_unique<PgConnection>(front, std::move(socket), terms, shapes);
+  return [&terms, &shapes](frontend::Frontend& frontend, net::SocketHandle socket) {
+    return std::make_unique<PgConnection>(frontend, std::move(socket), terms, shapes);
   };
 }
 
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -182,8 +182,7 @@
 
 Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
   self_->to = to;
-  std::string why;
-  CHECK(self_->listener.listen("127.0.0.1:0", why));
+  CHECK(!self_->listener.listen("127.0.0.1:0"));
 }
 
 Cable::~Cable() = default;
@@ -234,8 +233,7 @@
 
 Script::Script(std::string bytes) : self_(std::make_unique<Self>()) {
   self_->bytes = std::move(bytes);
-  std::string why;
-  CHECK(self_->listener.listen("127.0.0.1:0", why));
+  CHECK(!self_->listener.listen("127.0.0.1:0"));
 }
 
 Script::~Script() = default;
--- a/tests/integration/race_conditions_test.cpp
+++ b/tests/integration/race_conditions_test.cpp
@@ -562,8 +562,7 @@
   reads_served(*client, "c", 10);
   stage.members[1]->state = "draining", stage.members[2]->state = "gone";
   const int calls = agent.calls;
-  std::string why;
-  CHECK(agent.listener.listen(address, why));
+  CHECK(!agent.listener.listen(address));
   until(
       [&] {
         return agent.calls > calls;
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -132,8 +132,7 @@
       listener_([this](SocketHandle socket) {
         accept(std::move(socket));
       }) {
-  std::string why;
-  CHECK(listener_.listen("127.0.0.1:0", why));
+  CHECK(!listener_.listen("127.0.0.1:0"));
   address = listener_.address();
 }
 
@@ -217,8 +216,7 @@
         fd_ = g_socket_get_fd(socket.get());
         stream = Stream::adopt(std::move(socket), *this);
       }) {
-  std::string why;
-  CHECK(listener.listen("127.0.0.1:0", why));
+  CHECK(!listener.listen("127.0.0.1:0"));
 }
 
 void Agent::received() {
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -134,9 +134,9 @@
   bool flushed() const { return stream_->all_written(); }
 
   // Deaf, it reads nothing, not even the end.
-  void deaf(bool deaf) { stream_->pause_reading(deaf); }
+  void deaf(bool deaf) { deaf ? stream_->pause_reading() : stream_->resume_reading(); }
 
-  void half_close() { stream_->shut(); }  // its sending side ends; it goes on reading
+  void half_close() { stream_->shut_down_sending(); }  // its sending side ends; it goes on reading
 
   std::string value;  // the last one served
   std::string input;  // bytes not taken for an answer
--- a/tests/soak/virtual_time.cpp
+++ b/tests/soak/virtual_time.cpp
@@ -48,16 +48,16 @@
 
 void Timer::at(std::int64_t when) {
   stop();
-  place_ = {when, ++asked};
-  steps[place_] = [this] {
+  queue_key_ = {when, ++asked};
+  steps[queue_key_] = [this] {
     fire();
   };
-  set_ = true;
+  is_set_ = true;
 }
 
 void Timer::stop() {
-  if (std::exchange(set_, false))
-    steps.erase(place_);
+  if (std::exchange(is_set_, false))
+    steps.erase(queue_key_);
 }
 
 void Timer::fire() {
