--- a/src/mongo/bson.cpp
+++ b/src/mongo/bson.cpp
@@ -1,38 +1,26 @@
 #include "bson.h"
 
-#include <glib.h>
-
-#include <algorithm>
 #include <cmath>
 #include <cstring>
 
 namespace gorsebeam::mongo {
+namespace {
 
-std::uint32_t read_u32(const char* at) {
-  std::uint32_t value;
-  std::memcpy(&value, at, 4);
-  return GUINT32_FROM_LE(value);
-}
+constexpr std::size_t kLengthSize = 4;
+constexpr std::size_t kObjectIdSize = 12;
+constexpr std::size_t kDecimal128Size = 16;
+constexpr double kMaxExactDouble = 9e15;  // integers up to about here are exact in a double
 
-std::uint64_t read_u64(const char* at) {
-  std::uint64_t value;
-  std::memcpy(&value, at, 8);
-  return GUINT64_FROM_LE(value);
-}
-
-std::string u32(std::uint32_t value) {
-  value = GUINT32_TO_LE(value);
-  return {reinterpret_cast<const char*>(&value), 4};
-}
+}  // namespace
 
 Reader::Reader(std::string_view document) {
-  malformed_ = document.size() < 5 || read_u32(document.data()) != document.size() ||
+  malformed_ = document.size() < kMinDocumentSize || read_u32(document.data()) != document.size() ||
                document.back() != '\0';
   if (!malformed_)
-    rest_ = document.substr(4, document.size() - 5);
+    rest_ = document.substr(kLengthSize, document.size() - kMinDocumentSize);
 }
 
-bool Reader::take(std::size_t size, std::string_view& out) {
+bool Reader::read_bytes(std::size_t size, std::string_view& out) {
   if (size > rest_.size())
     return false;
   out = rest_.substr(0, size);
@@ -40,7 +28,7 @@
   return true;
 }
 
-bool Reader::text(std::string_view& out) {
+bool Reader::read_text(std::string_view& out) {
   const std::size_t end = rest_.find('\0');
   if (end == std::string_view::npos)
     return false;
@@ -49,85 +37,91 @@
   return true;
 }
 
+bool Reader::read_sized(LengthCounts counts, std::size_t extra, std::string_view& out) {
+  if (rest_.size() < kLengthSize)
+    return false;
+  const std::size_t length = read_u32(rest_.data());
+  if (length > rest_.size())
+    return false;
+  if (counts == LengthCounts::ContentOnly)
+    return read_bytes(kLengthSize + length + extra, out);
+  return length >= kMinDocumentSize && read_bytes(length, out);
+}
+
+// The length of a string counts the zero byte at its end.
+bool Reader::read_string(std::string_view& out) {
+  if (!read_sized(LengthCounts::ContentOnly, 0, out))
+    return false;
+  if (out.size() < kLengthSize + 1 || out.back() != '\0')
+    return false;
+  out = out.substr(kLengthSize, out.size() - kLengthSize - 1);
+  return true;
+}
+
+bool Reader::read_regex(std::string_view& out) {
+  std::string_view options;
+  return read_text(out) && read_text(options);
+}
+
 bool Reader::next(Element& element) {
   if (malformed_ || rest_.empty())
     return false;
-  const std::string_view all = rest_;
+  const std::string_view begin = rest_;
   element = Element{};
   element.type = rest_.front();
   rest_.remove_prefix(1);
-  bool good = text(element.name);
-  const auto sized = [&](std::size_t beyond,
-                         bool counts_itself) {  // a length, then so many bytes and `beyond`
-    if (rest_.size() < 4)
-      return false;
-    const std::size_t length = read_u32(rest_.data());
-    if (length > rest_.size() || (counts_itself && length < 5))
-      return false;
-    return take(counts_itself ? length : 4 + length + beyond, element.value);
-  };
-  std::string_view skipped;
-  if (good)
-    switch (static_cast<unsigned char>(element.type)) {
-    case 0x01:
-    case 0x09:
-    case 0x11:
-    case 0x12:
-      good = take(8, element.value);
-      break;
-    case 0x02:
-    case 0x0D:
-    case 0x0E:  // a string: its length counts the zero byte
-      good = sized(0, false) && element.value.size() >= 5 && element.value.back() == '\0';
-      if (good)
-        element.value = element.value.substr(4, element.value.size() - 5);
-      break;
-    case 0x03:
-    case 0x04:
-    case 0x0F:
-      good = sized(0, true);
-      break;
-    case 0x05:
-      good = sized(1, false);
-      break;
-    case 0x06:
-    case 0x0A:
-    case 0x7F:
-    case 0xFF:
-      break;
-    case 0x07:
-      good = take(12, element.value);
-      break;
-    case 0x08:
-      good = take(1, element.value);
-      break;
-    case 0x0B:
-      good = text(element.value) && text(skipped);
-      break;
-    case 0x0C:
-      good = sized(12, false);
-      break;
-    case 0x10:
-      good = take(4, element.value);
-      break;
-    case 0x13:
-      good = take(16, element.value);
-      break;
-    default:
-      good = false;
-    }
-  malformed_ = !good;
-  element.whole = all.substr(0, all.size() - rest_.size());
-  return good;
+  malformed_ = !read_text(element.name) || !read_value(element);
+  element.complete = begin.substr(0, begin.size() - rest_.size());
+  return !malformed_;
+}
+
+bool Reader::read_value(Element& element) {
+  switch (element.type) {
+  case kTypeDouble:
+  case kTypeDate:
+  case kTypeTimestamp:
+  case kTypeInt64:
+    return read_bytes(8, element.value);
+  case kTypeInt32:
+    return read_bytes(4, element.value);
+  case kTypeBoolean:
+    return read_bytes(1, element.value);
+  case kTypeObjectId:
+    return read_bytes(kObjectIdSize, element.value);
+  case kTypeDecimal128:
+    return read_bytes(kDecimal128Size, element.value);
+  case kTypeString:
+  case kTypeJavaScript:
+  case kTypeSymbol:
+    return read_string(element.value);
+  case kTypeDocument:
+  case kTypeArray:
+  case kTypeJavaScriptWithScope:
+    return read_sized(LengthCounts::ItselfToo, 0, element.value);
+  case kTypeBinary:  // a subtype stands behind the length
+    return read_sized(LengthCounts::ContentOnly, 1, element.value);
+  case kTypeDbPointer:
+    return read_sized(LengthCounts::ContentOnly, kObjectIdSize, element.value);
+  case kTypeRegex:
+    return read_regex(element.value);
+  case kTypeUndefined:
+  case kTypeNull:
+  case kTypeMaxKey:
+  case kTypeMinKey:
+    return true;
+  default:
+    return false;
+  }
 }
 
 bool well_formed(std::string_view document, int depth) {
   Reader reader(document);
   Element element;
-  while (reader.next(element))
-    if ((element.type == '\x03' || element.type == '\x04') &&
-        (depth == 0 || !well_formed(element.value, depth - 1)))
+  while (reader.next(element)) {
+    const bool is_nested = element.type == kTypeDocument || element.type == kTypeArray;
+    if (is_nested && (depth == 0 || !well_formed(element.value, depth - 1)))
       return false;
+  }
   return !reader.malformed();
 }
 
@@ -141,38 +135,69 @@
 }
 
 std::optional<std::int64_t> integer(const Element& element) {
-  if (element.type == '\x10')
+  if (element.type == kTypeInt32)
     return static_cast<std::int32_t>(read_u32(element.value.data()));
-  if (element.type == '\x12')
+  if (element.type == kTypeInt64)
     return static_cast<std::int64_t>(read_u64(element.value.data()));
-  if (element.type != '\x01')
+  if (element.type != kTypeDouble)
     return std::nullopt;
   const std::uint64_t bits = read_u64(element.value.data());
-  double value;
-  std::memcpy(&value, &bits, 8);
-  if (!std::isfinite(value) || std::fabs(value) > 9e15 || std::floor(value) != value)
+  double value = 0;
+  std::memcpy(&value, &bits, sizeof value);
+  if (!std::isfinite(value) || std::fabs(value) > kMaxExactDouble || std::floor(value) != value)
     return std::nullopt;
   return static_cast<std::int64_t>(value);
 }
 
 std::optional<bool> truth(const Element& element) {
-  if (element.type == '\x08')
+  if (element.type == kTypeBoolean)
     return element.value[0] != '\0';
   if (const auto number = integer(element))
     return *number != 0;
   return std::nullopt;
 }
 
+std::string& Writer::begin_element(char type, std::string_view name) {
+  elements_.push_back(type);
+  elements_.append(name).push_back('\0');
+  return elements_;
+}
+
+Writer& Writer::text(std::string_view name, std::string_view value) {
+  begin_element(kTypeString, name) += u32(static_cast<std::uint32_t>(value.size() + 1));
+  elements_.append(value).push_back('\0');
+  return *this;
+}
+
+Writer& Writer::document(std::string_view name, const std::string& value, char type) {
+  begin_element(type, name) += value;
+  return *this;
+}
+
+Writer& Writer::truth(std::string_view name, bool value) {
+  begin_element(kTypeBoolean, name) += value ? '\1' : '\0';
+  return *this;
+}
+
+Writer& Writer::small(std::string_view name, std::int32_t value) {
+  begin_element(kTypeInt32, name) += u32(static_cast<std::uint32_t>(value));
+  return *this;
+}
+
 Writer& Writer::real(std::string_view name, double value) {
-  std::int64_t bits;
-  std::memcpy(&bits, &value, 8);
-  return large(name, bits, '\x01');
+  std::int64_t bits = 0;
+  std::memcpy(&bits, &value, sizeof bits);
+  return large(name, bits, kTypeDouble);
 }
 
 Writer& Writer::large(std::string_view name, std::int64_t value, char type) {
-  const std::uint64_t little = GUINT64_TO_LE(static_cast<std::uint64_t>(value));
-  begin(type, name).append(reinterpret_cast<const char*>(&little), 8);
+  begin_element(type, name) += wire::encode_u64_little_endian(static_cast<std::uint64_t>(value));
   return *this;
 }
 
+std::string Writer::take() const {
+  const std::size_t size = elements_.size() + kMinDocumentSize;
+  return u32(static_cast<std::uint32_t>(size)) + elements_ + '\0';
+}
+
 }  // namespace gorsebeam::mongo
--- a/src/mongo/codec.cpp
+++ b/src/mongo/codec.cpp
@@ -1,97 +1,135 @@
 #include "codec.h"
 
 namespace gorsebeam::mongo {
+namespace {
 
-Framing read_message(std::string_view in, std::size_t most, Message& message) {
+using wire::Framing;
+
+constexpr std::uint32_t kRequiredFlags = 0xffffU;  // a receiver must know each of them
+constexpr std::uint32_t kAwaitCapable = 8;         // a flag of OP_REPLY
+constexpr std::size_t kFlagsSize = 4;
+constexpr std::size_t kChecksumSize = 4;
+constexpr std::size_t kLengthSize = 4;
+constexpr std::size_t kSkipAndReturnSize = 8;  // numberToSkip and numberToReturn
+constexpr std::size_t kReplyHeadSize = 20;
+constexpr char kBodySection = 0;
+constexpr char kDocumentSequenceSection = 1;
+
+/// Whether the content of a section of kind 1 is a name and complete documents.
+bool is_document_sequence(std::string_view content) {
+  const std::size_t name_end = content.find('\0');
+  if (name_end == std::string_view::npos)
+    return false;
+  content.remove_prefix(name_end + 1);
+  while (!content.empty()) {
+    const std::size_t size = content.size() < kMinDocumentSize ? 0 : read_u32(content.data());
+    if (size < kMinDocumentSize || size > content.size() || !well_formed(content.substr(0, size)))
+      return false;
+    content.remove_prefix(size);
+  }
+  return true;
+}
+
+/// Reads the section at `offset` of `message.sections`; returns its size, with its kind, or nothing
+/// where it is malformed.
+std::optional<std::size_t> read_section(std::size_t offset, OpMsg& message) {
+  const char kind = message.sections[offset];
+  const std::string_view rest = message.sections.substr(offset + 1);
+  if (rest.size() < kMinDocumentSize)
+    return std::nullopt;
+  const std::size_t size = read_u32(rest.data());
+  if (size < kMinDocumentSize || size > rest.size())
+    return std::nullopt;
+  if (kind == kDocumentSequenceSection) {
+    if (!is_document_sequence(rest.substr(kLengthSize, size - kLengthSize)))
+      return std::nullopt;
+    return 1 + size;
+  }
+  if (kind != kBodySection || message.body.data() != nullptr)
+    return std::nullopt;
+  message.body = rest.substr(0, size);
+  message.before = message.sections.substr(0, offset);
+  message.after = message.sections.substr(offset + 1 + size);
+  return 1 + size;
+}
+
+}  // namespace
+
+Framing read_message(std::string_view in, std::size_t max_size, Message& message) {
   if (in.size() < kHeaderSize)
-    return Framing::More;
+    return Framing::Incomplete;
   message.size = read_u32(in.data());
-  message.id = read_u32(in.data() + 4);
-  message.answers = read_u32(in.data() + 8);
+  message.request_id = read_u32(in.data() + 4);
+  message.response_to = read_u32(in.data() + 8);
   message.operation = read_u32(in.data() + 12);
-  if (message.size < kHeaderSize || message.size > most)
+  if (message.size < kHeaderSize || message.size > max_size)
     return Framing::Malformed;
   if (in.size() < message.size)
-    return Framing::More;
+    return Framing::Incomplete;
   message.payload = in.substr(kHeaderSize, message.size - kHeaderSize);
-  return Framing::Whole;
+  return Framing::Complete;
 }
 
-bool read_op_msg(std::string_view payload, OpMsg& msg) {
-  msg = OpMsg{};
-  if (payload.size() < 4)
-    return false;
-  msg.flags = read_u32(payload.data());
-  if (msg.flags & 0xffffu & ~(kChecksum | kMoreToCome))
-    return false;  // required bits that we do not know
-  payload.remove_prefix(4);
-  if (msg.flags & kChecksum) {
-    if (payload.size() < 4)
-      return false;
-    payload.remove_suffix(4);
+std::optional<OpMsg> read_op_msg(std::string_view payload) {
+  OpMsg message;
+  if (payload.size() < kFlagsSize)
+    return std::nullopt;
+  message.flags = read_u32(payload.data());
+  if ((message.flags & kRequiredFlags & ~(kChecksumPresent | kMoreToCome)) != 0)
+    return std::nullopt;
+  payload.remove_prefix(kFlagsSize);
+  if ((message.flags & kChecksumPresent) != 0) {
+    if (payload.size() < kChecksumSize)
+      return std::nullopt;
+    payload.remove_suffix(kChecksumSize);
   }
-  msg.sections = payload;
-  std::size_t at = 0;
-  while (at < payload.size()) {
-    const char kind = payload[at];
-    const std::string_view rest = payload.substr(at + 1);
-    if (rest.size() < 5)
-      return false;
-    const std::size_t size = read_u32(rest.data());
-    if (size < 5 || size > rest.size() || (kind != 0 && kind != 1))
-      return false;
-    if (kind == 0) {
-      if (msg.body.data() != nullptr)
-        return false;
-      msg.body = rest.substr(0, size);
-      msg.before = payload.substr(0, at);
-      msg.after = payload.substr(at + 1 + size);
-    } else {  // a named run of documents
-      std::string_view run = rest.substr(4, size - 4);
-      const std::size_t name = run.find('\0');
-      if (name == std::string_view::npos)
-        return false;
-      for (run.remove_prefix(name + 1); !run.empty();) {
-        const std::size_t length = run.size() < 5 ? 0 : read_u32(run.data());
-        if (length < 5 || length > run.size() || !well_formed(run.substr(0, length)))
-          return false;
-        run.remove_prefix(length);
-      }
-    }
-    at += 1 + size;
+  message.sections = payload;
+  std::size_t offset = 0;
+  while (offset < payload.size()) {
+    const std::optional<std::size_t> size = read_section(offset, message);
+    if (!size)
+      return std::nullopt;
+    offset += *size;
   }
-  return msg.body.data() != nullptr && well_formed(msg.body);
+  if (message.body.data() == nullptr || !well_formed(message.body))
+    return std::nullopt;
+  return message;
 }
 
-bool read_op_query(std::string_view payload, std::string_view& body) {
-  if (payload.size() < 4)
-    return false;
-  payload.remove_prefix(4);
-  const std::size_t name = payload.find('\0');
-  if (name == std::string_view::npos || payload.size() < name + 1 + 8 + 5)
-    return false;
-  payload.remove_prefix(name + 1 + 8);
+std::optional<std::string_view> read_op_query(std::string_view payload) {
+  if (payload.size() < kFlagsSize)
+    return std::nullopt;
+  payload.remove_prefix(kFlagsSize);
+  const std::size_t name_end = payload.find('\0');
+  if (name_end == std::string_view::npos)
+    return std::nullopt;
+  const std::size_t head_size = name_end + 1 + kSkipAndReturnSize;
+  if (payload.size() < head_size + kMinDocumentSize)
+    return std::nullopt;
+  payload.remove_prefix(head_size);
   const std::size_t size = read_u32(payload.data());
-  if (size < 5 || size > payload.size())
-    return false;
-  body = payload.substr(0, size);
-  return well_formed(body);
+  if (size < kMinDocumentSize || size > payload.size() || !well_formed(payload.substr(0, size)))
+    return std::nullopt;
+  return payload.substr(0, size);
 }
 
-std::string header(std::size_t payload_size, std::uint32_t id, std::uint32_t answers,
-                   std::uint32_t operation) {
-  return u32(static_cast<std::uint32_t>(kHeaderSize + payload_size)) + u32(id) + u32(answers) +
-         u32(operation);
+std::string encode_header(std::size_t payload_size, std::uint32_t request_id,
+                          std::uint32_t response_to, std::uint32_t operation) {
+  return u32(static_cast<std::uint32_t>(kHeaderSize + payload_size)) + u32(request_id) +
+         u32(response_to) + u32(operation);
 }
 
-std::string op_msg(const std::string& document, std::uint32_t id, std::uint32_t answers) {
-  return header(5 + document.size(), id, answers, kOpMsg) + u32(0) + '\0' + document;
+std::string encode_op_msg(const std::string& document, std::uint32_t request_id,
+                          std::uint32_t response_to) {
+  return encode_header(kFlagsSize + 1 + document.size(), request_id, response_to, kOpMsg) + u32(0) +
+         kBodySection + document;
 }
 
-std::string op_reply(const std::string& document, std::uint32_t id, std::uint32_t answers) {
-  // Flags, a cursor (64 bits), where it starts, and how many documents follow.
-  return header(20 + document.size(), id, answers, kOpReply) + u32(8) + u32(0) + u32(0) + u32(0) +
-         u32(1) + document;
+std::string encode_op_reply(const std::string& document, std::uint32_t request_id,
+                            std::uint32_t response_to) {
+  // Flags, a cursor of 64 bits, where it starts, and the number of documents.
+  return encode_header(kReplyHeadSize + document.size(), request_id, response_to, kOpReply) +
+         u32(kAwaitCapable) + u32(0) + u32(0) + u32(0) + u32(1) + document;
 }
 
 }  // namespace gorsebeam::mongo
--- a/src/mongo/frontend.cpp
+++ b/src/mongo/frontend.cpp
@@ -1,124 +1,148 @@
 #include "frontend.h"
 
 #include "codec.h"
+#include "command_comment.h"
 
 #include "frontend/session_hash.h"
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
+#include <optional>
 #include <utility>
 
 namespace gorsebeam::mongo {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
-constexpr std::int64_t kWaitMost = 3'600'000;  // ms
-// What drivers read of a server's age: 4.4 to 6.0, which know retryable writes by the labels on
+using wire::Framing;
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
+constexpr unsigned long long kMaxGroup = 0xffffffffU;
+
+// The wire versions of servers 4.4 to 6.0: drivers then know retryable writes by the labels on
 // errors.
-constexpr std::int32_t kOldestWire = 0, kNewestWire = 17;
+constexpr std::int32_t kMinWireVersion = 0;
+constexpr std::int32_t kMaxWireVersion = 17;
+constexpr std::int32_t kMaxWriteBatchSize = 1000;
+constexpr std::int32_t kLogicalSessionTimeoutMinutes = 30;
+
+constexpr const char* kRateLimitExceededName = "IngressRequestRateLimitExceeded";
 
-constexpr std::array kReads{"find", "count", "distinct"};
-constexpr std::array kWrites{"insert", "update", "delete", "findAndModify", "findandmodify"};
-constexpr std::array kHellos{"hello", "isMaster", "ismaster"};
-constexpr std::array kServedHere{"ping", "endSessions"};
-constexpr std::array kKnownElsewhere{"aggregate", "getMore",           "killCursors",
-                                     "saslStart", "commitTransaction", "abortTransaction"};
+constexpr std::array kReadCommands{"find", "count", "distinct"};
+constexpr std::array kWriteCommands{"insert", "update", "delete", "findAndModify", "findandmodify"};
+constexpr std::array kHelloCommands{"hello", "isMaster", "ismaster"};
+constexpr std::array kBuildInfoCommands{"buildInfo", "buildinfo"};
+constexpr std::array kLocalCommands{"ping", "endSessions"};
+constexpr std::array kUnsupportedCommands{"aggregate", "getMore",           "killCursors",
+                                          "saslStart", "commitTransaction", "abortTransaction"};
 
 template <typename Names>
-bool among(std::string_view name, const Names& names) {
+bool is_one_of(std::string_view name, const Names& names) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// The same names and values that the platform's comments hold: a document, or a text
-// "id=...,c=...,cluster=...".
-struct Terms {
-  std::string id, service_class, idempotency, group;
+std::size_t total_size(const proxy::Parts& parts) {
+  std::size_t size = 0;
+  for (const std::string_view part : parts)
+    size += part.size();
+  return size;
+}
+
+bool is_directly_behind(std::string_view second, std::string_view first) {
+  return first.data() + first.size() == second.data();
+}
+
+/// Why a single command is rejected; the connection continues.
+struct CommandError {
+  std::int32_t code;
+  const char* name;
+  std::string text;
 };
 
-std::string plain(const Element& element) {
-  if (element.type == '\x02')
-    return std::string(element.value);
-  const auto number = integer(element);
-  return number ? std::to_string(*number) : "";
+CommandError parse_error(const char* text) {
+  return {kFailedToParse, "FailedToParse", text};
 }
 
-Terms read_terms(std::string_view command) {
-  Terms terms;
-  const auto comment = find(command, "comment");
-  const auto set = [&terms](std::string_view name, const std::string& value) {
-    if (name == "id")
-      terms.id = value;
-    if (name == "c")
-      terms.service_class = value;
-    if (name == "k")
-      terms.idempotency = value;
-    if (name == "cluster")
-      terms.group = value;
-  };
-  if (comment && comment->type == '\x03') {
-    Reader reader(comment->value);
-    for (Element element; reader.next(element);)
-      set(element.name, plain(element));
-  } else if (comment && comment->type == '\x02') {
-    for (std::string_view text = comment->value; !text.empty();) {
-      const std::string_view pair = text.substr(0, text.find(','));
-      text.remove_prefix(std::min(text.size(), pair.size() + 1));
-      const std::size_t equals = pair.find('=');
-      if (equals != std::string_view::npos)
-        set(pair.substr(0, equals), std::string(pair.substr(equals + 1)));
-    }
-  }
-  return terms;
+Writer error_reply(const CommandError& error) {
+  return Writer()
+      .real("ok", 0)
+      .text("errmsg", error.text)
+      .small("code", error.code)
+      .text("codeName", error.name);
+}
+
+Writer over_limit_reply() {
+  return error_reply({kRateLimitExceeded, kRateLimitExceededName, "too many connections"});
+}
+
+/// The name under which a client introduces itself; nothing where it gives none.
+std::optional<std::string> application_name(std::string_view hello) {
+  const auto client = find(hello, "client");
+  if (!client || client->type != kTypeDocument)
+    return std::nullopt;
+  const auto application = find(client->value, "application");
+  if (!application || application->type != kTypeDocument)
+    return std::nullopt;
+  const auto name = find(application->value, "name");
+  return name ? std::optional(scalar_text(*name)) : std::nullopt;
+}
+
+/// A group's number; nothing where the text is not one.
+std::optional<GroupId> parse_group(const std::string& text) {
+  char* end = nullptr;
+  const unsigned long long group = std::strtoull(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0' || group > kMaxGroup)
+    return std::nullopt;
+  return static_cast<GroupId>(group);
+}
+
+/// The document that names a command's session; nothing where there is none.
+std::optional<Element> find_session(std::string_view command) {
+  auto session = find(command, "lsid");
+  if (session && session->type != kTypeDocument)
+    session.reset();
+  return session;
+}
+
+std::uint64_t session_of(const Element& session) {
+  const auto id = find(session.value, "id");
+  return frontend::hash_session_name(id ? id->value : session.value);
 }
 
 class MongoConnection : public frontend::ClientConnection {
 public:
   MongoConnection(frontend::Frontend& frontend, net::SocketHandle socket,
-                  proxy::ContractEnforcer& terms)
-      : ClientConnection(frontend, std::move(socket)), terms_(terms) {}
+                  proxy::ContractEnforcer& contracts)
+      : ClientConnection(frontend, std::move(socket)), contracts_(contracts) {}
 
-  // The message as the client sent it, but for three fields of its command: the time to wait, which
-  // is written anew; a read's $readPreference, as replicas serve only reads that allow it; and a
-  // checksum, as the head is another.
+  // The message as the client sent it, except for three fields: the deadline, which is replaced; a
+  // read's $readPreference, as replicas serve only reads that allow it; and a checksum, as the
+  // header is another.
   proxy::Parts body(Nanos left) override {
-    Message m;
-    OpMsg msg;
-    read_message(stream_->input().view(), frontend_.limits().message_bytes, m);
-    read_op_msg(m.payload, msg);
-    proxy::Parts parts{rewritten_, msg.before, rewritten_};
-    std::size_t size = 5;
-    Reader reader(msg.body);
-    for (Element element; reader.next(element);) {
-      if (element.name == "maxTimeMS" || (read_ && element.name == "$readPreference"))
-        continue;
-      size += element.whole.size();
-      // Neighbours go out as one piece.
-      if (parts.size() > 3 && parts.back().data() + parts.back().size() == element.whole.data())
-        parts.back() = {parts.back().data(), parts.back().size() + element.whole.size()};
-      else
-        parts.push_back(element.whole);
-    }
+    Message message;
+    read_message(stream_->input().view(), frontend_.limits().message_bytes, message);
+    const OpMsg op_msg = read_op_msg(message.payload).value_or(OpMsg{});
+    const proxy::Parts kept = kept_elements(op_msg.body);
     Writer added;
-    added.large("maxTimeMS", std::max<Nanos>(left / kMs, 1));
-    if (read_)
+    added.large("maxTimeMS", std::max<Nanos>(left / kMillisecond, 1));
+    if (is_read_)
       added.document("$readPreference", Writer().text("mode", "primaryPreferred").take());
-    const std::string& extra = added.elements();
-    // Flags; then the kind and the length of the command; then what was added, and the end.
-    rewritten_ =
-        u32(0) + '\0' + u32(static_cast<std::uint32_t>(size + extra.size())) + extra + '\0';
-    const std::string_view all = rewritten_;
-    parts[0] = all.substr(0, 4);
-    parts[2] = all.substr(4, 5);
-    parts.push_back(all.substr(9));
-    parts.push_back(msg.after);
+    const std::string& added_elements = added.elements();
+    const std::size_t size = kMinDocumentSize + total_size(kept) + added_elements.size();
+    // Flags; then the kind and the length of the command; then the added elements and the end.
+    rewritten_ = u32(0) + '\0' + u32(static_cast<std::uint32_t>(size)) + added_elements + '\0';
+    const std::string_view rewritten = rewritten_;
+    proxy::Parts parts{rewritten.substr(0, 4), op_msg.before, rewritten.substr(4, 5)};
+    parts.insert(parts.end(), kept.begin(), kept.end());
+    parts.push_back(rewritten.substr(9));
+    parts.push_back(op_msg.after);
     return parts;
   }
 
   void respond(const proxy::Parts& value) override {
-    std::size_t size = 4;
-    for (const std::string_view part : value)
-      size += part.size();
-    const std::string head = header(size, ++sent_, request_id_, kOpMsg) + u32(0);
+    const std::size_t size = 4 + total_size(value);
+    const std::string head = encode_header(size, ++last_sent_id_, request_id_, kOpMsg) + u32(0);
     proxy::Parts parts{head};
     parts.insert(parts.end(), value.begin(), value.end());
     stream_->write(parts);
@@ -126,213 +150,246 @@
   }
 
   void reject(Nanos retry_after) override {
-    // Drivers send a write again on the first label, and it is harmless; newer ones wait on the
+    // Drivers send a write again on the first label, which is harmless; newer ones wait on the
     // second.
     const std::string labels =
         Writer().text("0", "RetryableWriteError").text("1", "SystemOverloadedError").take();
-    Writer reply =
-        fault(kRateLimitExceeded, "IngressRequestRateLimitExceeded", "refused: try again");
-    reply.document("errorLabels", labels, '\x04');
+    Writer reply = error_reply({kRateLimitExceeded, kRateLimitExceededName, "refused: try again"});
+    reply.document("errorLabels", labels, kTypeArray);
     if (retry_after > 0)
-      reply.large("retryAfterMS", retry_after / kMs);
-    answer(reply);
+      reply.large("retryAfterMS", retry_after / kMillisecond);
+    send_reply(reply);
     finish();
   }
 
   void fail() override {
-    answer(fault(kNetworkTimeout, "NetworkTimeout", "failed: the effect is not known"));
+    send_reply(error_reply({kNetworkTimeout, "NetworkTimeout", "failed: the effect is not known"}));
     finish();
   }
 
 private:
-  static Writer fault(std::int32_t code, const char* name, const std::string& text) {
-    return Writer().real("ok", 0).text("errmsg", text).small("code", code).text("codeName", name);
+  void send_reply(const Writer& reply) {
+    stream_->write({encode_op_msg(reply.take(), ++last_sent_id_, request_id_)});
   }
 
-  void answer(const Writer& reply) { stream_->write({op_msg(reply.take(), ++sent_, request_id_)}); }
-
   void finish() {
     stream_->input().consume(message_size_);
     finish_request();
   }
 
-  void decline(std::int32_t code, const char* name, const std::string& text) {
-    answer(fault(code, name, text));
+  void reject_command(const CommandError& error) {
+    send_reply(error_reply(error));
     stream_->input().consume(message_size_);
   }
 
-  void send_closing_error(const char* reason) override { reject(reason); }
+  void send_closing_error(const char* reason) override { send_malformed_error(reason); }
 
-  // What cannot be read, or not be answered in the protocol: told where it can be, and the
-  // connection closed.
-  void reject(const std::string& text) {
-    answer(fault(kInvalidBson, "InvalidBSON", text));
+  void send_malformed_error(const std::string& text) {
+    send_reply(error_reply({kInvalidBson, "InvalidBSON", text}));
     close_when_written();
   }
 
+  /// The command's elements that are forwarded as they are; neighbours are joined to one part.
+  [[nodiscard]] proxy::Parts kept_elements(std::string_view command) const {
+    proxy::Parts kept;
+    Reader reader(command);
+    Element element;
+    while (reader.next(element)) {
+      if (element.name == "maxTimeMS" || (is_read_ && element.name == "$readPreference"))
+        continue;
+      if (!kept.empty() && is_directly_behind(element.complete, kept.back()))
+        kept.back() = {kept.back().data(), kept.back().size() + element.complete.size()};
+      else
+        kept.push_back(element.complete);
+    }
+    return kept;
+  }
+
   void parse() override {
-    Message m;
-    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, m)) {
-    case Framing::More:
+    Message message;
+    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, message)) {
+    case Framing::Incomplete:
       return;
     case Framing::Malformed:
-      return reject("a message is malformed or too long");
-    case Framing::Whole:
-      break;
+      return send_malformed_error("a message is malformed or too long");
+    case Framing::Complete:
+      return handle_message(message);
     }
-    request_id_ = m.id;
-    message_size_ = m.size;
-    if (m.operation == kOpQuery)
-      return query(m);
-    OpMsg msg;
-    if (m.operation != kOpMsg)
-      return reject("only OP_MSG is served");
-    if (!read_op_msg(m.payload, msg))
-      return reject("a message is malformed");
-    // Nothing may be said to one that wants no answer, not even that it failed: every request has a
-    // final answer.
-    if (msg.flags & kMoreToCome)
+  }
+
+  void handle_message(const Message& message) {
+    request_id_ = message.request_id;
+    message_size_ = message.size;
+    if (message.operation == kOpQuery)
+      return handle_query(message);
+    if (message.operation != kOpMsg)
+      return send_malformed_error("only OP_MSG is served");
+    const std::optional<OpMsg> op_msg = read_op_msg(message.payload);
+    if (!op_msg)
+      return send_malformed_error("a message is malformed");
+    // A message that forbids an answer could not even be told that it failed, while each request
+    // has a final answer.
+    if ((op_msg->flags & kMoreToCome) != 0)
       return close_when_written();
-    command(msg.body);
+    handle_command(op_msg->body);
   }
 
-  // Drivers open with the old form and go over to OP_MSG once they are told that it is served.
-  void query(const Message& m) {
-    std::string_view body;
-    if (!read_op_query(m.payload, body))
-      return reject("a query is malformed");
+  // Drivers greet with the old message and change to OP_MSG when the reply says that it is served.
+  void handle_query(const Message& message) {
+    const std::optional<std::string_view> body = read_op_query(message.payload);
+    if (!body)
+      return send_malformed_error("a query is malformed");
     Element first;
-    Reader(body).next(first);
-    const bool hello = among(first.name, kHellos);
-    const Writer reply = hello ? greet(body)
-                               : fault(kUnsupportedOpQuery, "UnsupportedOpQueryCommand",
-                                       "only a greeting may be an OP_QUERY");
-    stream_->write({op_reply(reply.take(), ++sent_, request_id_)});
+    Reader(*body).next(first);
+    const Writer reply = is_one_of(first.name, kHelloCommands)
+                             ? greet(*body)
+                             : error_reply({kUnsupportedOpQuery, "UnsupportedOpQueryCommand",
+                                            "only a greeting may be an OP_QUERY"});
+    stream_->write({encode_op_reply(reply.take(), ++last_sent_id_, request_id_)});
     stream_->input().consume(message_size_);
     if (is_over_limit())
       close_when_written();
   }
 
-  Writer greet(std::string_view body) {
+  Writer greet(std::string_view hello) {
     if (is_over_limit())
-      return fault(kRateLimitExceeded, "IngressRequestRateLimitExceeded", "too many connections");
-    if (const auto client = find(body, "client"); client && client->type == '\x03')
-      if (const auto application = find(client->value, "application");
-          application && application->type == '\x03')
-        if (const auto name = find(application->value, "name"))
-          team_ = plain(*name);
+      return over_limit_reply();
+    if (auto name = application_name(hello))
+      team_ = std::move(*name);
+    const auto max_size = static_cast<std::int32_t>(frontend_.limits().message_bytes);
     Writer reply;
     reply.truth("helloOk", true).truth("ismaster", true).truth("isWritablePrimary", true);
-    reply.text("msg",
-               "isdbgrid");  // a router before groups: drivers leave the choice of member to us
-    reply.small("maxBsonObjectSize", static_cast<std::int32_t>(frontend_.limits().message_bytes));
-    reply.small("maxMessageSizeBytes", static_cast<std::int32_t>(frontend_.limits().message_bytes));
-    reply.small("maxWriteBatchSize", 1000).large("localTime", net::now() / kMs, '\x09');
-    reply.small("logicalSessionTimeoutMinutes", 30).small("connectionId", 1);
-    reply.small("minWireVersion", kOldestWire)
-        .small("maxWireVersion", kNewestWire)
-        .truth("readOnly", false);
-    return reply.real("ok", 1);
+    reply.text("msg", "isdbgrid");  // a router: drivers leave the choice of the server to it
+    reply.small("maxBsonObjectSize", max_size);
+    reply.small("maxMessageSizeBytes", max_size);
+    reply.small("maxWriteBatchSize", kMaxWriteBatchSize);
+    reply.large("localTime", net::now() / kMillisecond, kTypeDate);
+    reply.small("logicalSessionTimeoutMinutes", kLogicalSessionTimeoutMinutes);
+    reply.small("connectionId", 1);
+    reply.small("minWireVersion", kMinWireVersion);
+    reply.small("maxWireVersion", kMaxWireVersion);
+    reply.truth("readOnly", false);
+    reply.real("ok", 1);
+    return reply;
   }
 
-  void command(std::string_view body) {
+  void handle_command(std::string_view command) {
     Element first;
-    if (!Reader(body).next(first))
-      return decline(kFailedToParse, "FailedToParse", "the command is empty");
-    if (among(first.name, kHellos)) {
-      answer(greet(body));
+    if (!Reader(command).next(first))
+      return reject_command(parse_error("the command is empty"));
+    if (is_one_of(first.name, kHelloCommands)) {
+      send_reply(greet(command));
       stream_->input().consume(message_size_);
-      return is_over_limit() ? close_when_written() : void();
+      if (is_over_limit())
+        close_when_written();
+      return;
     }
     if (is_over_limit()) {
-      answer(fault(kRateLimitExceeded, "IngressRequestRateLimitExceeded", "too many connections"));
+      send_reply(over_limit_reply());
       return close_when_written();
     }
-    if (among(first.name, kServedHere) || first.name == "buildInfo" || first.name == "buildinfo") {
-      Writer reply;
-      if (first.name.substr(0, 5) == "build")
-        reply.text("version", "6.0.0");
-      answer(reply.real("ok", 1));
-      return stream_->input().consume(message_size_);
-    }
-    read_ = among(first.name, kReads);
-    if (!read_ && !among(first.name, kWrites)) {
-      if (among(first.name, kKnownElsewhere))
-        return decline(kNotSupported, "CommandNotSupported",
-                       std::string(first.name) + " is not served");
-      return decline(kCommandNotFound, "CommandNotFound",
-                     "no such command: '" + std::string(first.name) + "'");
-    }
-    request(body);
+    if (is_one_of(first.name, kLocalCommands) || is_one_of(first.name, kBuildInfoCommands))
+      return answer_locally(first.name);
+    is_read_ = is_one_of(first.name, kReadCommands);
+    if (!is_read_ && !is_one_of(first.name, kWriteCommands))
+      return reject_command(unknown_command_error(std::string(first.name)));
+    if (const std::optional<CommandError> error = begin_command(command))
+      reject_command(*error);
   }
 
-  void request(std::string_view body) {
-    const Terms terms = read_terms(body);
-    const auto parse_error = [this](const char* text) {
-      decline(kFailedToParse, "FailedToParse", text);
-    };
-    const auto found = terms_.classes().find(terms.service_class);
-    char* end = nullptr;
-    const unsigned long long group = std::strtoull(terms.group.c_str(), &end, 10);
-    if (find(body, "startTransaction") || find(body, "autocommit"))
-      return decline(kNotSupported, "CommandNotSupported", "transactions are not served");
-    if (terms.id.empty())
+  void answer_locally(std::string_view command_name) {
+    Writer reply;
+    if (is_one_of(command_name, kBuildInfoCommands))
+      reply.text("version", "6.0.0");
+    send_reply(reply.real("ok", 1));
+    stream_->input().consume(message_size_);
+  }
+
+  static CommandError unknown_command_error(const std::string& name) {
+    if (is_one_of(name, kUnsupportedCommands))
+      return {kNotSupported, "CommandNotSupported", name + " is not served"};
+    return {kCommandNotFound, "CommandNotFound", "no such command: '" + name + "'"};
+  }
+
+  std::optional<CommandError> begin_command(std::string_view command) {
+    const CommandComment comment = read_comment(command);
+    const auto request_class = contracts_.classes().find(comment.service_class);
+    const std::optional<GroupId> group = parse_group(comment.group);
+    if (find(command, "startTransaction") || find(command, "autocommit"))
+      return CommandError{kNotSupported, "CommandNotSupported", "transactions are not served"};
+    if (comment.id.empty())
       return parse_error("the command's comment holds no id");
-    if (found == terms_.classes().end())
+    if (request_class == contracts_.classes().end())
       return parse_error("the command's comment names no known class");
-    if (terms.group.empty() || *end != '\0' || group > 0xffffffffu)
+    if (!group)
       return parse_error("the command's comment names no cluster");
-    const RequestClass& c = frontend_.broker().settings().classes[found->second];
-    if (read_ != (c.consistency != ConsistencyLevel::Write))
+    const RequestClass& settings = frontend_.broker().settings().classes[request_class->second];
+    if (auto error = check_class(command, comment, settings))
+      return error;
+    Request request;
+    request.id = comment.id;
+    request.class_index = request_class->second;
+    request.group = *group;
+    const bool is_write = settings.consistency == ConsistencyLevel::Write;
+    const auto session = find_session(command);
+    if (session && (is_write || settings.consistency == ConsistencyLevel::Session))
+      request.session = session_of(*session);
+    return admit_and_begin(command, settings, std::move(request));
+  }
+
+  [[nodiscard]] std::optional<CommandError> check_class(std::string_view command,
+                                                        const CommandComment& comment,
+                                                        const RequestClass& settings) const {
+    if (is_read_ == (settings.consistency == ConsistencyLevel::Write))
       return parse_error("the command does not fit its class");
-    const auto session = find(body, "lsid");
-    const bool named = session && session->type == '\x03';
-    // The protocol's own key for a write that may be repeated: its session and its number in it.
-    if (c.idempotency == Idempotency::IdempotencyKey && terms.idempotency.empty() &&
-        !(named && find(body, "txnNumber")))
+    const auto session = find_session(command);
+    // The protocol's own key of a retryable write is its session and its number in that session.
+    const bool has_protocol_key = session && find(command, "txnNumber");
+    if (settings.idempotency == Idempotency::IdempotencyKey && comment.idempotency.empty() &&
+        !has_protocol_key)
       return parse_error("the class needs a key: k in the comment, or lsid and txnNumber");
-    if (c.consistency == ConsistencyLevel::Session && !named)
+    if (settings.consistency == ConsistencyLevel::Session && !session)
       return parse_error("the class needs a session: lsid");
-    Request request;
-    request.id = terms.id;
-    request.class_index = found->second;
-    request.group = static_cast<GroupId>(group);
-    if (named &&
-        (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Session)) {
-      const auto id = find(session->value, "id");
-      request.session = frontend::hash_session_name(id ? id->value : session->value);
-    }
+    return std::nullopt;
+  }
+
+  std::optional<CommandError> admit_and_begin(std::string_view command,
+                                              const RequestClass& settings, Request request) {
     const Nanos now = net::now();
-    Nanos wait = c.deadline;
-    if (const auto limit = find(body, "maxTimeMS")) {
-      const auto ms = integer(*limit);
-      if (!ms || *ms < 0 || *ms > kWaitMost)
+    Nanos allowed = settings.deadline;
+    if (const auto limit = find(command, "maxTimeMS")) {
+      const auto limit_ms = integer(*limit);
+      if (!limit_ms || *limit_ms < 0 || *limit_ms > kMaxDeadlineMs)
         return parse_error("maxTimeMS is out of range");
-      if (*ms > 0)
-        wait = *ms * kMs;  // 0: no limit, as the protocol has it
+      if (*limit_ms > 0)  // 0 means no limit in the protocol
+        allowed = *limit_ms * kMillisecond;
     }
-    request.deadline = now + wait;
-    if (!terms_.has_team(team_))
-      return decline(kUnauthorized, "Unauthorized", "no contract with the team '" + team_ + "'");
-    const auto verdict = terms_.admit(team_, now, request);
-    if (verdict != proxy::ContractEnforcer::Decision::Admitted)
-      return decline(kUnauthorized, "Unauthorized", proxy::describe(verdict));
+    request.deadline = now + allowed;
+    if (!contracts_.has_team(team_))
+      return CommandError{kUnauthorized, "Unauthorized",
+                          "no contract with the team '" + team_ + "'"};
+    const auto decision = contracts_.admit(team_, now, request);
+    if (decision != proxy::ContractEnforcer::Decision::Admitted)
+      return CommandError{kUnauthorized, "Unauthorized", proxy::describe(decision)};
     if (!begin_request(std::move(request), message_size_))
-      parse_error("a request with this id is open, or it is no fit id");
+      return parse_error("a request with this id is open, or it is no fit id");
+    return std::nullopt;
   }
 
-  proxy::ContractEnforcer& terms_;
-  std::string team_, rewritten_;
-  std::uint32_t sent_ = 0, request_id_ = 0;
+  proxy::ContractEnforcer& contracts_;
+  std::string team_;       ///< The application's name in the client's greeting.
+  std::string rewritten_;  ///< The parts that `body` returns lead into it.
+  std::uint32_t last_sent_id_ = 0;
+  std::uint32_t request_id_ = 0;  ///< Of the message that is being handled.
   std::size_t message_size_ = 0;
-  bool read_ = false;
+  bool is_read_ = false;
 };
 
 }  // namespace
 
-frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& terms) {
-  return [&terms](frontend::Frontend& frontend, net::SocketHandle socket) {
-    return std::make_unique<MongoConnection>(frontend, std::move(socket), terms);
+frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& contracts) {
+  return [&contracts](frontend::Frontend& frontend, net::SocketHandle socket) {
+    return std::make_unique<MongoConnection>(frontend, std::move(socket), contracts);
   };
 }
 
--- a/src/mongo/frontend.h
+++ b/src/mongo/frontend.h
@@ -1,4 +1,5 @@
-// The client side of the MongoDB wire protocol.
+/// Serves MongoDB clients: the server's side of the wire protocol, as a router would.
+/// Source: MongoDB wire protocol specification.
 #pragma once
 
 #include "frontend/frontend.h"
@@ -7,7 +8,7 @@
 
 namespace gorsebeam::mongo {
 
-// `terms` outlives the front.
-frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& terms);
+/// `contracts` outlives the frontend.
+frontend::Frontend::ConnectionFactory make_connection(proxy::ContractEnforcer& contracts);
 
 }  // namespace gorsebeam::mongo
--- a/src/mongo/upstream_protocol.cpp
+++ b/src/mongo/upstream_protocol.cpp
@@ -8,10 +8,12 @@
 using connection_pool::ParseStep;
 using proxy::UpstreamResponse;
 
-constexpr std::size_t kMessageMost = 1 << 20;
+using wire::Framing;
+
+constexpr std::size_t kMaxMessageSize = 1 << 20;
 constexpr Nanos kSecond = 1'000'000'000;
-constexpr Nanos kMs = 1'000'000;
-constexpr std::int64_t kSecondsMost = 9'000'000'000;
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr std::int64_t kMaxUnixSeconds = 9'000'000'000;
 
 bool is_ok(std::string_view document) {
   const auto ok = find(document, "ok");
@@ -23,7 +25,71 @@
   return code ? static_cast<std::int32_t>(integer(*code).value_or(0)) : 0;
 }
 
-class MongoWire : public connection_pool::UpstreamProtocol {
+/// The endpoint did not apply the command where the status is `Misdirected` (no primary, or too far
+/// behind) or `Rejected`.
+AttemptStatus status_of(std::int32_t code) {
+  switch (code) {
+  case kNotWritablePrimary:
+  case kNotPrimaryNoSecondaryOk:
+  case kNotPrimaryOrSecondary:
+  case kSnapshotUnavailable:
+    return AttemptStatus::Misdirected;
+  case kRateLimitExceeded:
+    return AttemptStatus::Rejected;
+  default:
+    return AttemptStatus::Error;
+  }
+}
+
+bool is_set(std::string_view document, const char* name) {
+  const auto element = find(document, name);
+  return element && truth(*element).value_or(false);
+}
+
+/// The time of the last write that a hello reply reports; nothing where it reports none.
+std::optional<Nanos> last_write_date(std::string_view hello) {
+  const auto last_write = find(hello, "lastWrite");
+  if (!last_write || last_write->type != kTypeDocument)
+    return std::nullopt;
+  const auto date = find(last_write->value, "lastWriteDate");
+  if (!date || date->type != kTypeDate)
+    return std::nullopt;
+  const auto unix_ms = static_cast<std::int64_t>(read_u64(date->value.data()));
+  if (unix_ms <= 0 || unix_ms >= kMaxUnixSeconds * 1000)
+    return std::nullopt;
+  return unix_ms * kMillisecond;
+}
+
+/// Reads the reply to a health check.
+void read_hello(std::string_view document, UpstreamResponse& answer) {
+  const bool is_primary = is_set(document, "isWritablePrimary") || is_set(document, "ismaster");
+  const bool is_replica = is_set(document, "secondary");
+  if (!is_ok(document) || (!is_primary && !is_replica)) {
+    answer.status = AttemptStatus::Error;
+    return;
+  }
+  answer.status = AttemptStatus::Ok;
+  answer.load_report.is_primary = is_primary;
+  if (const auto position = last_write_date(document))
+    answer.load_report.replication_position = position;
+}
+
+// The seconds of operationTime are Unix time. The endpoint has applied all writes up to them; a
+// write's commit lies somewhere within that second, so a read that must see it needs the next one.
+// Otherwise a demoted primary could pass as more current than it is, and a session could read from
+// before its own write.
+void read_position(std::string_view document, UpstreamResponse& answer) {
+  const auto time = find(document, "operationTime");
+  if (!time || time->type != kTypeTimestamp)
+    return;
+  const auto seconds = static_cast<std::int64_t>(read_u64(time->value.data()) >> 32);
+  if (seconds <= 0 || seconds > kMaxUnixSeconds)
+    return;
+  answer.replication_position = seconds * kSecond;
+  answer.commit_position = (seconds + 1) * kSecond;
+}
+
+class MongoUpstream : public connection_pool::UpstreamProtocol {
 public:
   std::string greeting() override {
     const std::string client =
@@ -32,16 +98,20 @@
             .document("driver", Writer().text("name", "gorsebeam").text("version", "1").take())
             .document("os", Writer().text("type", "Linux").take())
             .take();
-    return op_msg(Writer().small("hello", 1).text("$db", "admin").document("client", client).take(),
-                  ++id_, 0);
+    return encode_op_msg(
+        Writer().small("hello", 1).text("$db", "admin").document("client", client).take(),
+        ++last_sent_id_, 0);
   }
 
   ParseStep parse_greeting(std::string_view in, std::size_t& used, bool& turned_away) override {
-    std::string_view document, sections;
-    const ParseStep step = reply(in, document, sections, used);
-    if (step != ParseStep::Done || is_ok(document))
+    Reply reply;
+    const ParseStep step = read_reply(in, reply);
+    if (step != ParseStep::Done)
       return step;
-    turned_away = code_of(document) == kRateLimitExceeded;
+    used = reply.size;
+    if (is_ok(reply.document))
+      return ParseStep::Done;
+    turned_away = code_of(reply.document) == kRateLimitExceeded;
     return ParseStep::Broken;
   }
 
@@ -49,114 +119,85 @@
     std::size_t size = 0;
     for (const std::string_view part : body)
       size += part.size();
-    head_ = header(size, ++id_, 0, kOpMsg);
-    proxy::Parts parts{head_};
+    header_ = encode_header(size, ++last_sent_id_, 0, kOpMsg);
+    proxy::Parts parts{header_};
     parts.insert(parts.end(), body.begin(), body.end());
     return parts;
   }
 
   proxy::Parts probe() override {
-    head_ = op_msg(Writer().small("hello", 1).text("$db", "admin").take(), ++id_, 0);
-    return {head_};
+    header_ =
+        encode_op_msg(Writer().small("hello", 1).text("$db", "admin").take(), ++last_sent_id_, 0);
+    return {header_};
   }
 
   ParseStep answer(std::string_view in, bool, bool to_probe, UpstreamResponse& answer,
                    std::size_t& used) override {
     answer = UpstreamResponse{};
-    std::string_view document, sections;
-    const ParseStep step = reply(in, document, sections, used);
+    Reply reply;
+    const ParseStep step = read_reply(in, reply);
     if (step != ParseStep::Done)
       return step;
+    used = reply.size;
     if (to_probe) {
-      read_hello(document, answer);
+      read_hello(reply.document, answer);
       return ParseStep::Done;
     }
-    const std::int32_t code = is_ok(document) ? 0 : code_of(document);
-    read_position(document, answer);
-    switch (code) {
-    case kNotWritablePrimary:
-      answer.role = Role::Replica;
-      [[fallthrough]];
-    // Turned away untouched: no primary, or too far behind.
-    case kNotPrimaryNoSecondaryOk:
-    case kNotPrimaryOrSecondary:
-    case kSnapshotUnavailable:
-      answer.status = AttemptStatus::Misdirected;
+    read_position(reply.document, answer);
+    if (is_ok(reply.document)) {
+      answer.status = AttemptStatus::Ok;
+      answer.value = {reply.sections};
       return ParseStep::Done;
-    case kRateLimitExceeded:
-      answer.status = AttemptStatus::Rejected;
-      return ParseStep::Done;
-    default:
-      break;
     }
-    answer.status = is_ok(document) ? AttemptStatus::Ok : AttemptStatus::Error;
-    answer.value = {sections};
+    const std::int32_t code = code_of(reply.document);
+    answer.status = status_of(code);
+    if (code == kNotWritablePrimary)
+      answer.role = Role::Replica;
+    if (answer.status == AttemptStatus::Error)
+      answer.value = {reply.sections};
     return ParseStep::Done;
   }
 
 private:
-  // A whole reply to our last message. A checksum is left off what is passed on, as the heads are
-  // written anew.
-  ParseStep reply(std::string_view in, std::string_view& document, std::string_view& sections,
-                  std::size_t& used) const {
-    Message m;
-    const Framing framing = read_message(in, kMessageMost, m);
-    if (framing != Framing::Whole)
-      return framing == Framing::More ? ParseStep::More : ParseStep::Broken;
-    OpMsg msg;
-    if (m.operation != kOpMsg || m.answers != id_ || !read_op_msg(m.payload, msg))
+  /// The views lead into the received bytes.
+  struct Reply {
+    std::string_view document;
+    std::string_view sections;  ///< Without a checksum, as the header is written anew.
+    std::size_t size = 0;       ///< Of the whole message.
+  };
+
+  /// Reads a reply to our last message.
+  ParseStep read_reply(std::string_view in, Reply& reply) const {
+    Message message;
+    switch (read_message(in, kMaxMessageSize, message)) {
+    case Framing::Incomplete:
+      return ParseStep::More;
+    case Framing::Malformed:
       return ParseStep::Broken;
-    if (msg.flags & kMoreToCome)
-      return ParseStep::Broken;  // replies without a request: never asked for
-    document = msg.body, sections = msg.sections, used = m.size;
-    return ParseStep::Done;
-  }
-
-  static void read_hello(std::string_view document, UpstreamResponse& answer) {
-    const auto flag = [&](const char* name) {
-      const auto element = find(document, name);
-      return element && truth(*element).value_or(false);
-    };
-    const bool primary = flag("isWritablePrimary") || flag("ismaster"), replica = flag("secondary");
-    if (!is_ok(document) || (!primary && !replica)) {
-      answer.status = AttemptStatus::Error;
-      return;
+    case Framing::Complete:
+      break;
     }
-    answer.status = AttemptStatus::Ok;
-    answer.load_report.is_primary = primary;
-    const auto last = find(document, "lastWrite");
-    const auto date =
-        last && last->type == '\x03' ? find(last->value, "lastWriteDate") : std::nullopt;
-    if (!date || date->type != '\x09')
-      return;
-    const auto ms = static_cast<std::int64_t>(read_u64(date->value.data()));
-    if (ms > 0 && ms < kSecondsMost * 1000)
-      answer.load_report.replication_position = ms * kMs;
-  }
-
-  // operationTime: its seconds are Unix time. The member has applied all up to them; a write's
-  // commit lies somewhere within that second, so what must see it must see the next one. Guards
-  // against a demoted primary's being taken for more current than it is, and against a session's
-  // reading from before its write.
-  static void read_position(std::string_view document, UpstreamResponse& answer) {
-    const auto time = find(document, "operationTime");
-    if (!time || time->type != '\x11')
-      return;
-    const auto seconds = static_cast<std::int64_t>(read_u64(time->value.data()) >> 32);
-    if (seconds <= 0 || seconds > kSecondsMost)
-      return;
-    answer.replication_position = seconds * kSecond;
-    answer.commit_position = (seconds + 1) * kSecond;
+    if (message.operation != kOpMsg || message.response_to != last_sent_id_)
+      return ParseStep::Broken;
+    const std::optional<OpMsg> op_msg = read_op_msg(message.payload);
+    if (!op_msg)
+      return ParseStep::Broken;
+    if ((op_msg->flags & kMoreToCome) != 0)
+      return ParseStep::Broken;  // replies without a request, which were not asked for
+    reply.document = op_msg->body;
+    reply.sections = op_msg->sections;
+    reply.size = message.size;
+    return ParseStep::Done;
   }
 
-  std::uint32_t id_ = 0;
-  std::string head_;
+  std::uint32_t last_sent_id_ = 0;
+  std::string header_;  ///< The parts of the present request lead into it.
 };
 
 }  // namespace
 
 std::unique_ptr<connection_pool::UpstreamProtocol> make_wire() {
-  return std::make_unique<MongoWire>();
+  return std::make_unique<MongoUpstream>();
 }
 
 }  // namespace gorsebeam::mongo
--- a/src/mongo/upstream_protocol.h
+++ b/src/mongo/upstream_protocol.h
@@ -1,4 +1,5 @@
-// The member side of the MongoDB wire protocol.
+/// Speaks the MongoDB wire protocol to the endpoints: the client's side.
+/// Source: MongoDB wire protocol specification.
 #pragma once
 
 #include "connection_pool/upstream_protocol.h"
--- a/src/postgres/codec.h
+++ b/src/postgres/codec.h
@@ -1,6 +1,10 @@
-// PostgreSQL's protocol, version 3: messages and statements, read in place. No sockets here.
+/// Messages of PostgreSQL's protocol, read in place. Pure; no sockets here.
+/// Source: PostgreSQL 15 documentation, chapter "Frontend/Backend Protocol" (version 3.0), sections
+/// "Message Formats" and "Error and Notice Message Fields".
 #pragma once
 
+#include "wire/framing.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -9,47 +13,61 @@
 
 namespace gorsebeam::postgres {
 
-constexpr std::uint32_t kVersion3 = 196608;
+/// The protocol number or request code of a startup message.
+constexpr std::uint32_t kProtocolVersion3 = 196608;
 constexpr std::uint32_t kCancelRequest = 80877102;
 constexpr std::uint32_t kSslRequest = 80877103;
-constexpr std::uint32_t kGssRequest = 80877104;
-
-std::uint32_t read_u32(const char* at);
-std::string u32(std::uint32_t value);
+constexpr std::uint32_t kGssEncryptionRequest = 80877104;
 
-enum class Framing { More, Whole, Malformed };
+/// SQLSTATE codes that the gateway sends or interprets.
+constexpr const char* kFeatureNotSupported = "0A000";
+constexpr const char* kTransactionResolutionUnknown = "08007";
+constexpr const char* kProtocolViolation = "08P01";
+constexpr const char* kReadOnlyTransaction = "25006";
+constexpr const char* kInvalidAuthorization = "28000";
+constexpr const char* kInsufficientPrivilege = "42501";
+constexpr const char* kSyntaxError = "42601";
+constexpr const char* kDuplicateObject = "42710";
+constexpr const char* kTooManyConnections = "53300";
+constexpr const char* kQueryCanceled = "57014";
+constexpr const char* kCannotConnectNow = "57P03";
+constexpr const char* kSnapshotTooOld = "72000";
+constexpr const char* kInternalError = "XX000";
 
+/// A message with a type; the views lead into the bytes that it was read from.
 struct Message {
   char type = 0;
-  std::string_view body;   // without type and length
-  std::string_view whole;  // as received
+  std::string_view body;      ///< Without type and length.
+  std::string_view complete;  ///< As received.
+};
+
+/// Reads the first message of `in`; its length field may be at most `max_length`.
+wire::Framing read_message(std::string_view in, std::size_t max_length, Message& message);
+
+/// The first message of a connection, which has no type.
+struct StartupMessage {
+  std::string_view body;  ///< Without the length; begins with the protocol number.
+  std::size_t size = 0;   ///< With the length.
 };
 
-// The first message of `in`, which may hold at most `most` bytes.
-Framing read_message(std::string_view in, std::size_t most, Message& message);
-// The first message of a connection: it has no type. `body` begins with the protocol number.
-Framing read_startup(std::string_view in, std::size_t most, std::string_view& body,
-                     std::size_t& used);
+wire::Framing read_startup(std::string_view in, std::size_t max_length, StartupMessage& startup);
 std::optional<std::string_view> startup_parameter(std::string_view body, std::string_view name);
 
-std::string message(char type, std::string_view body);
-std::string error(const char* severity, const char* code, const std::string& text,
-                  const std::string& detail = "");
+std::string encode_message(char type, std::string_view body);
+
+/// An ErrorResponse; `detail` is left out where it is empty.
+std::string encode_error(const char* severity, const char* code, const std::string& text,
+                         const std::string& detail = "");
+
+/// A field of the body of an ErrorResponse.
 std::optional<std::string_view> error_field(std::string_view body, char field);
-// ParameterStatus holds a name and a value.
-bool read_status(std::string_view body, std::string_view& name, std::string_view& value);
-
-// What the gateway reads of a statement; views lead into it.
-struct Statement {
-  bool select = false;   // a SELECT; everything else is taken for a write
-  bool several = false;  // more than one statement
-  std::string_view key;  // the first quoted literal
-  std::string_view id, service_class, deadline, idempotency, group, after,
-      retry;  // from the comment
+
+struct ParameterStatus {
+  std::string_view name;
+  std::string_view value;
 };
 
-Statement read_statement(std::string_view text);
-bool is_blank(std::string_view text);  // an empty query
-std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most);
+/// Reads the body of a ParameterStatus; nothing where it is malformed.
+std::optional<ParameterStatus> read_parameter_status(std::string_view body);
 
 }  // namespace gorsebeam::postgres
--- a/src/postgres/frontend.cpp
+++ b/src/postgres/frontend.cpp
@@ -1,107 +1,149 @@
 #include "frontend.h"
 
 #include "codec.h"
+#include "statement.h"
 
 #include "frontend/session_hash.h"
+#include "wire/integers.h"
 
 #include <algorithm>
+#include <array>
+#include <optional>
 #include <utility>
 
 namespace gorsebeam::postgres {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
-constexpr std::uint64_t kDeadlineMost = 3'600'000;  // ms
-constexpr std::size_t kStartupMost = 10'000;
+using sql_classifier::Effect;
+using wire::Framing;
 
-// A session is named by its key: as a number where it is one in hex, else by its hash.
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr std::uint64_t kMaxDeadlineMs = 3'600'000;
+constexpr std::uint64_t kMaxTokenTimeMs = 9'000'000'000'000ULL;
+constexpr std::uint64_t kMaxGroup = 0xffffffffU;
+constexpr std::size_t kMaxStartupSize = 10'000;
+constexpr std::size_t kQueryHeaderSize = 5;                      // type and length
+constexpr std::size_t kQueryFramingSize = kQueryHeaderSize + 1;  // and the zero byte at the end
+
+constexpr std::string_view kAuthenticationOk("\0\0\0\0", 4);
+constexpr std::string_view kBackendKeyData("\0\0\0\1\0\0\0\0", 8);
+constexpr std::array kParameterStatuses{std::string_view("server_version\00015.0\0", 20),
+                                        std::string_view("server_encoding\0UTF8\0", 21),
+                                        std::string_view("client_encoding\0UTF8\0", 21),
+                                        std::string_view("DateStyle\0ISO, MDY\0", 19),
+                                        std::string_view("integer_datetimes\0on\0", 21),
+                                        std::string_view("standard_conforming_strings\0on\0", 31)};
+
+/// A key of up to 16 hexadecimal digits is the session's number; any other is hashed.
 std::uint64_t session_of(std::string_view key) {
   std::uint64_t value = 0;
-  bool hex = !key.empty() && key.size() <= 16;
+  bool is_hex = !key.empty() && key.size() <= 16;
   for (const char c : key) {
-    hex &= g_ascii_isxdigit(c) != 0;
+    is_hex = is_hex && g_ascii_isxdigit(c) != 0;
     value = value << 4 | static_cast<std::uint64_t>(std::max(0, g_ascii_xdigit_value(c)));
   }
-  return hex ? value : frontend::hash_session_name(key);
+  return is_hex ? value : frontend::hash_session_name(key);
+}
+
+/// The greeting after a startup message, without the ReadyForQuery at its end.
+std::string encode_greeting() {
+  std::string greeting = encode_message('R', kAuthenticationOk);
+  for (const std::string_view status : kParameterStatuses)
+    greeting += encode_message('S', status);
+  greeting += encode_message('K', kBackendKeyData);
+  return greeting;
+}
+
+/// Why a single command is rejected; the connection continues.
+struct CommandError {
+  const char* sqlstate;
+  std::string text;
+};
+
+bool is_write(const RequestClass& request_class) {
+  return request_class.consistency == ConsistencyLevel::Write;
 }
 
-class PgConnection : public frontend::ClientConnection {
+class PostgresConnection : public frontend::ClientConnection {
 public:
-  PgConnection(frontend::Frontend& frontend, net::SocketHandle socket,
-               proxy::ContractEnforcer& terms,
-               const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes)
-      : ClientConnection(frontend, std::move(socket)), terms_(terms), shapes_(shapes),
-        ready_(message('Z', "I")) {}
+  PostgresConnection(frontend::Frontend& frontend, net::SocketHandle socket,
+                     proxy::ContractEnforcer& contracts,
+                     const std::shared_ptr<const sql_classifier::SqlClassifier>& classifier)
+      : ClientConnection(frontend, std::move(socket)), contracts_(contracts),
+        classifier_(classifier), ready_for_query_(encode_message('Z', "I")) {}
 
   proxy::Parts body(Nanos left) override {
-    // The statement stands in the input until it is answered; only the waiting time is written
-    // anew.
-    const std::string_view text = stream_->input().view().substr(5, query_size_);
-    left_ = std::to_string(std::max<Nanos>(left / kMs, 1));
-    return {text.substr(0, deadline_at_), left_, text.substr(deadline_at_ + deadline_size_)};
+    // The statement stays in the input until it is answered; only the deadline is replaced.
+    const std::string_view text = stream_->input().view().substr(kQueryHeaderSize, query_size_);
+    remaining_ms_ = std::to_string(std::max<Nanos>(left / kMillisecond, 1));
+    return {text.substr(0, deadline_offset_), remaining_ms_,
+            text.substr(deadline_offset_ + deadline_size_)};
   }
 
   void respond(const proxy::Parts& value) override {
     proxy::Parts parts = value;
-    parts.emplace_back(ready_);
+    parts.emplace_back(ready_for_query_);
     finish(parts);
   }
 
   void reject(Nanos retry_after) override {
-    const std::string wait = retry_after > 0 ? std::to_string(retry_after / kMs) : "";
-    finish({error("ERROR", "53300", "refused: try again", wait), ready_});
+    const std::string wait_ms = retry_after > 0 ? std::to_string(retry_after / kMillisecond) : "";
+    finish({encode_error("ERROR", kTooManyConnections, "refused: try again", wait_ms),
+            ready_for_query_});
   }
 
   void fail() override {
-    finish({error("ERROR", "08007", "failed: the effect is not known"), ready_});
+    finish({encode_error("ERROR", kTransactionResolutionUnknown, "failed: the effect is not known"),
+            ready_for_query_});
   }
 
 private:
   void finish(const proxy::Parts& parts) {
     stream_->write(parts);
-    stream_->input().consume(query_size_ + 6);
+    stream_->input().consume(query_size_ + kQueryFramingSize);
     finish_request();
   }
 
-  // A protocol error: told, and the connection closed.
-  void reject(const char* code, const std::string& text) {
-    stream_->write({error("FATAL", code, text)});
+  void send_fatal_error(const char* sqlstate, const std::string& text) {
+    stream_->write({encode_error("FATAL", sqlstate, text)});
     close_when_written();
   }
 
   void send_closing_error(const char* reason) override {
-    reject(is_over_limit() ? "53300" : "57014", reason);
+    send_fatal_error(is_over_limit() ? kTooManyConnections : kQueryCanceled, reason);
   }
 
-  // An error in one command: told, and the connection goes on.
-  void decline(const Message& m, const char* code, const std::string& text) {
-    stream_->write({error("ERROR", code, text), ready_});
-    stream_->input().consume(m.whole.size());
+  void reject_command(const Message& message, const CommandError& error) {
+    stream_->write({encode_error("ERROR", error.sqlstate, error.text), ready_for_query_});
+    stream_->input().consume(message.complete.size());
   }
 
   void parse() override {
-    if (!started_)
-      return start();
-    Message m;
-    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, m)) {
-    case Framing::More:
+    if (!has_started_)
+      return parse_startup();
+    Message message;
+    switch (read_message(stream_->input().view(), frontend_.limits().message_bytes, message)) {
+    case Framing::Incomplete:
       return;
     case Framing::Malformed:
-      return reject("08P01", "a message is malformed or too long");
-    case Framing::Whole:
-      break;
+      return send_fatal_error(kProtocolViolation, "a message is malformed or too long");
+    case Framing::Complete:
+      return handle_message(message);
     }
-    if (skip_to_sync_ && m.type != 'S' && m.type != 'X')
-      return stream_->input().consume(m.whole.size());
-    switch (m.type) {
+  }
+
+  void handle_message(const Message& message) {
+    if (skips_to_sync_ && message.type != 'S' && message.type != 'X')
+      return stream_->input().consume(message.complete.size());
+    switch (message.type) {
     case 'Q':
-      return query(m);
-    case 'X':
-      return close_when_written();  // an answer may still be on its way, with bytes behind this
-    case 'S':
-      skip_to_sync_ = false;
-      stream_->write({ready_});
-      return stream_->input().consume(m.whole.size());
+      return handle_query(message);
+    case 'X':  // Terminate; an answer may still be on its way, with bytes behind this message
+      return close_when_written();
+    case 'S':  // Sync
+      skips_to_sync_ = false;
+      stream_->write({ready_for_query_});
+      return stream_->input().consume(message.complete.size());
     case 'P':
     case 'B':
     case 'D':
@@ -109,138 +151,162 @@
     case 'C':
     case 'F':
     case 'H':
-      // The extended protocol: told once, then nothing is heeded until the client synchronizes.
-      skip_to_sync_ = m.type != 'F';
-      stream_->write({error("ERROR", "0A000", "only simple queries are served")});
-      if (m.type == 'F')
-        stream_->write({ready_});
-      return stream_->input().consume(m.whole.size());
+      return reject_extended_protocol(message);
     default:
-      return reject("08P01", "unknown message type");
+      return send_fatal_error(kProtocolViolation, "unknown message type");
     }
   }
 
-  void start() {
-    std::string_view body;
-    std::size_t used = 0;
-    switch (read_startup(stream_->input().view(), kStartupMost, body, used)) {
-    case Framing::More:
+  // The error is sent once; then all messages are skipped until the client sends Sync. A function
+  // call stands outside the extended protocol and is answered alone.
+  void reject_extended_protocol(const Message& message) {
+    const bool is_function_call = message.type == 'F';
+    skips_to_sync_ = !is_function_call;
+    stream_->write({encode_error("ERROR", kFeatureNotSupported, "only simple queries are served")});
+    if (is_function_call)
+      stream_->write({ready_for_query_});
+    stream_->input().consume(message.complete.size());
+  }
+
+  void parse_startup() {
+    StartupMessage startup;
+    switch (read_startup(stream_->input().view(), kMaxStartupSize, startup)) {
+    case Framing::Incomplete:
       return;
     case Framing::Malformed:
-      return reject("08P01", "the startup message is malformed");
-    case Framing::Whole:
-      break;
+      return send_fatal_error(kProtocolViolation, "the startup message is malformed");
+    case Framing::Complete:
+      return handle_startup(startup);
     }
-    const std::uint32_t version = read_u32(body.data());
+  }
+
+  void handle_startup(const StartupMessage& startup) {
+    const std::uint32_t version = wire::read_u32_big_endian(startup.body.data());
     if (version == kCancelRequest)
       return close_when_written();
-    if (version == kSslRequest || version == kGssRequest) {
+    if (version == kSslRequest || version == kGssEncryptionRequest) {
       stream_->write({"N"});
-      return stream_->input().consume(used);
+      return stream_->input().consume(startup.size);
     }
     if (version >> 16 != 3)
-      return reject("0A000", "only version 3 of the protocol is served");
+      return send_fatal_error(kFeatureNotSupported, "only version 3 of the protocol is served");
     if (is_over_limit())
-      return reject("53300", "too many connections");
-    user_ = startup_parameter(body, "user").value_or("");
-    if (user_.empty())
-      return reject("28000", "the startup message names no user");
-    if (!terms_.has_team(user_))
-      return reject("28000", "no contract with the team '" + user_ + "'");
-    started_ = true;
-    std::string hello = message('R', std::string_view("\0\0\0\0", 4));
-    for (const std::string_view status :
-         {std::string_view("server_version\0"
-                           "15.0\0",
-                           20),
-          std::string_view("server_encoding\0UTF8\0", 21),
-          std::string_view("client_encoding\0UTF8\0", 21),
-          std::string_view("DateStyle\0ISO, MDY\0", 19),
-          std::string_view("integer_datetimes\0on\0", 21),
-          std::string_view("standard_conforming_strings\0on\0", 31)})
-      hello += message('S', status);
-    hello += message('K', std::string_view("\0\0\0\1\0\0\0\0", 8));
-    stream_->write({hello, ready_});
-    stream_->input().consume(used);
-  }
-
-  void query(const Message& m) {
-    if (m.body.empty() || m.body.back() != '\0')
-      return reject("08P01", "a query does not end in a zero byte");
-    const std::string_view text = m.body.substr(0, m.body.size() - 1);
+      return send_fatal_error(kTooManyConnections, "too many connections");
+    team_ = startup_parameter(startup.body, "user").value_or("");
+    if (team_.empty())
+      return send_fatal_error(kInvalidAuthorization, "the startup message names no user");
+    if (!contracts_.has_team(team_))
+      return send_fatal_error(kInvalidAuthorization, "no contract with the team '" + team_ + "'");
+    has_started_ = true;
+    const std::string greeting = encode_greeting();
+    stream_->write({greeting, ready_for_query_});
+    stream_->input().consume(startup.size);
+  }
+
+  void handle_query(const Message& message) {
+    if (message.body.empty() || message.body.back() != '\0')
+      return send_fatal_error(kProtocolViolation, "a query does not end in a zero byte");
+    const std::string_view text = message.body.substr(0, message.body.size() - 1);
     if (text.find('\0') != std::string_view::npos)
-      return reject("08P01", "a query holds a zero byte");
+      return send_fatal_error(kProtocolViolation, "a query holds a zero byte");
     if (is_blank(text)) {
-      stream_->write({message('I', ""), ready_});
-      return stream_->input().consume(m.whole.size());
+      stream_->write({encode_message('I', ""), ready_for_query_});
+      return stream_->input().consume(message.complete.size());
     }
-    const Statement s = read_statement(text);
-    const auto found = terms_.classes().find(std::string(s.service_class));
-    const auto deadline = whole_number(s.deadline, kDeadlineMost);
-    const auto group = whole_number(s.group, 0xffffffffu);
-    if (s.several)
-      return decline(m, "42601", "a query holds one statement");
-    if (s.id.empty())
-      return decline(m, "42601", "the statement's comment holds no id");
-    if (found == terms_.classes().end())
-      return decline(m, "42601", "the statement's comment names no known class");
-    if (!deadline || *deadline == 0)
-      return decline(m, "42601", "the statement's comment holds no time to wait");
+    if (const std::optional<CommandError> error = begin_statement(text, message.complete.size()))
+      reject_command(message, *error);
+  }
+
+  /// Begins a request for the statement in `text`, whose message has `message_size` bytes.
+  std::optional<CommandError> begin_statement(std::string_view text, std::size_t message_size) {
+    const Statement statement = read_statement(text);
+    const auto request_class = contracts_.classes().find(std::string(statement.service_class));
+    const auto deadline_ms = parse_whole_number(statement.deadline, kMaxDeadlineMs);
+    const auto group = parse_whole_number(statement.group, kMaxGroup);
+    if (statement.has_several)
+      return CommandError{kSyntaxError, "a query holds one statement"};
+    if (statement.id.empty())
+      return CommandError{kSyntaxError, "the statement's comment holds no id"};
+    if (request_class == contracts_.classes().end())
+      return CommandError{kSyntaxError, "the statement's comment names no known class"};
+    if (!deadline_ms || *deadline_ms == 0)
+      return CommandError{kSyntaxError, "the statement's comment holds no time to wait"};
     if (!group)
-      return decline(m, "42601", "the statement's comment names no cluster");
-    const RequestClass& c = frontend_.broker().settings().classes[found->second];
-    // Guards the rules on repeats: a write under a reading class would be repeated as if it changed
-    // nothing.
-    sql_classifier::Verdict verdict_of_text{
-        s.select ? sql_classifier::Effect::Read : sql_classifier::Effect::Write, ""};
-    if (shapes_)
-      verdict_of_text = shapes_->classify(text);
-    const bool reads = verdict_of_text.effect == sql_classifier::Effect::Read;
-    // A class is the caller's word: a write under a reading one would go to a replica.
-    if (shapes_ && !reads && c.consistency != ConsistencyLevel::Write)
-      return decline(m, "25006",
-                     "the statement may write, and its class reads: " + verdict_of_text.why);
-    if (!shapes_ && s.select != (c.consistency != ConsistencyLevel::Write))
-      return decline(m, "42601", "the statement does not fit its class");
-    if (c.idempotency == Idempotency::IdempotencyKey && s.idempotency.empty())
-      return decline(m, "42601", "the class needs an idempotency key");
-    Request request;
-    request.id = std::string(s.id);
-    request.class_index = found->second;
-    request.deadline = net::now() + static_cast<Nanos>(*deadline) * kMs;
+      return CommandError{kSyntaxError, "the statement's comment names no cluster"};
+    const RequestClass& settings = frontend_.broker().settings().classes[request_class->second];
+    const sql_classifier::Verdict verdict = classify(statement, text);
+    if (auto error = check_class(statement, verdict, settings))
+      return error;
+    Request request = make_request(statement, settings);
+    request.class_index = request_class->second;
+    request.deadline = net::now() + static_cast<Nanos>(*deadline_ms) * kMillisecond;
     request.group = static_cast<GroupId>(*group);
-    if (c.consistency == ConsistencyLevel::Write || c.consistency == ConsistencyLevel::Session)
-      request.session = session_of(s.key);
-    if (const auto after = whole_number(s.after, 9'000'000'000'000ULL))
-      request.session_token_age = std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after) * kMs);
-    request.is_client_retry = s.retry == "1";
-    const auto verdict = terms_.admit(user_, net::now(), request);
-    if (verdict != proxy::ContractEnforcer::Decision::Admitted)
-      return decline(m, "42501", proxy::describe(verdict));
-    if (shapes_ && verdict_of_text.effect == sql_classifier::Effect::Unknown)
-      request.max_attempts = 1;  // may not be repeated
+    const auto decision = contracts_.admit(team_, net::now(), request);
+    if (decision != proxy::ContractEnforcer::Decision::Admitted)
+      return CommandError{kInsufficientPrivilege, proxy::describe(decision)};
+    if (classifier_ && verdict.effect == Effect::Unknown)
+      request.max_attempts = 1;  // it may not be idempotent
     query_size_ = text.size();
-    deadline_at_ = static_cast<std::size_t>(s.deadline.data() - text.data());
-    deadline_size_ = s.deadline.size();
-    if (!begin_request(std::move(request), m.whole.size()))
-      decline(m, "42710", "a request with this id is open, or it is no fit id");
-  }
-
-  proxy::ContractEnforcer& terms_;
-  const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes_;
-  const std::string ready_;
-  std::string user_, left_;
-  bool started_ = false, skip_to_sync_ = false;
-  std::size_t query_size_ = 0, deadline_at_ = 0, deadline_size_ = 0;
+    deadline_offset_ = static_cast<std::size_t>(statement.deadline.data() - text.data());
+    deadline_size_ = statement.deadline.size();
+    if (!begin_request(std::move(request), message_size))
+      return CommandError{kDuplicateObject, "a request with this id is open, or it is no fit id"};
+    return std::nullopt;
+  }
+
+  [[nodiscard]] sql_classifier::Verdict classify(const Statement& statement,
+                                                 std::string_view text) const {
+    if (classifier_)
+      return classifier_->classify(text);
+    return {statement.is_select ? Effect::Read : Effect::Write, ""};
+  }
+
+  // The caller names the class. A write under a reading class would go to a replica, and would be
+  // retried as if it changed nothing.
+  [[nodiscard]] std::optional<CommandError> check_class(const Statement& statement,
+                                                        const sql_classifier::Verdict& verdict,
+                                                        const RequestClass& settings) const {
+    if (classifier_ && verdict.effect != Effect::Read && !is_write(settings))
+      return CommandError{kReadOnlyTransaction,
+                          "the statement may write, and its class reads: " + verdict.why};
+    if (!classifier_ && statement.is_select == is_write(settings))
+      return CommandError{kSyntaxError, "the statement does not fit its class"};
+    if (settings.idempotency == Idempotency::IdempotencyKey && statement.idempotency.empty())
+      return CommandError{kSyntaxError, "the class needs an idempotency key"};
+    return std::nullopt;
+  }
+
+  static Request make_request(const Statement& statement, const RequestClass& settings) {
+    Request request;
+    request.id = std::string(statement.id);
+    if (is_write(settings) || settings.consistency == ConsistencyLevel::Session)
+      request.session = session_of(statement.key);
+    if (const auto after_ms = parse_whole_number(statement.after, kMaxTokenTimeMs))
+      request.session_token_age =
+          std::max<Nanos>(0, net::now() - static_cast<Nanos>(*after_ms) * kMillisecond);
+    request.is_client_retry = statement.retry == "1";
+    return request;
+  }
+
+  proxy::ContractEnforcer& contracts_;
+  const std::shared_ptr<const sql_classifier::SqlClassifier>& classifier_;
+  const std::string ready_for_query_;
+  std::string team_;  ///< The user of the startup message.
+  std::string remaining_ms_;
+  bool has_started_ = false;
+  bool skips_to_sync_ = false;
+  std::size_t query_size_ = 0;       ///< Of the pending statement's text.
+  std::size_t deadline_offset_ = 0;  ///< Of the deadline in that text.
+  std::size_t deadline_size_ = 0;
 };
 
 }  // namespace
 
 frontend::Frontend::ConnectionFactory
-make_connection(proxy::ContractEnforcer& terms,
-                const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes) {
-  return [&terms, &shapes](frontend::Frontend& frontend, net::SocketHandle socket) {
-    return std::make_unique<PgConnection>(frontend, std::move(socket), terms, shapes);
+make_connection(proxy::ContractEnforcer& contracts,
+                const std::shared_ptr<const sql_classifier::SqlClassifier>& classifier) {
+  return [&contracts, &classifier](frontend::Frontend& frontend, net::SocketHandle socket) {
+    return std::make_unique<PostgresConnection>(frontend, std::move(socket), contracts, classifier);
   };
 }
 
--- a/src/postgres/frontend.h
+++ b/src/postgres/frontend.h
@@ -1,4 +1,5 @@
-// The client side of PostgreSQL's protocol.
+/// Serves PostgreSQL clients: the frontend's side of the protocol, simple queries only.
+/// Source: PostgreSQL 15 documentation, chapter "Frontend/Backend Protocol" (version 3.0).
 #pragma once
 
 #include "frontend/frontend.h"
@@ -10,10 +11,10 @@
 
 namespace gorsebeam::postgres {
 
-// `terms` and `shapes` outlive the front. Where `shapes` holds something, statements are parsed:
-// what is not known to read only goes out under a writing class alone.
+/// `contracts` and `classifier` outlive the frontend. While `classifier` is not null, statements
+/// are parsed: one that is not known to read only is forwarded under a writing class alone.
 frontend::Frontend::ConnectionFactory
-make_connection(proxy::ContractEnforcer& terms,
-                const std::shared_ptr<const sql_classifier::SqlClassifier>& shapes);
+make_connection(proxy::ContractEnforcer& contracts,
+                const std::shared_ptr<const sql_classifier::SqlClassifier>& classifier);
 
 }  // namespace gorsebeam::postgres
--- a/src/postgres/upstream_protocol.cpp
+++ b/src/postgres/upstream_protocol.cpp
@@ -1,221 +1,251 @@
 #include "upstream_protocol.h"
 
 #include "codec.h"
+#include "load_report.h"
 
-#include "net/timer.h"
-
-#include <algorithm>
-#include <cmath>
-#include <cstdlib>
+#include "wire/integers.h"
 
 namespace gorsebeam::postgres {
 namespace {
 
 using connection_pool::ParseStep;
 using proxy::UpstreamResponse;
+using wire::Framing;
+
+constexpr std::size_t kMaxMessageLength = 128 * 1024;  // a value holds at most 64 KiB
+constexpr std::size_t kMessageHeaderSize = 5;
+constexpr std::size_t kRowHeaderSize = 6;  // the number of columns, and the length of the first
+constexpr std::uint32_t kNullLength = 0xffffffffU;
+constexpr std::string_view kGreetingTypes = "RSKZEN";
+constexpr std::string_view kAnswerTypes = "TDCESNZ";
+
+/// Whether a count of columns, as two bytes, is one.
+bool is_one_column(std::string_view count) {
+  return count[0] == 0 && count[1] == 1;
+}
 
-constexpr std::size_t kMessageMost = 128 * 1024;  // a value holds at most 64 KiB
-constexpr Nanos kAhead = 2'000'000'000;  // a position further ahead of our clock cannot be one
-constexpr double kSecondsMost = 1e11;    // a report's position below this is in seconds
+/// Whether a DataRow's body of `size` bytes, which begins with `head`, is one column that fills it.
+bool is_single_column_row(std::string_view head, std::size_t size) {
+  if (!is_one_column(head))
+    return false;
+  const std::uint32_t length = wire::read_u32_big_endian(head.data() + 2);
+  const std::size_t value_size = length == kNullLength ? 0 : length;
+  return size == kRowHeaderSize + value_size;
+}
 
-std::optional<double> number(std::string_view text) {
-  const std::string copy(text.substr(0, 64));
-  char* end = nullptr;
-  const double value = std::strtod(copy.c_str(), &end);
-  if (copy.empty() || *end != '\0' || !std::isfinite(value))
-    return std::nullopt;
-  return value;
+/// Whether the incomplete message in `in` cannot become one of the given types. Noise is found in
+/// this way at once, without waiting for the length that it seems to announce.
+bool is_hopeless(std::string_view in, std::string_view types) {
+  if (in.empty())
+    return false;
+  if (types.find(in[0]) == std::string_view::npos)
+    return true;
+  if (in[0] != 'D' || in.size() < kMessageHeaderSize + kRowHeaderSize)
+    return false;
+  const std::size_t body_size = wire::read_u32_big_endian(in.data() + 1) - 4;
+  return !is_single_column_row(in.substr(kMessageHeaderSize), body_size);
 }
 
-std::optional<Nanos> position_at(double ms) {  // Unix ms, as the module's clock counts
-  if (ms < 0 || ms * 1e6 > static_cast<double>(net::now() + kAhead))
+/// The value of a DataRow of one column; nothing where it is not one column or its length is wrong.
+std::optional<std::string_view> read_row(std::string_view body) {
+  if (body.size() < kRowHeaderSize || !is_single_column_row(body, body.size()))
     return std::nullopt;
-  return static_cast<Nanos>(std::floor(ms * 1e6));
+  return body.substr(kRowHeaderSize);
 }
 
-std::optional<Nanos> position_of(std::string_view text) {
-  const auto ms = number(text);
-  return ms ? position_at(*ms) : std::nullopt;
+std::size_t offset_behind(const Message& message, std::string_view in) {
+  return static_cast<std::size_t>(message.complete.data() + message.complete.size() - in.data());
 }
 
-// "x0=1767225600.123,x1=0": a report's position is a Unix time in seconds, while an answer's is in
-// milliseconds; one too large to be seconds is taken as milliseconds. Guards against a member whose
-// first report is not made yet: its zeros would tell every gateway that starts that no group has a
-// primary, and prove no position. Guards against a spoilt report: one that cannot be read whole is
-// ignored whole, and the answer stands.
-void read_gauges(std::string_view text, LoadReport& report) {
-  LoadReport read;
-  while (!text.empty()) {
-    const std::size_t comma = text.find(',');
-    const std::string_view pair = text.substr(0, comma), name = pair.substr(0, pair.find('='));
-    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
-    const auto value = number(pair.substr(std::min(pair.size(), name.size() + 1)));
-    if (!value)
-      return;
-    if (name == "x0" && *value == 0)
-      return;
-    if (name == "x0" &&
-        !(read.replication_position = position_at(*value < kSecondsMost ? *value * 1000 : *value)))
-      return;
-    if (name == "x1")
-      read.is_primary = *value > 0.5;
-  }
-  report = read;
+AttemptStatus status_of(std::string_view sqlstate) {
+  if (sqlstate == kReadOnlyTransaction || sqlstate == kSnapshotTooOld)
+    return AttemptStatus::Misdirected;
+  if (sqlstate == kTooManyConnections || sqlstate == kCannotConnectNow)
+    return AttemptStatus::Rejected;
+  return AttemptStatus::Error;
 }
 
-// Whether a DataRow of `size` bytes, of which the first six stand in `head`, is one column that
-// fills it.
-bool fits_row(std::string_view head, std::size_t size) {
-  if (head[0] != 0 || head[1] != 1)
-    return false;
-  const std::uint32_t length = read_u32(head.data() + 2);
-  return size == 6 + static_cast<std::size_t>(length == 0xffffffffu ? 0 : length);  // or null
-}
+/// Collects the messages of one answer to a simple query.
+class AnswerParser {
+public:
+  AnswerParser(bool is_health_check, UpstreamResponse& response)
+      : is_health_check_(is_health_check), response_(response) {}
+
+  /// Returns false where the message shows that this is no answer.
+  bool add(const Message& message) {
+    switch (message.type) {
+    case 'T':
+      add_description(message);
+      return true;
+    case 'D':
+      add_row(message);
+      return true;
+    case 'C':
+      command_complete_ = message.complete;
+      return true;
+    case 'E':
+      return add_error(message);
+    case 'S':
+      add_status(message);
+      return true;
+    case 'N':
+      return true;
+    case 'Z':
+      is_ready_ = true;
+      return true;
+    default:
+      return false;
+    }
+  }
 
-// Guards against noise that would be waited for to its end: what has come of a message shows that
-// it is none of an answer's.
-bool hopeless(std::string_view in, std::string_view types) {
-  if (in.empty())
-    return false;
-  if (types.find(in[0]) == std::string_view::npos)
+  [[nodiscard]] bool is_ready() const { return is_ready_; }
+
+  /// An answer is complete without ReadyForQuery only where the connection ended after it, as a
+  /// fatal error needs none.
+  ParseStep finish(bool connection_ended) {
+    const bool has_result = !sqlstate_.empty() || !command_complete_.empty();
+    if (!is_ready_ && !(connection_ended && has_result))
+      return ParseStep::More;
+    if (!sqlstate_.empty()) {
+      response_.status = status_of(sqlstate_);
+      return ParseStep::Done;
+    }
+    if (has_invalid_rows_ || description_.empty() || row_.empty() || command_complete_.empty())
+      return ParseStep::Broken;
+    response_.status = AttemptStatus::Ok;
+    response_.value = {description_, row_, command_complete_};
+    return ParseStep::Done;
+  }
+
+private:
+  void add_description(const Message& message) {
+    if (!description_.empty() || message.body.size() < 2 || !is_one_column(message.body))
+      has_invalid_rows_ = true;
+    description_ = message.complete;
+  }
+
+  void add_row(const Message& message) {
+    const std::optional<std::string_view> value = read_row(message.body);
+    if (!row_.empty() || description_.empty() || !command_complete_.empty() || !value)
+      has_invalid_rows_ = true;
+    row_ = message.complete;
+    if (is_health_check_ && !has_invalid_rows_)
+      read_load_report(*value, response_.load_report);
+  }
+
+  bool add_error(const Message& message) {
+    if (message.body.empty() || message.body.back() != '\0')
+      return false;  // its code proves nothing
+    sqlstate_ = error_field(message.body, 'C').value_or(kInternalError);
     return true;
-  return in[0] == 'D' && in.size() >= 11 && !fits_row(in.substr(5), read_u32(in.data() + 1) - 4);
-}
+  }
 
-// The one column of a DataRow. False: not one column, or its length is off.
-bool read_row(std::string_view body, std::string_view& value) {
-  if (body.size() < 6 || !fits_row(body, body.size()))
-    return false;
-  value = body.substr(6);
-  return true;
-}
+  // A malformed status is ignored, and the answer stands.
+  void add_status(const Message& message) {
+    const std::optional<ParameterStatus> status = read_parameter_status(message.body);
+    if (!status)
+      return;
+    if (status->name == "part" && status->value == "master")
+      response_.role = Role::Primary;
+    if (status->name == "part" && status->value == "replica")
+      response_.role = Role::Replica;
+    if (status->name == "caught_up_to")
+      response_.replication_position = parse_position(status->value);
+    if (status->name == "gauges")
+      read_load_report(status->value, response_.load_report);
+  }
 
-class PgWire : public connection_pool::UpstreamProtocol {
+  const bool is_health_check_;
+  UpstreamResponse& response_;
+  std::string_view description_;
+  std::string_view row_;
+  std::string_view command_complete_;
+  std::string_view sqlstate_;
+  bool has_invalid_rows_ = false;
+  bool is_ready_ = false;
+};
+
+class PostgresUpstream : public connection_pool::UpstreamProtocol {
 public:
   std::string greeting() override {
-    std::string body = u32(kVersion3);
+    std::string body = wire::encode_u32_big_endian(kProtocolVersion3);
     for (const char* word : {"user", "gorsebeam", "database", "crm"})
       body.append(word).push_back('\0');
     body.push_back('\0');
-    return u32(static_cast<std::uint32_t>(body.size() + 4)) + body;
+    return wire::encode_u32_big_endian(static_cast<std::uint32_t>(body.size() + 4)) + body;
   }
 
   ParseStep parse_greeting(std::string_view in, std::size_t& used, bool& turned_away) override {
-    Message m;
-    for (std::string_view rest = in;; rest.remove_prefix(m.whole.size())) {
-      const Framing framing = read_message(rest, kMessageMost, m);
-      if (framing != Framing::Whole)
-        return framing == Framing::More && !hopeless(rest, "RSKZEN") ? ParseStep::More
-                                                                     : ParseStep::Broken;
-      if (m.type == 'E') {
-        turned_away = error_field(m.body, 'C') == "53300";
+    Message message;
+    for (std::string_view rest = in;; rest.remove_prefix(message.complete.size())) {
+      const Framing framing = read_message(rest, kMaxMessageLength, message);
+      if (framing == Framing::Incomplete && !is_hopeless(rest, kGreetingTypes))
+        return ParseStep::More;
+      if (framing != Framing::Complete)
+        return ParseStep::Broken;
+      if (message.type == 'E') {
+        turned_away = error_field(message.body, 'C') == kTooManyConnections;
         return ParseStep::Broken;
       }
-      if (m.type == 'R' && (m.body.size() < 4 || read_u32(m.body.data()) != 0))
+      if (message.type == 'R' && !is_authentication_ok(message.body))
         return ParseStep::Broken;
-      if (m.type != 'Z')
+      if (message.type != 'Z')
         continue;
-      used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
+      used = offset_behind(message, in);
       return ParseStep::Done;
     }
   }
 
   proxy::Parts request(const proxy::Parts& body) override {
-    std::size_t size = 5;  // the length itself, and the end of the text
+    std::size_t length = 5;  // the length itself, and the zero byte at the end of the text
     for (const std::string_view part : body)
-      size += part.size();
-    head_ = 'Q' + u32(static_cast<std::uint32_t>(size));
-    proxy::Parts parts{head_};
+      length += part.size();
+    header_ = 'Q' + wire::encode_u32_big_endian(static_cast<std::uint32_t>(length));
+    proxy::Parts parts{header_};
     parts.insert(parts.end(), body.begin(), body.end());
     parts.emplace_back("\0", 1);
     return parts;
   }
 
   proxy::Parts probe() override {
-    head_ = message('Q', std::string_view("SHOW gauges\0", 12));
-    return {head_};
+    header_ = encode_message('Q', std::string_view("SHOW gauges\0", 12));
+    return {header_};
   }
 
   ParseStep answer(std::string_view in, bool ended, bool to_probe, UpstreamResponse& answer,
                    std::size_t& used) override {
     answer = UpstreamResponse{};
-    std::string_view description, row, complete, code;
-    bool rows_off = false, ready = false;
-    Message m;
-    for (std::string_view rest = in; !ready; rest.remove_prefix(m.whole.size())) {
-      const Framing framing = read_message(rest, kMessageMost, m);
-      if (framing == Framing::Malformed || (framing == Framing::More && hopeless(rest, "TDCESNZ")))
+    AnswerParser parser(to_probe, answer);
+    Message message;
+    std::string_view rest = in;
+    while (!parser.is_ready()) {
+      const Framing framing = read_message(rest, kMaxMessageLength, message);
+      if (framing == Framing::Malformed)
         return ParseStep::Broken;
-      if (framing == Framing::More)
-        break;
-      used = static_cast<std::size_t>(m.whole.data() + m.whole.size() - in.data());
-      std::string_view name, value;
-      switch (m.type) {
-      case 'T':
-        rows_off |= !description.empty() || m.body.size() < 2 || m.body[0] != 0 || m.body[1] != 1;
-        description = m.whole;
-        break;
-      case 'D':
-        rows_off |=
-            !row.empty() || description.empty() || !complete.empty() || !read_row(m.body, value);
-        row = m.whole;
-        if (to_probe && !rows_off)
-          read_gauges(value, answer.load_report);
-        break;
-      case 'C':
-        complete = m.whole;
-        break;
-      case 'E':
-        if (m.body.empty() || m.body.back() != '\0')
-          return ParseStep::Broken;  // its code proves nothing
-        code = error_field(m.body, 'C').value_or("XX000");
-        break;
-      case 'S':
-        if (!read_status(m.body, name, value))
-          break;  // tells nothing; the answer stands
-        if (name == "part" && value == "master")
-          answer.role = Role::Primary;
-        if (name == "part" && value == "replica")
-          answer.role = Role::Replica;
-        if (name == "caught_up_to")
-          answer.replication_position = position_of(value);
-        if (name == "gauges")
-          read_gauges(value, answer.load_report);
-        break;
-      case 'N':
-        break;
-      case 'Z':
-        ready = true;
+      if (framing == Framing::Incomplete && is_hopeless(rest, kAnswerTypes))
+        return ParseStep::Broken;
+      if (framing == Framing::Incomplete)
         break;
-      default:
+      used = offset_behind(message, in);
+      if (!parser.add(message))
         return ParseStep::Broken;
-      }
+      rest.remove_prefix(message.complete.size());
     }
-    // Whole without ReadyForQuery only where the connection ended after the answer: a fatal error
-    // needs none.
-    if (!ready && !(ended && (!code.empty() || !complete.empty())))
-      return ParseStep::More;
-    if (!code.empty()) {
-      answer.status = code == "25006" || code == "72000"   ? AttemptStatus::Misdirected
-                      : code == "53300" || code == "57P03" ? AttemptStatus::Rejected
-                                                           : AttemptStatus::Error;
-      return ParseStep::Done;
-    }
-    if (rows_off || description.empty() || row.empty() || complete.empty())
-      return ParseStep::Broken;
-    answer.status = AttemptStatus::Ok;
-    answer.value = {description, row, complete};
-    return ParseStep::Done;
+    return parser.finish(ended);
   }
 
 private:
-  std::string head_;
+  static bool is_authentication_ok(std::string_view body) {
+    return body.size() >= 4 && wire::read_u32_big_endian(body.data()) == 0;
+  }
+
+  std::string header_;  ///< The parts of the present request lead into it.
 };
 
 }  // namespace
 
 std::unique_ptr<connection_pool::UpstreamProtocol> make_wire() {
-  return std::make_unique<PgWire>();
+  return std::make_unique<PostgresUpstream>();
 }
 
 }  // namespace gorsebeam::postgres
--- a/src/postgres/upstream_protocol.h
+++ b/src/postgres/upstream_protocol.h
@@ -1,4 +1,5 @@
-// The member side of PostgreSQL's protocol.
+/// Speaks PostgreSQL's protocol to the endpoints: the client's side.
+/// Source: PostgreSQL 15 documentation, chapter "Frontend/Backend Protocol" (version 3.0).
 #pragma once
 
 #include "connection_pool/upstream_protocol.h"
--- a/tests/upstream_protocol_test.cpp
+++ b/tests/upstream_protocol_test.cpp
@@ -3,6 +3,7 @@
 #include "postgres/upstream_protocol.h"
 
 #include "net/timer.h"
+#include "wire/integers.h"
 
 #include <gtest/gtest.h>
 
@@ -11,10 +12,12 @@
 
 LoadReport report_of(const std::string& gauges) {
   const std::string column = std::string("\0\1gauges\0", 9) + std::string(18, '\0');
-  const std::string row =
-      std::string("\0\1", 2) + u32(static_cast<std::uint32_t>(gauges.size())) + gauges;
-  const std::string in = message('T', column) + message('D', row) +
-                         message('C', std::string("SELECT 1\0", 9)) + message('Z', "I");
+  const std::string row = std::string("\0\1", 2) +
+                          wire::encode_u32_big_endian(static_cast<std::uint32_t>(gauges.size())) +
+                          gauges;
+  const std::string in = encode_message('T', column) + encode_message('D', row) +
+                         encode_message('C', std::string("SELECT 1\0", 9)) +
+                         encode_message('Z', "I");
   proxy::UpstreamResponse answer;
   std::size_t used = 0;
   EXPECT_EQ(make_wire()->answer(in, false, true, answer, used), connection_pool::ParseStep::Done);
