--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -9,12 +9,13 @@
 #include <thread>
 
 using namespace test_harness;
+using namespace std::chrono_literals;
 using stand_in::Service;
 namespace pb = gorsebeam::config::v1;
 
 namespace {
 
-// Turns the loop without rest, as the stage's own waits look every 5 ms only.
+// Turns the loop without rest, as the harness's own waits look every 5 ms only.
 void spin(const std::function<bool()>& condition) {
   while (!condition())
     g_main_context_iteration(nullptr, FALSE);
@@ -32,13 +33,13 @@
                                                       share * static_cast<double>(values.size())))];
 }
 
-pb::Members members(const Stage& stage, std::uint64_t generation, int more) {
+pb::Members members(const GatewayHarness& harness, std::uint64_t generation, int more) {
   pb::Members m;
   m.set_generation(generation);
-  for (const auto& member : stage.members) {
+  for (const auto& endpoint : harness.endpoints) {
     pb::Member& one = *m.add_postgres();
-    one.set_name(member->name), one.set_address(member->address);
-    one.set_role(member->listed_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
+    one.set_name(endpoint->name), one.set_address(endpoint->address);
+    one.set_role(endpoint->listed_as_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
   }
   for (int i = 0; i < more; ++i) {  // in other groups, draining, so that nobody probes them
     pb::Member& one = *m.add_postgres();
@@ -65,11 +66,13 @@
 }  // namespace
 
 int main() {
-  Stage stage(postgres(), 3, 0);
+  throw_on_fatal_failures();
+  GatewayHarness harness(postgres(), 3, 0);
   Service service;
-  stage.write_file("control_service { node: 'bench' address: '" + service.address() + "' }");
-  stage.start();
-  until(
+  harness.write_operator_file("control_service { node: 'bench' address: '" + service.address() +
+                              "' }");
+  harness.start();
+  wait_until(
       [&] {
         return service.heard().size() >= 3;
       },
@@ -80,12 +83,12 @@
   // acknowledgement: one loop does both. The pause of 50 ms between runs is waited out before.
   std::printf("push to in force, ms: members, median, least, most of 9 (each changes every member "
               "or none)\n");
-  const auto client = stage.client();
+  const auto client = harness.connect_client();
   for (const int count : {10, 1000, 10000}) {
     std::vector<double> took;
     for (int i = 0; i < 9; ++i) {
-      pass(120);
-      pb::Members m = members(stage, ++generation, count - 3);
+      run_main_loop_for(120ms);
+      pb::Members m = members(harness, ++generation, count - 3);
       for (int j = 3; j < m.postgres_size(); ++j)
         m.mutable_postgres(j)->set_size(1 + i % 2);  // all differ
       const gint64 start = g_get_monotonic_time();
@@ -95,24 +98,24 @@
       });
       if (!service.heard().back().error.empty())
         return 1;
-      client->ask({"p" + std::to_string(generation), "any", "", 2000, false});
+      client->send_request({"p" + std::to_string(generation), "any", "", 2000, false});
       spin([&] {
-        return !client->answers.empty();
+        return !client->responses.empty();
       });
-      client->answers.pop_front();
+      client->responses.pop_front();
       took.push_back(ms_since(start));
     }
     std::printf("%d %.2f %.2f %.2f\n", count, at(took, 0.5), at(took, 0), at(took, 1));
     std::fflush(stdout);
   }
-  service.answer(service.push(members(stage, ++generation, 0), "few"));
+  service.answer(service.push(members(harness, ++generation, 0), "few"));
 
   // Turns of one second with and without 50 versions a second, four clients asking at a steady pace
   // of 400 a second.
   std::vector<double> times[2];
-  std::vector<std::unique_ptr<Client>> clients;
+  std::vector<std::unique_ptr<TestClient>> clients;
   for (int i = 0; i < 16; ++i)
-    clients.push_back(stage.client());
+    clients.push_back(harness.connect_client());
   int number = 0;
   std::uint64_t version = 0;
   for (int turn = 0; turn < 20; ++turn) {
@@ -128,29 +131,29 @@
     });
 
     struct Out {
-      Client* client;
+      TestClient* client;
       gint64 due;
     };
 
     std::vector<Out> out;
-    std::vector<Client*> free;
+    std::vector<TestClient*> free;
     for (const auto& c : clients)
       free.push_back(c.get());
     spin([&] {
       const gint64 now = g_get_monotonic_time();
       for (std::size_t i = 0; i < out.size();) {
-        if (out[i].client->answers.empty()) {
+        if (out[i].client->responses.empty()) {
           ++i;
           continue;
         }
         times[applies].push_back(ms_since(out[i].due));  // from when it should have gone out
-        out[i].client->answers.pop_front();
+        out[i].client->responses.pop_front();
         free.push_back(out[i].client);
         out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
       }
       while (asked < 400 && now >= start + asked * 2500 && !free.empty()) {
         out.push_back({free.back(), start + asked * 2500});
-        free.back()->ask({"t" + std::to_string(number++), "any", "", 2000, false});
+        free.back()->send_request({"t" + std::to_string(number++), "any", "", 2000, false});
         free.pop_back();
         ++asked;
       }
@@ -164,5 +167,5 @@
                 at(times[applies], 0.5), at(times[applies], 0.9), at(times[applies], 0.99),
                 at(times[applies], 0.999), at(times[applies], 1));
   std::printf("ratio of p99: %.3f\n", at(times[1], 0.99) / at(times[0], 0.99));
-  stage.check_rules();
+  harness.expect_invariants();
 }
--- a/bench/grpc_idle.cpp
+++ b/bench/grpc_idle.cpp
@@ -81,9 +81,31 @@
 int main(int count, char** arguments) {
   if (count != 3)
     return 2;
-  const std::string request = gorsebeam::xds::encode_request({}, {"idle", "bench"});
-  print_memory_and_threads("before");
-  if (std::strcmp(arguments[1], "grpc") == 0)
-    return open_with_grpc(arguments[2], request);
-  return open_with_nghttp2(arguments[2], request);
+  const std::string request = gorsebeam::xds::request({}, "idle", "bench");
+  show("before");
+  if (std::strcmp(arguments[1], "grpc") == 0) {
+    const auto channel = ::grpc::CreateChannel(arguments[2], ::grpc::InsecureChannelCredentials());
+    const auto stub = envoy::service::discovery::v3::AggregatedDiscoveryService::NewStub(channel);
+    ::grpc::ClientContext context;
+    const auto stream = stub->StreamAggregatedResources(&context);
+    gorsebeam::xds::v3::DiscoveryRequest message;
+    message.ParseFromString(request);
+    if (!stream->Write(message))
+      return 1;
+    test_harness::run_main_loop_for(std::chrono::seconds(1));
+    show("after ");
+    context.TryCancel();
+    return 0;
+  }
+  Quiet events;
+  gorsebeam::grpc::Channel channel(events);
+  channel.dial(arguments[2], gorsebeam::xds::kPath);
+  test_harness::wait_until(
+      [&] {
+        return events.ready;
+      },
+      "the connection");
+  channel.send(request);
+  test_harness::run_main_loop_for(std::chrono::seconds(1));
+  show("after ");
 }
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -52,7 +52,7 @@
   builder.RegisterService(self_.get());
   builder.SetMaxSendMessageSize(64 << 20);
   self_->server = builder.BuildAndStart();
-  CHECK(self_->server && self_->port > 0);
+  test_harness::require(self_->server && self_->port > 0, "the control service cannot listen");
 }
 
 Service::~Service() {
@@ -107,18 +107,18 @@
         found.push_back(h);
     return found;
   };
-  test_harness::until(
+  test_harness::wait_until(
       [&] {
         return !find().empty();
       },
-      ("the answer to " + nonce).c_str());
-  CHECK(find().size() == 1);
+      "the answer to " + nonce);
+  test_harness::require(find().size() == 1, "the gateway responded twice to " + nonce);
   return find()[0].error;
 }
 
 void Service::end(int code, const std::string& words) {
   const std::lock_guard<std::mutex> lock(self_->mutex);
-  CHECK(self_->context_);
+  test_harness::require(self_->context_ != nullptr, "no stream is open");
   self_->status_ = grpc::Status(static_cast<grpc::StatusCode>(code), words);
   self_->context_->TryCancel();
 }
@@ -182,7 +182,9 @@
 
 Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
   self_->to = to;
-  CHECK(!self_->listener.listen("127.0.0.1:0"));
+  std::string why;
+  test_harness::require(self_->listener.listen("127.0.0.1:0", why),
+                        "a stand-in cannot listen: " + why);
 }
 
 Cable::~Cable() = default;
@@ -233,7 +235,9 @@
 
 Script::Script(std::string bytes) : self_(std::make_unique<Self>()) {
   self_->bytes = std::move(bytes);
-  CHECK(!self_->listener.listen("127.0.0.1:0"));
+  std::string why;
+  test_harness::require(self_->listener.listen("127.0.0.1:0", why),
+                        "a stand-in cannot listen: " + why);
 }
 
 Script::~Script() = default;
--- a/tests/integration/control_plane_test.cpp
+++ b/tests/integration/control_plane_test.cpp
@@ -1,6 +1,8 @@
 // A control service under load: stand-in clients and members of both protocols, and versions that
 // are good, broken, half, reordered or lying. Every request is answered once; what runs at the end
 // is what was accepted.
+#include "check_macro.h"
+
 #include "control/service.h"
 
 #include "snapshot_store/snapshot_codec.h"
@@ -13,6 +15,7 @@
 #include <unistd.h>
 
 using namespace test_harness;
+using namespace std::chrono_literals;
 using stand_in::Cable;
 using stand_in::Script;
 using stand_in::Service;
@@ -32,29 +35,29 @@
 // Clients that ask all the while, each its next when the last is answered.
 class Load {
 public:
-  Load(Stage& stage, int clients) : stage_(stage) {
+  Load(GatewayHarness& harness, int clients) : harness_(harness) {
     for (int i = 0; i < clients; ++i)
-      clients_.push_back(stage.client());
+      clients_.push_back(harness.connect_client());
   }
 
   void turn() {
     for (auto& client : clients_) {
-      const bool answered = client.waiting && !client->answers.empty();
+      const bool answered = client.waiting && !client->responses.empty();
       if (answered) {
-        ++finals[client->answers.front()];
-        client->answers.pop_front();
+        ++finals[client->responses.front()];
+        client->responses.pop_front();
         client.waiting = false;
       }
       if (client.waiting || resting)
         continue;
       const std::string id = "load" + std::to_string(next_++);
-      client->ask(next_ % 4 == 0 ? save(id) : read(id));
+      client->send_request(next_ % 4 == 0 ? keyed_write(id) : read_request(id));
       client.waiting = true;
     }
   }
 
-  void until(const std::function<bool()>& condition, const char* what) {
-    test_harness::until(
+  void wait_until(const std::function<bool()>& condition, const char* what) {
+    test_harness::wait_until(
         [&] {
           return turn(), condition();
         },
@@ -63,7 +66,7 @@
 
   void more(int answers) {
     const int before = total();
-    until(
+    wait_until(
         [&] {
           return total() >= before + answers;
         },
@@ -72,7 +75,7 @@
 
   void rest() {
     resting = true;
-    until(
+    wait_until(
         [&] {
           for (auto& client : clients_)
             if (client.waiting)
@@ -89,44 +92,45 @@
     return sum;
   }
 
-  std::map<Final, int> finals;
+  std::map<ClientResult, int> finals;
   bool resting = false;
 
 private:
   struct One {
-    One(std::unique_ptr<Client> c) : client(std::move(c)) {}
+    One(std::unique_ptr<TestClient> c) : client(std::move(c)) {}
 
-    Client* operator->() { return client.get(); }
+    TestClient* operator->() { return client.get(); }
 
-    std::unique_ptr<Client> client;
+    std::unique_ptr<TestClient> client;
     bool waiting = false;
   };
 
-  Stage& stage_;
+  GatewayHarness& harness_;
   std::list<One> clients_;
   int next_ = 0;
 };
 
 struct Plane {  // a stage with a service and its versions
 
-  explicit Plane(const Protocol& protocol, std::size_t count = 3) : stage(protocol, count, 0) {}
+  explicit Plane(const Protocol& protocol, std::size_t count = 3) : harness(protocol, count, 0) {}
 
   void start(const std::vector<std::string>& addresses, const std::string& more = "") {
-    stage.write_file(control(addresses, more));
-    stage.start();
+    harness.write_operator_file(control(addresses, more));
+    harness.start();
   }
 
   pb::Members members(std::uint64_t generation) {
     pb::Members m;
     m.set_generation(generation);
-    auto* list = &stage.protocol == &mongo() ? m.mutable_mongo() : m.mutable_postgres();
-    for (const auto& member : stage.members) {
-      if (member->state == "gone")
+    auto* list = &harness.protocol == &mongo() ? m.mutable_mongo() : m.mutable_postgres();
+    for (const auto& endpoint : harness.endpoints) {
+      if (endpoint->listed_status == ListedStatus::Removed)
         continue;
       pb::Member& one = *list->Add();
-      one.set_name(member->name), one.set_address(member->address);
-      one.set_role(member->listed_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
-      one.set_state(member->state == "draining" ? pb::Member::DRAINING : pb::Member::UP);
+      one.set_name(endpoint->name), one.set_address(endpoint->address);
+      one.set_role(endpoint->listed_as_primary ? pb::Member::PRIMARY : pb::Member::REPLICA);
+      one.set_state(endpoint->listed_status == ListedStatus::Draining ? pb::Member::DRAINING
+                                                                      : pb::Member::UP);
     }
     return m;
   }
@@ -143,11 +147,11 @@
   }
 
   bool told(const std::string& text) {
-    stage.signal(0);  // reads the log
-    return stage.log.find(text) != std::string::npos;
+    harness.gateway.read_log();  // reads the log
+    return harness.gateway.log.find(text) != std::string::npos;
   }
 
-  Stage stage;
+  GatewayHarness harness;
 };
 
 void has(const std::string& text, const char* part) {
@@ -162,8 +166,8 @@
   Plane plane(protocol);
   Service service;
   plane.start({service.address()});
-  Load load(plane.stage, 8);
-  load.until(
+  Load load(plane.harness, 8);
+  load.wait_until(
       [&] {
         return service.heard().size() >= 3;
       },
@@ -177,7 +181,7 @@
   CHECK(pushed(plane.members(1), "m1").empty());
   CHECK(pushed(plane.contracts(1), "c1").empty());
   load.more(40);
-  CHECK(load.finals.size() == 1 && load.finals.count(Final::Served));
+  CHECK(load.finals.size() == 1 && load.finals.count(ClientResult::Served));
 
   // Broken ones, each with its reason; what runs goes on.
   pb::Members bad = plane.members(2);
@@ -214,65 +218,70 @@
 
   // A host that holds a request is removed: that one is still answered, once, and it gets nothing
   // new.
-  const auto waiting = plane.stage.client();
+  const auto waiting = plane.harness.connect_client();
   load.rest();
-  plane.stage.script = {Fault::Silent};
-  waiting->ask(read("held", 700));
-  until(
+  plane.harness.script = {ScriptedResponse::NoResponse};
+  waiting->send_request(read_request("held", 700));
+  wait_until(
       [&] {
-        return !plane.stage.attempts.empty() && plane.stage.attempts.back().ask.id == "held";
+        return !plane.harness.attempts.empty() &&
+               plane.harness.attempts.back().request.id == "held";
       },
       "it to go out");
-  Member* holder = plane.stage.attempts.back().member;
-  if (holder->listed_primary)
-    holder = plane.stage.members[1].get();  // the group keeps its primary
-  holder->state = "gone";
+  StubEndpoint* holder = plane.harness.attempts.back().endpoint;
+  if (holder->listed_as_primary)
+    holder = plane.harness.endpoints[1].get();  // the group keeps its primary
+  holder->listed_status = ListedStatus::Removed;
   CHECK(service.push_and_answer(plane.members(6), "m6").empty());
-  pass(250);
-  const int before = holder->requests;
+  run_main_loop_for(250ms);
+  const int before = holder->request_count;
   load.resting = false;
   load.more(60);
-  CHECK(holder->requests == before);
-  CHECK(waiting->answer() == Final::Refused);  // never beside a second attempt: the stage checks
+  CHECK(holder->request_count == before);
+  CHECK(waiting->await_response() ==
+        ClientResult::Rejected);  // never beside a second attempt: the stage checks
 
   // Host and name come back at once, with another address: nothing goes to the old one.
   const std::string old_address = holder->address;
-  plane.stage.members.push_back(std::make_unique<Member>(plane.stage, holder->name, false, false));
+  plane.harness.endpoints.push_back(
+      std::make_unique<StubEndpoint>(plane.harness, holder->name, false, false));
   CHECK(pushed(plane.members(7), "m7").empty());
-  load.until(
+  load.wait_until(
       [&] {
-        return plane.stage.members.back()->requests > 0;
+        return plane.harness.endpoints.back()->request_count > 0;
       },
       "the new address to be asked");
   load.more(50);
-  CHECK(holder->requests == before);
+  CHECK(holder->request_count == before);
 
   // And one that was never gone has another address from one version to the next.
-  Member* moved = plane.stage.members[holder == plane.stage.members[2].get() ? 1 : 2].get();
-  moved->state = "gone";
-  plane.stage.members.push_back(std::make_unique<Member>(plane.stage, moved->name, false, false));
+  StubEndpoint* moved =
+      plane.harness.endpoints[holder == plane.harness.endpoints[2].get() ? 1 : 2].get();
+  moved->listed_status = ListedStatus::Removed;
+  plane.harness.endpoints.push_back(
+      std::make_unique<StubEndpoint>(plane.harness, moved->name, false, false));
   CHECK(pushed(plane.members(8), "m8").empty());
-  load.until(
+  load.wait_until(
       [&] {
-        return plane.stage.members.back()->requests > 0;
+        return plane.harness.endpoints.back()->request_count > 0;
       },
       "the other address to be asked");
-  until(
+  wait_until(
       [&] {
-        return moved->connections() == 0;
+        return moved->open_connection_count() == 0;
       },
       "the old address to be left");
-  const int asked_there = moved->requests;
+  const int asked_there = moved->request_count;
   load.more(50);
-  CHECK(moved->requests == asked_there);
+  CHECK(moved->request_count == asked_there);
 
   // The class goes, then the team, then the whole group: what is asked is declined or refused, each
   // once.
   CHECK(pushed(plane.contracts(6, {"save"}), "c6").empty());
   load.finals.clear();
-  load.until(
+  load.wait_until(
       [&] {
-        return load.finals[Final::Failed] > 0;
+        return load.finals[ClientResult::Failed] > 0;
       },
       "the class to be gone");
   pb::Contracts others = plane.contracts(7);
@@ -287,9 +296,9 @@
   load.rest();
   CHECK(service.push_and_answer(plane.members(10), "m10").empty());
   load.finals.clear(), load.resting = false;
-  load.until(
+  load.wait_until(
       [&] {
-        return load.finals[Final::Served] > 0;
+        return load.finals[ClientResult::Served] > 0;
       },
       "the group to be back");
 
@@ -304,17 +313,18 @@
   pb::Limits limits;
   limits.set_generation(1), limits.set_message_kib(64);
   CHECK(pushed(limits, "l1").empty());
-  Ask large = save("large");
-  large.key.assign(80 * 1024, 'k');
-  const auto sender = plane.stage.client();
-  pass(60);  // a run waits 50 ms for the next
-  sender->write(protocol.client_ask(large));
-  load.until(
+  Request large = keyed_write("large");
+  large.idempotency_key.assign(80 * 1024, 'k');
+  const auto sender = plane.harness.connect_client();
+  run_main_loop_for(60ms);  // a run waits 50 ms for the next
+  sender->write(protocol.encode_request(large));
+  load.wait_until(
       [&] {
-        return sender->ended_by_gateway;
+        return sender->closed_by_gateway;
       },
       "the large one to be turned down");
-  plane.stage.answered -= static_cast<int>(sender->answers.size());  // it was never a request
+  plane.harness.response_count -=
+      static_cast<int>(sender->responses.size());  // it was never a request
   limits.set_generation(2), limits.set_message_kib(4);
   has(pushed(limits, "l2"), "message_kib: is out of range; give 64 to 16384");
 
@@ -333,15 +343,15 @@
   for (int i = 0; i < 150'000; ++i)
     *crowd->Add() = crowd->at(3);
   service.push(many, "too-much");
-  load.until(
+  load.wait_until(
       [&] {
         return service.streams() > streams;
       },
       "a new stream");
   CHECK(plane.told("longer than 4 MiB"));
   load.rest();
-  plane.stage.check_rules();
-  CHECK(plane.stage.running());
+  plane.harness.expect_invariants();
+  CHECK(plane.harness.gateway.is_running());
 }
 
 // Types that refer to each other come in any order, or not at all. PostgreSQL's groups are known
@@ -350,7 +360,7 @@
   Plane plane(protocol);
   Service service;
   plane.start({service.address()});
-  until(
+  wait_until(
       [&] {
         return service.heard().size() >= 3;
       },
@@ -364,16 +374,16 @@
   has(service.answer(service.push(contracts, "alone")), "group 7 of team 'portal' has no member");
   contracts.set_generation(2);
   const std::string first = service.push(contracts, "c2");
-  until(
+  wait_until(
       [&] {
         return plane.told("config_version_pending");
       },
       "it to be held");
   CHECK(service.push_and_answer(members, "m1").empty() && service.answer(first).empty());
   has(service.push_and_answer(plane.members(2), "m2"), "group 7 of team 'portal' has no member");
-  const auto client = plane.stage.client();
-  CHECK(client->answer_to(read("fine")) == Final::Served);
-  plane.stage.check_rules();
+  const auto client = plane.harness.connect_client();
+  CHECK(client->send_and_await(read_request("fine")) == ClientResult::Served);
+  plane.harness.expect_invariants();
 }
 
 // The service goes away in every way: each time it is noticed, what runs goes on, and it is found
@@ -383,8 +393,8 @@
   Service service;
   Cable cable(service.address());
   plane.start({cable.address()});
-  Load load(plane.stage, 4);
-  load.until(
+  Load load(plane.harness, 4);
+  load.wait_until(
       [&] {
         return service.heard().size() >= 3;
       },
@@ -400,12 +410,12 @@
     half.mutable_team(0)->mutable_class_(0)->set_tries(3);
     service.push(half, "half");
     service.push(plane.members(generation), "half");
-    load.until(
+    load.wait_until(
         [&] {
           return service.streams() > streams;
         },
         "a new stream");
-    load.until(
+    load.wait_until(
         [&] {
           return service.heard().back().nonce.empty() || service.streaming();
         },
@@ -416,13 +426,13 @@
   // By silence: asked, and lost; then by status, and by going away.
   int streams = service.streams();
   cable.silence(true);
-  load.until(
+  load.wait_until(
       [&] {
         return plane.told("it is silent, also when asked");
       },
       "the silence to be noticed");
   cable.silence(false);
-  load.until(
+  load.wait_until(
       [&] {
         return service.streams() > streams;
       },
@@ -431,23 +441,23 @@
   CHECK(plane.told("control_stream_restored"));
   streams = service.streams();
   service.end(14, "maintenance");
-  load.until(
+  load.wait_until(
       [&] {
         return service.streams() > streams;
       },
       "a new stream");
   CHECK(plane.told("it ended the call with status"));
   service.go_away();
-  load.until(
+  load.wait_until(
       [&] {
         return plane.told("Connection reset") || plane.told("closed by the peer") ||
                plane.told("goes away");
       },
       "the end to be noticed");
   load.more(50);
-  CHECK(load.finals.size() == 1 && load.finals.count(Final::Served));
+  CHECK(load.finals.size() == 1 && load.finals.count(ClientResult::Served));
   load.rest();
-  plane.stage.check_rules();
+  plane.harness.expect_invariants();
 }
 
 // Two addresses, of which one lags: what is newer stays.
@@ -456,23 +466,23 @@
   auto ahead = std::make_unique<Service>();
   Service behind;
   plane.start({ahead->address(), behind.address()});
-  until(
+  wait_until(
       [&] {
         return ahead->heard().size() >= 3;
       },
       "the subscriptions");
   CHECK(ahead->push_and_answer(plane.contracts(9), "c9").empty());
   ahead->go_away();
-  until(
+  wait_until(
       [&] {
         return behind.heard().size() >= 3 && behind.streaming();
       },
       "the other address");
   CHECK(behind.heard()[0].version == "c9");  // it is told what runs
   has(behind.push_and_answer(plane.contracts(8, {"save"}), "c8"), "generation 8 is older than 9");
-  const auto client = plane.stage.client();
-  CHECK(client->answer_to(read("fine")) == Final::Served);
-  plane.stage.check_rules();
+  const auto client = plane.harness.connect_client();
+  CHECK(client->send_and_await(read_request("fine")) == ClientResult::Served);
+  plane.harness.expect_invariants();
 }
 
 // A peer that lies or floods: its connection ends, it is dialled again, and requests never notice.
@@ -508,35 +518,35 @@
     Plane plane(protocol, 2);
     Script script(s.bytes);
     plane.start({script.address()});
-    Load load(plane.stage, 2);
-    load.until(
+    Load load(plane.harness, 2);
+    load.wait_until(
         [&] {
           return script.connections() >= 2 && plane.told(s.words);
         },
         s.words);
     load.more(10);
-    CHECK(load.finals.size() == 1 && load.finals.count(Final::Served));
+    CHECK(load.finals.size() == 1 && load.finals.count(ClientResult::Served));
     load.rest();
-    plane.stage.check_rules();
+    plane.harness.expect_invariants();
   }
 }
 
 // What was accepted rests on disk: a gateway that finds no service serves from it; a damaged, newer
 // or unfit file is told of and passed over; a folder that is gone does not hold up serving.
 void rests_on_disk(const Protocol& protocol) {
-  const std::string folder = temporary_folder(), file = folder + "/last-good";
+  const std::string folder = make_temporary_folder(), file = folder + "/last-good";
   const std::string state = "state_folder: '" + folder + "'\n";
   {
     Plane plane(protocol);
     Service service;
     plane.start({service.address()}, state);
-    until(
+    wait_until(
         [&] {
           return service.heard().size() >= 3;
         },
         "the subscriptions");
     CHECK(service.push_and_answer(plane.contracts(3, {"save"}), "c3").empty());
-    until(
+    wait_until(
         [&] {
           return access(file.c_str(), F_OK) == 0;
         },
@@ -546,112 +556,114 @@
     has(output, "# contracts: version c3, generation 3 (newest 3), from 127.0.0.1:");
     CHECK(access((file + ".new").c_str(), F_OK) != 0);
   }
-  const auto serves = [&](Final reads, const char* words) {
+  const auto serves = [&](ClientResult reads, const char* words) {
     Plane plane(protocol);
     plane.start({"127.0.0.1:9"}, state);
-    until(
+    wait_until(
         [&] {
           return plane.told(words);
         },
         words);
-    const auto client = plane.stage.client();
-    CHECK(client->answer_to(read("one")) == reads);
-    plane.stage.check_rules();
+    const auto client = plane.harness.connect_client();
+    CHECK(client->send_and_await(read_request("one")) == reads);
+    plane.harness.expect_invariants();
   };
-  serves(Final::Failed,
+  serves(ClientResult::Failed,
          "snapshot_restored versions=\"contracts version c3\"");  // its team may only save
-  const auto good = gorsebeam::snapshot_store::load_snapshot(folder);
-  CHECK(good);
+  std::string why;
+  const auto good = gorsebeam::snapshot_store::load(folder, why);
+  CHECK(good.has_value());
   const auto put = [&](const std::string& bytes) {
     std::ofstream(file, std::ios::binary) << bytes;
   };
   const std::string bytes = gorsebeam::snapshot_store::encode_snapshot(good.value());
   put(bytes.substr(0, bytes.size() - 3));
-  serves(Final::Served, "snapshot_rejected");
+  serves(ClientResult::Served, "snapshot_rejected");
   std::string flipped = bytes;
   flipped[flipped.size() / 2] ^= 1;
   put(flipped);
-  serves(Final::Served, "it is damaged: its checksum does not fit");
-  auto newer = good.value();
+  serves(ClientResult::Served, "it is damaged: its checksum does not fit");
+  auto newer = *good;
   newer.set_schema(99);
-  put(gorsebeam::snapshot_store::encode_snapshot(newer));
-  serves(Final::Served, "newer than this program's");
-  auto unfit = good.value();
+  put(gorsebeam::snapshot_store::packed(newer));
+  serves(ClientResult::Served, "newer than this program's");
+  auto unfit = *good;
   unfit.mutable_contracts_value()->mutable_team(0)->mutable_class_(0)->set_name("gone");
-  put(gorsebeam::snapshot_store::encode_snapshot(unfit));
-  serves(Final::Served, "it does not fit here any more");
+  put(gorsebeam::snapshot_store::packed(unfit));
+  serves(ClientResult::Served, "it does not fit here any more");
   unlink(file.c_str());
   unlink((file + ".new").c_str());    // of a program that was killed as it wrote
   CHECK(rmdir(folder.c_str()) == 0);  // and the folder is gone: told, and serving goes on
   Plane plane(protocol);
   Service service;
   plane.start({service.address()}, state);
-  until(
+  wait_until(
       [&] {
         return service.heard().size() >= 3;
       },
       "the subscriptions");
   CHECK(service.push_and_answer(plane.contracts(1), "c1").empty());
-  until(
+  wait_until(
       [&] {
         return plane.told("snapshot_write_failed");
       },
       "the complaint");
-  const auto client = plane.stage.client();
-  CHECK(client->answer_to(read("one")) == Final::Served);
-  plane.stage.check_rules();
+  const auto client = plane.harness.connect_client();
+  CHECK(client->send_and_await(read_request("one")) == ClientResult::Served);
+  plane.harness.expect_invariants();
 }
 
 // The second front moves while a request is open on it; the log becomes JSON; turning the front off
 // is turned down.
 void moves(const Protocol& protocol) {
-  Stage stage(protocol, 2, 0);
-  stage.start();
-  const auto old = stage.client();
-  CHECK(old->answer_to(read("one")) == Final::Served);
-  stage.script = {Fault::Silent};
-  old->ask(read("open", 900));
-  until(
+  GatewayHarness harness(protocol, 2, 0);
+  harness.start();
+  const auto old = harness.connect_client();
+  CHECK(old->send_and_await(read_request("one")) == ClientResult::Served);
+  harness.script = {ScriptedResponse::NoResponse};
+  old->send_request(read_request("open", 900));
+  wait_until(
       [&] {
-        return stage.attempts.back().ask.id == "open";
+        return harness.attempts.back().request.id == "open";
       },
       "it to go out");
-  stage.listen = "127.0.0.2";
-  stage.write_file("");
-  stage.write_inventory();
-  CHECK(stage.log.find("listener_started protocol=MongoDB address=127.0.0.2:") !=
+  harness.listen_host = "127.0.0.2";
+  harness.write_operator_file("");
+  harness.publish_inventory();
+  CHECK(harness.gateway.log.find("listener_started protocol=MongoDB address=127.0.0.2:") !=
         std::string::npos);
-  stage.take_address();
-  const auto fresh = stage.client();
-  CHECK(fresh->answer_to(read("two")) == Final::Served);
-  CHECK(old->answer() == Final::Refused);
-  CHECK(old->answer_to(read("three")) == Final::Served);  // connections stay where they are
-  stage.write_file("log { format: JSON }");
-  stage.signal(SIGHUP);
-  until(
+  harness.update_address();
+  const auto fresh = harness.connect_client();
+  CHECK(fresh->send_and_await(read_request("two")) == ClientResult::Served);
+  CHECK(old->await_response() == ClientResult::Rejected);
+  CHECK(old->send_and_await(read_request("three")) ==
+        ClientResult::Served);  // connections stay where they are
+  harness.write_operator_file("log { format: JSON }");
+  harness.gateway.send_signal(SIGHUP);
+  wait_until(
       [&] {
-        return stage.signal(0),
-               stage.log.find("\"event\":\"reload_complete\"") != std::string::npos;
+        return harness.gateway.read_log(),
+               harness.gateway.log.find("\"event\":\"reload_complete\"") != std::string::npos;
       },
       "a line in JSON");
-  stage.check_rules();
+  harness.expect_invariants();
 }
 
 // With no control service named, nothing is connected or written, state folder or not.
 void off(const Protocol& protocol) {
-  const std::string folder = temporary_folder();
-  Stage stage(protocol, 2, 0, "state_folder: '" + folder + "'\n");
-  stage.start();
-  const auto client = stage.client();
+  const std::string folder = make_temporary_folder();
+  GatewayHarness harness(protocol, 2, 0, "state_folder: '" + folder + "'\n");
+  harness.start();
+  const auto client = harness.connect_client();
   for (int i = 0; i < 10; ++i)
-    CHECK(client->answer_to(read("r" + std::to_string(i))) == Final::Served);
-  stage.write_inventory();
-  CHECK(client->answer_to(read("last")) == Final::Served);
-  CHECK(stage.log.find("control_stream") == std::string::npos &&
-        stage.log.find("config_version") == std::string::npos &&
-        stage.log.find("snapshot_") == std::string::npos);
+    CHECK(client->send_and_await(read_request("r" + std::to_string(i))) == ClientResult::Served);
+  harness.publish_inventory();
+  CHECK(client->send_and_await(read_request("last")) == ClientResult::Served);
+  CHECK(harness.gateway.log.find("control_stream") == std::string::npos &&
+        harness.gateway.log.find("config_version") == std::string::npos &&
+        harness.gateway.log.find("snapshot_") == std::string::npos);
   CHECK(rmdir(folder.c_str()) == 0);  // empty
-  stage.check_rules();
+  harness.expect_invariants();
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/integration/discovery_agent.h
@@ -0,0 +1,44 @@
+/// A stand-in for the discovery agent that serves the endpoint list over a watch.
+#pragma once
+
+#include "net/listener.h"
+#include "net/stream.h"
+
+#include <memory>
+#include <string>
+
+namespace test_harness {
+
+class GatewayHarness;
+
+/// Serves one watch at a time: a chunked HTTP response with one JSON object a line.
+class DiscoveryAgent : gorsebeam::net::Stream::Events {
+public:
+  DiscoveryAgent();
+  DiscoveryAgent(const DiscoveryAgent&) = delete;
+  DiscoveryAgent& operator=(const DiscoveryAgent&) = delete;
+
+  /// The list of group 0 as the harness's endpoints are listed now, as one line.
+  static std::string encode_list(const GatewayHarness& harness, int revision);
+  void await_watch_request();
+  /// Awaits the watch request and begins a chunked response.
+  void accept_watch();
+  void send_chunk(const std::string& line);
+  void send_list(const GatewayHarness& harness, int revision);
+  /// Resets the connection under the response.
+  void reset_connection();
+
+  std::string received_request;
+  std::shared_ptr<gorsebeam::net::Stream> stream;  ///< Of the present watch.
+  int connection_count = 0;
+  gorsebeam::net::Listener listener;
+
+private:
+  void received() override;
+
+  void ended(const std::string&) override {}
+
+  int descriptor_ = -1;  ///< Owned by `stream`.
+};
+
+}  // namespace test_harness
--- a/tests/integration/files_test.cpp
+++ b/tests/integration/files_test.cpp
@@ -1,6 +1,7 @@
 // Configuration and inventories: what is fine is taken; what is not ends the program before it
 // listens, with one message that names file, line and field. And discovery's watch, from a stand-in
 // agent.
+#include "check_macro.h"
 #include "test_harness.h"
 
 #include "inventory/inventory.h"
@@ -13,6 +14,7 @@
 #include <iterator>
 
 using namespace test_harness;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -22,8 +24,8 @@
 }
 
 void inventories() {
-  const std::string folder = temporary_folder();
-  const auto csv_result = gorsebeam::inventory::read_inventory(
+  const std::string folder = make_temporary_folder();
+  const auto csv = gorsebeam::inventory::read(
       write(folder, "a.csv",
             "# kept by the tools\r\nname,group,address,zone,role,state,size,started\r\n"
             "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\ndb2,3,127.0.0.1:27018,b,"
@@ -65,7 +67,7 @@
       {"b10.yaml", "all:\n  machines: {}\n", "line 2", "'machines'"},
   };
 
-  const std::string config = write_config(folder, "127.0.0.1:9");
+  const std::string config = write_platform_config(folder, "127.0.0.1:9");
   for (const auto& b : bad) {
     write(folder, b.name, b.text);
     const std::string file =
@@ -84,7 +86,8 @@
 }
 
 void configurations() {
-  const std::string folder = temporary_folder(), config = write_config(folder, "127.0.0.1:9");
+  const std::string folder = make_temporary_folder(),
+                    config = write_platform_config(folder, "127.0.0.1:9");
   std::string output;
   CHECK(run_program({"version"}, output) == 0);
   CHECK(run_program({"check", "--config", config}, output) == 0);
@@ -182,7 +185,7 @@
     return gorsebeam::postgres::make_wire()->answer(bytes, false, false, answer, used);
   };
   gorsebeam::proxy::UpstreamResponse answer;
-  const std::string good = postgres().member_answer(Fault::Serve, {true}, "value");
+  const std::string good = postgres().encode_response(ScriptedResponse::Succeed, {true}, "value");
   CHECK(read(good, answer) == ParseStep::Done && answer.replication_position);
   CHECK(read(good.substr(0, 45), answer) == ParseStep::More);
   CHECK(read(std::string("x\0\0\1\0noise", 10), answer) == ParseStep::Broken);
@@ -190,8 +193,8 @@
   const std::size_t row = misfit.find(std::string("D\0", 2));
   misfit[row + 3] = '\7';
   CHECK(read(misfit, answer) == ParseStep::Broken);
-  CHECK(read(postgres().member_answer(Fault::BadReport, {true}, "value"), answer) ==
-        ParseStep::Done);
+  CHECK(read(postgres().encode_response(ScriptedResponse::MalformedReport, {true}, "value"),
+             answer) == ParseStep::Done);
   CHECK(!answer.load_report.replication_position && !answer.load_report.is_primary &&
         !answer.replication_position);
 }
@@ -199,7 +202,7 @@
 // The commands for files: what is the same in meaning is no difference, and the formatter changes
 // none.
 void commands() {
-  const std::string folder = temporary_folder();
+  const std::string folder = make_temporary_folder();
   const std::string old = write(
       folder, "old.textproto",
       "# kept\ncontracts: < team { name: 'a' group: [2, 1] class { name: 'x' } class { name: "
--- /dev/null
+++ b/tests/integration/gateway_process.cpp
@@ -0,0 +1,158 @@
+#include "gateway_process.h"
+
+#include "event_wait.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <glib-unix.h>
+#include <iterator>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace test_harness {
+namespace {
+
+std::string listener_prefix(const std::string& protocol_label) {
+  return "protocol=" + protocol_label + " address=";
+}
+
+int exit_status(int wait_status) {
+  return WIFEXITED(wait_status) ? WEXITSTATUS(wait_status) : -1;
+}
+
+}  // namespace
+
+GatewayProcess::~GatewayProcess() {
+  if (pid_ == 0)
+    return;
+  read_log();
+  if (!exited_) {
+    kill(pid_, SIGKILL);
+    wait_until_in_destructor(
+        [this] {
+          return exited_;
+        },
+        "the killed program to exit");
+  }
+  close(log_descriptor_);
+  if (std::uncaught_exceptions() > 0 || testing::Test::HasFailure())
+    std::fprintf(stderr, "the program's log:\n%s", log.c_str());
+}
+
+void GatewayProcess::start(const std::string& config_path, const std::string& operator_file_path,
+                           const std::string& protocol_label) {
+  require(pid_ == 0 || exited_, "the program is started while it runs");
+  if (log_descriptor_ >= 0)
+    close(log_descriptor_);
+  log.clear();
+  exited_ = false;
+  const char* arguments[] = {
+      GORSEBEAM_PROGRAM,          "serve", "--config", config_path.c_str(), "--file",
+      operator_file_path.c_str(), nullptr};
+  const bool spawned = g_spawn_async_with_pipes(
+      nullptr, const_cast<gchar**>(arguments), nullptr,
+      static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr,
+      nullptr, &pid_, nullptr, nullptr, &log_descriptor_, nullptr);
+  require(spawned, "the program cannot be started");
+  g_unix_set_fd_nonblocking(log_descriptor_, TRUE, nullptr);
+  g_child_watch_add(
+      pid_,
+      [](GPid, gint status, gpointer self) {
+        static_cast<GatewayProcess*>(self)->wait_status_ = status;
+        static_cast<GatewayProcess*>(self)->exited_ = true;
+      },
+      this);
+  wait_until(
+      [&] {
+        return has_logged(listener_prefix(protocol_label)) || exited_;
+      },
+      "the program to listen");
+  require(!exited_, "the program exited before it listened");
+}
+
+void GatewayProcess::send_signal(int number) {
+  read_log();
+  if (!exited_)
+    kill(pid_, number);
+}
+
+void GatewayProcess::freeze() {
+  send_signal(SIGSTOP);
+  wait_until(
+      [this] {
+        std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+        const std::string text{std::istreambuf_iterator<char>(stat), {}};
+        const std::size_t name_end = text.rfind(") ");
+        return name_end != std::string::npos && text.compare(name_end + 2, 1, "T") == 0;
+      },
+      "the program to be stopped");
+}
+
+std::size_t GatewayProcess::thread_count() const {
+  const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(pid_) + "/task");
+  return static_cast<std::size_t>(std::distance(begin(tasks), end(tasks)));
+}
+
+int GatewayProcess::await_exit_code() {
+  wait_until(
+      [this] {
+        read_log();
+        return exited_;
+      },
+      "the program to exit");
+  return exit_status(wait_status_);
+}
+
+void GatewayProcess::read_log() {
+  char buffer[4096];
+  ssize_t length = ::read(log_descriptor_, buffer, sizeof buffer);
+  while (length > 0) {
+    log.append(buffer, static_cast<std::size_t>(length));
+    length = ::read(log_descriptor_, buffer, sizeof buffer);
+  }
+}
+
+bool GatewayProcess::has_logged(const std::string& text, std::size_t from) {
+  read_log();
+  return log.find(text, from) != std::string::npos;
+}
+
+void GatewayProcess::await_log(const std::string& text, std::size_t from) {
+  wait_until(
+      [&] {
+        return has_logged(text, from);
+      },
+      "the log line: " + text);
+}
+
+std::string GatewayProcess::last_listener_address(const std::string& protocol_label) const {
+  const std::string prefix = listener_prefix(protocol_label);
+  const std::size_t found = log.rfind(prefix);
+  require(found != std::string::npos, "the log names no listener for " + protocol_label);
+  const std::size_t begin = found + prefix.size();
+  return log.substr(begin, log.find('\n', begin) - begin);
+}
+
+int run_program(const std::vector<std::string>& arguments, std::string& output) {
+  std::vector<const char*> argument_list{GORSEBEAM_PROGRAM};
+  for (const std::string& argument : arguments)
+    argument_list.push_back(argument.c_str());
+  argument_list.push_back(nullptr);
+  gchar* standard_output = nullptr;
+  gchar* standard_error = nullptr;
+  gint status = 0;
+  const bool ran =
+      g_spawn_sync(nullptr, const_cast<gchar**>(argument_list.data()), nullptr, G_SPAWN_DEFAULT,
+                   nullptr, nullptr, &standard_output, &standard_error, &status, nullptr);
+  require(ran, "the program cannot be run");
+  output = std::string(standard_error) + standard_output;
+  g_free(standard_output);
+  g_free(standard_error);
+  return exit_status(status);
+}
+
+}  // namespace test_harness
--- /dev/null
+++ b/tests/integration/gateway_process.h
@@ -0,0 +1,58 @@
+/// The built program as a child process of the test.
+#pragma once
+
+#include <csignal>
+#include <glib.h>
+#include <string>
+#include <vector>
+
+namespace test_harness {
+
+/// Runs `serve` and collects what it logs. Ends the child when destroyed, and prints the child's
+/// log if the test failed.
+class GatewayProcess {
+public:
+  GatewayProcess() = default;
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+  ~GatewayProcess();
+
+  /// Starts the program and waits until it listens for `protocol_label`, `PostgreSQL` or `MongoDB`
+  /// as the log names them. It may be started again once it has exited.
+  void start(const std::string& config_path, const std::string& operator_file_path,
+             const std::string& protocol_label);
+  void send_signal(int number);
+  /// Stops the program: from the return of this call to resume() it does nothing, and what arrives
+  /// for it waits in the kernel.
+  void freeze();
+
+  void resume() { send_signal(SIGCONT); }
+
+  [[nodiscard]] bool was_started() const { return pid_ != 0; }
+
+  [[nodiscard]] bool is_running() const { return !exited_; }
+
+  [[nodiscard]] std::size_t thread_count() const;
+  /// Waits for the program to exit; -1 if a signal ended it.
+  int await_exit_code();
+
+  /// Reads what the program has logged so far into `log`.
+  void read_log();
+  bool has_logged(const std::string& text, std::size_t from = 0);
+  void await_log(const std::string& text, std::size_t from = 0);
+  /// The address of the last listener for `protocol_label` that the log names.
+  [[nodiscard]] std::string last_listener_address(const std::string& protocol_label) const;
+
+  std::string log;
+
+private:
+  GPid pid_ = 0;
+  int log_descriptor_ = -1;
+  int wait_status_ = 0;
+  bool exited_ = false;
+};
+
+/// Runs the program to its end and returns its exit status; `output` gets all that it wrote.
+int run_program(const std::vector<std::string>& arguments, std::string& output);
+
+}  // namespace test_harness
--- /dev/null
+++ b/tests/integration/protocol.h
@@ -0,0 +1,83 @@
+/// The wire formats of PostgreSQL and MongoDB as the stand-in clients and endpoints speak them.
+#pragma once
+
+#include <optional>
+#include <ostream>
+#include <string>
+
+namespace test_harness {
+
+/// What a stub endpoint does with a request.
+enum class ScriptedResponse {
+  Succeed,
+  RejectNotPrimary,   ///< Refuses a write, as a replica does.
+  Fail,               ///< Reports an internal error; the request may have run.
+  RejectOverloaded,   ///< Refuses for lack of capacity; the request did not run.
+  ResetConnection,    ///< Closes the connection in place of a response.
+  NoResponse,         ///< Never responds.
+  Garbage,            ///< Sends bytes that belong to no protocol.
+  Truncated,          ///< Announces more bytes than it sends.
+  OversizedLength,    ///< Announces a response of 3 GB.
+  Duplicate,          ///< Sends a second response right behind a good one.
+  MalformedReport,    ///< Sends a good response with an impossible load report and position.
+  UnboundedResponse,  ///< Sends well-formed bytes beyond the bound of a response.
+};
+
+/// How a request ended for its client.
+enum class ClientResult { Served, Rejected, Failed };
+
+inline std::ostream& operator<<(std::ostream& stream, ClientResult result) {
+  switch (result) {
+  case ClientResult::Served:
+    return stream << "Served";
+  case ClientResult::Rejected:
+    return stream << "Rejected";
+  case ClientResult::Failed:
+    return stream << "Failed";
+  }
+  return stream << "unknown";
+}
+
+/// A request as a client writes it and as an endpoint reads it.
+struct Request {
+  std::string id;
+  std::string service_class = "any";
+  std::string idempotency_key = "k1";
+  int timeout_ms = 2000;
+  bool is_write = false;
+  std::string statement = "";  ///< PostgreSQL only; empty: a statement that fits `is_write`.
+};
+
+/// The replication state that an endpoint reports.
+struct ReplicationStatus {
+  bool is_primary = false;
+  int lag_ms = 0;  ///< How far its replication position lies behind the present.
+};
+
+/// Encodes and decodes one wire protocol on the stand-ins' side.
+class Protocol {
+public:
+  virtual ~Protocol() = default;
+  /// `postgres` or `mongo`, as test names show it.
+  [[nodiscard]] virtual const char* name() const = 0;
+  [[nodiscard]] virtual std::string client_greeting() const = 0;
+  [[nodiscard]] virtual std::string encode_request(const Request& request) const = 0;
+  /// Removes one response from `input`, and sets `value` from it; nothing while it is incomplete.
+  virtual std::optional<ClientResult> decode_response(std::string& input,
+                                                      std::string& value) const = 0;
+  /// Removes one message from `input`; false while it is incomplete. Sets `request` if the message
+  /// is a client's request, else `reply` to the response to a greeting or health check.
+  virtual bool decode_endpoint_message(std::string& input, const ReplicationStatus& replication,
+                                       std::optional<Request>& request,
+                                       std::string& reply) const = 0;
+  [[nodiscard]] virtual std::string encode_response(ScriptedResponse response,
+                                                    const ReplicationStatus& replication,
+                                                    const std::string& value) const = 0;
+  /// A complete message that no request asked for.
+  [[nodiscard]] virtual std::string encode_unsolicited_message() const = 0;
+};
+
+[[nodiscard]] const Protocol& postgres();
+[[nodiscard]] const Protocol& mongo();
+
+}  // namespace test_harness
--- /dev/null
+++ b/tests/integration/stub_endpoint.cpp
@@ -0,0 +1,166 @@
+#include "stub_endpoint.h"
+
+#include "event_wait.h"
+#include "test_harness.h"
+
+#include "net/stream.h"
+
+#include <algorithm>
+#include <glib.h>
+#include <utility>
+
+namespace test_harness {
+
+using gorsebeam::net::SocketHandle;
+using gorsebeam::net::Stream;
+
+struct StubEndpoint::Connection : Stream::Events {
+  Connection(StubEndpoint& owner, SocketHandle socket)
+      : endpoint(owner), stream(Stream::adopt(std::move(socket), *this)) {}
+
+  void received() override {
+    if (resets_after_idle_time())
+      return;
+    input.append(stream->input().view());
+    stream->input().consume(stream->input().size());
+    while (handle_message()) {
+    }
+  }
+
+  void ended(const std::string&) override { end_attempt(); }
+
+  bool resets_after_idle_time() {
+    const gint64 now = g_get_monotonic_time();
+    const gint64 idle_time = now - std::exchange(last_used_at, now);
+    if (endpoint.idle_reset_ms == 0 || idle_time < endpoint.idle_reset_ms * gint64{1000})
+      return false;
+    ++endpoint.idle_reset_count;
+    stream->close();
+    return true;
+  }
+
+  bool handle_message() {
+    std::optional<Request> request;
+    std::string reply;
+    if (!endpoint.harness_.protocol.decode_endpoint_message(input, endpoint.replication, request,
+                                                            reply))
+      return false;
+    if (request)
+      reply = respond(*request);
+    else if (greeted)
+      ++endpoint.health_check_count;
+    if (!std::exchange(greeted, true) && endpoint.holds_greetings)
+      held_greeting = std::exchange(reply, "");
+    if (!stream->open())
+      return false;
+    if (!reply.empty())
+      stream->write({reply});
+    last_used_at = g_get_monotonic_time();
+    return true;
+  }
+
+  ScriptedResponse next_response(const Request& request) const {
+    if (request.is_write && !endpoint.replication.is_primary)
+      return ScriptedResponse::RejectNotPrimary;  // whatever the script says
+    std::deque<ScriptedResponse>& script = endpoint.harness_.script;
+    if (script.empty())
+      return ScriptedResponse::Succeed;
+    const ScriptedResponse response = script.front();
+    script.pop_front();
+    return response;
+  }
+
+  std::string respond(const Request& request) {
+    GatewayHarness& harness = endpoint.harness_;
+    ++endpoint.request_count;
+    for (const auto& earlier : harness.attempts)
+      if (earlier.request.id == request.id && earlier.in_flight)
+        report_callback_failure("two attempts of request " + request.id + " are in flight at once");
+    const ScriptedResponse response = next_response(request);
+    const bool may_have_run = response != ScriptedResponse::RejectNotPrimary &&
+                              response != ScriptedResponse::RejectOverloaded;
+    harness.attempts.push_back({request, &endpoint, true, may_have_run});
+    attempt_number = harness.attempts.size();
+    if (response == ScriptedResponse::NoResponse)
+      return "";
+    end_attempt();
+    if (response == ScriptedResponse::ResetConnection) {
+      stream->close();
+      return "";
+    }
+    std::string value = "by " + endpoint.name;
+    value.resize(std::max(value.size(), endpoint.min_value_bytes), '.');
+    return harness.protocol.encode_response(response, endpoint.replication, value);
+  }
+
+  void end_attempt() {
+    if (attempt_number > 0)
+      endpoint.harness_.attempts[attempt_number - 1].in_flight = false;
+    attempt_number = 0;
+  }
+
+  StubEndpoint& endpoint;
+  std::shared_ptr<Stream> stream;
+  std::string input;
+  std::string held_greeting;
+  bool greeted = false;
+  std::size_t attempt_number = 0;  ///< 1 + index in GatewayHarness::attempts; 0: none in flight.
+  gint64 last_used_at = g_get_monotonic_time();
+};
+
+StubEndpoint::StubEndpoint(GatewayHarness& harness, std::string endpoint_name,
+                           bool is_listed_as_primary, bool is_primary)
+    : name(std::move(endpoint_name)),
+      listed_as_primary(is_listed_as_primary), replication{is_primary}, harness_(harness),
+      listener_([this](SocketHandle socket) {
+        accept(std::move(socket));
+      }) {
+  std::string error;
+  require(listener_.listen("127.0.0.1:0", error), "a stub endpoint cannot listen: " + error);
+  address = listener_.address();
+}
+
+void StubEndpoint::accept(SocketHandle socket) {
+  connections_.push_back(std::make_shared<Connection>(*this, std::move(socket)));
+}
+
+int StubEndpoint::open_connection_count() const {
+  return static_cast<int>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& connection) {
+        return connection->stream->open();
+      }));
+}
+
+std::size_t StubEndpoint::held_greeting_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& connection) {
+        return connection->stream->open() && !connection->held_greeting.empty();
+      }));
+}
+
+void StubEndpoint::release_greetings() {
+  holds_greetings = false;
+  for (const auto& connection : connections_)
+    if (connection->stream->open() && !connection->held_greeting.empty())
+      connection->stream->write({std::exchange(connection->held_greeting, "")});
+}
+
+void StubEndpoint::send_unsolicited(const std::string& bytes) {
+  for (const auto& connection : connections_)
+    if (connection->stream->open())
+      connection->stream->write({bytes});
+}
+
+void StubEndpoint::close_connections() {
+  for (const auto& connection : connections_) {
+    connection->stream->close();
+    connection->end_attempt();
+  }
+}
+
+void StubEndpoint::shut_down() {
+  listener_.close();
+  close_connections();
+}
+
+}  // namespace test_harness
--- /dev/null
+++ b/tests/integration/stub_endpoint.h
@@ -0,0 +1,60 @@
+/// A stand-in database endpoint on loopback that responds as the test's script says.
+#pragma once
+
+#include "protocol.h"
+
+#include "net/listener.h"
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace test_harness {
+
+class GatewayHarness;
+
+/// How the inventory or the discovery agent lists an endpoint.
+enum class ListedStatus { Up, Draining, Removed };
+
+/// Listens on an ephemeral port. The harness that it refers to must outlive it.
+class StubEndpoint {
+public:
+  StubEndpoint(GatewayHarness& harness, std::string name, bool listed_as_primary, bool is_primary);
+  StubEndpoint(const StubEndpoint&) = delete;
+  StubEndpoint& operator=(const StubEndpoint&) = delete;
+
+  [[nodiscard]] std::size_t held_greeting_count() const;
+  /// Sends the held greetings; no greeting is held from then on.
+  void release_greetings();
+  [[nodiscard]] int open_connection_count() const;
+  /// Sends `bytes` on each open connection though nothing asked for them.
+  void send_unsolicited(const std::string& bytes);
+  /// Closes the open connections and goes on listening.
+  void close_connections();
+  /// Closes the open connections and refuses new ones.
+  void shut_down();
+
+  std::string name;
+  std::string address;
+  ListedStatus listed_status = ListedStatus::Up;
+  bool listed_as_primary;
+  ReplicationStatus replication;
+  int request_count = 0;
+  int health_check_count = 0;       ///< Without the greetings that open connections.
+  std::size_t min_value_bytes = 0;  ///< Values are padded to this length.
+  bool holds_greetings = false;     ///< New connections get no greeting until they are released.
+  int idle_reset_ms = 0;            ///< Resets a connection at the first message after so long an
+                                    ///< idle time; 0: never.
+  int idle_reset_count = 0;
+
+private:
+  struct Connection;
+
+  void accept(gorsebeam::net::SocketHandle socket);
+
+  GatewayHarness& harness_;
+  gorsebeam::net::Listener listener_;
+  std::list<std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace test_harness
--- /dev/null
+++ b/tests/integration/test_client.h
@@ -0,0 +1,56 @@
+/// A stand-in client of the gateway.
+#pragma once
+
+#include "protocol.h"
+
+#include "net/stream.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace test_harness {
+
+class GatewayHarness;
+
+/// One client connection. The harness that it refers to must outlive it.
+class TestClient : gorsebeam::net::Stream::Events {
+public:
+  TestClient(GatewayHarness& harness, const std::string& address);
+  TestClient(const TestClient&) = delete;
+  TestClient& operator=(const TestClient&) = delete;
+
+  void write(const std::string& bytes) { stream_->write({bytes}); }
+
+  void send_request(const Request& request);
+  /// Waits for the next response and removes it from `responses`.
+  ClientResult await_response();
+  ClientResult send_and_await(const Request& request);
+
+  void close() { stream_->close(); }
+
+  [[nodiscard]] bool is_flushed() const { return stream_->all_written(); }
+
+  /// While paused the client reads nothing, not even the end of the connection.
+  void pause_reading() { stream_->pause_reading(true); }
+
+  void resume_reading() { stream_->pause_reading(false); }
+
+  /// Ends the sending side only.
+  void shut_down_writing() { stream_->shut(); }
+
+  std::string last_value;      ///< Of the last response that carried one.
+  std::string unparsed_input;  ///< Bytes received that form no complete response yet.
+  bool closed_by_gateway = false;
+  std::string close_reason;  ///< As the socket reports it.
+  std::deque<ClientResult> responses;
+
+private:
+  void received() override;
+  void ended(const std::string& reason) override;
+
+  GatewayHarness& harness_;
+  std::shared_ptr<gorsebeam::net::Stream> stream_;
+};
+
+}  // namespace test_harness
