Convert the integration tests of requests and races to GoogleTest

Need: test names were house words, a main mapped them to functions, and set-up stood twice. The races share their set-up (WarmGateway, hold_greetings, await_held_greeting). What the old checks asserted stays asserted.

--- /dev/null
+++ b/tests/integration/client_admission_test.cpp
@@ -0,0 +1,166 @@
+// Clients that send malformed input, hold connections, or write without reading.
+#include "gateway_integration_test.h"
+
+#include <algorithm>
+
+using namespace test_harness;
+
+namespace {
+
+using Clients = std::vector<std::unique_ptr<TestClient>>;
+
+class ClientAdmission : public GatewayIntegrationTest {
+protected:
+  [[nodiscard]] static std::vector<std::string> malformed_inputs() {
+    const std::string greeting = protocol().client_greeting();
+    const std::string request = protocol().encode_request(read_request("cut"));
+    std::vector<std::string> inputs{std::string(64, '\xff'), greeting + std::string(64, '\xff'),
+                                    std::string(64, '\0')};
+    for (std::size_t position = 0; position < request.size(); position += 3) {
+      std::string corrupted = request;
+      corrupted[position] = static_cast<char>(corrupted[position] ^ 0x55);
+      inputs.push_back(greeting + corrupted);
+    }
+    return inputs;
+  }
+
+  // 250 clients that say nothing, with 25 that send half a request.
+  [[nodiscard]] static Clients connect_idle_clients(GatewayHarness& harness) {
+    const std::string half_request = protocol().encode_request(read_request("half")).substr(0, 30);
+    Clients clients;
+    for (int i = 0; i < 250; ++i) {
+      clients.push_back(harness.connect_silent_client());
+      if (i % 10 != 9)
+        continue;
+      clients.push_back(harness.connect_client());
+      clients.back()->write(half_request);
+    }
+    return clients;
+  }
+
+  // False if the client was rejected, as on a starved machine its greeting may come too late.
+  [[nodiscard]] static bool serves_new_client(GatewayHarness& harness, const std::string& id) {
+    const auto client = harness.connect_client();
+    client->send_request(read_request(id));
+    wait_until(
+        [&] {
+          return !client->responses.empty() || client->closed_by_gateway;
+        },
+        "a response to a new client, or the end of its connection");
+    if (!client->responses.empty() && client->responses.front() == ClientResult::Served)
+      return true;
+    --harness.sent_requests[id];
+    harness.response_count -= static_cast<int>(client->responses.size());
+    return false;
+  }
+
+  static void expect_idle_clients_closed(GatewayHarness& harness, const Clients& clients) {
+    for (const auto& client : clients)
+      client->await_close("an idle client to be closed");
+    // They sent no request, so that what they were told is no response.
+    for (const auto& client : clients)
+      harness.response_count -= static_cast<int>(client->responses.size());
+  }
+
+  // Clients that send one request and stay are closed after 2 s to make room.
+  static void expect_clients_that_stay_make_room(GatewayHarness& harness) {
+    Clients clients;
+    for (int i = 0; i < 60; ++i) {
+      clients.push_back(harness.connect_client());
+      ASSERT_EQ(clients.back()->send_and_await(read_request("stay" + std::to_string(i))),
+                ClientResult::Served);
+    }
+    wait_until(
+        [&] {
+          return std::count_if(clients.begin(), clients.end(), [](const auto& client) {
+                   return !client->closed_by_gateway;
+                 }) <= 45;
+        },
+        "clients that stay to be closed");
+  }
+};
+
+TEST_P(ClientAdmission, ConfinesMalformedInputToItsConnection) {
+  GatewayHarness harness(protocol(), 2, 0);
+  harness.start();
+  const auto good = harness.connect_client();
+  ASSERT_EQ(good->send_and_await(read_request("first")), ClientResult::Served);
+  for (const std::string& input : malformed_inputs()) {
+    const auto bad = harness.connect_client();
+    bad->write(input);
+    run_main_loop_for(std::chrono::milliseconds(1));
+    bad->close();
+  }
+  const auto oversized = harness.connect_client();
+  oversized->write(protocol().encode_request(read_request("big")).substr(0, 1) +
+                   std::string(1 << 20, 'x'));
+  oversized->await_close("an oversized message to be rejected");
+
+  // An unknown class, and a write under a class for reads, fail with an error; their connection
+  // goes on.
+  const auto client = harness.connect_client();
+  ASSERT_EQ(client->send_and_await({"u", "unheard-of", "", 2000, false, ""}), ClientResult::Failed);
+  ASSERT_EQ(client->send_and_await({"v", "any", "k", 2000, true, ""}), ClientResult::Failed);
+  ASSERT_EQ(client->send_and_await(read_request("same-connection")), ClientResult::Served);
+  ASSERT_EQ(good->send_and_await(read_request("last")), ClientResult::Served);
+  ASSERT_TRUE(harness.gateway.is_running());
+}
+
+TEST_P(ClientAdmission, ServesActiveClientsBesideIdleAndFloodingOnes) {
+  GatewayHarness harness(protocol(), 2, 0);
+  harness.start();
+  const auto usual = harness.connect_client();
+  ASSERT_EQ(usual->send_and_await(read_request("usual")), ClientResult::Served);
+  {
+    const Clients idle_clients = connect_idle_clients(harness);
+    int served_count = 0;
+    while (served_count < 10)
+      if (serves_new_client(harness, "new" + std::to_string(served_count)))
+        ++served_count;
+    expect_idle_clients_closed(harness, idle_clients);
+  }
+  expect_clients_that_stay_make_room(harness);
+
+  // A request whose id is in flight is not sent a second time, whichever client sends it; requests
+  // under other ids are served.
+  const auto other = harness.connect_client();
+  const auto flooding = harness.connect_client();
+  harness.script = {ScriptedResponse::NoResponse};
+  other->send_request(read_request("open", 900));
+  harness.await_first_attempt("open");
+  ASSERT_EQ(flooding->send_and_await(read_request("open")), ClientResult::Failed);
+  for (int i = 0; i < 300; ++i)
+    flooding->send_request({"b" + std::to_string(i), "unheard-of", "", 2000, false, ""});
+  flooding->send_request(read_request("last"));
+  for (int i = 0; i < 300; ++i)
+    ASSERT_EQ(flooding->await_response(), ClientResult::Failed) << "request b" << i;
+  ASSERT_EQ(flooding->await_response(), ClientResult::Served);
+  ASSERT_EQ(other->await_response(), ClientResult::Rejected);
+  ASSERT_EQ(harness.attempt_count("open"), 1);
+  harness.expect_invariants_and_running();
+}
+
+// The error that precedes the end of a connection reaches a client that goes on writing: a reset
+// does not discard it.
+TEST_P(ClientAdmission, DeliversErrorToClientThatWritesOnWhenClosed) {
+  GatewayHarness harness(protocol(), 2, 0);
+  harness.start();
+  const auto usual = harness.connect_client();
+  ASSERT_EQ(usual->send_and_await(read_request("usual")), ClientResult::Served);
+  // More clients than the gateway lets linger at once.
+  for (int i = 0; i < 20; ++i) {
+    const auto client = harness.connect_client();
+    // The first bytes are rejected while the rest is unread.
+    client->write(std::string(64 * 1024, '\xff'));
+    client->await_close("a client with malformed input to be closed");
+    ASSERT_EQ(client->close_reason, "closed by the peer");
+    ASSERT_GT(client->unparsed_input.size() + client->responses.size(), 0U);
+    // It sent no request, so that what it was told is no response.
+    harness.response_count -= static_cast<int>(client->responses.size());
+  }
+  harness.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, ClientAdmission, both_protocols(), protocol_name);
+
+}  // namespace
--- /dev/null
+++ b/tests/integration/client_disconnects_test.cpp
@@ -0,0 +1,144 @@
+// Clients that disconnect while their requests wait for a connection or an endpoint.
+#include "gateway_integration_test.h"
+
+using namespace test_harness;
+
+namespace {
+
+enum class DisconnectKind { Close, ShutDownWriting };
+
+class ClientDisconnects : public GatewayIntegrationTest {
+protected:
+  [[nodiscard]] static std::string encode_requests(std::size_t min_bytes) {
+    std::string bytes = protocol().encode_request(read_request("left-0"));
+    for (int i = 1; bytes.size() < min_bytes; ++i)
+      bytes += protocol().encode_request(read_request("left-" + std::to_string(i)));
+    return bytes;
+  }
+
+  static void expect_drops_waiting_requests(std::size_t min_bytes, DisconnectKind kind) {
+    WarmGateway warm(protocol(), 2, 8, long_connect_timeout());
+    warm.harness.hold_greetings();
+    const auto leaving = warm.harness.connect_client();
+    leaving->write(encode_requests(min_bytes));
+    static_cast<void>(warm.harness.await_held_greeting());
+    leaving->await_flushed();
+
+    if (kind == DisconnectKind::ShutDownWriting) {
+      leaving->shut_down_writing();
+      leaving->await_close("the gateway to end its side");
+    } else {
+      leaving->close();
+      await_gateway_loop_turns(*warm.client, "u");
+    }
+
+    warm.harness.release_greetings();
+    expect_reads_served(*warm.client, "b", 12);
+    ASSERT_EQ(warm.harness.attempt_count_with_prefix("left-"), 0);
+    ASSERT_TRUE(leaving->responses.empty());
+    warm.harness.expect_invariants_and_running();
+  }
+
+  // 60 clients: most with a request, some with half a request or with many bytes behind it.
+  [[nodiscard]] static std::vector<std::unique_ptr<TestClient>>
+  connect_burst(GatewayHarness& harness, int round) {
+    std::vector<std::unique_ptr<TestClient>> clients;
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = "left-" + std::to_string(round * 1000 + i);
+      std::string bytes = protocol().encode_request(read_request(id));
+      if (i % 10 == 1)
+        bytes.resize(bytes.size() / 2);
+      if (i % 10 == 2)
+        bytes.append(100'000, 'x');
+      clients.push_back(harness.connect_client());
+      clients.back()->write(bytes);
+    }
+    return clients;
+  }
+};
+
+// The gateway notices at once, and sends none of the client's requests, whatever lies behind the
+// first and however the client disconnects.
+TEST_P(ClientDisconnects, DropsRequestThatWaitsForConnection) {
+  for (const std::size_t min_bytes : {0, 20'000, 300'000}) {
+    for (const DisconnectKind kind : {DisconnectKind::Close, DisconnectKind::ShutDownWriting}) {
+      SCOPED_TRACE(std::to_string(min_bytes) + " bytes, " +
+                   (kind == DisconnectKind::Close ? "closed" : "writing shut down"));
+      expect_drops_waiting_requests(min_bytes, kind);
+    }
+  }
+}
+
+// The request waits, before its first attempt or before a retry, as all endpoints drain. Once one
+// is up again, the request is not sent.
+TEST_P(ClientDisconnects, DropsRequestThatWaitsForEndpoint) {
+  for (const bool was_attempted : {false, true}) {
+    SCOPED_TRACE(was_attempted ? "before a retry" : "before the first attempt");
+    WarmGateway warm(protocol(), 2, 8);
+    GatewayHarness& harness = warm.harness;
+    const auto leaving = harness.connect_client();
+    if (was_attempted) {
+      harness.script = {ScriptedResponse::NoResponse};
+      leaving->send_request(read_request("left-0"));
+      harness.await_first_attempt("left-0");
+    }
+    harness.set_listed_status(ListedStatus::Draining);
+    harness.publish_inventory();
+    if (was_attempted)
+      for (const auto& endpoint : harness.endpoints)
+        endpoint->close_connections();
+    else
+      leaving->send_request(read_request("left-0"));
+    await_gateway_loop_turns(*warm.client, "u");
+    ASSERT_TRUE(leaving->responses.empty());
+
+    leaving->close();
+    await_gateway_loop_turns(*warm.client, "v");
+
+    harness.set_listed_status(ListedStatus::Up);
+    harness.publish_inventory();
+    expect_reads_served(*warm.client, "b", 12);
+    ASSERT_EQ(harness.attempt_count("left-0"), was_attempted ? 1 : 0);
+    harness.sent_requests.erase("left-0");
+    if (was_attempted)
+      harness.sent_requests["left-0"] = 0;  // it was sent, and gets no response
+    harness.expect_invariants_and_running();
+  }
+}
+
+// Nothing of theirs is sent, and the clients that come next find capacity.
+TEST_P(ClientDisconnects, DropsRequestsOfBurstAndFreesCapacity) {
+  WarmGateway warm(protocol(), 2, 8, long_connect_timeout());
+  GatewayHarness& harness = warm.harness;
+  // Together the rounds have more clients than may connect.
+  for (int round = 0; round < 4; ++round) {
+    const std::string round_suffix = std::to_string(round) + "-";
+    harness.hold_greetings();
+    const auto burst = connect_burst(harness, round);
+    static_cast<void>(harness.await_held_greeting());
+    for (const auto& client : burst)
+      client->await_flushed();
+    await_gateway_loop_turns(*warm.client, "u" + round_suffix);
+    for (const auto& client : burst) {
+      ASSERT_TRUE(client->responses.empty());
+      ASSERT_FALSE(client->closed_by_gateway);
+    }
+    for (const auto& client : burst)
+      client->close();
+    await_gateway_loop_turns(*warm.client, "v" + round_suffix);
+    harness.release_greetings();
+    expect_reads_served(*warm.client, "b" + round_suffix, 12);
+  }
+  ASSERT_EQ(harness.attempt_count_with_prefix("left-"), 0);
+
+  std::vector<std::unique_ptr<TestClient>> next_clients;
+  for (int i = 0; i < 60; ++i) {
+    next_clients.push_back(harness.connect_client());
+    expect_reads_served(*next_clients.back(), "n" + std::to_string(i) + "-", 1);
+  }
+  harness.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, ClientDisconnects, both_protocols(), protocol_name);
+
+}  // namespace
--- /dev/null
+++ b/tests/integration/request_outcomes_test.cpp
@@ -0,0 +1,180 @@
+// What becomes of a request under scripted responses of its endpoints, the same on each protocol.
+#include "gateway_integration_test.h"
+
+using namespace test_harness;
+
+namespace {
+
+constexpr int kAnyAttemptCount = -1;  // as many as it takes, within the invariants
+
+struct OutcomeCase {
+  Request request;
+  std::vector<ScriptedResponse> script;
+  ClientResult result;
+  int attempt_count;
+};
+
+std::vector<OutcomeCase> outcome_cases() {
+  using Response = ScriptedResponse;
+  constexpr auto kServed = ClientResult::Served;
+  constexpr auto kRejected = ClientResult::Rejected;
+  constexpr auto kFailed = ClientResult::Failed;
+  return {
+      {read_request("plain"), {Response::Succeed}, kServed, 1},
+      {read_request("overloaded"), {Response::RejectOverloaded, Response::Succeed}, kServed, 2},
+      {keyed_write("keyed-overloaded"),
+       {Response::RejectOverloaded, Response::Succeed},
+       kServed,
+       2},
+      {single_shot_write("once-overloaded"),
+       {Response::RejectOverloaded, Response::Succeed},
+       kServed,
+       2},
+      {read_request("error"), {Response::Fail, Response::Succeed}, kServed, 2},
+      {single_shot_write("once-error"), {Response::Fail}, kFailed, 1},
+      {read_request("garbage"), {Response::Garbage, Response::Succeed}, kServed, 2},
+      {read_request("truncated"), {Response::Truncated, Response::Succeed}, kServed, 2},
+      {read_request("oversized"), {Response::OversizedLength, Response::Succeed}, kServed, 2},
+      {keyed_write("keyed-truncated"), {Response::Truncated, Response::Succeed}, kServed, 2},
+      {single_shot_write("once-oversized"), {Response::OversizedLength}, kFailed, 1},
+      {read_request("duplicate"), {Response::Duplicate}, kServed, 1},
+      {read_request("bad-report"), {Response::MalformedReport}, kServed, 1},
+      {read_request("reset"), {Response::ResetConnection, Response::Succeed}, kServed, 2},
+      // No second attempt starts while the first is in flight. The request is rejected and not
+      // failed at its time-out, as a read has no effect.
+      {read_request("no-response", 400), {Response::NoResponse}, kRejected, 1},
+      // The primary resets one connection and lives on: the write returns to it, through replicas
+      // or not.
+      {keyed_write("keyed-reset"),
+       {Response::ResetConnection, Response::Succeed},
+       kServed,
+       kAnyAttemptCount},
+      {single_shot_write("once-reset"), {Response::ResetConnection}, kFailed, 1},
+  };
+}
+
+// Gives the gateway so many good responses that one bad one does not count as overload, and the
+// outcome is the same in every run.
+void establish_healthy_history(TestClient& client) {
+  for (int i = 0; i < 12; ++i) {
+    ASSERT_EQ(client.send_and_await(read_request("r" + std::to_string(i))), ClientResult::Served);
+    ASSERT_EQ(client.send_and_await(keyed_write("w" + std::to_string(i))), ClientResult::Served);
+    ASSERT_EQ(client.last_value, "by m0");
+  }
+}
+
+void expect_next_reads_get_own_responses(TestClient& client) {
+  for (int i = 0; i < 8; ++i) {
+    ASSERT_EQ(client.send_and_await(read_request("after" + std::to_string(i))),
+              ClientResult::Served);
+    ASSERT_EQ(client.last_value.substr(0, 4), "by m");
+  }
+  ASSERT_TRUE(client.responses.empty());
+}
+
+class RequestOutcomes : public GatewayIntegrationTest {};
+
+class SessionConsistency : public GatewayIntegrationTest {};
+
+TEST_P(RequestOutcomes, FollowScriptedResponsesTheSameOnEachProtocol) {
+  for (const OutcomeCase& outcome : outcome_cases()) {
+    SCOPED_TRACE("request " + outcome.request.id);
+    GatewayHarness harness(protocol(), 3, 0);
+    harness.start();
+    const auto client = harness.connect_client();
+    establish_healthy_history(*client);
+    harness.script.assign(outcome.script.begin(), outcome.script.end());
+
+    const ClientResult result = client->send_and_await(outcome.request);
+
+    const int attempt_count = harness.attempt_count(outcome.request.id);
+    ASSERT_EQ(result, outcome.result) << attempt_count << " attempts";
+    if (outcome.attempt_count != kAnyAttemptCount) {
+      ASSERT_EQ(attempt_count, outcome.attempt_count);
+    }
+    // What an endpoint sent behind a response belongs to no request.
+    expect_next_reads_get_own_responses(*client);
+    for (const auto& attempt : harness.attempts) {
+      ASSERT_GT(attempt.request.timeout_ms, 0);
+      ASSERT_LE(attempt.request.timeout_ms, 2500);
+    }
+    harness.expect_invariants_and_running();
+  }
+}
+
+// The endpoint that is listed as the primary is a replica by now and rejects the write.
+TEST_P(RequestOutcomes, DeliverWriteRejectedByListedPrimaryToActualPrimary) {
+  GatewayHarness harness(protocol(), 3, 2);
+  harness.start();
+  const auto client = harness.connect_client();
+  const StubEndpoint& primary = *harness.endpoints[2];
+
+  ASSERT_EQ(client->send_and_await(keyed_write("w1")), ClientResult::Served);
+  ASSERT_EQ(client->last_value, "by m2");
+  ASSERT_EQ(harness.attempts.back().endpoint, &primary);
+  ASSERT_EQ(harness.attempts.back().request.idempotency_key, "key-w1");
+
+  // The gateway has learnt which endpoint is the primary.
+  const int requests_before = primary.request_count;
+  ASSERT_EQ(client->send_and_await(keyed_write("w2")), ClientResult::Served);
+  ASSERT_EQ(primary.request_count, requests_before + 1);
+  ASSERT_EQ(harness.attempt_count("w2"), 1);
+  harness.expect_invariants_and_running();
+}
+
+// Requests are written right behind the greeting, several at once.
+TEST_P(RequestOutcomes, AnswerEachPipelinedRequestOnce) {
+  GatewayHarness harness(protocol(), 2, 0);
+  harness.start();
+  const auto client = harness.connect_client();
+  for (int i = 0; i < 10; ++i)
+    client->send_request(read_request("p" + std::to_string(i)));
+  for (int i = 0; i < 10; ++i)
+    ASSERT_EQ(client->await_response(), ClientResult::Served);
+  ASSERT_TRUE(client->responses.empty());
+  harness.expect_invariants_and_running();
+}
+
+// While a session's write is in flight, and after it ended without a response, its endpoint may
+// have executed it. The session's reads go where the write would be visible, and to no replica that
+// lags, though no response has confirmed the write.
+TEST_P(SessionConsistency, ReadsGoToPrimaryWhileWriteMayHaveRun) {
+  GatewayHarness harness(protocol(), 3, 0);
+  harness.start();
+  const auto client = harness.connect_client();
+  const auto writer = harness.connect_client();
+  const auto session_read = [](const std::string& id) {
+    return Request{id, "session", "", 2000, false, ""};
+  };
+  // So many good responses that a missing one does not count as overload.
+  for (int i = 0; i < 12; ++i) {
+    ASSERT_EQ(client->send_and_await(keyed_write("w" + std::to_string(i))), ClientResult::Served);
+    ASSERT_EQ(client->send_and_await(session_read("s" + std::to_string(i))), ClientResult::Served);
+  }
+  // Until a replica is known to hold all writes so far; the replicas get no more of them.
+  do {
+    const std::string id = "t" + std::to_string(harness.attempts.size());
+    ASSERT_EQ(client->send_and_await(session_read(id)), ClientResult::Served);
+  } while (client->last_value == "by m0");
+  harness.endpoints[1]->replication.lag_ms = 60'000;
+  harness.endpoints[2]->replication.lag_ms = 60'000;
+  harness.script = {ScriptedResponse::NoResponse};
+  Request write = single_shot_write("out", 700);
+  write.idempotency_key = "key-out";
+  writer->send_request(write);
+  harness.await_first_attempt("out");
+  // A response to the write would be known to the gateway after this time.
+  run_main_loop_for(std::chrono::milliseconds(120));
+
+  ASSERT_EQ(client->send_and_await(session_read("while-out")), ClientResult::Served);
+  ASSERT_EQ(client->last_value, "by m0");
+  ASSERT_EQ(writer->await_response(), ClientResult::Failed);
+  ASSERT_EQ(client->send_and_await(session_read("after")), ClientResult::Served);
+  ASSERT_EQ(client->last_value, "by m0");
+  harness.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, RequestOutcomes, both_protocols(), protocol_name);
+INSTANTIATE_TEST_SUITE_P(, SessionConsistency, both_protocols(), protocol_name);
+
+}  // namespace
--- a/tests/integration/test_client.cpp
+++ b/tests/integration/test_client.cpp
@@ -38,6 +38,22 @@
   return result;
 }
 
+void TestClient::await_close(const std::string& awaited) {
+  wait_until(
+      [this] {
+        return closed_by_gateway;
+      },
+      awaited);
+}
+
+void TestClient::await_flushed() {
+  wait_until(
+      [this] {
+        return is_flushed();
+      },
+      "the client's bytes to be written");
+}
+
 ClientResult TestClient::send_and_await(const Request& request) {
   send_request(request);
   return await_response();
--- a/tests/integration/test_client.h
+++ b/tests/integration/test_client.h
@@ -27,6 +27,11 @@
   ClientResult await_response();
   ClientResult send_and_await(const Request& request);
 
+  /// Waits until the gateway has closed the connection; `awaited` says what that shows.
+  void await_close(const std::string& awaited);
+  /// Waits until all that was written is with the kernel.
+  void await_flushed();
+
   void close() { stream_->close(); }
 
   [[nodiscard]] bool is_flushed() const { return stream_->all_written(); }
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -148,6 +148,41 @@
   return client;
 }
 
+void GatewayHarness::hold_greetings() {
+  for (const auto& endpoint : endpoints) {
+    endpoint->holds_greetings = true;
+    endpoint->close_connections();
+  }
+}
+
+StubEndpoint& GatewayHarness::await_held_greeting() const {
+  StubEndpoint* found = nullptr;
+  wait_until(
+      [&] {
+        for (const auto& endpoint : endpoints)
+          if (endpoint->held_greeting_count() > 0)
+            found = endpoint.get();
+        return found != nullptr;
+      },
+      "a connection whose greeting is held");
+  return *found;
+}
+
+void GatewayHarness::release_greetings() {
+  for (const auto& endpoint : endpoints)
+    endpoint->release_greetings();
+}
+
+void GatewayHarness::set_listed_status(ListedStatus status) {
+  for (const auto& endpoint : endpoints)
+    endpoint->listed_status = status;
+}
+
+void GatewayHarness::set_min_value_bytes(std::size_t bytes) {
+  for (const auto& endpoint : endpoints)
+    endpoint->min_value_bytes = bytes;
+}
+
 int GatewayHarness::attempt_count(const std::string& request_id) const {
   return static_cast<int>(
       std::count_if(attempts.begin(), attempts.end(), [&](const Attempt& attempt) {
@@ -162,6 +197,14 @@
       }));
 }
 
+void GatewayHarness::await_first_attempt(const std::string& request_id) const {
+  wait_until(
+      [&] {
+        return attempt_count(request_id) == 1;
+      },
+      "the first attempt of request " + request_id);
+}
+
 void GatewayHarness::expect_invariants() const {
   int request_count = 0;
   for (const auto& [id, times_sent] : sent_requests)
@@ -201,4 +244,15 @@
   }
 }
 
+void await_gateway_loop_turns(TestClient& client, const std::string& id_prefix) {
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = id_prefix + std::to_string(i);
+    ASSERT_EQ(client.send_and_await({id, "unheard-of", "", 2000, false, ""}), ClientResult::Failed);
+  }
+}
+
+void expect_contains(const std::string& text, const std::string& part) {
+  ASSERT_NE(text.find(part), std::string::npos) << "'" << text << "' lacks '" << part << "'";
+}
+
 }  // namespace test_harness
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -67,8 +67,18 @@
 
   /// Has new clients connect to the address that the program logged last.
   void update_address();
+  /// Closes all connections to the endpoints; new ones get no greeting until release_greetings().
+  void hold_greetings();
+  /// Waits until an endpoint holds a greeting, and returns the endpoint.
+  [[nodiscard]] StubEndpoint& await_held_greeting() const;
+  void release_greetings();
+  void set_listed_status(ListedStatus status);
+  /// Makes each further value so long at least.
+  void set_min_value_bytes(std::size_t bytes);
   [[nodiscard]] int attempt_count(const std::string& request_id) const;
   [[nodiscard]] int attempt_count_with_prefix(const std::string& id_prefix) const;
+  /// Waits until an endpoint has seen the first attempt of the request.
+  void await_first_attempt(const std::string& request_id) const;
   /// Asserts that each request had exactly one response, one idempotency key and a bounded number
   /// of attempts, and that none that may have run was repeated where that is not allowed. That no
   /// two attempts overlap is checked as they arrive.
@@ -102,6 +112,12 @@
 /// Sends `count` reads one after the other and asserts that each is served.
 void expect_reads_served(TestClient& client, const std::string& id_prefix, int count);
 
+/// Sends requests that fail without an attempt, one after the other, so that the gateway has read
+/// what other clients sent before.
+void await_gateway_loop_turns(TestClient& client, const std::string& id_prefix);
+/// Asserts that `text` contains `part`.
+void expect_contains(const std::string& text, const std::string& part);
+
 std::string make_temporary_folder();
 /// Writes the platform's configuration and returns its path.
 std::string write_platform_config(const std::string& folder, const std::string& discovery_address,
--- /dev/null
+++ b/tests/integration/upstream_bytes_test.cpp
@@ -0,0 +1,47 @@
+// Bytes from an endpoint that belong to no response, or to one that does not end.
+#include "gateway_integration_test.h"
+
+using namespace test_harness;
+
+namespace {
+
+class UpstreamBytes : public GatewayIntegrationTest {};
+
+// A complete message or half of one arrives on an idle connection before the next request does.
+TEST_P(UpstreamBytes, UnsolicitedOnesAreNoResponse) {
+  const std::string message = protocol().encode_unsolicited_message();
+  for (const std::string& bytes : {message, message.substr(0, message.size() / 2)}) {
+    SCOPED_TRACE(bytes == message ? "a complete message" : "half a message");
+    WarmGateway warm(protocol(), 2, 12);
+    for (int round = 0; round < 5; ++round) {
+      // While the program is frozen, these bytes and the request both arrive.
+      warm.harness.gateway.freeze();
+      for (const auto& endpoint : warm.harness.endpoints)
+        endpoint->send_unsolicited(bytes);
+      const std::string id = "b" + std::to_string(round);
+      // A single-shot write is served, as it is not written to a connection that is unusable.
+      warm.client->send_request(round % 2 == 1 ? read_request(id) : single_shot_write(id));
+      warm.client->await_flushed();
+      warm.harness.gateway.resume();
+      ASSERT_EQ(warm.client->await_response(), ClientResult::Served) << "round " << round;
+      ASSERT_EQ(warm.client->last_value.substr(0, 4), "by m") << "round " << round;
+    }
+    warm.harness.expect_invariants_and_running();
+  }
+}
+
+TEST_P(UpstreamBytes, UnboundedResponseEndsItsAttempt) {
+  WarmGateway warm(protocol(), 2, 12);
+  warm.harness.script = {ScriptedResponse::UnboundedResponse};
+  ASSERT_EQ(warm.client->send_and_await(read_request("unbounded")), ClientResult::Served);
+  ASSERT_EQ(warm.client->last_value.substr(0, 4), "by m");
+  ASSERT_EQ(warm.harness.attempt_count("unbounded"), 2);
+  warm.harness.script = {ScriptedResponse::UnboundedResponse};
+  ASSERT_EQ(warm.client->send_and_await(single_shot_write("once")), ClientResult::Failed);
+  expect_reads_served(*warm.client, "b", 8);
+  warm.harness.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, UpstreamBytes, both_protocols(), protocol_name);
+
+}  // namespace
