--- /dev/null
+++ b/tests/integration/control_plane_test_support.h
@@ -0,0 +1,83 @@
+/// What the control-plane tests share: a gateway with a control service, the resources that the
+/// service serves, and clients that send requests all the while.
+#pragma once
+
+#include "control/service.h"
+#include "gateway_integration_test.h"
+
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace test_harness {
+
+namespace pb = gorsebeam::config::v1;
+
+/// The MongoDB or PostgreSQL endpoints of a resource.
+google::protobuf::RepeatedPtrField<pb::Member>& endpoint_list(pb::Members& members,
+                                                              const Protocol& protocol);
+
+/// The operators' file that names control services, with `operator_text` behind.
+std::string control_service_file(const std::vector<std::string>& addresses,
+                                 const std::string& operator_text = "");
+
+/// A gateway that has its configuration from control services.
+class ControlledGateway {
+public:
+  explicit ControlledGateway(const Protocol& protocol, std::size_t endpoint_count = 3);
+
+  void start(const std::vector<std::string>& addresses, const std::string& operator_text = "");
+
+  bool has_logged(const std::string& text) { return harness.gateway.has_logged(text); }
+
+  /// The harness's endpoints as they are listed now.
+  [[nodiscard]] pb::Members members(std::uint64_t generation) const;
+  /// A contract of team `portal` for `classes`.
+  [[nodiscard]] static pb::Contracts
+  contracts(std::uint64_t generation, const std::vector<std::string>& classes = {"any", "save"});
+
+  GatewayHarness harness;
+};
+
+/// Waits until the gateway has subscribed to each of the service's resource types.
+void await_subscriptions(const stand_in::Service& service);
+
+/// Clients that each send the next request when the last has its response.
+class BackgroundLoad {
+public:
+  BackgroundLoad(GatewayHarness& harness, int client_count);
+
+  /// As test_harness::wait_until(), with the clients active.
+  void wait_until(const std::function<bool()>& condition, const std::string& awaited);
+  void await_subscriptions(const stand_in::Service& service);
+  void await_new_stream(const stand_in::Service& service, int earlier_stream_count);
+  void await_responses(int count);
+  /// Until a client gets such a result, counted from now.
+  void await_result(ClientResult result);
+  /// Sends no more requests, and waits for the responses to those in flight.
+  void pause();
+
+  void resume() { paused_ = false; }
+
+  /// Asserts that there were responses, all of them Served.
+  void expect_all_served() const;
+
+private:
+  struct LoadClient {
+    std::unique_ptr<TestClient> client;
+    bool is_waiting = false;
+  };
+
+  void advance_clients();
+  void count_response(LoadClient& client);
+  void send_next_request(LoadClient& client);
+
+  std::list<LoadClient> clients_;
+  std::map<ClientResult, int> result_counts_;
+  int total_response_count_ = 0;
+  int next_number_ = 0;
+  bool paused_ = false;
+};
+
+}  // namespace test_harness
