Split the router's tests by subject and let their names state behaviour

One file of 1,326 lines held all tests of the router, with a harness of terse names.

They stand in tests/router/ now, one file a subject, over a RouterHarness whose methods and arguments say what they do. The test of a session's unknown write is two, by whether lost answers count.

--- /dev/null
+++ b/tests/router/router_drawn_histories_test.cpp
@@ -0,0 +1,253 @@
+/// Plays histories drawn from seeds and checks in each step that no action breaks a rule: nothing
+/// goes to an endpoint that is leaving, no request has two attempts in flight where hedging is off,
+/// none is attempted after its final answer, and none is repeated where its class does not allow
+/// it.
+#include "router_harness.h"
+
+#include <array>
+#include <iterator>
+#include <random>
+
+namespace gorsebeam::router_test {
+namespace {
+
+constexpr std::array kDrawnStatuses{AttemptStatus::Ok,          AttemptStatus::Ok,
+                                    AttemptStatus::Misdirected, AttemptStatus::Error,
+                                    AttemptStatus::Rejected,    AttemptStatus::Reset,
+                                    AttemptStatus::Timeout,     AttemptStatus::ConnectFailed,
+                                    AttemptStatus::NotSent};
+
+constexpr std::array kDrawnEndpointStatuses{EndpointStatus::Up, EndpointStatus::Draining,
+                                            EndpointStatus::Removed};
+
+/// What the histories covered, so that a pass shows something.
+struct Coverage {
+  std::size_t attempts = 0;
+  std::size_t retries = 0;
+  std::size_t hedged_requests = 0;
+  std::size_t health_checks = 0;
+  std::size_t disconnected_clients = 0;
+};
+
+/// A request as its client and the endpoints know it.
+struct OpenRequest {
+  std::size_t class_index = 0;
+  bool finished = false;                          ///< Answered, or its client left.
+  std::map<std::uint32_t, EndpointId> in_flight;  ///< By attempt number.
+  std::optional<Nanos> may_have_run_since;
+};
+
+bool may_have_run(AttemptStatus status) {
+  return status == AttemptStatus::Error || status == AttemptStatus::Reset ||
+         status == AttemptStatus::Timeout;
+}
+
+/// One history, drawn from a seed. Odd seeds allow hedging.
+class DrawnHistory {
+public:
+  DrawnHistory(std::uint64_t seed, Coverage& coverage)
+      : random_(seed), hedging_(seed % 2 == 1), harness_(drawn_settings(hedging_)),
+        coverage_(coverage) {}
+
+  void play() {
+    harness_.list_healthy_group();
+    for (const EndpointId id : {1U, 2U, 3U, 4U})
+      listed_[id] = EndpointStatus::Up;
+    check_actions();
+    for (int step = 0; step < 300; ++step) {
+      harness_.now += static_cast<Nanos>(below(hedging_ ? 90 : 30)) * kMillisecond;
+      harness_.deliver_keeping_actions(TimerExpired{});
+      check_actions();
+      draw_event();
+      check_actions();
+    }
+  }
+
+private:
+  static Settings drawn_settings(bool hedging) {
+    Settings settings = default_settings();
+    settings.hedging_allowed = hedging;
+    return settings;
+  }
+
+  /// A number in [0, bound).
+  std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
+
+  // ---- checks
+
+  void check_actions() {
+    for (const Action& action : harness_.actions) {
+      if (const auto* health_check = std::get_if<SendHealthCheck>(&action))
+        check_health_check(*health_check);
+      else if (const auto* attempt = std::get_if<StartAttempt>(&action))
+        check_attempt(*attempt);
+      else if (const auto* rejection = std::get_if<RejectRequest>(&action))
+        check_rejection(requests_[rejection->request_id]);
+      else if (const auto* failure = std::get_if<FailRequest>(&action))
+        check_failure(requests_[failure->request_id]);
+    }
+    harness_.actions.clear();
+  }
+
+  void check_health_check(const SendHealthCheck& health_check) {
+    ++coverage_.health_checks;
+    EXPECT_EQ(listed_[health_check.endpoint], EndpointStatus::Up);
+  }
+
+  void check_attempt(const StartAttempt& attempt) {
+    OpenRequest& request = requests_[attempt.request_id];
+    const std::uint32_t count = harness_.attempt_counts[attempt.request_id];
+    const std::size_t in_flight = request.in_flight.size();
+    ++coverage_.attempts;
+    if (count > 1)
+      ++coverage_.retries;
+    if (in_flight > 0)
+      ++coverage_.hedged_requests;
+    EXPECT_EQ(listed_[attempt.endpoint], EndpointStatus::Up);
+    EXPECT_FALSE(request.finished) << attempt.request_id;
+    EXPECT_TRUE(in_flight == 0 || (hedging_ && in_flight == 1 && request.class_index < kPlainWrite))
+        << attempt.request_id << " of class " << request.class_index << " has " << in_flight
+        << " attempts in flight";
+    EXPECT_LE(count, 4U);
+    EXPECT_TRUE(is_repeat_allowed(request)) << attempt.request_id;
+    request.in_flight[count - 1] = attempt.endpoint;
+  }
+
+  [[nodiscard]] bool is_repeat_allowed(const OpenRequest& request) const {
+    if (!request.may_have_run_since || request.class_index < kPlainWrite)
+      return true;
+    return request.class_index == kKeyedWrite &&
+           harness_.now - *request.may_have_run_since < 1500 * kMillisecond;
+  }
+
+  static void check_rejection(OpenRequest& request) {
+    EXPECT_FALSE(request.finished ||
+                 (request.may_have_run_since && request.class_index >= kPlainWrite));
+    request.finished = true;
+  }
+
+  static void check_failure(OpenRequest& request) {
+    EXPECT_FALSE(request.finished);
+    request.finished = true;
+  }
+
+  // ---- events
+
+  void draw_event() {
+    switch (below(8)) {
+    case 0:
+    case 1:
+      draw_request();
+      break;
+    case 2:
+    case 3:
+    case 4:
+      draw_attempt_end();
+      break;
+    case 5:
+      draw_disconnect();
+      break;
+    case 6:
+      draw_list();
+      break;
+    default:
+      draw_health_report();
+    }
+  }
+
+  void draw_request() {
+    const std::size_t class_index = below(6);
+    // The request is known here before the router acts on it.
+    requests_["r" + std::to_string(harness_.next_request_number)].class_index = class_index;
+    harness_.send_request(class_index, below(3));
+  }
+
+  void draw_attempt_end() {
+    for (auto& [id, request] : requests_) {
+      if (request.in_flight.empty() || below(2) != 0)
+        continue;
+      end_first_attempt(id, request);
+      return;
+    }
+  }
+
+  void end_first_attempt(const std::string& id, OpenRequest& request) {
+    const auto [attempt, endpoint] = *request.in_flight.begin();
+    request.in_flight.erase(request.in_flight.begin());
+    const AttemptStatus status = kDrawnStatuses.at(below(kDrawnStatuses.size()));
+    if (may_have_run(status) && !request.may_have_run_since)
+      request.may_have_run_since = harness_.now - 10 * kMillisecond;
+    request.finished |= status == AttemptStatus::Ok;
+    harness_.end_attempt(id, endpoint, status,
+                         request.finished ? RequestState::Finished : RequestState::Open,
+                         10 * kMillisecond, attempt);
+  }
+
+  void draw_disconnect() {
+    if (requests_.empty())
+      return;
+    const auto drawn = std::next(requests_.begin(), static_cast<long>(below(requests_.size())));
+    if (drawn->second.finished)
+      return;
+    drawn->second.finished = true;
+    ++coverage_.disconnected_clients;
+    harness_.deliver(ClientDisconnected{drawn->first});
+  }
+
+  void draw_list() {
+    Endpoint changed = make_endpoint(draw_endpoint());
+    changed.status = kDrawnEndpointStatuses.at(below(kDrawnEndpointStatuses.size()));
+    if (changed.status == EndpointStatus::Up && below(2) != 0)
+      changed.started_at = harness_.now - 5 * kMillisecond;
+    const bool is_delta = below(2) != 0 || changed.status == EndpointStatus::Removed;
+    listed_[changed.id] = changed.status;
+    if (is_delta)
+      harness_.deliver_list({changed}, EndpointList::Kind::Delta);
+    else
+      deliver_full_list(changed);
+  }
+
+  /// Each endpoint besides `changed` that is not removed comes back as up or is left out.
+  void deliver_full_list(const Endpoint& changed) {
+    std::vector<Endpoint> endpoints{changed};
+    for (auto& [id, status] : listed_) {
+      if (id == changed.id || status == EndpointStatus::Removed)
+        continue;
+      status = below(4) != 0 ? EndpointStatus::Up : EndpointStatus::Removed;
+      if (status == EndpointStatus::Up)
+        endpoints.push_back(make_endpoint(id));
+    }
+    harness_.deliver_list(std::move(endpoints));
+  }
+
+  void draw_health_report() {
+    const EndpointId id = draw_endpoint();
+    const Nanos lag = static_cast<Nanos>(below(1500)) * kMillisecond;
+    harness_.report_health(id, id == 1 ? Role::Primary : Role::Replica, lag);
+  }
+
+  EndpointId draw_endpoint() { return static_cast<EndpointId>(1 + below(4)); }
+
+  std::mt19937_64 random_;
+  bool hedging_;
+  RouterHarness harness_;
+  Coverage& coverage_;
+  std::map<std::string, OpenRequest> requests_;
+  std::map<EndpointId, EndpointStatus> listed_;
+};
+
+TEST(RouterDrawnHistories, NoAttemptOrHealthCheckBreaksARule) {
+  Coverage coverage;
+
+  for (std::uint64_t seed = 0; seed < 100; ++seed)
+    DrawnHistory(seed, coverage).play();
+
+  EXPECT_GT(coverage.attempts, 3'000U);
+  EXPECT_GT(coverage.retries, 300U);
+  EXPECT_GT(coverage.hedged_requests, 30U);
+  EXPECT_GT(coverage.health_checks, 300U);
+  EXPECT_GT(coverage.disconnected_clients, 300U);
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_endpoint_list_test.cpp
@@ -0,0 +1,86 @@
+/// What the endpoint list rules out, and when its endpoints are forgotten.
+#include "router_harness.h"
+
+namespace gorsebeam::router_test {
+namespace {
+
+TEST(RouterEndpointList, SendsNothingToDrainingEndpoint) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  harness.deliver_list({make_draining_endpoint(3)}, EndpointList::Kind::Delta);
+
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = harness.send_request(kEventualRead);
+    ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+    EXPECT_NE(harness.attempted_endpoint(), 3U);
+    harness.answer(id, harness.attempted_endpoint());
+  }
+}
+
+TEST(RouterEndpointList, SendsNothingToEndpointMissingFromFullList) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  harness.deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(4)});
+
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = harness.send_request(kEventualRead);
+    ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+    EXPECT_NE(harness.attempted_endpoint(), 3U);
+    harness.answer(id, harness.attempted_endpoint());
+  }
+}
+
+TEST(RouterEndpointList, KeepsRemovedEndpointsWhereOnlyDrainingIsBinding) {
+  Settings settings = default_settings();
+  settings.only_draining_is_binding = true;
+  RouterHarness harness(settings);
+  harness.list_healthy_group();
+
+  harness.deliver_list({make_draining_endpoint(4)}, EndpointList::Kind::Delta);
+  harness.deliver_list({make_endpoint(1)});  // 2 and 3 never drained, 4 did.
+
+  std::set<EndpointId> used;
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = harness.send_request(kEventualRead);
+    ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+    used.insert(harness.attempted_endpoint());
+    harness.answer(id, harness.attempted_endpoint());
+  }
+
+  EXPECT_EQ(used, (std::set<EndpointId>{2, 3}));
+}
+
+TEST(RouterEndpointList, EndpointOfUnknownGroupGetsNoRequestOfOthers) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+  Endpoint other_group = make_endpoint(9);
+  other_group.group = 77;
+
+  harness.deliver_list({other_group}, EndpointList::Kind::Delta);
+  harness.report_health(3, Role::Replica, -60'000 * kMillisecond);
+  harness.send_request(kEventualRead);
+  ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+  EXPECT_NE(harness.attempted_endpoint(), 9U) << "a request goes only to its own group";
+}
+
+TEST(RouterEndpointList, ForgetsEndpointAMinuteAfterRemoval) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+  harness.deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(3)});
+  harness.now += 59'000 * kMillisecond;
+  harness.deliver_list({make_endpoint(4)}, EndpointList::Kind::Delta);  // Still known.
+  EXPECT_TRUE(harness.actions_of<SendHealthCheck>().empty());
+
+  harness.deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(3)});
+  harness.now += 61'000 * kMillisecond;
+  harness.deliver_list({make_endpoint(1)}, EndpointList::Kind::Delta);
+  harness.deliver_list({make_endpoint(4)}, EndpointList::Kind::Delta);
+  EXPECT_EQ(harness.actions_of<SendHealthCheck>().size(), 1U);
+  harness.send_request(kEventualRead);
+  EXPECT_NE(harness.attempted_endpoint(), 4U);
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_harness.cpp
@@ -0,0 +1,184 @@
+#include "router_harness.h"
+
+namespace gorsebeam::router_test {
+namespace {
+
+RequestClass make_class(const char* name, ConsistencyLevel consistency, Idempotency idempotency) {
+  RequestClass made;
+  made.name = name;
+  made.consistency = consistency;
+  made.idempotency = idempotency;
+  made.latency_objective = 300 * kMillisecond;
+  made.deadline = 2000 * kMillisecond;
+  made.max_staleness = consistency == ConsistencyLevel::BoundedStaleness ? 1000 * kMillisecond : 0;
+  made.late_weight_fraction = 0.5;
+  made.deduplication_window = 1500 * kMillisecond;
+  made.deduplication_scope = DeduplicationScope::Group;
+  return made;
+}
+
+}  // namespace
+
+Settings default_settings() {
+  Settings settings;
+  settings.classes = {
+      make_class("eventual", ConsistencyLevel::Eventual, Idempotency::Idempotent),
+      make_class("bounded", ConsistencyLevel::BoundedStaleness, Idempotency::Idempotent),
+      make_class("session", ConsistencyLevel::Session, Idempotency::Idempotent),
+      make_class("strong", ConsistencyLevel::Strong, Idempotency::Idempotent),
+      make_class("write", ConsistencyLevel::Write, Idempotency::NotIdempotent),
+      make_class("keyed", ConsistencyLevel::Write, Idempotency::IdempotencyKey),
+  };
+  settings.clock_resolution = 1 * kMillisecond;
+  settings.load_report_source = LoadReportSource::HealthChecks;
+  settings.load_reports_hold_positions = true;
+  settings.load_reports_hold_roles = true;
+  settings.session_token_source = SessionTokenSource::Client;
+  settings.cancellation_allowed = true;
+  settings.max_attempts = 4;
+  settings.response_slack = 20 * kMillisecond;
+  settings.drain_grace = 500 * kMillisecond;
+  settings.slow_start_duration = 10'000 * kMillisecond;
+  settings.slow_start_initial_capacity = 0.2;
+  settings.overload_duration = 2000 * kMillisecond;
+  settings.overload_factor = 2;
+  return settings;
+}
+
+Endpoint make_endpoint(EndpointId id, Nanos started_at) {
+  Endpoint endpoint;
+  endpoint.id = id;
+  endpoint.started_at = started_at;
+  return endpoint;
+}
+
+Endpoint make_draining_endpoint(EndpointId id) {
+  Endpoint endpoint = make_endpoint(id);
+  endpoint.status = EndpointStatus::Draining;
+  return endpoint;
+}
+
+RouterHarness::RouterHarness(Settings settings) : router(std::move(settings), 42) {}
+
+void RouterHarness::deliver(const Event& event) {
+  actions.clear();
+  deliver_keeping_actions(event);
+}
+
+void RouterHarness::deliver_keeping_actions(const Event& event) {
+  const std::size_t before = actions.size();
+  router.handle(now, event, actions);
+  for (std::size_t i = before; i < actions.size(); ++i) {
+    const auto* started = std::get_if<StartAttempt>(&actions[i]);
+    if (!started)
+      continue;
+    ++attempt_counts[started->request_id];
+    attempted_pairs.insert({started->request_id, started->endpoint});
+  }
+}
+
+void RouterHarness::run_timers_for(Nanos time) {
+  const Nanos end = now + time;
+  while (now < end) {
+    now += 10 * kMillisecond;
+    deliver_keeping_actions(TimerExpired{});
+  }
+}
+
+void RouterHarness::deliver_list(std::vector<Endpoint> endpoints, EndpointList::Kind kind) {
+  deliver(EndpointList{kind, std::move(endpoints)});
+}
+
+void RouterHarness::report_health(EndpointId id, Role role, Nanos lag) {
+  HealthCheckResult result{id, true, 1 * kMillisecond, {}};
+  result.load_report.replication_position = now - lag;
+  result.load_report.is_primary = role == Role::Primary;
+  deliver(result);
+}
+
+void RouterHarness::fail_health_check(EndpointId id) {
+  deliver(HealthCheckResult{id, false, 1 * kMillisecond, {}});
+}
+
+void RouterHarness::list_healthy_group() {
+  deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(3), make_endpoint(4)});
+  now += 5 * kMillisecond;
+  report_health(1, Role::Primary, 0);
+  for (const EndpointId id : {2U, 3U, 4U})
+    report_health(id, Role::Replica, 20 * kMillisecond);
+}
+
+std::string RouterHarness::send_request(std::size_t class_index,
+                                        std::optional<std::uint64_t> session,
+                                        Nanos session_token_age) {
+  Request request;
+  request.id = "r" + std::to_string(next_request_number++);
+  request.class_index = class_index;
+  request.session = session;
+  request.deadline = now + 2000 * kMillisecond;
+  request.session_token_age = session_token_age;
+  deliver(request);
+  return request.id;
+}
+
+void RouterHarness::end_attempt(const std::string& request_id, EndpointId endpoint,
+                                AttemptStatus status, RequestState state, Nanos elapsed,
+                                std::uint32_t attempt) {
+  AttemptResult result;
+  result.request_id = request_id;
+  result.endpoint = endpoint;
+  result.status = status;
+  result.request_finished = state == RequestState::Finished;
+  result.elapsed = elapsed;
+  result.attempt = attempt;
+  if (status == AttemptStatus::Ok || status == AttemptStatus::Misdirected)
+    result.role = endpoint == 1 ? Role::Primary : Role::Replica;
+  deliver(result);
+}
+
+void RouterHarness::answer(const std::string& request_id, EndpointId endpoint, Nanos elapsed) {
+  end_attempt(request_id, endpoint, AttemptStatus::Ok, RequestState::Finished, elapsed);
+}
+
+void RouterHarness::reject_write_as_replica(const std::string& request_id,
+                                            const LoadReport& report) {
+  AttemptResult result;
+  result.request_id = request_id;
+  result.endpoint = 1;
+  result.status = AttemptStatus::Misdirected;
+  result.role = Role::Replica;
+  result.load_report = report;
+  deliver(result);
+}
+
+EndpointId RouterHarness::attempted_endpoint() const {
+  const std::vector<StartAttempt> started = actions_of<StartAttempt>();
+  return started.empty() ? kNoEndpoint : started.back().endpoint;
+}
+
+testing::AssertionResult RouterHarness::has_no_final_answer() const {
+  const std::size_t rejected = actions_of<RejectRequest>().size();
+  const std::size_t failed = actions_of<FailRequest>().size();
+  if (rejected + failed == 0)
+    return testing::AssertionSuccess();
+  return testing::AssertionFailure()
+         << rejected << " requests rejected and " << failed << " failed, expected none";
+}
+
+bool RouterHarness::was_attempted(const std::string& request_id, EndpointId endpoint) const {
+  return attempted_pairs.count({request_id, endpoint}) > 0;
+}
+
+int RouterHarness::count_timeout_ejections(std::optional<EndpointId> only) const {
+  int count = 0;
+  for (const LogMessage& message : actions_of<LogMessage>()) {
+    const auto* ejected = std::get_if<EndpointEjected>(&message);
+    if (!ejected || ejected->reason != EjectionReason::ConsecutiveTimeouts)
+      continue;
+    if (!only || ejected->endpoint == *only)
+      ++count;
+  }
+  return count;
+}
+
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_harness.h
@@ -0,0 +1,117 @@
+/// Drives one Router through its public interface in virtual time. All settings are invented.
+#pragma once
+
+#include "gorsebeam/router.h"
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace gorsebeam::router_test {
+
+constexpr Nanos kMillisecond = 1'000'000;
+
+/// What RouterHarness::attempted_endpoint returns if there is no attempt. No test lists it.
+constexpr EndpointId kNoEndpoint = 0;
+
+/// Indices of the classes of default_settings().
+constexpr std::size_t kEventualRead = 0;
+constexpr std::size_t kBoundedRead = 1;  ///< At most a second stale.
+constexpr std::size_t kSessionRead = 2;
+constexpr std::size_t kStrongRead = 3;
+constexpr std::size_t kPlainWrite = 4;  ///< Not idempotent.
+constexpr std::size_t kKeyedWrite = 5;  ///< Deduplicated by its group for 1.5 s.
+
+/// One class of each kind, with a latency objective of 300 ms and a deadline of 2 s.
+Settings default_settings();
+
+/// An endpoint of group 0 that is up.
+Endpoint make_endpoint(EndpointId id, Nanos started_at = 0);
+
+/// The same, listed as draining.
+Endpoint make_draining_endpoint(EndpointId id);
+
+/// Whether an attempt's end is also the final answer to its request.
+enum class RequestState { Open, Finished };
+
+/// Delivers events to a Router and keeps the actions that it answers with.
+class RouterHarness {
+public:
+  explicit RouterHarness(Settings settings = default_settings());
+
+  /// Delivers an event; `actions` then holds what came of this event alone.
+  void deliver(const Event& event);
+
+  /// Delivers an event and appends what comes of it to `actions`.
+  void deliver_keeping_actions(const Event& event);
+
+  /// Moves the clock on in steps of 10 ms with a TimerExpired at each; appends to `actions`.
+  void run_timers_for(Nanos time);
+
+  void deliver_list(std::vector<Endpoint> endpoints,
+                    EndpointList::Kind kind = EndpointList::Kind::Full);
+
+  /// A health check succeeds and reports the endpoint's role, and a replication position that is
+  /// `lag` behind the present.
+  void report_health(EndpointId id, Role role, Nanos lag);
+
+  void fail_health_check(EndpointId id);
+
+  /// Lists a group whose primary is 1 and whose replicas 2, 3 and 4 are current, all healthy.
+  void list_healthy_group();
+
+  /// Sends a request with a deadline in 2 s to group 0 and returns its id.
+  std::string send_request(std::size_t class_index, std::optional<std::uint64_t> session = {},
+                           Nanos session_token_age = 0);
+
+  /// Ends an attempt. Endpoint 1 says that it is the primary, each other one that it is a replica.
+  void end_attempt(const std::string& request_id, EndpointId endpoint, AttemptStatus status,
+                   RequestState state = RequestState::Open, Nanos elapsed = 10 * kMillisecond,
+                   std::uint32_t attempt = 0);
+
+  /// Ends a request's first attempt with its final answer.
+  void answer(const std::string& request_id, EndpointId endpoint,
+              Nanos elapsed = 10 * kMillisecond);
+
+  /// Endpoint 1 rejects a write, as it is a replica by now.
+  void reject_write_as_replica(const std::string& request_id, const LoadReport& report = {});
+
+  /// All actions of one type in `actions`, in order.
+  template <typename ActionType>
+  [[nodiscard]] std::vector<ActionType> actions_of() const {
+    std::vector<ActionType> found;
+    for (const Action& action : actions)
+      if (const auto* one = std::get_if<ActionType>(&action))
+        found.push_back(*one);
+    return found;
+  }
+
+  /// The endpoint of the last attempt in `actions`, or kNoEndpoint.
+  [[nodiscard]] EndpointId attempted_endpoint() const;
+
+  /// Whether `actions` holds no final answer; a failure names how many there are of each kind.
+  [[nodiscard]] testing::AssertionResult has_no_final_answer() const;
+
+  /// Whether an attempt of the request was ever started at the endpoint.
+  [[nodiscard]] bool was_attempted(const std::string& request_id, EndpointId endpoint) const;
+
+  /// The number of ejections for time-outs in `actions`; `only`: those of this endpoint.
+  [[nodiscard]] int count_timeout_ejections(std::optional<EndpointId> only = {}) const;
+
+  Router router;
+  Nanos now = 1'000'000 * kMillisecond;
+  std::vector<Action> actions;
+  std::map<std::string, std::uint32_t> attempt_counts;           ///< By request id.
+  std::set<std::pair<std::string, EndpointId>> attempted_pairs;  ///< Request id and endpoint.
+  int next_request_number = 0;
+};
+
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_load_test.cpp
@@ -0,0 +1,94 @@
+/// When requests are held back because endpoints answer slowly.
+#include "router_harness.h"
+
+#include <cmath>
+
+namespace gorsebeam::router_test {
+namespace {
+
+TEST(RouterLoad, SlowAnswersHoldBackLowestPriorityFirst) {
+  Settings settings = default_settings();
+  settings.classes[kEventualRead].priority_weight = 1;
+  settings.classes[kBoundedRead].priority_weight = 10;
+  RouterHarness harness(settings);
+  harness.list_healthy_group();
+  std::map<std::size_t, int> attempts;  // By class.
+  for (int i = 0; i < 400; ++i) {
+    const std::size_t class_index = i % 2 == 1 ? kEventualRead : kBoundedRead;
+    if (i % 20 == 0)
+      for (const EndpointId id : {2U, 3U, 4U})
+        harness.report_health(id, Role::Replica, 20 * kMillisecond);
+    const std::string id = harness.send_request(class_index);
+    if (harness.attempted_endpoint() != kNoEndpoint) {
+      ++attempts[class_index];
+      harness.answer(id, harness.attempted_endpoint(), 290 * kMillisecond);
+    } else {
+      harness.deliver(ClientDisconnected{id});
+    }
+    harness.now += 1 * kMillisecond;
+  }
+
+  EXPECT_LT(attempts[kEventualRead] + attempts[kBoundedRead], 250);
+  EXPECT_LT(attempts[kEventualRead], attempts[kBoundedRead]);
+}
+
+/// Draws latencies from an exponential distribution, the same on each platform.
+class LatencySource {
+public:
+  Nanos draw(double mean_in_milliseconds) {
+    state_ = state_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double uniform = static_cast<double>(state_ >> 11) / 9007199254740992.0;
+    return static_cast<Nanos>(-mean_in_milliseconds * std::log(1 - uniform)) * kMillisecond;
+  }
+
+private:
+  std::uint64_t state_ = 1;
+};
+
+// A hundred routers of a system without overload: each gets three answers in two seconds, of usual
+// latency. What a router mistakes for overload by chance, it rejects for nothing.
+TEST(RouterLoad, FewAnswersShowNoOverload) {
+  int requests = 0;
+  int held_back = 0;
+  LatencySource latencies;
+  for (int router = 0; router < 100; ++router) {
+    RouterHarness harness;
+    harness.deliver_list({make_endpoint(1), make_endpoint(2)});
+    harness.report_health(1, Role::Primary, 0);
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = harness.send_request(kStrongRead);
+      const EndpointId endpoint = harness.attempted_endpoint();
+      const Nanos latency = latencies.draw(90);  // The objective is 300.
+      ++requests;
+      if (endpoint == kNoEndpoint) {
+        ++held_back;
+        harness.deliver(ClientDisconnected{id});
+      } else {
+        harness.answer(id, endpoint, latency);
+      }
+      harness.run_timers_for(660 * kMillisecond);
+    }
+  }
+
+  EXPECT_LT(held_back, requests / 50);
+}
+
+TEST(RouterLoad, LostAnswersAmongQuickOnesHoldNothingBack) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+  int attempts = 0;
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = harness.send_request(kEventualRead);
+    const EndpointId endpoint = harness.attempted_endpoint();
+    if (endpoint != kNoEndpoint)
+      ++attempts;
+    if (endpoint != kNoEndpoint && i % 4 != 0)
+      harness.answer(id, endpoint);
+    harness.run_timers_for(10 * kMillisecond);
+  }
+
+  EXPECT_GT(attempts, 270);
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_replication_position_test.cpp
@@ -0,0 +1,194 @@
+/// Which endpoints are known to be current enough for a read.
+#include "router_harness.h"
+
+namespace gorsebeam::router_test {
+namespace {
+
+/// The answer of primary 1 to a write that was committed at `commit_position`.
+AttemptResult make_write_result(const std::string& request_id, Nanos commit_position,
+                                Nanos elapsed) {
+  AttemptResult result;
+  result.request_id = request_id;
+  result.endpoint = 1;
+  result.request_finished = true;
+  result.elapsed = elapsed;
+  result.role = Role::Primary;
+  result.replication_position = commit_position;
+  return result;
+}
+
+/// Session 9 writes, and reads a while after; all replicas are current up to the write.
+struct WriteThenRead {
+  std::size_t write_class = kPlainWrite;
+  std::optional<AttemptStatus> write_end;  ///< Empty: the write is still in flight.
+  Nanos write_elapsed = 30 * kMillisecond;
+  std::optional<Nanos> responses_known_after = 100 * kMillisecond;
+
+  /// Whether a replica serves the read; if not, the read needs the write.
+  [[nodiscard]] bool is_read_by_replica() const {
+    Settings settings = default_settings();
+    settings.session_token_source = SessionTokenSource::Router;
+    settings.responses_known_after = responses_known_after;
+    RouterHarness harness(settings);
+    harness.list_healthy_group();
+    const std::string id = harness.send_request(write_class, 9);
+    EXPECT_EQ(harness.attempted_endpoint(), 1U);
+    harness.now += write_elapsed;
+    if (write_end)
+      harness.end_attempt(id, 1, *write_end, RequestState::Finished);
+    harness.now += 5 * kMillisecond;
+    harness.send_request(kSessionRead, 9);
+    const EndpointId reader = harness.attempted_endpoint();
+    harness.send_request(kSessionRead, 8);  // Another session, which wrote nothing.
+    EXPECT_NE(harness.attempted_endpoint(), kNoEndpoint);
+    return reader != kNoEndpoint && reader != 1U;
+  }
+};
+
+TEST(RouterReplicationPosition, SendsBoundedReadsOnlyToReplicasWithinTheirBound) {
+  RouterHarness harness;
+  harness.deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(3)});
+  harness.report_health(1, Role::Primary, 0);
+  harness.report_health(2, Role::Replica, 10 * kMillisecond);
+  harness.report_health(3, Role::Replica, 1500 * kMillisecond);
+
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = harness.send_request(kBoundedRead);
+    EXPECT_EQ(harness.attempted_endpoint(), 2U);
+    harness.answer(id, 2);
+  }
+}
+
+TEST(RouterReplicationPosition, KnownPositionsExpire) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  harness.now += 1100 * kMillisecond;  // Every known position is now older than the bound.
+  harness.send_request(kBoundedRead);
+
+  EXPECT_NE(harness.attempted_endpoint(), 2U);
+  EXPECT_NE(harness.attempted_endpoint(), 3U);
+  EXPECT_NE(harness.attempted_endpoint(), 4U);
+}
+
+TEST(RouterReplicationPosition, SessionReadNeedsPositionOfItsToken) {
+  RouterHarness harness;
+  harness.deliver_list({make_endpoint(1), make_endpoint(2), make_endpoint(3)});
+  harness.report_health(1, Role::Primary, 0);
+  harness.report_health(2, Role::Replica, 500 * kMillisecond);
+  harness.report_health(3, Role::Replica, 10 * kMillisecond);
+
+  for (std::uint64_t session = 1; session < 30; ++session) {
+    const std::string id = harness.send_request(kSessionRead, session, 100 * kMillisecond);
+    EXPECT_EQ(harness.attempted_endpoint(), 3U);
+    harness.answer(id, 3);
+  }
+}
+
+TEST(RouterReplicationPosition, SessionReadNeedsItsSessionsLastWrite) {
+  Settings settings = default_settings();
+  settings.session_token_source = SessionTokenSource::Router;
+  RouterHarness harness(settings);
+  harness.list_healthy_group();
+
+  const std::string id = harness.send_request(kPlainWrite, 9);
+  ASSERT_EQ(harness.attempted_endpoint(), 1U);
+  harness.now += 30 * kMillisecond;
+  harness.deliver(make_write_result(id, harness.now - 1 * kMillisecond, 0));
+  harness.send_request(kSessionRead, 9);
+
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint)
+      << "no replica is known to hold the session's write";
+
+  harness.report_health(3, Role::Replica, 0);
+  EXPECT_EQ(harness.attempted_endpoint(), 3U);
+
+  harness.send_request(kSessionRead, 8);  // Another session, which wrote nothing.
+  EXPECT_NE(harness.attempted_endpoint(), kNoEndpoint);
+}
+
+// The answer to a write may be lost or delayed although the write was committed. A later read of
+// the session must see it, also where the write ended without an answer, or with one without a
+// commit.
+TEST(RouterReplicationPosition, SessionReadNeedsWriteWithUnknownResult) {
+  EXPECT_FALSE((WriteThenRead{kKeyedWrite, std::nullopt, 100 * kMillisecond}.is_read_by_replica()))
+      << "the write is in flight and may have been answered";
+  EXPECT_FALSE((WriteThenRead{kPlainWrite, AttemptStatus::Reset}.is_read_by_replica()));
+  EXPECT_FALSE((WriteThenRead{kPlainWrite, AttemptStatus::Timeout}.is_read_by_replica()));
+  EXPECT_FALSE((WriteThenRead{kPlainWrite, AttemptStatus::Error}.is_read_by_replica()));
+  EXPECT_FALSE((WriteThenRead{kKeyedWrite, AttemptStatus::Ok}.is_read_by_replica()))
+      << "answered without a commit position";
+  EXPECT_TRUE((WriteThenRead{kKeyedWrite, std::nullopt, 90 * kMillisecond}.is_read_by_replica()))
+      << "in flight for less time than an answer takes to count as known";
+  EXPECT_TRUE((WriteThenRead{kPlainWrite, AttemptStatus::NotSent}.is_read_by_replica()))
+      << "it never ran";
+  EXPECT_TRUE((WriteThenRead{kPlainWrite, AttemptStatus::Rejected}.is_read_by_replica()))
+      << "it never ran";
+}
+
+TEST(RouterReplicationPosition, SessionReadNeedsOnlyAnsweredWritesWhereLostAnswersDoNotCount) {
+  const Nanos elapsed = 500 * kMillisecond;
+  const std::optional<Nanos> never;
+  EXPECT_TRUE((WriteThenRead{kKeyedWrite, std::nullopt, elapsed, never}.is_read_by_replica()));
+  EXPECT_TRUE(
+      (WriteThenRead{kPlainWrite, AttemptStatus::Reset, elapsed, never}.is_read_by_replica()));
+  EXPECT_FALSE(
+      (WriteThenRead{kKeyedWrite, AttemptStatus::Ok, elapsed, never}.is_read_by_replica()));
+}
+
+TEST(RouterReplicationPosition, OldWritesAreRequiredOfAllSessions) {
+  Settings settings = default_settings();
+  settings.session_token_source = SessionTokenSource::Router;
+  RouterHarness harness(settings);
+  harness.list_healthy_group();
+  const auto write = [&harness](std::uint64_t session) {
+    const std::string id = harness.send_request(kPlainWrite, session);
+    harness.deliver(make_write_result(id, harness.now, 10 * kMillisecond));
+  };
+
+  write(7);
+  harness.send_request(kSessionRead, 8);  // It never wrote, so any replica may serve it.
+  EXPECT_NE(harness.attempted_endpoint(), kNoEndpoint);
+  EXPECT_NE(harness.attempted_endpoint(), 1U);
+
+  harness.now += 61'000 * kMillisecond;
+  write(9);
+  // No replica has reported since, so none is known to hold what session 7 wrote.
+  harness.send_request(kSessionRead, 8);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+}
+
+TEST(RouterReplicationPosition, NeverReadsStaleReplicaWithoutStalenessChecks) {
+  RouterHarness harness;
+  harness.deliver_list({make_endpoint(1), make_endpoint(2)});
+  harness.report_health(1, Role::Primary, 0);
+  harness.report_health(2, Role::Replica, 5000 * kMillisecond);
+
+  for (int i = 0; i < 20; ++i) {
+    harness.actions.clear();
+    harness.send_request(kBoundedRead);
+    harness.run_timers_for(400 * kMillisecond);
+    for (const StartAttempt& attempt : harness.actions_of<StartAttempt>())
+      EXPECT_EQ(attempt.endpoint, 1U);
+  }
+}
+
+TEST(RouterReplicationPosition, PresumesReplicaCurrentUnderStalenessChecksUntilMisdirected) {
+  Settings settings = default_settings();
+  settings.staleness_check = StalenessCheck::Reject;
+  RouterHarness harness(settings);
+  harness.list_healthy_group();
+
+  harness.now += 20'000 * kMillisecond;
+  const std::string id = harness.send_request(kBoundedRead);
+  ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+  const EndpointId first = harness.attempted_endpoint();
+  EXPECT_NE(first, 1U);
+
+  harness.end_attempt(id, first, AttemptStatus::Misdirected);
+  ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+  EXPECT_NE(harness.attempted_endpoint(), first);
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_role_evidence_test.cpp
@@ -0,0 +1,100 @@
+/// Which endpoint counts as the primary of its group.
+#include "router_harness.h"
+
+namespace gorsebeam::router_test {
+namespace {
+
+TEST(RouterRoleEvidence, MisdirectedWriteWaitsForNewPrimary) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  const std::string id = harness.send_request(kPlainWrite, 1);
+  harness.now += 5 * kMillisecond;
+  harness.reject_write_as_replica(id);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+
+  harness.now += 200 * kMillisecond;
+  harness.report_health(3, Role::Primary, 0);
+  EXPECT_EQ(harness.attempted_endpoint(), 3U);
+}
+
+TEST(RouterRoleEvidence, IgnoresReportOlderThanItsResponse) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  const std::string first = harness.send_request(kPlainWrite);
+  ASSERT_EQ(harness.attempted_endpoint(), 1U);
+  harness.now += 20 * kMillisecond;
+  harness.reject_write_as_replica(first, {harness.now - 100 * kMillisecond, true});
+  harness.send_request(kPlainWrite);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+
+  harness.now += 10 * kMillisecond;
+  harness.report_health(3, Role::Primary, 0);
+  EXPECT_EQ(harness.attempted_endpoint(), 3U);
+}
+
+TEST(RouterRoleEvidence, IgnoresRoleOfReadStartedBeforeDemotion) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  const std::string read = harness.send_request(kStrongRead);
+  ASSERT_EQ(harness.attempted_endpoint(), 1U);
+  harness.now += 50 * kMillisecond;
+  const std::string write = harness.send_request(kKeyedWrite);
+  ASSERT_EQ(harness.attempted_endpoint(), 1U);
+  harness.now += 5 * kMillisecond;
+  harness.reject_write_as_replica(write);
+  harness.now += 5 * kMillisecond;
+  harness.answer(read, 1, 60 * kMillisecond);  // The role is that of its start.
+  harness.send_request(kKeyedWrite);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+
+  harness.now += 30 * kMillisecond;
+  harness.report_health(1, Role::Primary, 0);
+  EXPECT_EQ(harness.attempted_endpoint(), 1U);
+}
+
+TEST(RouterRoleEvidence, PrimaryGetsWritesAgainAfterHealthCheck) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+
+  const std::string first = harness.send_request(kPlainWrite);
+  const std::string second = harness.send_request(kPlainWrite);
+  harness.now += 200 * kMillisecond;
+  harness.end_attempt(first, 1, AttemptStatus::Reset);
+  harness.send_request(kPlainWrite);
+  EXPECT_EQ(harness.attempted_endpoint(), 1U) << "one reset is no fault of the primary";
+  harness.end_attempt(second, 1, AttemptStatus::Reset);
+  harness.send_request(kPlainWrite);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+
+  harness.now += 10 * kMillisecond;
+  harness.report_health(1, Role::Primary, 100 * kMillisecond);
+  EXPECT_EQ(harness.attempted_endpoint(), 1U);
+}
+
+TEST(RouterRoleEvidence, RetriesEjectedPrimaryEarlyWhileItReportsItsRole) {
+  for (const bool reports_role : {true, false}) {
+    RouterHarness harness;
+    harness.list_healthy_group();
+    for (int i = 0; i < 40; ++i)
+      harness.answer(harness.send_request(kPlainWrite), 1);
+    harness.send_request(kPlainWrite);
+    harness.send_request(kPlainWrite);
+    // Neither is answered: the primary is ejected, and a recovery attempt is due in 500 ms.
+    harness.run_timers_for(300 * kMillisecond);
+
+    const std::string id = harness.send_request(kPlainWrite);
+    for (int i = 0; i < 4; ++i) {
+      harness.run_timers_for(50 * kMillisecond);
+      if (reports_role)
+        harness.report_health(1, Role::Primary, 0);
+    }
+
+    EXPECT_EQ(harness.was_attempted(id, 1), reports_role);
+  }
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
--- /dev/null
+++ b/tests/router/router_slow_start_test.cpp
@@ -0,0 +1,175 @@
+/// How much a recently started endpoint gets, and which endpoints count as restarted.
+#include "router_harness.h"
+
+#include <algorithm>
+
+namespace gorsebeam::router_test {
+namespace {
+
+TEST(RouterSlowStart, StartedEndpointGetsNoMoreThanItsCapacity) {
+  RouterHarness harness;
+  harness.list_healthy_group();
+  harness.deliver_list({make_endpoint(3, harness.now)}, EndpointList::Kind::Delta);
+  std::map<EndpointId, int> attempts;
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = harness.send_request(kEventualRead);
+    ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+    ++attempts[harness.attempted_endpoint()];
+    harness.answer(id, harness.attempted_endpoint());
+    harness.now += 5 * kMillisecond;
+  }
+
+  // Within these 1.5 s its capacity rises from 0.2 to 0.32.
+  EXPECT_LE(attempts[3], 0.35 * std::max(attempts[2], attempts[4]));
+  EXPECT_GT(attempts[3], 0);
+}
+
+// A hundred routers send to a primary that has just started. Together they send more than its
+// initial capacity, as usual load leaves some of it free, and less than what overloads it.
+TEST(RouterSlowStart, StartedPrimaryGetsMoreThanItsCapacityAndLessThanOverload) {
+  int requests = 0;
+  int attempts = 0;
+  for (int router = 0; router < 100; ++router) {
+    RouterHarness harness;
+    harness.deliver_list({make_endpoint(1, harness.now), make_endpoint(3)});
+    harness.now += 20 * kMillisecond;
+    harness.report_health(1, Role::Primary, 0);
+    harness.next_request_number = router * 1000;  // Random choices follow from the id.
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = harness.send_request(kStrongRead);
+      ++requests;
+      if (harness.attempted_endpoint() != kNoEndpoint) {
+        ++attempts;
+        harness.answer(id, 1);
+      } else {
+        harness.deliver(ClientDisconnected{id});
+      }
+      harness.now += 20 * kMillisecond;
+    }
+  }
+
+  // Its capacity rises from 0.2 to 0.23 in these 0.4 s; twice as much for two seconds overloads it.
+  EXPECT_GT(attempts, 0.25 * requests);
+  EXPECT_LT(attempts, 0.35 * requests);
+}
+
+TEST(RouterSlowStart, EndpointBackAtOnceHasNotRestarted) {
+  for (const Nanos absence : {10 * kMillisecond, 400 * kMillisecond}) {
+    Settings settings = default_settings();
+    settings.connect_timeout = 250 * kMillisecond;
+    RouterHarness harness(settings);
+    harness.list_healthy_group();
+    const std::string first = harness.send_request(kPlainWrite);
+    const std::string second = harness.send_request(kPlainWrite);
+    harness.now += 200 * kMillisecond;
+    harness.end_attempt(first, 1, AttemptStatus::Reset, RequestState::Finished, 1 * kMillisecond);
+    harness.end_attempt(second, 1, AttemptStatus::ConnectFailed, RequestState::Finished,
+                        1 * kMillisecond);
+    harness.now += absence;
+    harness.report_health(1, Role::Primary, 0);
+
+    int attempts = 0;
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = harness.send_request(kPlainWrite);
+      if (harness.attempted_endpoint() == kNoEndpoint)
+        continue;
+      ++attempts;
+      harness.answer(id, 1);
+    }
+
+    // After a longer absence it may have restarted and gets fewer.
+    EXPECT_EQ(attempts == 40, absence < 300 * kMillisecond) << attempts;
+  }
+}
+
+/// Health checks prove little after time-outs, so endpoint 1 stays ejected until a read tries it.
+void wait_for_recovery_attempt(RouterHarness& harness) {
+  for (int reads = 0; reads < 1000; ++reads) {
+    harness.run_timers_for(10 * kMillisecond);
+    harness.report_health(1, Role::Primary, 0);
+    const std::string id = harness.send_request(kEventualRead);
+    const EndpointId endpoint = harness.attempted_endpoint();
+    if (endpoint != kNoEndpoint)
+      harness.answer(id, endpoint);
+    if (endpoint == 1U)
+      return;
+  }
+  FAIL() << "no recovery attempt within 1000 reads";
+}
+
+// It answers a request between the resets, or a health check soon after them.
+TEST(RouterSlowStart, SlowEndpointWithResetsHasNotRestarted) {
+  for (const bool answers_between : {true, false}) {
+    Settings settings = default_settings();
+    settings.slow_start_duration = 60'000 * kMillisecond;
+    RouterHarness harness(settings);
+    harness.list_healthy_group();
+    std::vector<std::string> writes;
+    writes.reserve(4);
+    for (int i = 0; i < 4; ++i)
+      writes.push_back(harness.send_request(kPlainWrite));
+    harness.run_timers_for(700 * kMillisecond);  // None is answered: it is ejected.
+    harness.end_attempt(writes[0], 1, AttemptStatus::Reset, RequestState::Finished,
+                        700 * kMillisecond);
+    if (answers_between) {
+      harness.answer(writes[1], 1, 700 * kMillisecond);
+      harness.run_timers_for(400 * kMillisecond);
+    }
+    harness.end_attempt(writes[2], 1, AttemptStatus::Reset, RequestState::Finished,
+                        700 * kMillisecond);
+    harness.now += (answers_between ? 400 : 100) * kMillisecond;
+    harness.report_health(1, Role::Primary, 0);
+    ASSERT_NO_FATAL_FAILURE(wait_for_recovery_attempt(harness));
+    // The slow answers are forgotten by then, and a slow start would still last.
+    harness.run_timers_for(20'000 * kMillisecond);
+
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = harness.send_request(kPlainWrite);
+      ASSERT_EQ(harness.attempted_endpoint(), 1U)
+          << "held to the capacity of a slow start after " << i;
+      harness.answer(id, 1);
+    }
+  }
+}
+
+TEST(RouterSlowStart, ConnectTimeoutIsNoRestart) {
+  for (const bool refused : {false, true}) {
+    Settings settings = default_settings();
+    settings.connect_timeout = 250 * kMillisecond;
+    RouterHarness harness(settings);
+    harness.list_healthy_group();
+    // Two connections are refused at once, or one runs into the connect timeout.
+    const int failures_wanted = refused ? 2 : 1;
+    const Nanos elapsed = refused ? 1 * kMillisecond : 250 * kMillisecond;
+    int failures = 0;
+    for (int reads = 0; failures < failures_wanted; ++reads) {
+      ASSERT_LT(reads, 1000) << "one refused connection has ejected it";
+      const std::string id = harness.send_request(kEventualRead);
+      if (harness.attempted_endpoint() != 3U) {
+        harness.answer(id, harness.attempted_endpoint());
+        continue;
+      }
+      ++failures;
+      harness.end_attempt(id, 3, AttemptStatus::ConnectFailed, RequestState::Finished, elapsed);
+    }
+    harness.now += 350 * kMillisecond;
+    harness.report_health(3, Role::Replica, 0);
+
+    int attempts = 0;
+    for (int i = 0; i < 300; ++i) {
+      const std::string id = harness.send_request(kEventualRead);
+      ASSERT_NE(harness.attempted_endpoint(), kNoEndpoint);
+      if (harness.attempted_endpoint() == 3U)
+        ++attempts;
+      harness.answer(id, harness.attempted_endpoint());
+    }
+
+    if (refused)
+      EXPECT_LT(attempts, 40) << "it has restarted and is in slow start";
+    else
+      EXPECT_GT(attempts, 60) << "it was only hard to reach";
+  }
+}
+
+}  // namespace
+}  // namespace gorsebeam::router_test
