Name the model of the version tracker as the code does

Need: the model's names (held, take, settle) differ from those of the tracker that it models. One function fewer in the tracker, and no bool parameter in acknowledge.

--- a/model/versions.pml
+++ b/model/versions.pml
@@ -1,89 +1,101 @@
-/* The version machine of src/versions, as a model: two types that refer to each other (contracts need members of at
- * least their number), a service that offers anything in any order, loses the stream and comes back. Checked:
- *   whole     what runs was accepted, and its parts fit together (assert)
- *   forward   nothing older replaces newer without a rollback that names the newest (assert)
- *   answered  every offer of a stream that lasts is answered, once (assert, and ltl)
- *   comes_back after a loss the machine dials again (ltl)
- * Run: spin -run -ltl NAME model/versions.pml (CI does, for each). tests/versions_test.cpp walks the code itself. */
-#define MOST 3 /* generations 1..MOST; content of generation g refers to, or brings, group g */
+/* A model of src/config_versions/version_tracker.h: two types that refer to each other (contracts need members of at
+ * least their number), and a service that sends anything in any order, loses the stream and comes back. Properties:
+ *   valid       what runs was accepted, and its types are valid together (assert)
+ *   ordered     no older generation replaces a newer one without a rollback that names the newest (assert)
+ *   answered    each response of a stream that lasts is answered exactly once (assert and ltl)
+ *   reconnects  after a loss the tracker opens a stream again (ltl)
+ * Run: spin -run -ltl NAME model/versions.pml; .ci/model does so for each property, and for models with a fault.
+ * tests/version_tracker_history_test.cpp checks the same properties of the code itself. */
+#define MAX_GENERATION 3 /* generations 1..3; the content of generation g refers to, or brings, group g */
 #define NONE 0
+#define CONTRACTS 0
+#define MEMBERS 1
 
-byte running[2];  /* generation of contracts [0] and members [1]; 0: the file's */
-byte newest[2];
-byte held[2];     /* generation that waits; NONE */
-bool held_back[2];
+byte running[2];      /* generation of contracts and members; 0: that of the operators' file */
+byte newest[2];       /* highest generation ever accepted */
+byte pending[2];      /* generation of the response that waits for the other type, or NONE */
+bool is_rollback[2];  /* of the pending response */
 bool streaming = false;
-byte open[2];     /* offers of this stream not answered */
+byte unanswered[2];   /* responses of this stream */
 bool lost = false;
 
-#define FITS(c, m) ((c) <= (m))
+#define VALID(contracts, members) ((contracts) <= (members))
 
-inline answer(t) { assert(open[t] > 0); open[t]--; }
+inline answer(t) { assert(unanswered[t] > 0); unanswered[t]-- }
 
-inline settle() {
-  /* the largest set that fits: both, then one */
+inline drop_pending(t) { pending[t] = NONE; is_rollback[t] = false }
+
+inline accept(t) {
+  assert(pending[t] >= newest[t] || is_rollback[t] || pending[t] == running[t]);
+  running[t] = pending[t];
+  if :: pending[t] > newest[t] -> newest[t] = pending[t] :: else -> skip fi;
+  drop_pending(t);
+  answer(t)
+}
+
+/* Accepts the largest set of pending responses that is valid: both, then one. */
+inline accept_pending() {
   if
-  :: held[0] != NONE && held[1] != NONE && FITS(held[0], held[1]) ->
-     take(0); take(1)
+  :: pending[CONTRACTS] != NONE && pending[MEMBERS] != NONE && VALID(pending[CONTRACTS], pending[MEMBERS]) ->
+     accept(CONTRACTS); accept(MEMBERS)
   :: else ->
      if
-     :: held[0] != NONE && FITS(held[0], running[1]) -> take(0)
+     :: pending[CONTRACTS] != NONE && VALID(pending[CONTRACTS], running[MEMBERS]) -> accept(CONTRACTS)
      :: else ->
         if
-        :: held[1] != NONE && FITS(running[0], held[1]) -> take(1)
+        :: pending[MEMBERS] != NONE && VALID(running[CONTRACTS], pending[MEMBERS]) -> accept(MEMBERS)
         :: else -> skip
         fi
      fi
   fi
 }
 
-inline take(t) {
-  assert(held[t] >= newest[t] || held_back[t] || held[t] == running[t]);
-  running[t] = held[t];
-  if :: held[t] > newest[t] -> newest[t] = held[t] :: else -> skip fi;
-  held[t] = NONE; held_back[t] = false;
-  answer(t)
-}
-
-/* g: generation; b: it rolls back generation r */
-inline offer(t, g, b, r) {
-  open[t]++;
-  if :: held[t] != NONE -> held[t] = NONE; held_back[t] = false; answer(t) :: else -> skip fi;
+/* A response of type t and the generation; if it is a rollback, it names the generation rolled_back. */
+inline receive_response(t, generation, rollback, rolled_back) {
+  unanswered[t]++;
+  if :: pending[t] != NONE -> drop_pending(t); answer(t) /* superseded: NACK */ :: else -> skip fi;
   if
-  :: g == running[t] -> answer(t) /* what runs: accepted */
-  :: g != running[t] && ((b && r >= newest[t]) || (!b && g > newest[t])) ->
-     held[t] = g; held_back[t] = b;
-     settle()
-  :: else -> answer(t) /* turned down */
+  :: generation == running[t] -> answer(t) /* it runs already: ACK */
+  :: generation != running[t] &&
+     ((rollback && rolled_back >= newest[t]) || (!rollback && generation > newest[t])) ->
+     pending[t] = generation; is_rollback[t] = rollback;
+     accept_pending()
+  :: else -> answer(t) /* NACK */
   fi
 }
 
-active proctype machine() {
-  byte t; byte g; byte r; bool b;
+inline expire_pending(t) {
+  if :: pending[t] != NONE -> drop_pending(t); answer(t) /* NACK */ :: else -> skip fi
+}
+
+active proctype tracker() {
+  byte t; byte generation; byte rolled_back; bool rollback;
 end:
   do
-  :: !streaming -> d_step { streaming = true; lost = false } /* the dial, in bounded time */
-  :: streaming -> /* an offer of any kind */
-     select(t : 0 .. 1); select(g : 1 .. MOST); select(r : 1 .. MOST);
+  :: !streaming -> d_step { streaming = true; lost = false } /* a connection attempt, in bounded time */
+  :: streaming -> /* any response */
+     select(t : 0 .. 1); select(generation : 1 .. MAX_GENERATION); select(rolled_back : 1 .. MAX_GENERATION);
      atomic {
-       if :: b = true :: b = false fi;
-       offer(t, g, b, r);
-       assert(FITS(running[0], running[1]));
-       t = 0; g = 0; r = 0; b = false
+       if :: rollback = true :: rollback = false fi;
+       receive_response(t, generation, rollback, rolled_back);
+       assert(VALID(running[CONTRACTS], running[MEMBERS]));
+       t = 0; generation = 0; rolled_back = 0; rollback = false
      }
-  :: streaming && (held[0] != NONE || held[1] != NONE) -> atomic { /* the hold is over */
-       if :: held[0] != NONE -> held[0] = NONE; held_back[0] = false; answer(0) :: else -> skip fi;
-       if :: held[1] != NONE -> held[1] = NONE; held_back[1] = false; answer(1) :: else -> skip fi;
-       assert(open[0] == 0 && open[1] == 0)
+  :: streaming && (pending[CONTRACTS] != NONE || pending[MEMBERS] != NONE) -> atomic { /* the timeout has passed */
+       expire_pending(CONTRACTS);
+       expire_pending(MEMBERS);
+       assert(unanswered[CONTRACTS] == 0 && unanswered[MEMBERS] == 0)
      }
-  :: streaming -> d_step { /* lost: what was held goes with the stream */
+  :: streaming -> d_step { /* the stream is lost, and pending responses with it */
        streaming = false; lost = true;
-       held[0] = NONE; held[1] = NONE; held_back[0] = false; held_back[1] = false;
-       open[0] = 0; open[1] = 0
+       drop_pending(CONTRACTS); drop_pending(MEMBERS);
+       unanswered[CONTRACTS] = 0; unanswered[MEMBERS] = 0
      }
   od
 }
 
-ltl comes_back { [] (lost -> <> streaming) }
-/* an open offer is one that is held: everything else was answered at once */
-ltl answered { [] ((open[0] == (held[0] != NONE)) && (open[1] == (held[1] != NONE))) }
+ltl reconnects { [] (lost -> <> streaming) }
+/* An unanswered response is a pending one: all others are answered at once. */
+ltl answered {
+  [] ((unanswered[CONTRACTS] == (pending[CONTRACTS] != NONE)) && (unanswered[MEMBERS] == (pending[MEMBERS] != NONE)))
+}
--- a/src/config_versions/version_tracker.cpp
+++ b/src/config_versions/version_tracker.cpp
@@ -25,6 +25,14 @@
   return response.generation == running.generation && response.content_hash == running.content_hash;
 }
 
+void acknowledge(ResourceType type, const DiscoveryResponse& response, std::string detail,
+                 Actions& actions) {
+  actions.emplace_back(
+      DiscoveryRequest{type, response.type_url, response.version, response.nonce, std::nullopt});
+  actions.emplace_back(
+      VersionAccepted{{type, response.version, response.nonce}, std::move(detail)});
+}
+
 }  // namespace
 
 VersionTracker::VersionTracker(Settings settings, Validator validator)
@@ -244,7 +252,9 @@
                             Actions& actions) {
   const bool content_changed = replace_running(now, state_of(type), response, actions);
   stream_.on_response_accepted(actions);
-  acknowledge(type, response, content_changed, actions);
+  std::string detail =
+      content_changed ? "generation " + std::to_string(response.generation) : "the same as runs";
+  acknowledge(type, response, std::move(detail), actions);
   return content_changed;
 }
 
@@ -270,16 +280,6 @@
   return content_changed;
 }
 
-void VersionTracker::acknowledge(ResourceType type, const DiscoveryResponse& response,
-                                 bool content_changed, Actions& actions) {
-  actions.emplace_back(
-      DiscoveryRequest{type, response.type_url, response.version, response.nonce, std::nullopt});
-  std::string detail =
-      content_changed ? "generation " + std::to_string(response.generation) : "the same as runs";
-  actions.emplace_back(
-      VersionAccepted{{type, response.version, response.nonce}, std::move(detail)});
-}
-
 void VersionTracker::reject(const DiscoveryResponse& response, const RejectionError& error,
                             Actions& actions) {
   const std::string running =
--- a/src/config_versions/version_tracker.h
+++ b/src/config_versions/version_tracker.h
@@ -118,8 +118,6 @@
                             Actions& actions);
   [[nodiscard]] bool replace_running(Nanos now, TypeState& state, const DiscoveryResponse& response,
                                      Actions& actions);
-  void acknowledge(ResourceType type, const DiscoveryResponse& response, bool content_changed,
-                   Actions& actions);
 
   void schedule_apply(Nanos now, Actions& actions);
   void apply(Nanos now, Actions& actions);
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -132,7 +132,7 @@
     while (done < size && !session.unsent_.empty()) {
       const std::string& first = session.unsent_.front();
       const std::size_t part = std::min(size - done, first.size() - session.unsent_offset_);
-      std::memcpy(buffer + done, first.data() + session.unsent_offset_, part);
+      std::copy_n(first.data() + session.unsent_offset_, part, buffer + done);
       done += part;
       session.unsent_offset_ += part;
       session.unsent_bytes_ -= part;
