Give the pooled connection and the idle lifetime estimator files of their own

A pooled connection sees its pool through a small Owner interface, its states are an enum class, and an enum says what becomes of it after a use. The order of closing, reporting and reuse, all timeouts and bounds are the same.

--- a/src/connection_pool/connection_pool.h
+++ b/src/connection_pool/connection_pool.h
@@ -1,13 +1,18 @@
-// Connections to members: opened as needed, one request at a time on each, kept for the next,
-// retired before the member would close them. The same for every protocol; a Wire holds what
-// differs.
+/// Connections to endpoints: opened as needed, used for one request at a time, kept for the next,
+/// retired before the endpoint would close them.
+///
+/// The same for every wire protocol; an `UpstreamProtocol` holds what differs. Runs on the main
+/// loop's thread.
 #pragma once
 
-#include "net/stream.h"
+#include "idle_lifetime_estimator.h"
+#include "net/timer.h"
+#include "pool_limits.h"
+#include "pooled_connection.h"
 #include "proxy/request_broker.h"
 #include "upstream_protocol.h"
 
-#include <array>
+#include <cstddef>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,84 +22,69 @@
 
 namespace gorsebeam::connection_pool {
 
-struct PoolLimits {
-  Nanos connect_timeout = 250'000'000;
-  Nanos keepalive = 30'000'000'000;  // a member closes a connection idle for this long
-  std::size_t connections = 400;     // over all members
-  std::size_t per_member = 150;
-  std::size_t answer_bytes = 256 * 1024;
-  std::size_t buffered = 32 << 20;  // by all connections together, clients' too
-};
-
-// How kept connections fared by how long they had rested. Guards against a way, or members, that
-// forget resting connections long before the settings say: each request on such a one ends as a
-// reset and may have run.
-class IdleLifetimeEstimator {
+/// Owns its connections and borrows the broker, which must outlive it. When it is destroyed, all
+/// connections are closed and no use is completed any more.
+class ConnectionPool : public proxy::Upstream, private PooledConnection::Owner {
 public:
-  void count(Nanos rest, bool broke);
-  Nanos limit();  // a connection that rested for so long is not used again
-
-private:
-  struct Span {
-    double used = 0, broke = 0;  // fading
-  };
-
-  void fade();
-
-  std::array<Span, 8> spans_;  // each twice as long as the one before
-  Nanos faded_at_ = 0;
-};
-
-class ConnectionPool : public proxy::Upstream {
-public:
-  ConnectionPool(proxy::RequestBroker& core, WireFactory wire, const PoolLimits& limits);
+  ConnectionPool(proxy::RequestBroker& broker, WireFactory make_protocol, const PoolLimits& limits);
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
   ~ConnectionPool() override;
-  void add_endpoint(EndpointId member, const std::string& address) override;
-  void remove_endpoint(EndpointId member) override;
-  void start_attempt(proxy::AttemptId attempt, EndpointId member, proxy::ClientCall& call,
-                     Nanos until) override;
-  void start_health_check(EndpointId member) override;
+
+  void add_endpoint(EndpointId endpoint, const std::string& address) override;
+  void remove_endpoint(EndpointId endpoint) override;
+  void start_attempt(proxy::AttemptId attempt, EndpointId endpoint, proxy::ClientCall& call,
+                     Nanos deadline) override;
+  /// Ends after `PoolLimits::connect_timeout` at the latest.
+  void start_health_check(EndpointId endpoint) override;
   void cancel_attempt(proxy::AttemptId attempt) override;
   void detach_call(proxy::AttemptId attempt) override;
 
-  std::size_t connections() const { return links_.size(); }
+  /// Open connections, idle ones included.
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
-  const PoolLimits& limits() const { return limits_; }
+  [[nodiscard]] const PoolLimits& limits() const override { return limits_; }
 
-  void set_limits(const PoolLimits& limits) { limits_ = limits; }  // for what is opened from now on
+  /// Applies from now on; closes no connection by itself.
+  void set_limits(const PoolLimits& limits) { limits_ = limits; }
 
 private:
-  class Connection;
-
-  struct Host {
-    std::string address;
-    std::vector<Connection*> idle;  // the one used last at the end
-    std::size_t links = 0;
+  /// The connections to one endpoint.
+  struct EndpointConnections {
+    std::string address;                  ///< Empty: removed, or never added.
+    std::vector<PooledConnection*> idle;  ///< The one used last at the end.
+    std::size_t count = 0;                ///< Idle or in use.
   };
 
-  struct PendingUse {  // what a connection is used for: an attempt, or a probe
-    proxy::AttemptId attempt = 0;
-    proxy::ClientCall* call = nullptr;
-    Nanos until = 0;
-    bool probe = false;
-  };
-
-  void start(EndpointId member, const PendingUse& errand);
-  Connection* take_idle(Host& host);
-  bool make_room(EndpointId member);
-  void report(EndpointId member, const PendingUse& errand, const proxy::UpstreamResponse& answer);
-  void drop(Connection* link);     // closes and forgets it
-  void forget(EndpointId member);  // a removed one, with its last connection
-
-  proxy::RequestBroker& core_;
-  WireFactory wire_;
+  [[nodiscard]] bool is_current_address(EndpointId endpoint,
+                                        const std::string& address) const override;
+  void record_idle_use(Nanos idle_time, bool broke) override;
+  void complete_use(EndpointId endpoint, const PendingUse& use,
+                    const proxy::UpstreamResponse& response) override;
+  void add_idle(PooledConnection& connection) override;
+  void discard(PooledConnection& connection) override;
+
+  void start_use(EndpointId endpoint, const PendingUse& use);
+  /// Removes the idle connection that was used last and is still usable; null if there is none.
+  PooledConnection* acquire_idle(EndpointConnections& endpoint);
+  /// Opens a connection; null if that is not possible.
+  PooledConnection* open_connection(EndpointId endpoint);
+  /// Whether a connection to `endpoint` may be opened; closes an idle one of any endpoint for it.
+  [[nodiscard]] bool ensure_capacity(EndpointId endpoint);
+  [[nodiscard]] PooledConnection* longest_idle() const;
+  /// Erases the entry of a removed endpoint that has no connection left.
+  void erase_if_unused(EndpointId endpoint);
+
+  proxy::RequestBroker& broker_;
+  WireFactory make_protocol_;
   PoolLimits limits_;
-  std::map<EndpointId, Host> hosts_;
-  std::unordered_map<Connection*, std::unique_ptr<Connection>> links_;
-  std::unordered_map<proxy::AttemptId, Connection*> attempts_;
-  IdleLifetimeEstimator rests_;
-  std::list<std::unique_ptr<Connection>> dropped_;  // kept until their callbacks have returned
-  net::Timer reaper_;
+  std::map<EndpointId, EndpointConnections> endpoints_;
+  std::unordered_map<PooledConnection*, std::unique_ptr<PooledConnection>> connections_;
+  std::unordered_map<proxy::AttemptId, PooledConnection*> attempts_;
+  IdleLifetimeEstimator idle_lifetime_;
+  // Kept until their callbacks have returned.
+  std::list<std::unique_ptr<PooledConnection>> discarded_;
+  net::Timer deletion_timer_;
 };
 
 }  // namespace gorsebeam::connection_pool
--- /dev/null
+++ b/src/connection_pool/pool_limits.h
@@ -0,0 +1,19 @@
+/// The limits of a connection pool.
+#pragma once
+
+#include "gorsebeam/router.h"
+
+#include <cstddef>
+
+namespace gorsebeam::connection_pool {
+
+struct PoolLimits {
+  Nanos connect_timeout = 250'000'000;    ///< Of opening a connection, and of a health check.
+  Nanos keepalive = 30'000'000'000;       ///< An endpoint closes a connection idle for this long.
+  std::size_t connections = 400;          ///< To all endpoints together.
+  std::size_t per_member = 150;           ///< To one endpoint.
+  std::size_t answer_bytes = 256 * 1024;  ///< Of one response.
+  std::size_t buffered = 32 << 20;  ///< Bytes that all connections hold, also those of clients.
+};
+
+}  // namespace gorsebeam::connection_pool
--- /dev/null
+++ b/src/connection_pool/pooled_connection.cpp
@@ -0,0 +1,249 @@
+#include "pooled_connection.h"
+
+#include "net/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsebeam::connection_pool {
+namespace {
+
+constexpr Nanos kMaxResponseGap = 150'000'000;  // between two pieces of one response
+// A response up to this size is read to its end even while memory is short.
+constexpr std::size_t kMaxSmallResponse = 16 * 1024;
+constexpr Nanos kMaxKeepaliveMargin = 3'000'000'000;
+
+}  // namespace
+
+proxy::UpstreamResponse response_with(AttemptStatus status) {
+  proxy::UpstreamResponse response;
+  response.status = status;
+  return response;
+}
+
+PooledConnection::PooledConnection(Owner& owner, proxy::RequestBroker& broker,
+                                   std::unique_ptr<UpstreamProtocol> protocol, EndpointId endpoint,
+                                   std::string address)
+    : owner_(owner), broker_(broker), protocol_(std::move(protocol)), timer_([this] {
+        handle_timer();
+      }),
+      endpoint_(endpoint), address_(std::move(address)),
+      stream_(net::Stream::connect(address_, *this)) {}
+
+bool PooledConnection::is_idle_and_silent() const {
+  return is_open() && stream_->input().size() == 0 && !stream_->readable();
+}
+
+void PooledConnection::assign(const PendingUse& use) {
+  use_ = use;
+  in_use_ = true;
+  if (state_ == State::Idle)
+    write_request();
+  else
+    timer_.at(std::min(net::now() + owner_.limits().connect_timeout, use.deadline));
+}
+
+void PooledConnection::detach_call() {
+  use_.call = nullptr;
+  if (state_ == State::Connecting || state_ == State::AwaitingGreeting)
+    complete_use(response_with(AttemptStatus::NotSent), AfterUse::Keep);
+}
+
+void PooledConnection::fail(AttemptStatus status) {
+  complete_use(response_with(status), AfterUse::Close);
+}
+
+void PooledConnection::close() {
+  timer_.stop();
+  if (stream_)
+    stream_->close();
+}
+
+void PooledConnection::connected() {
+  const std::string greeting = protocol_->greeting();
+  if (greeting.empty()) {
+    become_ready();
+    return;
+  }
+  state_ = State::AwaitingGreeting;
+  stream_->write({greeting});
+}
+
+void PooledConnection::become_ready() {
+  state_ = State::Idle;
+  if (in_use_)
+    write_request();
+  else
+    become_idle();
+}
+
+// Every request and health check is written here. A connection may come up long after the decision:
+// by now the endpoint may be draining, the time for a retry be over, or the evidence that the
+// endpoint is current have expired.
+void PooledConnection::write_request() {
+  const Nanos left = use_.deadline - net::now();
+  const bool is_allowed = use_.is_health_check ? broker_.is_health_check_allowed(endpoint_)
+                                               : broker_.is_attempt_allowed(use_.attempt);
+  if (left <= 0 || !is_allowed) {
+    complete_use(response_with(AttemptStatus::NotSent), AfterUse::Keep);
+    return;
+  }
+  state_ = State::Writing;
+  response_started_ = false;
+  if (idle_since_ > 0)
+    idle_time_ = net::now() - idle_since_;
+  timer_.at(use_.deadline);
+  stream_->write(use_.is_health_check ? protocol_->probe()
+                                      : protocol_->request(use_.call->body(left)));
+  if (stream_->all_written())
+    flushed();
+}
+
+void PooledConnection::flushed() {
+  if (state_ == State::Writing)
+    state_ = State::AwaitingResponse;
+}
+
+void PooledConnection::received() {
+  switch (state_) {
+  case State::AwaitingGreeting:
+    read_greeting();
+    return;
+  case State::Writing:
+  case State::AwaitingResponse:
+    read_response();
+    return;
+  case State::Connecting:
+  case State::Idle:
+    owner_.discard(*this);  // nothing was asked
+    return;
+  }
+}
+
+void PooledConnection::read_greeting() {
+  std::size_t used = 0;
+  bool is_rejected = false;
+  const ParseStep step = protocol_->parse_greeting(stream_->input().view(), used, is_rejected);
+  if (step == ParseStep::More)
+    return;
+  if (is_rejected) {
+    fail(AttemptStatus::Rejected);
+    return;
+  }
+  if (step == ParseStep::Broken) {
+    fail(AttemptStatus::ConnectFailed);
+    return;
+  }
+  stream_->input().consume(used);
+  become_ready();
+}
+
+void PooledConnection::read_response() {
+  const std::string_view input = stream_->input().view();
+  std::size_t used = 0;
+  proxy::UpstreamResponse response;
+  const ParseStep step = protocol_->answer(input, false, use_.is_health_check, response, used);
+  const PoolLimits& limits = owner_.limits();
+  const bool has_memory = net::total_buffered_bytes() <= limits.buffered || input.size() <= kMaxSmallResponse;
+  // The bound holds for a complete response too, so that it does not matter in how many reads it
+  // arrived.
+  const std::size_t size = step == ParseStep::Done ? used : input.size();
+  const bool fits = size <= limits.answer_bytes;
+  if (step == ParseStep::More && fits && has_memory) {
+    // A response whose length field is wrong would never end: one that began and does not go on is
+    // an error.
+    response_started_ = true;
+    timer_.at(std::min(use_.deadline, net::now() + kMaxResponseGap));
+    return;
+  }
+  if (step != ParseStep::Done || !fits) {
+    net::log({"malformed_response", {{"endpoint", std::to_string(endpoint_)}}});
+    fail(AttemptStatus::Error);  // the request was sent whole, so it may have run
+    return;
+  }
+  // After a response to a request that was not yet sent whole the connection is of no further use.
+  const bool is_reusable = state_ == State::AwaitingResponse && input.size() == used;
+  complete_use(response, is_reusable ? AfterUse::Keep : AfterUse::Close, used);
+}
+
+void PooledConnection::ended(const std::string&) {
+  if (!in_use_) {
+    owner_.discard(*this);
+    return;
+  }
+  if (state_ != State::AwaitingResponse) {
+    complete_use(response_with(AttemptStatus::ConnectFailed), AfterUse::Broken);
+    return;
+  }
+  proxy::UpstreamResponse response;
+  std::size_t used = 0;
+  const std::string_view input = stream_->input().view();
+  if (protocol_->answer(input, true, use_.is_health_check, response, used) == ParseStep::Done)
+    complete_use(response, AfterUse::Close);
+  else
+    complete_use(response_with(AttemptStatus::Reset), AfterUse::Broken);
+}
+
+void PooledConnection::handle_timer() {
+  if (!in_use_) {
+    owner_.discard(*this);  // idle for long enough, or not opened in time
+    return;
+  }
+  const bool is_past_deadline = net::now() >= use_.deadline;
+  if (state_ == State::AwaitingResponse) {
+    const bool has_stalled = response_started_ && !is_past_deadline;
+    fail(has_stalled ? AttemptStatus::Error : AttemptStatus::Timeout);
+    return;
+  }
+  // It was not written whole, so it never ran. That a connection was not open by the request's own
+  // deadline says nothing of the endpoint.
+  const bool is_endpoints_fault =
+      !is_past_deadline || state_ == State::Writing || use_.is_health_check;
+  fail(is_endpoints_fault ? AttemptStatus::ConnectFailed : AttemptStatus::NotSent);
+}
+
+// A connection that is not kept is closed before the router hears of the end, as it may start
+// another attempt at once, and two must not be in flight. One that is kept is idle when the batch
+// ends, so that the next attempt finds it.
+void PooledConnection::complete_use(const proxy::UpstreamResponse& response, AfterUse after_use,
+                                    std::size_t used) {
+  const PendingUse use = std::exchange(use_, PendingUse{});
+  const Nanos idle_time = std::exchange(idle_time_, 0);
+  if (idle_time > 0)
+    owner_.record_idle_use(idle_time, after_use == AfterUse::Broken && !response_started_);
+  in_use_ = false;
+  timer_.stop();
+  const proxy::RequestBroker::EventBatch batch(broker_);
+  if (after_use != AfterUse::Keep && stream_)
+    stream_->close();
+  owner_.complete_use(endpoint_, use, response);
+  if (after_use != AfterUse::Keep) {
+    owner_.discard(*this);
+    return;
+  }
+  if (used > 0)
+    stream_->input().consume(used);
+  if (state_ == State::Writing || state_ == State::AwaitingResponse)
+    state_ = State::Idle;
+  if (state_ == State::Idle)
+    become_idle();
+  else
+    timer_.after(owner_.limits().connect_timeout);  // it is still being opened, for a later use
+}
+
+void PooledConnection::become_idle() {
+  // The endpoint may have been removed or got another address meanwhile.
+  if (!owner_.is_current_address(endpoint_, address_)) {
+    owner_.discard(*this);
+    return;
+  }
+  idle_since_ = net::now();
+  // A request that crosses the endpoint's own close ends as a reset, so the connection is retired
+  // well before the endpoint would close it.
+  const Nanos keepalive = owner_.limits().keepalive;
+  if (keepalive > 0)
+    timer_.after(keepalive - std::min<Nanos>(keepalive / 4, kMaxKeepaliveMargin));
+  owner_.add_idle(*this);
+}
+
+}  // namespace gorsebeam::connection_pool
--- a/src/connection_pool/upstream_protocol.h
+++ b/src/connection_pool/upstream_protocol.h
@@ -1,32 +1,50 @@
-// One connection's share of a member protocol: how it is opened, how a request is framed, what an
-// answer says.
+/// The protocol of one connection to an endpoint: how it is opened, how a request is framed, what a
+/// response says.
 #pragma once
 
 #include "proxy/interfaces.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace gorsebeam::connection_pool {
 
-enum class ParseStep { More, Done, Broken };
+/// How far a message was read.
+enum class ParseStep {
+  More,    ///< It is not complete; call again with more bytes.
+  Done,    ///< It is complete.
+  Broken,  ///< It does not follow the protocol.
+};
 
+/// Translates between the pool and a wire protocol; performs no I/O. A connection owns one and
+/// calls it on one thread.
 class UpstreamProtocol {
 public:
   virtual ~UpstreamProtocol() = default;
-  virtual std::string greeting() = 0;  // the first bytes; none: ready as soon as connected
-  // Reads what answers the greeting. Done: ready, or `turned_away` when the member takes no
-  // connection.
+
+  /// The first bytes on a new connection; empty if it is ready as soon as it is connected.
+  virtual std::string greeting() = 0;
+
+  /// Reads the endpoint's response to the greeting from its first byte on. With `Done`, `used` is
+  /// its size and the connection is ready, or `turned_away` is set: the endpoint rejected it.
   virtual ParseStep parse_greeting(std::string_view in, std::size_t& used, bool& turned_away) = 0;
-  virtual proxy::Parts request(const proxy::Parts& body) = 0;  // framed; good until the next call
+
+  /// Frames a request body; the parts are valid until the next call of this object.
+  virtual proxy::Parts request(const proxy::Parts& body) = 0;
+
+  /// The message of a health check; valid until the next call of this object.
   virtual proxy::Parts probe() = 0;
-  // Reads an answer from its first byte on, in place. `ended`: no more will come. Broken: no answer
-  // at all.
+
+  /// Reads a response, to a health check if `to_probe`, from its first byte on. `ended`: no more
+  /// bytes will arrive. With `Done`, `used` is its size and `answer` its meaning, which borrows
+  /// from `in`. `Broken`: it is no response at all.
   virtual ParseStep answer(std::string_view in, bool ended, bool to_probe,
                            proxy::UpstreamResponse& answer, std::size_t& used) = 0;
 };
 
+/// Makes the protocol of a new connection.
 using WireFactory = std::unique_ptr<UpstreamProtocol> (*)();
 
 }  // namespace gorsebeam::connection_pool
