--- a/src/leases/lease_manager.cpp
+++ b/src/leases/lease_manager.cpp
@@ -168,7 +168,9 @@
     const auto flaps = flap_histories_.find(gateway_name(holder));
     const bool is_avoided = flaps != flap_histories_.end() && now < flaps->second.avoided_until;
     // Ties are spread over the gateways, in the same way at every leader.
-    const std::string tie_break = role + ' ' + holder;
+    std::string tie_break = role;
+    tie_break += ' ';
+    tie_break += holder;
     const PlacementCost cost{is_avoided, count_of(roles_by_holder, holder),
                              count_of(roles_by_zone, gateway.zone),
                              XXH3_64bits(tie_break.data(), tie_break.size())};
