State what the tests' control service does, one step a line

Need: tests/control joins statements by commas and describes its functions in clipped remarks. Change: one statement a line, doc comments with units and sources; the interface is the same.

--- a/bench/control_stand.cpp
+++ b/bench/control_stand.cpp
@@ -1,5 +1,5 @@
-// The stand-in control service by itself, for trying things by hand: prints its address and stands
-// for argument-1 seconds.
+// Runs the tests' control service by itself, for trials by hand: prints its address and serves for
+// as many seconds as the first argument says, 60 if there is none.
 #include "control/service.h"
 
 #include <cstdlib>
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -22,7 +22,9 @@
   grpc::Status StreamAggregatedResources(grpc::ServerContext* context, Call* call) override {
     {
       const std::lock_guard<std::mutex> lock(mutex);
-      call_ = call, context_ = context, status_ = grpc::Status::OK;
+      call_ = call;
+      context_ = context;
+      status_ = grpc::Status::OK;
       ++streams;
     }
     xds::DiscoveryRequest request;
@@ -32,8 +34,10 @@
                        request.error_detail().message(), request.node().id()});
     }
     const std::lock_guard<std::mutex> lock(mutex);
-    if (call_ == call)
-      call_ = nullptr, context_ = nullptr;
+    if (call_ == call) {
+      call_ = nullptr;
+      context_ = nullptr;
+    }
     return status_;
   }
 
@@ -42,7 +46,9 @@
   grpc::ServerContext* context_ = nullptr;
   grpc::Status status_;
   std::vector<Heard> heard;
-  int streams = 0, nonces = 0, port = 0;
+  int streams = 0;
+  int nonces = 0;
+  int port = 0;
   std::unique_ptr<grpc::Server> server;
 };
 
@@ -123,7 +129,7 @@
   self_->context_->TryCancel();
 }
 
-// ---- the cable
+// ---- Cable
 
 struct Cable::Pair {
   struct End : Stream::Events {
@@ -145,10 +151,14 @@
 
   void carry(End& from);
 
-  void end() { near.stream->close(), far.stream->close(); }
+  void end() {
+    near.stream->close();
+    far.stream->close();
+  }
 
   Cable::Self& cable;
-  End near{*this, false}, far{*this, true};
+  End near{*this, false};
+  End far{*this, true};
 };
 
 struct Cable::Self {
@@ -176,8 +186,10 @@
   End& to = from.service ? near : far;
   if (!bytes.empty())
     to.stream->write({bytes});
-  if (cut)
-    cable.left.reset(), end();
+  if (!cut)
+    return;
+  cable.left.reset();
+  end();
 }
 
 Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
@@ -205,7 +217,7 @@
   return self_->connections;
 }
 
-// ---- the script
+// ---- Script
 
 struct Script::Link : Stream::Events {
   Link(Script::Self& script, SocketHandle socket, const std::string& bytes)
@@ -258,7 +270,8 @@
   std::string bytes;
   for (int shift = 16; shift >= 0; shift -= 8)
     bytes += static_cast<char>(payload.size() >> shift & 0xff);
-  bytes += static_cast<char>(type), bytes += static_cast<char>(flags);
+  bytes += static_cast<char>(type);
+  bytes += static_cast<char>(flags);
   for (int shift = 24; shift >= 0; shift -= 8)
     bytes += static_cast<char>(stream >> shift & 0xff);
   return bytes + payload;
--- a/tests/control/service.h
+++ b/tests/control/service.h
@@ -1,6 +1,6 @@
-// Stand-ins for a control service, on loopback: one on libgrpc++, so that both ends are not one
-// reading of the protocol; a cable that can be cut in mid-push or fall silent; and a peer that
-// sends bytes by script.
+/// Control services for tests, on loopback: a service on libgrpc++, so that both ends of the
+/// protocol are not one reading of it; a cable that can be cut within a message or fall silent; and
+/// a peer that sends scripted bytes.
 #pragma once
 
 #include "integration/test_harness.h"
@@ -15,19 +15,34 @@
 
 namespace pb = gorsebeam::config::v1;
 
-struct Heard {  // a request of the gateway
-  std::string type, version, nonce, error, node;
+/// One request of the gateway.
+struct Heard {
+  std::string type;
+  std::string version;
+  std::string nonce;
+  /// Empty unless the request is a NACK.
+  std::string error;
+  std::string node;
 };
 
+/// An aggregated discovery service. Its server runs on threads of libgrpc++; the functions may be
+/// called from the test's thread alone.
 class Service {
 public:
   Service();
   ~Service();
   std::string address() const;
-  int streams() const;  // that were opened so far
+
+  /// Returns how many streams were opened so far.
+  int streams() const;
+
   bool streaming() const;
+
+  /// Returns all requests so far, on whatever stream.
   std::vector<Heard> heard() const;
-  // Sends one response of the message's type on the present stream; its nonce.
+
+  /// Sends one response of the first message's type, or of `type_url`, on the present stream;
+  /// returns its nonce.
   std::string push(const std::vector<const google::protobuf::Message*>& resources,
                    const std::string& version, const std::string& type_url = "");
 
@@ -35,8 +50,8 @@
     return push({&resource}, version);
   }
 
-  // Waits for the answer: empty where it was accepted, else the reason. Fails the test where there
-  // are two.
+  /// Waits for the answer to `nonce` and returns its error, which is empty for an ACK. Fails the
+  /// test if there are two.
   std::string answer(const std::string& nonce) const;
 
   std::string push_and_answer(const google::protobuf::Message& resource,
@@ -44,23 +59,31 @@
     return answer(push(resource, version));
   }
 
-  void end(int code, const std::string& words);  // ends the stream with a status
-  void go_away();                                // ends the server; it listens no more
+  /// Ends the stream with a status.
+  void end(int code, const std::string& words);
+
+  /// Ends the server, which listens no more.
+  void go_away();
 
 private:
   struct Self;
   std::unique_ptr<Self> self_;
 };
 
-// Carries bytes between a gateway and a service.
+/// Carries bytes between a gateway and a service, on the main loop.
 class Cable {
 public:
   explicit Cable(const std::string& to);
   ~Cable();
   std::string address() const;
-  void
-  cut_after(std::size_t bytes);  // of those that come from the service from now on; then a reset
-  void silence(bool on);         // nothing comes through any more, either way
+
+  /// Resets the connection once so many bytes have come from the service from now on.
+  void cut_after(std::size_t bytes);
+
+  /// Discards all bytes, either way, while it is on.
+  void silence(bool on);
+
+  /// Returns how many connections were accepted so far.
   int connections() const;
 
 private:
@@ -69,14 +92,18 @@
   std::unique_ptr<Self> self_;
 };
 
-// Sends the same bytes to whoever connects, and takes what comes.
+/// Sends the same bytes to every connection, and discards what comes.
 class Script {
 public:
   explicit Script(std::string bytes);
   ~Script();
   std::string address() const;
-  int connections() const;  // so far
-  int ended() const;        // by the gateway
+
+  /// Returns how many connections were accepted so far.
+  int connections() const;
+
+  /// Returns how many connections the gateway has ended.
+  int ended() const;
 
 private:
   struct Link;
@@ -84,9 +111,13 @@
   std::unique_ptr<Self> self_;
 };
 
-// HTTP/2 frames for scripts, from the public specification.
+/// Returns an HTTP/2 frame (RFC 9113, section 4.1).
 std::string frame(int type, int flags, int stream, const std::string& payload);
+
+/// Returns an empty SETTINGS frame.
 std::string settings_frame();
-std::string grpc_headers_frame();  // :status 200, content-type application/grpc, on stream 1
+
+/// Returns a HEADERS frame on stream 1: `:status` 200 and `content-type` application/grpc.
+std::string grpc_headers_frame();
 
 }  // namespace stand_in
