--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -1,6 +1,6 @@
-// What configuration from a control service costs: the time from a push to the change in force, by
-// the number of members; and the tail of request times while versions are applied, against none, in
-// turns within one run.
+/// Measures what configuration from a control service costs: the time from a push to the change in
+/// force, by the number of members, and the tail of request latencies while versions are applied,
+/// against none, in turns within one run.
 #include "control/service.h"
 
 #include <algorithm>
@@ -15,8 +15,8 @@
 
 namespace {
 
-// Turns the loop without rest, as the harness's own waits look every 5 ms only.
-void spin(const std::function<bool()>& condition) {
+/// Runs the event loop without pauses, as the harness's own waits look only every 5 ms.
+void run_loop_until(const std::function<bool()>& condition) {
   while (!condition())
     g_main_context_iteration(nullptr, FALSE);
 }
@@ -25,7 +25,8 @@
   return static_cast<double>(g_get_monotonic_time() - start) / 1000;
 }
 
-double at(std::vector<double> values, double share) {
+/// The value below which `share` of `values` lie; 0 where there are none.
+double quantile(std::vector<double> values, double share) {
   std::sort(values.begin(), values.end());
   return values.empty()
              ? 0
@@ -93,19 +94,20 @@
         m.mutable_postgres(j)->set_size(1 + i % 2);  // all differ
       const gint64 start = g_get_monotonic_time();
       const std::string nonce = service.push(m, "v");
-      spin([&] {
+      run_loop_until([&] {
         return service.heard().back().nonce == nonce;
       });
       if (!service.heard().back().error.empty())
         return 1;
       client->send_request({"p" + std::to_string(generation), "any", "", 2000, false});
-      spin([&] {
+      run_loop_until([&] {
         return !client->responses.empty();
       });
       client->responses.pop_front();
       took.push_back(ms_since(start));
     }
-    std::printf("%d %.2f %.2f %.2f\n", count, at(took, 0.5), at(took, 0), at(took, 1));
+    std::printf("%d %.2f %.2f %.2f\n", count, quantile(took, 0.5), quantile(took, 0),
+                quantile(took, 1));
     std::fflush(stdout);
   }
   service.answer(service.push(members(harness, ++generation, 0), "few"));
@@ -139,7 +141,7 @@
     std::vector<TestClient*> free;
     for (const auto& c : clients)
       free.push_back(c.get());
-    spin([&] {
+    run_loop_until([&] {
       const gint64 now = g_get_monotonic_time();
       for (std::size_t i = 0; i < out.size();) {
         if (out[i].client->responses.empty()) {
@@ -164,8 +166,9 @@
   for (const int applies : {0, 1})
     std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
                 applies ? "50 versions a second" : "none", times[applies].size(),
-                at(times[applies], 0.5), at(times[applies], 0.9), at(times[applies], 0.99),
-                at(times[applies], 0.999), at(times[applies], 1));
-  std::printf("ratio of p99: %.3f\n", at(times[1], 0.99) / at(times[0], 0.99));
+                quantile(times[applies], 0.5), quantile(times[applies], 0.9),
+                quantile(times[applies], 0.99), quantile(times[applies], 0.999),
+                quantile(times[applies], 1));
+  std::printf("ratio of p99: %.3f\n", quantile(times[1], 0.99) / quantile(times[0], 0.99));
   harness.expect_invariants();
 }
--- a/src/command_line/command_line.cpp
+++ b/src/command_line/command_line.cpp
@@ -40,7 +40,7 @@
 
 /// Nothing where the option is not given.
 std::optional<std::string> find_option(const cxxopts::ParseResult& arguments, const char* name) {
-  if (!arguments.count(name))
+  if (arguments.count(name) == 0)
     return std::nullopt;
   return arguments[name].as<std::string>();
 }
@@ -82,7 +82,7 @@
 
 int run_command(const cxxopts::Options& options, const cxxopts::ParseResult& arguments) {
   const std::string command = arguments["command"].as<std::string>();
-  if (arguments.count("help")) {
+  if (arguments.count("help") > 0) {
     std::cout << options.help();
     return kExitSuccess;
   }
@@ -91,7 +91,7 @@
     return kExitSuccess;
   }
   std::vector<std::string> words;
-  if (arguments.count("words"))
+  if (arguments.count("words") > 0)
     words = arguments["words"].as<std::vector<std::string>>();
   if (command == "config")
     return run_config_command(
--- a/src/config/contracts_validation.cpp
+++ b/src/config/contracts_validation.cpp
@@ -97,7 +97,7 @@
   for (int i = 0; i < contracts.team_size(); ++i) {
     const pb::Team& team = contracts.team(i);
     for (int j = 0; j < team.group_size(); ++j) {
-      if (groups.count(team.group(j)))
+      if (groups.count(team.group(j)) > 0)
         continue;
       ValidationError error;
       error.path = {{"team", i}, {"group", j}};
--- a/src/config/limits_validation.cpp
+++ b/src/config/limits_validation.cpp
@@ -3,6 +3,8 @@
 
 #include "net/stream.h"
 
+#include <array>
+
 namespace gorsebeam::config {
 namespace {
 
@@ -35,10 +37,11 @@
     std::uint32_t max;
   };
 
-  const Bound bounds[] = {{"client_connections", limits.client_connections(), 8, 1'000'000},
-                          {"member_connections", limits.member_connections(), 8, 1'000'000},
-                          {"message_kib", limits.message_kib(), 64, 16 * 1024},
-                          {"buffered_mib", limits.buffered_mib(), 1, 1'000'000}};
+  const std::array<Bound, 4> bounds = {
+      {{"client_connections", limits.client_connections(), 8, 1'000'000},
+       {"member_connections", limits.member_connections(), 8, 1'000'000},
+       {"message_kib", limits.message_kib(), 64, 16 * 1024},
+       {"buffered_mib", limits.buffered_mib(), 1, 1'000'000}}};
   for (const Bound& bound : bounds)
     if (bound.value != 0 && (bound.value < bound.min || bound.value > bound.max))
       return ValidationError{{{bound.field, -1}},
@@ -59,9 +62,9 @@
     std::uint32_t min_ms;
   };
 
-  const Bound bounds[] = {{"reconnect_most_ms", service.reconnect_most_ms(), 50},
-                          {"silence_ms", service.silence_ms(), 100},
-                          {"hold_ms", service.hold_ms(), 10}};
+  const std::array<Bound, 3> bounds = {{{"reconnect_most_ms", service.reconnect_most_ms(), 50},
+                                        {"silence_ms", service.silence_ms(), 100},
+                                        {"hold_ms", service.hold_ms(), 10}}};
   for (const Bound& bound : bounds)
     if (bound.value_ms != 0 && (bound.value_ms < bound.min_ms || bound.value_ms > kMaxWaitMs))
       return ValidationError{{{bound.field, -1}},
