--- a/tests/session_writes_test.cpp
+++ b/tests/session_writes_test.cpp
@@ -61,7 +61,7 @@
   EXPECT_EQ(writes.required_position(kSession, kStart + 2 * kSecond), SessionWrites::kNoWrite);
 }
 
-TEST(SessionWrites, CountsAWriteOfUnknownResultAsCommittedAtItsEndWhatItsPositionSays) {
+TEST(SessionWrites, CountsAWriteOfUnknownResultAsCommittedAtItsEndDespiteAPosition) {
   SessionWrites writes(kKnownAfter);
   const Nanos end = kStart + kSecond;
 
