Split the gateway into its plan, its protocol paths and its resource shares

Need: src/gateway held the settings, one protocol's path, the division of descriptors and the process's life in one class, with house words, error texts through out-parameters and a raw main loop. Change: Plan, ProtocolPath and ResourceShare have files of their own; start returns an optional ListenError; the main loop has an owner; functions are named for what they change. Texts, timing and order stay.

--- a/src/command_line/command_line.cpp
+++ b/src/command_line/command_line.cpp
@@ -55,11 +55,12 @@
 
 int serve(gateway::Plan plan) {
   gateway::Gateway gateway(std::move(plan));
-  std::string error;
-  if (gateway.start(error))
-    return gateway.run();
-  std::cerr << "gorsebeam: " << error << '\n';
-  return kExitFailure;
+  if (const auto error = gateway.start()) {
+    std::cerr << "gorsebeam: " << error->message << '\n';
+    return kExitFailure;
+  }
+  gateway.run();
+  return kExitSuccess;
 }
 
 int serve_or_check(const std::string& command, const cxxopts::ParseResult& arguments) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,249 +10,216 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 #include <utility>
 
-#include <sys/resource.h>
-
 namespace gorsebeam::gateway {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
-// After SIGTERM new connections go on coming for up to 0.4 s; only then the door is closed.
-constexpr Nanos kStillAccepting = 550 * kMs;
-constexpr Nanos kLongestLeast =
-    3000 * kMs;  // the longest deadline counts as 3 s where it is shorter
-constexpr std::size_t kSocketsMost = 1024;
+constexpr Nanos kMillisecond = 1'000'000;
+// After SIGTERM new connections still arrive for up to 0.4 s.
+constexpr Nanos kAcceptAfterStop = 550 * kMillisecond;
+constexpr Nanos kMinShutdownDeadline = 3000 * kMillisecond;
+constexpr Nanos kDrainCheckInterval = 20 * kMillisecond;
+
+using sql_classifier::SqlClassifier;
 
-// Descriptors and buffers: what is allowed less spare ones, for the listeners, discovery, logs and
-// accepted connections that are to be turned away, shared among the fronts; half of each share for
-// clients, half for members.
-void share_out(std::size_t sockets, std::size_t memory_mb, std::size_t paths,
-               frontend::FrontendLimits& fronts, connection_pool::PoolLimits& pools) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
-    sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
-  if (sockets < config::kMinSockets)
-    throw settings::FormatError("the limit on open files is " + std::to_string(sockets) +
-                                ": raise it to " + std::to_string(config::kMinSockets) +
-                                " at least");
-  sockets = std::min(sockets, kSocketsMost);
-  const std::size_t use = (sockets - std::max<std::size_t>(24, sockets / 10)) / paths;
-  fronts.rejecting = std::max<std::size_t>(use / 20, 1);
-  fronts.lingering = std::max<std::size_t>(use / 20, 1);
-  fronts.connections = use / 2 - fronts.rejecting - fronts.lingering;
-  pools.connections = use - use / 2;
-  // A quarter of the memory for all that waits in buffers; half of that is kept free of half-sent
-  // messages, so that answers always find room.
-  fronts.buffered_bytes = (memory_mb << 20) / 8;
-  pools.buffered = (memory_mb << 20) / 4;
-  pools.per_member = std::max<std::size_t>(4, pools.connections / 3);
+std::shared_ptr<const SqlClassifier> make_classifier(const config::pb::Shapes& settings) {
+  if (!settings.postgres())
+    return nullptr;
+  return std::make_shared<const SqlClassifier>(
+      std::set<std::string>(settings.read_function().begin(), settings.read_function().end()));
 }
 
-}  // namespace
+void log_listener(const char* protocol, const frontend::Frontend& frontend) {
+  net::log({"listener_started", {{"protocol", protocol}, {"address", frontend.address()}}});
+}
 
-common::Result<Plan, settings::FileError> read_plan(const std::string& config,
-                                                    const std::string& file) {
-  auto platform = config::read_platform_config(config);
-  if (!platform)
-    return platform.error();
-  Plan plan;
-  plan.config_path = config;
-  plan.file_path = file;
-  plan.config = std::move(platform.value());
-  plan.file.context.classes = plan.config.profile.classes;
-  if (file.empty())
-    return plan;
-  auto operators = config::read_operator_file(file, &plan.config.profile.classes);
-  if (!operators)
-    return operators.error();
-  plan.file = std::move(operators.value());
-  return plan;
+void log_rejected_reload(const std::string& error) {
+  net::log({"reload_rejected", {{"error", error}}});
 }
 
-void Path::limit(const config::pb::Limits& limits) {
-  frontend::FrontendLimits fronts = front_share_;
-  connection_pool::PoolLimits pools = pool_share_;
-  const auto at_most = [](std::size_t share, std::size_t wanted) {
-    return wanted ? std::min(share, wanted) : share;
-  };
-  fronts.connections = at_most(fronts.connections, limits.client_connections());
-  fronts.buffered_bytes =
-      at_most(fronts.buffered_bytes, static_cast<std::size_t>(limits.buffered_mib()) << 20);
-  if (limits.message_kib())
-    fronts.message_bytes = static_cast<std::size_t>(limits.message_kib()) << 10;
-  pools.connections = at_most(pools.connections, limits.member_connections());
-  pools.per_member = std::min(pools.per_member, std::max<std::size_t>(4, pools.connections / 3));
-  front.set_limits(fronts);
-  pool_.set_limits(pools);
+std::optional<net::ListenError> listen(frontend::Frontend& frontend, const std::string& address,
+                                       const char* protocol) {
+  if (const auto error = frontend.listen(address))
+    return net::ListenError{error->kind, "cannot listen on " + address + ": " + error->message};
+  log_listener(protocol, frontend);
+  return std::nullopt;
 }
 
+}  // namespace
+
 Gateway::Gateway(Plan plan)
-    : plan_(std::move(plan)), loop_(g_main_loop_new(nullptr, FALSE)), door_([this] {
-        postgres_->front.stop_accepting();
-        if (mongo_)
-          mongo_->front.stop_accepting();
-        empty_.after(0);
+    : plan_(std::move(plan)), loop_(g_main_loop_new(nullptr, FALSE)), stop_accepting_timer_([this] {
+        stop_accepting();
       }),
-      empty_([this] {
-        if (postgres_->done() && (!mongo_ || mongo_->done()))
-          return g_main_loop_quit(loop_);
-        empty_.after(20 * kMs);
+      drain_timer_([this] {
+        quit_when_drained();
       }),
-      last_([this] {
+      shutdown_deadline_timer_([this] {
         net::log({"shutdown_deadline_exceeded", {}});
-        g_main_loop_quit(loop_);
+        g_main_loop_quit(loop_.get());
       }) {
   const settings::DeploymentProfile& profile = plan_.config.profile;
-  const bool two = plan_.file.gateway.has_mongo();
-  frontend::FrontendLimits fronts;
-  connection_pool::PoolLimits pools;
-  share_out(plan_.config.max_sockets, plan_.config.memory_mb, two ? 2 : 1, fronts, pools);
+  const bool serves_mongo = plan_.file.gateway.has_mongo();
+  ResourceShare share =
+      compute_share(plan_.config.max_sockets, plan_.config.memory_mb, serves_mongo ? 2 : 1);
   if (profile.settings.connect_timeout > 0)
-    pools.connect_timeout = profile.settings.connect_timeout;
-  pools.keepalive = profile.keepalive;
+    share.pool.connect_timeout = profile.settings.connect_timeout;
+  share.pool.keepalive = profile.keepalive;
   const std::uint64_t seed = plan_.config.seed;
-  postgres_ = std::make_unique<Path>(profile, seed, postgres::make_wire, pools, fronts,
-                                     postgres::make_connection(terms_, shapes_));
-  if (two)
-    mongo_ = std::make_unique<Path>(profile, ~seed, mongo::make_wire, pools, fronts,
-                                    mongo::make_connection(terms_));
+  postgres_ = std::make_unique<ProtocolPath>(profile, seed, postgres::make_wire, share,
+                                             postgres::make_connection(contracts_, classifier_));
+  if (serves_mongo)
+    mongo_ = std::make_unique<ProtocolPath>(profile, ~seed, mongo::make_wire, share,
+                                            mongo::make_connection(contracts_));
 }
 
 Gateway::~Gateway() {
-  if (watch_)
-    watch_->stop();
-  g_main_loop_unref(loop_);
+  if (endpoint_watch_)
+    endpoint_watch_->stop();
 }
 
-bool Gateway::start(std::string& why) {
-  const config::PlatformConfig& config = plan_.config;
+std::optional<net::ListenError> Gateway::start() {
   const config::pb::Gateway& file = plan_.file.gateway;
-  take_up(file);
-  control_ = std::make_unique<control_plane::ControlPlaneClient>(
-      plan_.file, config.seed,
-      [this](const config::pb::Contracts* contracts, const config::pb::Members* members,
+  apply_file(file);
+  control_plane_ = std::make_unique<control_plane::ControlPlaneClient>(
+      plan_.file, plan_.config.seed,
+      [this](const config::pb::Contracts* contracts, const config::pb::Members* endpoints,
              const config::pb::Limits* limits) {
-        run(contracts, members, limits);
+        apply_version(contracts, endpoints, limits);
       });
-  if (!plan_.file.context.postgres_listed) {
-    watch_ = std::make_unique<discovery::EndpointWatch>(
-        postgres_->core, config.discovery_address, config.initial_endpoints,
-        discovery::ReconnectBackoff(config.profile.settings.router_count,
-                                    config.profile.settings.discovery_mode == DiscoveryMode::Poll
-                                        ? discovery::DiscoveryService::Shared
-                                        : discovery::DiscoveryService::LocalAgent,
-                                    config.seed));
-    watch_->start();
-  }
-  control_->start();
-  const auto listen = [&why](frontend::Frontend& front, const std::string& address,
-                             const char* protocol) {
-    if (const auto error = front.listen(address)) {
-      why = "cannot listen on " + address + ": " + error->message;
-      return false;
-    }
-    net::log({"listener_started", {{"protocol", protocol}, {"address", front.address()}}});
-    return true;
-  };
-  return listen(postgres_->front, config.listen_address, "PostgreSQL") &&
-         (!mongo_ || listen(mongo_->front, file.mongo().listen(), "MongoDB"));
+  if (!plan_.file.context.postgres_listed)
+    start_discovery();
+  control_plane_->start();
+  if (auto error = listen(postgres_->frontend(), plan_.config.listen_address, "PostgreSQL"))
+    return error;
+  if (!mongo_)
+    return std::nullopt;
+  return listen(mongo_->frontend(), file.mongo().listen(), "MongoDB");
+}
+
+void Gateway::start_discovery() {
+  const config::PlatformConfig& config = plan_.config;
+  const auto& settings = config.profile.settings;
+  const auto service = settings.discovery_mode == DiscoveryMode::Poll
+                           ? discovery::DiscoveryService::Shared
+                           : discovery::DiscoveryService::LocalAgent;
+  endpoint_watch_ = std::make_unique<discovery::EndpointWatch>(
+      postgres_->broker(), config.discovery_address, config.initial_endpoints,
+      discovery::ReconnectBackoff(settings.router_count, service, config.seed));
+  endpoint_watch_->start();
 }
 
 void Gateway::stop() {
-  if (std::exchange(stopping_, true))
+  if (std::exchange(is_stopping_, true))
     return;
   net::log({"shutdown_started", {}});
-  control_->stop();
-  door_.after(kStillAccepting);
-  Nanos longest = kLongestLeast;
-  for (const RequestClass& c : plan_.config.profile.settings.classes)
-    longest = std::max(longest, c.deadline);
-  last_.after(longest + kStillAccepting);
+  control_plane_->stop();
+  stop_accepting_timer_.after(kAcceptAfterStop);
+  Nanos deadline = kMinShutdownDeadline;
+  for (const RequestClass& request_class : plan_.config.profile.settings.classes)
+    deadline = std::max(deadline, request_class.deadline);
+  shutdown_deadline_timer_.after(deadline + kAcceptAfterStop);
 }
 
-void Gateway::take_up(const config::pb::Gateway& file) {
-  net::set_log_format(file.log().format() == config::pb::Log::JSON ? net::LogFormat::Json
-                                                                   : net::LogFormat::Text);
-  const config::pb::Shapes& shapes = file.shapes();
-  shapes_ = !shapes.postgres() ? nullptr
-                               : std::make_shared<const gorsebeam::sql_classifier::SqlClassifier>(
-                                     std::set<std::string>(shapes.read_function().begin(),
-                                                           shapes.read_function().end()));
+void Gateway::stop_accepting() {
+  postgres_->frontend().stop_accepting();
+  if (mongo_)
+    mongo_->frontend().stop_accepting();
+  drain_timer_.after(0);
 }
 
-std::string Gateway::waits_for_start(const Plan& fresh) const {
-  if (fresh.file.gateway.has_mongo() != (mongo_ != nullptr))
+void Gateway::quit_when_drained() {
+  if (postgres_->is_drained() && (!mongo_ || mongo_->is_drained()))
+    return g_main_loop_quit(loop_.get());
+  drain_timer_.after(kDrainCheckInterval);
+}
+
+void Gateway::apply_file(const config::pb::Gateway& file) {
+  const bool is_json = file.log().format() == config::pb::Log::JSON;
+  net::set_log_format(is_json ? net::LogFormat::Json : net::LogFormat::Text);
+  classifier_ = make_classifier(file.shapes());
+}
+
+std::optional<std::string> Gateway::restart_reason(const Plan& plan) const {
+  if (plan.file.gateway.has_mongo() != (mongo_ != nullptr))
     return "the second front is turned on or off at the start only, as the descriptors are shared "
            "out then; "
            "restart";
-  if (fresh.file.context.postgres_listed != plan_.file.context.postgres_listed)
+  if (plan.file.context.postgres_listed != plan_.file.context.postgres_listed)
     return "whether PostgreSQL's members come from discovery or from a list is settled at the "
            "start; restart";
-  return "";
+  return std::nullopt;
+}
+
+std::optional<net::ListenError> Gateway::move_mongo_listener(const Plan& plan) {
+  const std::string& address = plan.file.gateway.mongo().listen();
+  if (!mongo_ || address == plan_.file.gateway.mongo().listen())
+    return std::nullopt;
+  return listen(mongo_->frontend(), address, "MongoDB");
 }
 
-// Everything is read and checked before anything changes. Members keep what is known of them, as
-// the module knows them by their names; open requests never notice.
 void Gateway::reload() {
-  const auto kept = [](const std::string& why) {
-    net::log({"reload_rejected", {{"error", why}}});
-  };
-  // Guards the end against an address that would be listened on anew.
-  if (stopping_)
-    return kept("this gateway is stopping");
+  // A stopped gateway must not listen on a new address.
+  if (is_stopping_)
+    return log_rejected_reload("this gateway is stopping");
   const auto read = read_plan(plan_.config_path, plan_.file_path);
   if (!read)
-    return kept(read.error().to_string());
-  const Plan& fresh = read.value();
-  std::string why = waits_for_start(fresh);
-  if (!why.empty())
-    return kept(plan_.file_path + ": " + why);
-  const config::pb::Gateway& file = fresh.file.gateway;
-  // Last of what can fail, as it changes something.
-  const bool moves = mongo_ && file.mongo().listen() != plan_.file.gateway.mongo().listen();
-  if (moves) {
-    if (const auto error = mongo_->front.listen(file.mongo().listen()))
-      return kept("cannot listen on " + file.mongo().listen() + ": " + error->message);
-  }
-  if (moves)
-    net::log({"listener_started", {{"protocol", "MongoDB"}, {"address", mongo_->front.address()}}});
-  take_up(file);
-  if (fresh.config.restart_only_settings != plan_.config.restart_only_settings)
+    return log_rejected_reload(read.error().to_string());
+  const Plan& plan = read.value();
+  if (const auto reason = restart_reason(plan))
+    return log_rejected_reload(plan_.file_path + ": " + *reason);
+  // The last step that can fail, as it changes something.
+  if (const auto error = move_mongo_listener(plan))
+    return log_rejected_reload(error->message);
+  apply_plan(plan);
+}
+
+// The router knows endpoints by their names and keeps their state; pending requests are not
+// affected.
+void Gateway::apply_plan(const Plan& plan) {
+  apply_file(plan.file.gateway);
+  if (plan.config.restart_only_settings != plan_.config.restart_only_settings)
     net::log({"reload_requires_restart", {{"settings", "platform"}}});
-  if (watch_)
-    watch_->change_address(fresh.config.discovery_address);
-  const auto error = control_->reload_file(fresh.file);
-  plan_.file.gateway = fresh.file.gateway;
+  if (endpoint_watch_)
+    endpoint_watch_->change_address(plan.config.discovery_address);
+  const auto error = control_plane_->reload_file(plan.file);
+  plan_.file.gateway = plan.file.gateway;
   if (error)
     return net::log({"reload_partial", {{"error", error->message}}});
-  net::log({"reload_complete", {{"discovery", fresh.config.discovery_address}}});
+  net::log({"reload_complete", {{"discovery", plan.config.discovery_address}}});
 }
 
-void Gateway::run(const config::pb::Contracts* contracts, const config::pb::Members* members,
-                  const config::pb::Limits* limits) {
-  if (contracts)
-    terms_.replace_contracts(std::make_shared<proxy::ContractSet>(
-                                 config::to_contract_set(*contracts, plan_.config.profile.classes)),
-                             net::now());
-  if (members && plan_.file.context.postgres_listed)
-    postgres_->core.update_endpoints(EndpointList::Kind::Full,
-                                     config::to_endpoints(members->postgres()));
-  if (members && mongo_)
-    mongo_->core.update_endpoints(EndpointList::Kind::Full, config::to_endpoints(members->mongo()));
+void Gateway::apply_version(const config::pb::Contracts* contracts,
+                            const config::pb::Members* endpoints,
+                            const config::pb::Limits* limits) {
+  if (contracts) {
+    auto contract_set = std::make_shared<proxy::ContractSet>(
+        config::to_contract_set(*contracts, plan_.config.profile.classes));
+    contracts_.replace_contracts(std::move(contract_set), net::now());
+  }
+  if (endpoints && plan_.file.context.postgres_listed)
+    postgres_->broker().update_endpoints(EndpointList::Kind::Full,
+                                         config::to_endpoints(endpoints->postgres()));
+  if (endpoints && mongo_)
+    mongo_->broker().update_endpoints(EndpointList::Kind::Full,
+                                      config::to_endpoints(endpoints->mongo()));
   if (limits)
-    postgres_->limit(*limits);
+    postgres_->apply_limits(*limits);
   if (limits && mongo_)
-    mongo_->limit(*limits);
+    mongo_->apply_limits(*limits);
 }
 
-int Gateway::run() {
+void Gateway::run() {
   const net::Signals signals({SIGHUP, SIGTERM, SIGINT}, [this](int number) {
-    number == SIGHUP ? reload() : stop();
+    if (number == SIGHUP)
+      reload();
+    else
+      stop();
   });
-  g_main_loop_run(loop_);
+  g_main_loop_run(loop_.get());
   net::log({"shutdown_complete", {}});
-  return 0;
 }
 
 }  // namespace gorsebeam::gateway
--- /dev/null
+++ b/src/gateway/protocol_path.h
@@ -0,0 +1,39 @@
+/// Serves one protocol: a frontend, a request broker of its own and connections to its endpoints.
+#pragma once
+
+#include "resource_shares.h"
+
+#include "config/operator_file.h"
+#include "connection_pool/connection_pool.h"
+#include "frontend/frontend.h"
+#include "proxy/request_broker.h"
+
+#include <cstdint>
+
+namespace gorsebeam::gateway {
+
+class ProtocolPath {
+public:
+  ProtocolPath(const settings::DeploymentProfile& profile, std::uint64_t seed,
+               connection_pool::WireFactory make_wire, const ResourceShare& share,
+               frontend::Frontend::ConnectionFactory make_connection);
+
+  /// Applies the operators' limits within the path's own share.
+  void apply_limits(const config::pb::Limits& limits);
+
+  /// No client connection and no pending request is left.
+  [[nodiscard]] bool is_drained() const;
+
+  proxy::RequestBroker& broker() { return broker_; }
+
+  frontend::Frontend& frontend() { return frontend_; }
+
+private:
+  // The frontend is destroyed before the pool, and both before the broker.
+  proxy::RequestBroker broker_;
+  connection_pool::ConnectionPool pool_;
+  const ResourceShare share_;
+  frontend::Frontend frontend_;
+};
+
+}  // namespace gorsebeam::gateway
--- /dev/null
+++ b/src/gateway/resource_shares.h
@@ -0,0 +1,27 @@
+/// Divides the process's descriptors and memory among the protocols that it serves.
+#pragma once
+
+#include "connection_pool/connection_pool.h"
+#include "frontend/frontend.h"
+
+#include <cstddef>
+
+namespace gorsebeam::gateway {
+
+/// What one protocol may use.
+struct ResourceShare {
+  frontend::FrontendLimits frontend;
+  connection_pool::PoolLimits pool;
+};
+
+/// The share of each of `protocol_count` protocols. `max_sockets` is reduced to the process's limit
+/// on open files; throws settings::FormatError where too few remain. Spare descriptors are kept for
+/// the listeners, discovery, logs and accepted connections that are to be rejected; half of each
+/// share is for clients, half for endpoints.
+ResourceShare compute_share(std::size_t max_sockets, std::size_t memory_mib,
+                            std::size_t protocol_count);
+
+/// How many of a pool's connections may lead to one endpoint.
+std::size_t max_connections_per_endpoint(std::size_t pool_connections);
+
+}  // namespace gorsebeam::gateway
