Hold the tables of bad files in vectors, as the linter asks

Need: clang-tidy flags C-style arrays and a redundant string initialiser in the integration tests. Change: functions return the tables.

--- a/tests/integration/inventory_files_test.cpp
+++ b/tests/integration/inventory_files_test.cpp
@@ -7,6 +7,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 using namespace test_harness;
 
 namespace {
@@ -18,19 +21,21 @@
   const char* field;
 };
 
-const BadInventory kBadInventories[] = {
-    {"b1.csv", "name,address,group\ndb1,127.0.0.1:1,0\ndb1,127.0.0.1:2,0\n", "line 3", "'name'"},
-    {"b2.csv", "name,address,group\ndb1,db1.example:27017,0\n", "line 2", "'address'"},
-    {"b3.csv", "name,address,group\ndb1,127.0.0.1:1,x\n", "line 2", "'group'"},
-    {"b4.csv", "name,address,colour\n", "line 1", "'colour'"},
-    {"b5.csv", "name,address,group\ndb1,127.0.0.1:1\n", "line 2", "'address'"},
-    {"b6.csv", "name,address,group\n\ndb1,\"127.0.0.1:1,0\n", "line 3", "'name'"},
-    {"b7.yaml", "all:\n  hosts:\n    db1: {address: '127.0.0.1:1', group: 0, role: king}\n",
-     "line 3", "'role'"},
-    {"b8.yaml", "all:\n  hosts:\n    db1: {group: 0}\n", "line 3", "'address'"},
-    {"b9.yaml", "all:\n  hosts: [\n", "line 3", "'yaml'"},
-    {"b10.yaml", "all:\n  machines: {}\n", "line 2", "'machines'"},
-};
+std::vector<BadInventory> bad_inventories() {
+  return {
+      {"b1.csv", "name,address,group\ndb1,127.0.0.1:1,0\ndb1,127.0.0.1:2,0\n", "line 3", "'name'"},
+      {"b2.csv", "name,address,group\ndb1,db1.example:27017,0\n", "line 2", "'address'"},
+      {"b3.csv", "name,address,group\ndb1,127.0.0.1:1,x\n", "line 2", "'group'"},
+      {"b4.csv", "name,address,colour\n", "line 1", "'colour'"},
+      {"b5.csv", "name,address,group\ndb1,127.0.0.1:1\n", "line 2", "'address'"},
+      {"b6.csv", "name,address,group\n\ndb1,\"127.0.0.1:1,0\n", "line 3", "'name'"},
+      {"b7.yaml", "all:\n  hosts:\n    db1: {address: '127.0.0.1:1', group: 0, role: king}\n",
+       "line 3", "'role'"},
+      {"b8.yaml", "all:\n  hosts:\n    db1: {group: 0}\n", "line 3", "'address'"},
+      {"b9.yaml", "all:\n  hosts: [\n", "line 3", "'yaml'"},
+      {"b10.yaml", "all:\n  machines: {}\n", "line 2", "'machines'"},
+  };
+}
 
 void expect_csv_loads(const std::string& folder) {
   const auto rows = gorsebeam::inventory::read(
@@ -69,7 +74,7 @@
   expect_yaml_loads(folder);
 
   const std::string config = write_platform_config(folder, "127.0.0.1:9");
-  for (const BadInventory& bad : kBadInventories) {
+  for (const BadInventory& bad : bad_inventories()) {
     write_text_file(folder, bad.name, bad.text);
     const std::string operator_file = write_text_file(
         folder, "gateway.textproto",
--- a/tests/integration/protocol.h
+++ b/tests/integration/protocol.h
@@ -45,7 +45,7 @@
   std::string idempotency_key = "k1";
   int timeout_ms = 2000;
   bool is_write = false;
-  std::string statement = "";  ///< PostgreSQL only; empty: a statement that fits `is_write`.
+  std::string statement{};  ///< PostgreSQL only; empty: a statement that fits `is_write`.
 };
 
 /// The replication state that an endpoint reports.
