--- a/src/gateway/protocol_path.h
+++ b/src/gateway/protocol_path.h
@@ -7,6 +7,7 @@
 #include "connection_pool/connection_pool.h"
 #include "frontend/frontend.h"
 #include "proxy/request_broker.h"
+#include "settings/deployment_profile.h"
 
 #include <cstdint>
 
--- a/tests/integration/discovery_agent.cpp
+++ b/tests/integration/discovery_agent.cpp
@@ -35,8 +35,8 @@
         descriptor_ = g_socket_get_fd(socket.get());
         stream = Stream::adopt(std::move(socket), *this);
       }) {
-  std::string error;
-  require(listener.listen("127.0.0.1:0", error), "the discovery agent cannot listen: " + error);
+  const auto error = listener.listen("127.0.0.1:0");
+  require(!error, error ? "the discovery agent cannot listen: " + error->message : std::string());
 }
 
 void DiscoveryAgent::received() {
--- a/tests/integration/stub_endpoint.cpp
+++ b/tests/integration/stub_endpoint.cpp
@@ -115,8 +115,8 @@
       listener_([this](SocketHandle socket) {
         accept(std::move(socket));
       }) {
-  std::string error;
-  require(listener_.listen("127.0.0.1:0", error), "a stub endpoint cannot listen: " + error);
+  const auto error = listener_.listen("127.0.0.1:0");
+  require(!error, error ? "a stub endpoint cannot listen: " + error->message : std::string());
   address = listener_.address();
 }
 
--- a/tests/integration/test_client.h
+++ b/tests/integration/test_client.h
@@ -37,12 +37,12 @@
   [[nodiscard]] bool is_flushed() const { return stream_->all_written(); }
 
   /// While paused the client reads nothing, not even the end of the connection.
-  void pause_reading() { stream_->pause_reading(true); }
+  void pause_reading() { stream_->pause_reading(); }
 
-  void resume_reading() { stream_->pause_reading(false); }
+  void resume_reading() { stream_->resume_reading(); }
 
   /// Ends the sending side only.
-  void shut_down_writing() { stream_->shut(); }
+  void shut_down_writing() { stream_->shut_down_sending(); }
 
   std::string last_value;      ///< Of the last response that carried one.
   std::string unparsed_input;  ///< Bytes received that form no complete response yet.
--- a/tests/snapshot_codec_test.cpp
+++ b/tests/snapshot_codec_test.cpp
@@ -75,7 +75,7 @@
 TEST(SnapshotCodec, MakesTheSameBytesFromATrackerThatRestoredARecordedFile) {
   const auto snapshot = decode_snapshot(recorded_file());
   ASSERT_TRUE(snapshot) << snapshot.error().message;
-  config::Site site;
+  config::ValidationContext site;
   site.classes = {{"any", 0}};
   auto versions = validate_snapshot(snapshot.value(), site);
   ASSERT_TRUE(versions) << versions.error().message;
@@ -118,7 +118,7 @@
 }
 
 TEST(SnapshotCodec, RejectsASnapshotThatIsNotValidAtTheSite) {
-  const auto versions = validate_snapshot(make_sample(), config::Site{});
+  const auto versions = validate_snapshot(make_sample(), config::ValidationContext{});
   ASSERT_FALSE(versions);
   EXPECT_EQ(versions.error().code, SnapshotError::Code::InvalidContent);
   EXPECT_EQ(versions.error().message,
