--- a/bench/shapes.cpp
+++ b/bench/shapes.cpp
@@ -1,4 +1,4 @@
-// What it costs to class a statement, by parsing it whole.
+// Measures the cost of classifying a statement, which is parsed whole.
 #include "sql_classifier/sql_classifier.h"
 
 #include <algorithm>
@@ -7,10 +7,11 @@
 #include <vector>
 
 int main() {
-  const gorsebeam::sql_classifier::SqlClassifier sql;
+  const gorsebeam::sql_classifier::SqlClassifier classifier;
 
   const struct {
-    const char *name, *text;
+    const char* name;
+    const char* text;
   } statements[] = {
       {"point read", "SELECT data FROM facts WHERE code = '7f3a9c21e0b4d655' /* "
                      "id=9b1f03aa5c7e2d41,c=basket,d=480 */"},
@@ -25,19 +26,19 @@
                  "(SELECT 1 FROM faults f WHERE f.site = s.id) ORDER BY 2, 3 LIMIT 100"},
   };
 
-  for (const auto& s : statements) {
-    std::vector<double> took;
+  for (const auto& statement : statements) {
+    std::vector<double> durations_us;
     for (int turn = 0; turn < 20; ++turn) {
       const auto start = std::chrono::steady_clock::now();
       for (int i = 0; i < 1000; ++i)
-        sql.classify(s.text);
-      took.push_back(
+        static_cast<void>(classifier.classify(statement.text));
+      durations_us.push_back(
           std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start)
               .count() /
           1000);
     }
-    std::sort(took.begin(), took.end());
+    std::sort(durations_us.begin(), durations_us.end());
     std::printf("%s: us a statement, median %.1f, least %.1f, most %.1f of 20 turns of 1000\n",
-                s.name, took[10], took[0], took[19]);
+                statement.name, durations_us[10], durations_us[0], durations_us[19]);
   }
 }
--- a/src/postgres/frontend.cpp
+++ b/src/postgres/frontend.cpp
@@ -268,7 +268,7 @@
                                                         const RequestClass& settings) const {
     if (classifier_ && verdict.effect != Effect::Read && !is_write(settings))
       return CommandError{kReadOnlyTransaction,
-                          "the statement may write, and its class reads: " + verdict.why};
+                          "the statement may write, and its class reads: " + verdict.reason};
     if (!classifier_ && statement.is_select == is_write(settings))
       return CommandError{kSyntaxError, "the statement does not fit its class"};
     if (settings.idempotency == Idempotency::IdempotencyKey && statement.idempotency.empty())
--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -5,7 +5,7 @@
 namespace gorsebeam::sql_classifier {
 namespace {
 
-TEST(Shapes, ReadsAreKnownAsReads) {
+TEST(SqlClassifier, RecognizesReads) {
   const SqlClassifier sql({"area_total", "app.last_fault"});
   for (const char* text : {
            "SELECT 1",
@@ -35,10 +35,10 @@
            "SHOW server_version",
            "SELECT percentile_cont(0.5) WITHIN GROUP (ORDER BY v) FILTER (WHERE v > 0) FROM t",
        })
-    EXPECT_EQ(sql.classify(text).effect, Effect::Read) << text << ": " << sql.classify(text).why;
+    EXPECT_EQ(sql.classify(text).effect, Effect::Read) << text << ": " << sql.classify(text).reason;
 }
 
-TEST(Shapes, NoWriteIsTakenForARead) {
+TEST(SqlClassifier, NeverClassifiesAWriteAsARead) {
   const SqlClassifier sql;
   for (const char* text : {
            "INSERT INTO t VALUES (1)",
@@ -144,10 +144,10 @@
   EXPECT_EQ(sql.classify("SELECT * FROM t FOR UPDATE").effect, Effect::Write);
   EXPECT_EQ(sql.classify("SELECT mystery(); DELETE FROM t").effect,
             Effect::Write);  // the worst counts
-  EXPECT_EQ(sql.classify("SELECT mystery()").why, "function mystery is not known to read only");
+  EXPECT_EQ(sql.classify("SELECT mystery()").reason, "function mystery is not known to read only");
 }
 
-TEST(Shapes, WhatIsTooLargeOrTooDeepIsUnknownAndEndsNothing) {
+TEST(SqlClassifier, ClassifiesTooLargeOrTooDeepStatementsAsUnknown) {
   const SqlClassifier sql;
   const auto nested = [](int depth) {
     return "SELECT " + std::string(static_cast<std::size_t>(depth), '(') + "1" +
--- a/tests/timer_test.cpp
+++ b/tests/timer_test.cpp
@@ -1,4 +1,4 @@
-// Timers on the main loop: what they cost it, and their order.
+// Timers on the main loop: the iterations that they cause, and their order.
 #include "net/timer.h"
 
 #include <glib.h>
@@ -11,14 +11,14 @@
 using gorsebeam::net::Timer;
 constexpr std::int64_t kMs = 1'000'000;
 
-int waits = 0;
+int poll_calls = 0;
 
 gint counted_poll(GPollFD* fds, guint count, gint timeout) {
-  ++waits;
+  ++poll_calls;
   return g_poll(fds, count, timeout);
 }
 
-TEST(Timer, SettingOneDoesNotWakeTheLoop) {
+TEST(Timer, DoesNotWakeTheLoopWhenSet) {
   g_main_context_set_poll_func(nullptr, counted_poll);
   int fired = 0;
   Timer other([] {});
@@ -31,24 +31,28 @@
   while (fired < 50)
     g_main_context_iteration(nullptr, TRUE);
   g_main_context_set_poll_func(nullptr, nullptr);
-  EXPECT_LE(waits, 60) << "one for each firing, and a few";
+  EXPECT_LE(poll_calls, 60) << "one for each firing, and a few";
 }
 
-TEST(Timer, OneSetWhileTimersFireHasItsTurnInTheNextRound) {
+TEST(Timer, FiresInTheNextIterationWhenSetWhileTimersFire) {
   std::string order;
   Timer third([&] {
     order += 'c';
-  }),
-      stopped([&] {
-        order += 'x';
-      });
+  });
+  Timer stopped([&] {
+    order += 'x';
+  });
   Timer first([&] {
-    order += 'a', stopped.stop(), third.after(-1);
+    order += 'a';
+    stopped.stop();
+    third.after(-1);
   });
   Timer second([&] {
     order += 'b';
   });
-  first.after(-1), second.after(-1), stopped.after(-1);
+  first.after(-1);
+  second.after(-1);
+  stopped.after(-1);
   g_main_context_iteration(nullptr, TRUE);
   EXPECT_EQ(order, "ab");
   g_main_context_iteration(nullptr, TRUE);
--- a/tests/upstream_protocol_test.cpp
+++ b/tests/upstream_protocol_test.cpp
@@ -1,4 +1,4 @@
-// What PostgreSQL members' answers to probes tell.
+// Load reports in the answers of PostgreSQL endpoints to health checks.
 #include "postgres/codec.h"
 #include "postgres/upstream_protocol.h"
 
@@ -25,7 +25,7 @@
   return answer.load_report;
 }
 
-TEST(Wire, AReportsPositionIsInSeconds) {
+TEST(PostgresUpstream, ReadsReportPositionsInSecondsOrMilliseconds) {
   const Nanos at = net::now() / 1'000'000 * 1'000'000 - 150'000'000;
   const std::string ms = std::to_string(at / 1'000'000);
   const LoadReport seconds = report_of("x0=" + ms.substr(0, 10) + "." + ms.substr(10) + ",x1=1");
@@ -39,11 +39,11 @@
   EXPECT_FALSE(milliseconds.is_primary.value_or(true));
 }
 
-TEST(Wire, AReportNotMadeYetTellsNothing) {
+TEST(PostgresUpstream, IgnoresReportNotMadeYet) {
   const LoadReport blank = report_of("x0=0.000,x1=0");
   EXPECT_FALSE(blank.replication_position);
-  EXPECT_FALSE(blank.is_primary);  // else each primary would be taken as replaced by every gateway
-                                   // that starts
+  // Otherwise each gateway that starts would take each primary as replaced.
+  EXPECT_FALSE(blank.is_primary);
 }
 
 }  // namespace
