--- a/tests/integration/gateway_process.cpp
+++ b/tests/integration/gateway_process.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdio>
 #include <exception>
 #include <filesystem>
@@ -50,14 +51,14 @@
     close(log_descriptor_);
   log.clear();
   exited_ = false;
-  const char* arguments[] = {
+  const std::array<const char*, 7> arguments{
       GORSEBEAM_PROGRAM,          "serve", "--config", config_path.c_str(), "--file",
       operator_file_path.c_str(), nullptr};
-  const bool spawned = g_spawn_async_with_pipes(
-      nullptr, const_cast<gchar**>(arguments), nullptr,
+  const gboolean spawned = g_spawn_async_with_pipes(
+      nullptr, const_cast<gchar**>(arguments.data()), nullptr,
       static_cast<GSpawnFlags>(G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL), nullptr,
       nullptr, &pid_, nullptr, nullptr, &log_descriptor_, nullptr);
-  require(spawned, "the program cannot be started");
+  require(spawned != FALSE, "the program cannot be started");
   g_unix_set_fd_nonblocking(log_descriptor_, TRUE, nullptr);
   g_child_watch_add(
       pid_,
@@ -108,11 +109,11 @@
 }
 
 void GatewayProcess::read_log() {
-  char buffer[4096];
-  ssize_t length = ::read(log_descriptor_, buffer, sizeof buffer);
+  std::array<char, 4096> buffer{};
+  ssize_t length = ::read(log_descriptor_, buffer.data(), buffer.size());
   while (length > 0) {
-    log.append(buffer, static_cast<std::size_t>(length));
-    length = ::read(log_descriptor_, buffer, sizeof buffer);
+    log.append(buffer.data(), static_cast<std::size_t>(length));
+    length = ::read(log_descriptor_, buffer.data(), buffer.size());
   }
 }
 
@@ -145,10 +146,10 @@
   gchar* standard_output = nullptr;
   gchar* standard_error = nullptr;
   gint status = 0;
-  const bool ran =
+  const gboolean ran =
       g_spawn_sync(nullptr, const_cast<gchar**>(argument_list.data()), nullptr, G_SPAWN_DEFAULT,
                    nullptr, nullptr, &standard_output, &standard_error, &status, nullptr);
-  require(ran, "the program cannot be run");
+  require(ran != FALSE, "the program cannot be run");
   output = std::string(standard_error) + standard_output;
   g_free(standard_output);
   g_free(standard_error);
