--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -121,6 +121,7 @@
 
 }  // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer looks for this name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0)
     return 0;
--- a/src/control_plane/control_plane_client.h
+++ b/src/control_plane/control_plane_client.h
@@ -61,10 +61,10 @@
   void execute(const config_versions::WriteSnapshot& action);
   void execute(const config_versions::StreamLost& event);
   void execute(const config_versions::StreamRestored& event);
-  void execute(const config_versions::VersionReceived& event);
-  void execute(const config_versions::VersionAccepted& event);
-  void execute(const config_versions::VersionRejected& event);
-  void execute(const config_versions::VersionPending& event);
+  static void execute(const config_versions::VersionReceived& event);
+  static void execute(const config_versions::VersionAccepted& event);
+  static void execute(const config_versions::VersionRejected& event);
+  static void execute(const config_versions::VersionPending& event);
 
   config::ValidationContext site_;
   config::pb::Gateway file_;
--- a/src/snapshot_store/snapshot_codec.cpp
+++ b/src/snapshot_store/snapshot_codec.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace gorsebeam::snapshot_store {
@@ -16,10 +17,9 @@
 using config_versions::ResourceType;
 using Code = SnapshotError::Code;
 
-constexpr char kMagic[] = "gorsebeam state\n";
-constexpr std::size_t kMagicSize = sizeof kMagic - 1;
+constexpr std::string_view kMagic = "gorsebeam state\n";
 constexpr std::size_t kChecksumSize = 8;
-constexpr std::size_t kHeaderSize = kMagicSize + kChecksumSize;
+constexpr std::size_t kHeaderSize = kMagic.size() + kChecksumSize;
 constexpr std::int64_t kNanosPerMs = 1'000'000;
 
 std::string checksum(const char* bytes, std::size_t size) {
@@ -67,16 +67,16 @@
 
 std::string encode_snapshot(const state::v1::LastGood& snapshot) {
   const std::string bytes = snapshot.SerializeAsString();
-  return kMagic + checksum(bytes.data(), bytes.size()) + bytes;
+  return std::string(kMagic) + checksum(bytes.data(), bytes.size()) + bytes;
 }
 
 common::Result<state::v1::LastGood, SnapshotError> decode_snapshot(const std::string& bytes) {
-  if (bytes.size() < kHeaderSize || bytes.compare(0, kMagicSize, kMagic) != 0)
+  if (bytes.size() < kHeaderSize || bytes.compare(0, kMagic.size(), kMagic) != 0)
     return SnapshotError{Code::InvalidHeader,
                          "it is no state of this program, or its head is damaged"};
   const char* content = bytes.data() + kHeaderSize;
   const std::size_t content_size = bytes.size() - kHeaderSize;
-  if (bytes.compare(kMagicSize, kChecksumSize, checksum(content, content_size)) != 0)
+  if (bytes.compare(kMagic.size(), kChecksumSize, checksum(content, content_size)) != 0)
     return SnapshotError{Code::ChecksumMismatch, "it is damaged: its checksum does not fit"};
   state::v1::LastGood snapshot;
   if (!snapshot.ParseFromArray(content, static_cast<int>(content_size)))
--- a/tests/snapshot_codec_test.cpp
+++ b/tests/snapshot_codec_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -40,7 +41,7 @@
 }
 
 // A snapshot file as the program wrote it at commit d929b66, from make_sample().
-constexpr unsigned char kRecordedFile[] = {
+constexpr std::array<unsigned char, 140> kRecordedFile = {
     0x67, 0x6f, 0x72, 0x73, 0x65, 0x62, 0x65, 0x61, 0x6d, 0x20, 0x73, 0x74, 0x61, 0x74, 0x65, 0x0a,
     0xf0, 0xbf, 0x16, 0x5e, 0xf1, 0x12, 0x6e, 0xe8, 0x08, 0x01, 0x12, 0x22, 0x08, 0x01, 0x12, 0x02,
     0x63, 0x33, 0x1a, 0x0f, 0x31, 0x32, 0x37, 0x2e, 0x30, 0x2e, 0x30, 0x2e, 0x31, 0x3a, 0x31, 0x35,
@@ -63,12 +64,12 @@
 TEST(SnapshotCodec, DecodesARecordedFileAndEncodesTheSameBytesAgain) {
   const auto snapshot = decode_snapshot(recorded_file());
   ASSERT_TRUE(snapshot) << snapshot.error().message;
-  EXPECT_EQ(snapshot.value().schema(), 1u);
+  EXPECT_EQ(snapshot.value().schema(), 1U);
   EXPECT_EQ(snapshot.value().contracts().version(), "c3");
-  EXPECT_EQ(snapshot.value().contracts().newest(), 7u);
+  EXPECT_EQ(snapshot.value().contracts().newest(), 7U);
   EXPECT_EQ(snapshot.value().contracts_value().team(0).name(), "portal");
   EXPECT_FALSE(snapshot.value().members().held());
-  EXPECT_EQ(snapshot.value().limits_value().client_connections(), 100u);
+  EXPECT_EQ(snapshot.value().limits_value().client_connections(), 100U);
   EXPECT_EQ(encode_snapshot(snapshot.value()), recorded_file());
 }
 
--- a/tests/version_tracker_digest_test.cpp
+++ b/tests/version_tracker_digest_test.cpp
@@ -278,7 +278,7 @@
   for (std::uint64_t seed = 0; seed < kSeeds; ++seed)
     DrawnHistory(seed, digest).play(kEventsPerSeed);
   // Recorded at commit d929b66; only a change of behaviour may change it.
-  EXPECT_EQ(digest.value(), 12568706761982383764u);
+  EXPECT_EQ(digest.value(), 12568706761982383764U);
 }
 
 }  // namespace
--- a/tests/version_tracker_history_test.cpp
+++ b/tests/version_tracker_history_test.cpp
@@ -178,7 +178,7 @@
 
 TEST(VersionTrackerHistories, KeepTheInvariantsInEverySequenceOfEvents) {
   // The first history begins with an open stream: most events do nothing without one.
-  EXPECT_EQ(play_all_histories({Event::Open}, 6), 66430u);
+  EXPECT_EQ(play_all_histories({Event::Open}, 6), 66430U);
   play_all_histories({}, 3);
 }
 
--- a/tests/version_tracker_test.cpp
+++ b/tests/version_tracker_test.cpp
@@ -104,7 +104,7 @@
   EXPECT_EQ(running(kLimits), 2);
 
   EXPECT_EQ(answer(make_response(kLimits, 5, 1, 7)), kAcknowledged);
-  EXPECT_EQ(tracker_->accepted(kLimits).newest_generation, 7u);
+  EXPECT_EQ(tracker_->accepted(kLimits).newest_generation, 7U);
   // A server that lags goes on sending what was rolled back.
   EXPECT_EQ(answer(make_response(kLimits, 7, 2)), "generation 7 was rolled back");
   EXPECT_EQ(answer(make_response(kLimits, 6, 4)),
@@ -181,7 +181,7 @@
   }
   advance(50 * kMs);
   const std::vector<ApplyConfiguration> applied = drain<ApplyConfiguration>();
-  EXPECT_LE(applied.size(), 22u);  // one second, at 50 ms each
+  EXPECT_LE(applied.size(), 22U);  // one second, at 50 ms each
   EXPECT_EQ(value_of(applied.back().bodies[2]), 200);
 }
 
@@ -190,7 +190,7 @@
   start();
   EXPECT_EQ(drain<OpenStream>().at(0).address, "a0");
   advance(settings_.stream.connect_timeout);
-  EXPECT_EQ(drain<CloseStream>().size(), 1u);  // the connection was never established
+  EXPECT_EQ(drain<CloseStream>().size(), 1U);  // the connection was never established
   EXPECT_LE(tracker_->next_deadline(), now_ + settings_.stream.reconnect_first);
   advance(tracker_->next_deadline() - now_);
   EXPECT_EQ(drain<OpenStream>().at(0).address, "a1");
@@ -198,12 +198,12 @@
   tracker_->on_stream_opened(now_, actions_);
   EXPECT_EQ(drain<DiscoveryRequest>().size(), kResourceTypeCount);
   advance(settings_.stream.silence);
-  EXPECT_EQ(drain<SendPing>().size(), 1u);
+  EXPECT_EQ(drain<SendPing>().size(), 1U);
   tracker_->on_bytes_received(now_);  // the acknowledgement
   advance(settings_.stream.silence);
-  EXPECT_EQ(drain<SendPing>().size(), 1u);
+  EXPECT_EQ(drain<SendPing>().size(), 1U);
   advance(settings_.stream.silence);
-  EXPECT_EQ(drain<CloseStream>().size(), 1u);
+  EXPECT_EQ(drain<CloseStream>().size(), 1U);
   EXPECT_FALSE(tracker_->is_streaming());
 }
 
@@ -222,7 +222,7 @@
     advance(delay);
   }
   EXPECT_GT(longest, settings_.stream.reconnect_max / 2);
-  EXPECT_GT(delays.size(), 150u);
+  EXPECT_GT(delays.size(), 150U);
 
   tracker_->on_stream_opened(now_, actions_);
   EXPECT_EQ(answer(make_response(ResourceType::Limits, 1, 1)), kAcknowledged);
