Call the action's handler through this, as its lambda captures it

Need: clang reports an unused capture where all handlers that it sees are static. Change: this->execute in the visitor. Result: 14 of 14 control_* tests pass.

--- a/src/control_plane/control_plane_client.cpp
+++ b/src/control_plane/control_plane_client.cpp
@@ -211,7 +211,7 @@
         break;
       std::visit(
           [this](const auto& typed_action) {
-            execute(typed_action);
+            this->execute(typed_action);
           },
           action);
     }
