--- a/bench/grpc_idle.cpp
+++ b/bench/grpc_idle.cpp
@@ -10,6 +10,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -53,7 +54,7 @@
   message.ParseFromString(request);
   if (!stream->Write(message))
     return 1;
-  test_harness::pass(1000);
+  test_harness::run_main_loop_for(std::chrono::seconds(1));
   print_memory_and_threads("after ");
   context.TryCancel();
   return 0;
@@ -64,13 +65,13 @@
   gorsebeam::grpc::Channel channel(events);
   if (channel.open(address, gorsebeam::xds::kAggregatedStreamPath))
     return 1;
-  test_harness::until(
+  test_harness::wait_until(
       [&] {
         return events.is_connected();
       },
       "the connection");
   channel.send_message(request);
-  test_harness::pass(1000);
+  test_harness::run_main_loop_for(std::chrono::seconds(1));
   print_memory_and_threads("after ");
   return 0;
 }
@@ -81,31 +82,9 @@
 int main(int count, char** arguments) {
   if (count != 3)
     return 2;
-  const std::string request = gorsebeam::xds::request({}, "idle", "bench");
-  show("before");
-  if (std::strcmp(arguments[1], "grpc") == 0) {
-    const auto channel = ::grpc::CreateChannel(arguments[2], ::grpc::InsecureChannelCredentials());
-    const auto stub = envoy::service::discovery::v3::AggregatedDiscoveryService::NewStub(channel);
-    ::grpc::ClientContext context;
-    const auto stream = stub->StreamAggregatedResources(&context);
-    gorsebeam::xds::v3::DiscoveryRequest message;
-    message.ParseFromString(request);
-    if (!stream->Write(message))
-      return 1;
-    test_harness::run_main_loop_for(std::chrono::seconds(1));
-    show("after ");
-    context.TryCancel();
-    return 0;
-  }
-  Quiet events;
-  gorsebeam::grpc::Channel channel(events);
-  channel.dial(arguments[2], gorsebeam::xds::kPath);
-  test_harness::wait_until(
-      [&] {
-        return events.ready;
-      },
-      "the connection");
-  channel.send(request);
-  test_harness::run_main_loop_for(std::chrono::seconds(1));
-  show("after ");
+  const std::string request = gorsebeam::xds::encode_request({}, {"idle", "bench"});
+  print_memory_and_threads("before");
+  if (std::strcmp(arguments[1], "grpc") == 0)
+    return open_with_grpc(arguments[2], request);
+  return open_with_nghttp2(arguments[2], request);
 }
--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -76,12 +76,13 @@
   [[nodiscard]] std::optional<config_versions::ValidationError>
   validate(const config_versions::Bodies& bodies) const {
     using Code = config_versions::ValidationError::Code;
-    const auto fault =
-        config::validate_group_references(xds::contracts_of(bodies[0]), xds::members_of(bodies[1]), site_);
+    const auto fault = config::validate_group_references(xds::contracts_of(bodies[0]),
+                                                         xds::members_of(bodies[1]), site_);
     if (!fault)
       return std::nullopt;
-    return config_versions::ValidationError{
-        fault->is_missing_reference ? Code::UnresolvedReference : Code::InvalidContent, fault->to_string()};
+    return config_versions::ValidationError{fault->is_missing_reference ? Code::UnresolvedReference
+                                                                        : Code::InvalidContent,
+                                            fault->to_string()};
   }
 
   config::ValidationContext site_ = make_site();
--- a/src/connection_pool/pooled_connection.cpp
+++ b/src/connection_pool/pooled_connection.cpp
@@ -144,7 +144,8 @@
   proxy::UpstreamResponse response;
   const ParseStep step = protocol_->answer(input, false, use_.is_health_check, response, used);
   const PoolLimits& limits = owner_.limits();
-  const bool has_memory = net::total_buffered_bytes() <= limits.buffered || input.size() <= kMaxSmallResponse;
+  const bool has_memory =
+      net::total_buffered_bytes() <= limits.buffered || input.size() <= kMaxSmallResponse;
   // The bound holds for a complete response too, so that it does not matter in how many reads it
   // arrived.
   const std::size_t size = step == ParseStep::Done ? used : input.size();
--- a/src/control_plane/control_plane_client.cpp
+++ b/src/control_plane/control_plane_client.cpp
@@ -87,7 +87,7 @@
   if (!fault)
     return std::nullopt;
   return ValidationError{fault->is_missing_reference ? ValidationError::Code::UnresolvedReference
-                                          : ValidationError::Code::InvalidContent,
+                                                     : ValidationError::Code::InvalidContent,
                          fault->to_string()};
 }
 
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -39,7 +39,8 @@
   list.revision = body.read_integer("revision", 0);
   list.complete = body.read_bool("complete");
   for (const settings::Json& element : body.require_array("members").GetArray())
-    list.endpoints.push_back(parse_endpoint(settings::JsonObjectReader(element, where + ".members")));
+    list.endpoints.push_back(
+        parse_endpoint(settings::JsonObjectReader(element, where + ".members")));
   return list;
 }
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -120,8 +120,9 @@
 
 void Frontend::close_surplus(Nanos now) {
   const IdleConnections idle = idle_connections();
-  const std::vector<connection_admission::CloseCandidate> candidates = connection_admission::rank_retirable(
-      idle.descriptions, now, connections_.size(), limits_.connections);
+  const std::vector<connection_admission::CloseCandidate> candidates =
+      connection_admission::rank_retirable(idle.descriptions, now, connections_.size(),
+                                           limits_.connections);
   for (const connection_admission::CloseCandidate& candidate : candidates) {
     if (connections_.size() <= candidate.above)
       continue;
--- a/src/snapshot_store/snapshot_codec.cpp
+++ b/src/snapshot_store/snapshot_codec.cpp
@@ -32,14 +32,16 @@
 /// not valid.
 template <typename Message>
 common::Result<std::optional<AcceptedVersion>, SnapshotError>
-validate_part(const state::v1::Part& part, const Message& value, const config::ValidationContext& site) {
+validate_part(const state::v1::Part& part, const Message& value,
+              const config::ValidationContext& site) {
   if (!part.held())
     return std::optional<AcceptedVersion>();
   std::optional<config::ValidationError> fault = config::validate_no_unknown_fields(value);
   if (!fault)
     fault = config::validate_resource(value, site);
   if (fault)
-    return SnapshotError{Code::InvalidContent, "it does not fit here any more: " + fault->to_string()};
+    return SnapshotError{Code::InvalidContent,
+                         "it does not fit here any more: " + fault->to_string()};
   AcceptedVersion accepted;
   accepted.running = xds::make_file_version(value);
   accepted.running.version = part.version();
--- a/src/xds/discovery_codec.cpp
+++ b/src/xds/discovery_codec.cpp
@@ -93,8 +93,8 @@
 
 }  // namespace
 
-common::Result<DiscoveryResponse, DecodeError> decode_response(std::string_view bytes,
-                                                               const config::ValidationContext& site) {
+common::Result<DiscoveryResponse, DecodeError>
+decode_response(std::string_view bytes, const config::ValidationContext& site) {
   v3::DiscoveryResponse response;
   if (!response.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return DecodeError{};
--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -194,9 +194,9 @@
 
 Cable::Cable(const std::string& to) : self_(std::make_unique<Self>()) {
   self_->to = to;
-  std::string why;
-  test_harness::require(self_->listener.listen("127.0.0.1:0", why),
-                        "a stand-in cannot listen: " + why);
+  const auto error = self_->listener.listen("127.0.0.1:0");
+  test_harness::require(!error,
+                        error ? "a stand-in cannot listen: " + error->message : std::string());
 }
 
 Cable::~Cable() = default;
@@ -247,9 +247,9 @@
 
 Script::Script(std::string bytes) : self_(std::make_unique<Self>()) {
   self_->bytes = std::move(bytes);
-  std::string why;
-  test_harness::require(self_->listener.listen("127.0.0.1:0", why),
-                        "a stand-in cannot listen: " + why);
+  const auto error = self_->listener.listen("127.0.0.1:0");
+  test_harness::require(!error,
+                        error ? "a stand-in cannot listen: " + error->message : std::string());
 }
 
 Script::~Script() = default;
--- a/tests/integration/control_snapshot_test.cpp
+++ b/tests/integration/control_snapshot_test.cpp
@@ -2,7 +2,8 @@
 // that moves at a reload.
 #include "control_plane_test_support.h"
 
-#include "snapshot_store/snapshot_store.h"
+#include "snapshot_store/snapshot_codec.h"
+#include "snapshot_store/snapshot_file.h"
 
 #include <csignal>
 #include <fstream>
@@ -85,23 +86,23 @@
   expect_start_from_snapshot(ClientResult::Failed,
                              "snapshot_restored versions=\"contracts version c3\"");
   const std::string& folder = folder_;
-  std::string why;
-  const auto good = gorsebeam::snapshot_store::load(folder, why);
-  ASSERT_TRUE(good.has_value()) << why;
-  const std::string bytes = gorsebeam::snapshot_store::packed(*good);
+  const auto loaded = gorsebeam::snapshot_store::load_snapshot(folder);
+  ASSERT_TRUE(loaded) << loaded.error().message;
+  const gorsebeam::state::v1::LastGood& good = loaded.value();
+  const std::string bytes = gorsebeam::snapshot_store::encode_snapshot(good);
   overwrite_snapshot(bytes.substr(0, bytes.size() - 3));
   expect_start_from_snapshot(ClientResult::Served, "snapshot_rejected");
   std::string flipped = bytes;
   flipped[flipped.size() / 2] ^= 1;
   overwrite_snapshot(flipped);
   expect_start_from_snapshot(ClientResult::Served, "it is damaged: its checksum does not fit");
-  auto newer = *good;
+  auto newer = good;
   newer.set_schema(99);
-  overwrite_snapshot(gorsebeam::snapshot_store::packed(newer));
+  overwrite_snapshot(gorsebeam::snapshot_store::encode_snapshot(newer));
   expect_start_from_snapshot(ClientResult::Served, "newer than this program's");
-  auto unfit = *good;
+  auto unfit = good;
   unfit.mutable_contracts_value()->mutable_team(0)->mutable_class_(0)->set_name("gone");
-  overwrite_snapshot(gorsebeam::snapshot_store::packed(unfit));
+  overwrite_snapshot(gorsebeam::snapshot_store::encode_snapshot(unfit));
   expect_start_from_snapshot(ClientResult::Served, "it does not fit here any more");
 
   expect_serves_without_folder();
--- a/tests/integration/discovery_watch_test.cpp
+++ b/tests/integration/discovery_watch_test.cpp
@@ -192,8 +192,8 @@
   draining.listed_status = ListedStatus::Draining;
   removed.listed_status = ListedStatus::Removed;
   const int connection_count = agent.connection_count;
-  std::string error;
-  ASSERT_TRUE(agent.listener.listen(address, error)) << error;
+  const auto error = agent.listener.listen(address);
+  ASSERT_FALSE(error) << error->message;
   await_connection(agent, connection_count);
   agent.accept_watch();
   agent.send_list(harness, 45);
--- a/tests/integration/inventory_files_test.cpp
+++ b/tests/integration/inventory_files_test.cpp
@@ -38,11 +38,13 @@
 }
 
 void expect_csv_loads(const std::string& folder) {
-  const auto rows = gorsebeam::inventory::read(
+  const auto inventory = gorsebeam::inventory::read_inventory(
       write_text_file(folder, "a.csv",
                       "# kept by the tools\r\nname,group,address,zone,role,state,size,started\r\n"
                       "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\n"
                       "db2,3,127.0.0.1:27018,b,,draining,,\r\n"));
+  ASSERT_TRUE(inventory) << inventory.error().to_string();
+  const auto& rows = inventory.value();
   ASSERT_EQ(rows.size(), 2U);
   ASSERT_EQ(rows[0].name, "db,1");
   ASSERT_EQ(rows[0].endpoint.group, 3);
@@ -54,12 +56,14 @@
 }
 
 void expect_yaml_loads(const std::string& folder) {
-  const auto rows = gorsebeam::inventory::read(
+  const auto inventory = gorsebeam::inventory::read_inventory(
       write_text_file(folder, "a.yaml",
                       "all:\n  vars: {zone: a, ansible_user: ops}\n  children:\n    group_three:\n"
                       "      vars: {group: 3}\n      hosts:\n"
                       "        db1: {ansible_host: 127.0.0.1, ansible_port: 27017, role: primary}\n"
                       "        db2: {address: '127.0.0.1:27018', zone: b}\n"));
+  ASSERT_TRUE(inventory) << inventory.error().to_string();
+  const auto& rows = inventory.value();
   ASSERT_EQ(rows.size(), 2U);
   ASSERT_EQ(rows[0].address, "127.0.0.1:27017");
   ASSERT_EQ(rows[0].endpoint.zone, "a");
