--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -4,6 +4,7 @@
 #include "control/service.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <string>
 #include <thread>
@@ -110,12 +111,13 @@
                 quantile(took, 1));
     std::fflush(stdout);
   }
-  service.answer(service.push(members(harness, ++generation, 0), "few"));
+  static_cast<void>(service.answer(service.push(members(harness, ++generation, 0), "few")));
 
   // Turns of one second with and without 50 versions a second, four clients asking at a steady pace
   // of 400 a second.
-  std::vector<double> times[2];
+  std::array<std::vector<double>, 2> times;
   std::vector<std::unique_ptr<TestClient>> clients;
+  clients.reserve(16);
   for (int i = 0; i < 16; ++i)
     clients.push_back(harness.connect_client());
   int number = 0;
@@ -139,6 +141,7 @@
 
     std::vector<Out> out;
     std::vector<TestClient*> free;
+    free.reserve(clients.size());
     for (const auto& c : clients)
       free.push_back(c.get());
     run_loop_until([&] {
@@ -148,7 +151,7 @@
           ++i;
           continue;
         }
-        times[applies].push_back(ms_since(out[i].due));  // from when it should have gone out
+        times.at(applies).push_back(ms_since(out[i].due));  // from when it should have gone out
         out[i].client->responses.pop_front();
         free.push_back(out[i].client);
         out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
@@ -165,10 +168,10 @@
   }
   for (const int applies : {0, 1})
     std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
-                applies ? "50 versions a second" : "none", times[applies].size(),
-                quantile(times[applies], 0.5), quantile(times[applies], 0.9),
-                quantile(times[applies], 0.99), quantile(times[applies], 0.999),
-                quantile(times[applies], 1));
+                applies ? "50 versions a second" : "none", times.at(applies).size(),
+                quantile(times.at(applies), 0.5), quantile(times.at(applies), 0.9),
+                quantile(times.at(applies), 0.99), quantile(times.at(applies), 0.999),
+                quantile(times.at(applies), 1));
   std::printf("ratio of p99: %.3f\n", quantile(times[1], 0.99) / quantile(times[0], 0.99));
   harness.expect_invariants();
 }
--- a/bench/shapes.cpp
+++ b/bench/shapes.cpp
@@ -9,10 +9,12 @@
 int main() {
   const gorsebeam::sql_classifier::SqlClassifier classifier;
 
-  const struct {
+  struct Statement {
     const char* name;
     const char* text;
-  } statements[] = {
+  };
+
+  const std::vector<Statement> statements = {
       {"point read", "SELECT data FROM facts WHERE code = '7f3a9c21e0b4d655' /* "
                      "id=9b1f03aa5c7e2d41,c=basket,d=480 */"},
       {"keyed write", "INSERT INTO facts (code, data) VALUES ('7f3a9c21e0b4d655', '\\x9f03') "
--- a/fuzz/control.cpp
+++ b/fuzz/control.cpp
@@ -1,6 +1,7 @@
 // Feeds bytes of a hostile control service to everything in the gateway that reads them, up to the
 // version tracker. The first byte selects where the rest enters: as an xDS message, as gRPC frames
 // or as HTTP/2.
+#include "config/conversion.h"
 #include "config_versions/version_tracker.h"
 #include "grpc/session.h"
 #include "xds/discovery_codec.h"
--- a/src/config/parsed_operator_file.cpp
+++ b/src/config/parsed_operator_file.cpp
@@ -68,7 +68,7 @@
 
 FileError ParsedOperatorFile::locate(const ValidationError& error) const {
   const TextFormat::ParseInfoTree* tree = locations_.get();
-  const Descriptor* type = gateway_.GetDescriptor();
+  const Descriptor* type = pb::Gateway::GetDescriptor();
   int line = 0;
   for (const FieldStep& step : error.path) {
     const FieldDescriptor* field = type ? type->FindFieldByName(step.field) : nullptr;
--- a/tests/control/service.h
+++ b/tests/control/service.h
@@ -31,15 +31,15 @@
 public:
   Service();
   ~Service();
-  std::string address() const;
+  [[nodiscard]] std::string address() const;
 
   /// Returns how many streams were opened so far.
-  int streams() const;
+  [[nodiscard]] int streams() const;
 
-  bool streaming() const;
+  [[nodiscard]] bool streaming() const;
 
   /// Returns all requests so far, on whatever stream.
-  std::vector<Heard> heard() const;
+  [[nodiscard]] std::vector<Heard> heard() const;
 
   /// Sends one response of the first message's type, or of `type_url`, on the present stream;
   /// returns its nonce.
@@ -52,7 +52,7 @@
 
   /// Waits for the answer to `nonce` and returns its error, which is empty for an ACK. Fails the
   /// test if there are two.
-  std::string answer(const std::string& nonce) const;
+  [[nodiscard]] std::string answer(const std::string& nonce) const;
 
   std::string push_and_answer(const google::protobuf::Message& resource,
                               const std::string& version) {
@@ -75,7 +75,7 @@
 public:
   explicit Cable(const std::string& to);
   ~Cable();
-  std::string address() const;
+  [[nodiscard]] std::string address() const;
 
   /// Resets the connection once so many bytes have come from the service from now on.
   void cut_after(std::size_t bytes);
@@ -84,7 +84,7 @@
   void silence(bool on);
 
   /// Returns how many connections were accepted so far.
-  int connections() const;
+  [[nodiscard]] int connections() const;
 
 private:
   struct Pair;
@@ -97,13 +97,13 @@
 public:
   explicit Script(std::string bytes);
   ~Script();
-  std::string address() const;
+  [[nodiscard]] std::string address() const;
 
   /// Returns how many connections were accepted so far.
-  int connections() const;
+  [[nodiscard]] int connections() const;
 
   /// Returns how many connections the gateway has ended.
-  int ended() const;
+  [[nodiscard]] int ended() const;
 
 private:
   struct Link;
