--- a/src/inventory/yaml_inventory.cpp
+++ b/src/inventory/yaml_inventory.cpp
@@ -108,7 +108,7 @@
     if (!variables.IsNull())
       if (auto error = read_variables(variables, name.value(), row))
         return error;
-    if (!row.count("address") && row.count("ansible_host"))
+    if (row.count("address") == 0 && row.count("ansible_host") > 0)
       if (auto error = set_address_from_ansible(row, line))
         return error;
     return builder_.add_row(row, line);
