--- a/tests/control/service.cpp
+++ b/tests/control/service.cpp
@@ -22,9 +22,9 @@
   grpc::Status StreamAggregatedResources(grpc::ServerContext* context, Call* call) override {
     {
       const std::lock_guard<std::mutex> lock(mutex);
-      call_ = call;
-      context_ = context;
-      status_ = grpc::Status::OK;
+      current_call = call;
+      current_context = context;
+      stream_status = grpc::Status::OK;
       ++streams;
     }
     xds::DiscoveryRequest request;
@@ -34,17 +34,17 @@
                        request.error_detail().message(), request.node().id()});
     }
     const std::lock_guard<std::mutex> lock(mutex);
-    if (call_ == call) {
-      call_ = nullptr;
-      context_ = nullptr;
+    if (current_call == call) {
+      current_call = nullptr;
+      current_context = nullptr;
     }
-    return status_;
+    return stream_status;
   }
 
   mutable std::mutex mutex;
-  Call* call_ = nullptr;
-  grpc::ServerContext* context_ = nullptr;
-  grpc::Status status_;
+  Call* current_call = nullptr;
+  grpc::ServerContext* current_context = nullptr;
+  grpc::Status stream_status;
   std::vector<Heard> heard;
   int streams = 0;
   int nonces = 0;
@@ -83,7 +83,7 @@
 
 bool Service::streaming() const {
   const std::lock_guard<std::mutex> lock(self_->mutex);
-  return self_->call_ != nullptr;
+  return self_->current_call != nullptr;
 }
 
 std::vector<Heard> Service::heard() const {
@@ -100,8 +100,8 @@
   response.set_type_url(!type_url.empty() ? type_url : response.resources(0).type_url());
   const std::lock_guard<std::mutex> lock(self_->mutex);
   response.set_nonce("n" + std::to_string(++self_->nonces));
-  if (self_->call_)
-    self_->call_->Write(response);
+  if (self_->current_call)
+    self_->current_call->Write(response);
   return response.nonce();
 }
 
@@ -124,9 +124,9 @@
 
 void Service::end(int code, const std::string& words) {
   const std::lock_guard<std::mutex> lock(self_->mutex);
-  test_harness::require(self_->context_ != nullptr, "no stream is open");
-  self_->status_ = grpc::Status(static_cast<grpc::StatusCode>(code), words);
-  self_->context_->TryCancel();
+  test_harness::require(self_->current_context != nullptr, "no stream is open");
+  self_->stream_status = grpc::Status(static_cast<grpc::StatusCode>(code), words);
+  self_->current_context->TryCancel();
 }
 
 // ---- Cable
--- a/tests/integration/control_snapshot_test.cpp
+++ b/tests/integration/control_snapshot_test.cpp
@@ -146,7 +146,7 @@
 
   harness.write_operator_file("log { format: JSON }");
   harness.gateway.send_signal(SIGHUP);
-  harness.gateway.await_log("\"event\":\"reload_complete\"");
+  harness.gateway.await_log(R"("event":"reload_complete")");
   harness.expect_invariants();
 }
 
--- a/tests/integration/control_stream_test.cpp
+++ b/tests/integration/control_stream_test.cpp
@@ -30,7 +30,7 @@
     const int stream_count = service.streams();
     cable.cut_after(byte_count);
     ++generation;
-    pb::Contracts half = gateway.contracts(generation);
+    pb::Contracts half = test_harness::ControlledGateway::contracts(generation);
     half.mutable_team(0)->mutable_class_(0)->set_tries(3);
     service.push(half, "half");
     service.push(gateway.members(generation), "half");
@@ -107,8 +107,9 @@
       },
       "the gateway to subscribe at the other address");
   ASSERT_EQ(lagging.heard()[0].version, "c9") << "the subscription names the version in force";
-  expect_contains(lagging.push_and_answer(gateway.contracts(8, {"save"}), "c8"),
-                  "generation 8 is older than 9");
+  expect_contains(
+      lagging.push_and_answer(test_harness::ControlledGateway::contracts(8, {"save"}), "c8"),
+      "generation 8 is older than 9");
   const auto client = gateway.harness.connect_client();
   ASSERT_EQ(client->send_and_await(read_request("fine")), ClientResult::Served);
   gateway.harness.expect_invariants();
--- a/tests/integration/discovery_agent.cpp
+++ b/tests/integration/discovery_agent.cpp
@@ -3,7 +3,7 @@
 #include "event_wait.h"
 #include "test_harness.h"
 
-#include <cstdio>
+#include <sstream>
 #include <sys/socket.h>
 #include <utility>
 
@@ -45,20 +45,20 @@
 }
 
 void DiscoveryAgent::send_chunk(const std::string& line) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-  stream->write({size, line, "\r\n"});
+  std::ostringstream size;
+  size << std::hex << line.size() << "\r\n";
+  const std::string size_line = size.str();
+  stream->write({size_line, line, "\r\n"});
 }
 
 std::string DiscoveryAgent::encode_list(const GatewayHarness& harness, int revision) {
   std::string text =
-      "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[";
+      "{\"revision\":" + std::to_string(revision) + R"(,"complete":true,"members":[)";
   for (const auto& endpoint : harness.endpoints) {
     text += endpoint == harness.endpoints[0] ? "" : ",";
-    text += std::string("{\"id\":\"s-0000000") + endpoint->name.back() + "\",\"host_port\":\"" +
-            endpoint->address + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" +
-            encode_phase(endpoint->listed_status) +
-            "\",\"size\":1.0,\"up_since_ms\":0,\"part\":\"" +
+    text += std::string(R"({"id":"s-0000000)") + endpoint->name.back() + R"(","host_port":")" +
+            endpoint->address + R"(","locality":"a","cell":0,"phase":")" +
+            encode_phase(endpoint->listed_status) + R"(","size":1.0,"up_since_ms":0,"part":")" +
             (endpoint->listed_as_primary ? "master" : "replica") + "\"}";
   }
   return text + "]}\n";
--- a/tests/integration/mongo_protocol.cpp
+++ b/tests/integration/mongo_protocol.cpp
@@ -188,8 +188,8 @@
 }  // namespace
 
 const Protocol& mongo() {
-  static const MongoProtocol protocol;
-  return protocol;
+  static const MongoProtocol kProtocol;
+  return kProtocol;
 }
 
 }  // namespace test_harness
--- a/tests/integration/postgres_protocol.cpp
+++ b/tests/integration/postgres_protocol.cpp
@@ -53,15 +53,15 @@
 
 class PostgresProtocol : public Protocol {
 public:
-  const char* name() const override { return "postgres"; }
+  [[nodiscard]] const char* name() const override { return "postgres"; }
 
-  std::string client_greeting() const override {
+  [[nodiscard]] std::string client_greeting() const override {
     const std::string body =
         encode_big_endian(196608) + std::string("user\0portal\0database\0crm\0\0", 26);
     return encode_big_endian(static_cast<std::uint32_t>(body.size() + 4)) + body;
   }
 
-  std::string encode_request(const Request& request) const override {
+  [[nodiscard]] std::string encode_request(const Request& request) const override {
     const std::string annotations = " /* id=" + request.id + ",c=" + request.service_class +
                                     ",d=" + std::to_string(request.timeout_ms) +
                                     (request.is_write ? ",k=" + request.idempotency_key : "") +
@@ -136,8 +136,9 @@
     return true;
   }
 
-  std::string encode_response(ScriptedResponse response, const ReplicationStatus& replication,
-                              const std::string& value) const override {
+  [[nodiscard]] std::string encode_response(ScriptedResponse response,
+                                            const ReplicationStatus& replication,
+                                            const std::string& value) const override {
     const std::string status =
         pg_message('S', std::string("part\0", 5) + (replication.is_primary ? "master" : "replica") +
                             '\0') +
@@ -167,7 +168,7 @@
              pg_message('Z', "I");
     case ScriptedResponse::MalformedReport:
       return pg_row(value) + status +
-             pg_message('S', std::string("gauges\0x0=nonsense,x1=7q\0", 26)) +
+             pg_message('S', std::string("gauges\0x0=nonsense,x1=7q\0\0", 26)) +
              pg_message('S', std::string("caught_up_to\0"
                                          "99999999999999\0",
                                          28)) +
@@ -177,7 +178,7 @@
     }
   }
 
-  std::string encode_unsolicited_message() const override {
+  [[nodiscard]] std::string encode_unsolicited_message() const override {
     const std::string z(1, '\0');
     return pg_message('N', "SNOTICE" + z + "C00000" + z + "Mscripted" + z + z);
   }
@@ -186,8 +187,8 @@
 }  // namespace
 
 const Protocol& postgres() {
-  static const PostgresProtocol protocol;
-  return protocol;
+  static const PostgresProtocol kProtocol;
+  return kProtocol;
 }
 
 }  // namespace test_harness
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -37,8 +37,8 @@
 }  // namespace
 
 std::string make_temporary_folder() {
-  char name[] = "/tmp/gorsebeam-integration-XXXXXX";
-  require(mkdtemp(name) != nullptr, "a temporary folder cannot be made");
+  std::string name = "/tmp/gorsebeam-integration-XXXXXX";
+  require(mkdtemp(name.data()) != nullptr, "a temporary folder cannot be made");
   return name;
 }
 
