--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -65,6 +65,17 @@
   return c;
 }
 
+/// Index 0: no versions applied meanwhile; index 1: 50 a second.
+void print_latencies(std::array<std::vector<double>, 2>& times) {
+  for (const int applies : {0, 1})
+    std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
+                applies ? "50 versions a second" : "none", times.at(applies).size(),
+                quantile(times.at(applies), 0.5), quantile(times.at(applies), 0.9),
+                quantile(times.at(applies), 0.99), quantile(times.at(applies), 0.999),
+                quantile(times.at(applies), 1));
+  std::printf("ratio of p99: %.3f\n", quantile(times[1], 0.99) / quantile(times[0], 0.99));
+}
+
 }  // namespace
 
 int main() {
@@ -151,7 +162,8 @@
           ++i;
           continue;
         }
-        times.at(applies).push_back(ms_since(out[i].due));  // from when it should have gone out
+        times.at(applies ? 1 : 0)
+            .push_back(ms_since(out[i].due));  // from when it should have gone out
         out[i].client->responses.pop_front();
         free.push_back(out[i].client);
         out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
@@ -166,12 +178,6 @@
     });
     pusher.join();
   }
-  for (const int applies : {0, 1})
-    std::printf("%s: %zu requests, ms median %.3f p90 %.3f p99 %.3f p99.9 %.3f most %.3f\n",
-                applies ? "50 versions a second" : "none", times.at(applies).size(),
-                quantile(times.at(applies), 0.5), quantile(times.at(applies), 0.9),
-                quantile(times.at(applies), 0.99), quantile(times.at(applies), 0.999),
-                quantile(times.at(applies), 1));
-  std::printf("ratio of p99: %.3f\n", quantile(times[1], 0.99) / quantile(times[0], 0.99));
+  print_latencies(times);
   harness.expect_invariants();
 }
--- a/src/common/result.h
+++ b/src/common/result.h
@@ -13,11 +13,9 @@
 class [[nodiscard]] Result {
 public:
   // Implicit, so that a function returns either one as it is.
-  Result(Value value)  // NOLINT(google-explicit-constructor): see above
-      : content_(std::in_place_index<0>, std::move(value)) {}
+  Result(Value value) : content_(std::in_place_index<0>, std::move(value)) {}
 
-  Result(Error error)  // NOLINT(google-explicit-constructor): see above
-      : content_(std::in_place_index<1>, std::move(error)) {}
+  Result(Error error) : content_(std::in_place_index<1>, std::move(error)) {}
 
   [[nodiscard]] bool has_value() const { return content_.index() == 0; }
 
--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -18,6 +18,7 @@
            "order by 1 "
            "limit 10 offset 5",
            "SELECT DISTINCT ON (a) a, b FROM t UNION ALL SELECT c, d FROM u INTERSECT SELECT 1, 2",
+           // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): one statement over two lines
            "WITH RECURSIVE r(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM r WHERE n < 9) SELECT * "
            "FROM r",
            "SELECT * FROM generate_series(1, 10) g, LATERAL (SELECT g * 2) x",
@@ -58,6 +59,7 @@
            "SELECT * FROM (SELECT * FROM t FOR SHARE) x",
            "SELECT (SELECT a FROM t LIMIT 1 FOR UPDATE)",
            "WITH d AS (DELETE FROM t RETURNING *) SELECT * FROM d",
+           // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): one statement over two lines
            "WITH a AS (WITH b AS (INSERT INTO t VALUES (1) RETURNING *) SELECT * FROM b) SELECT * "
            "FROM a",
            "SELECT * FROM t WHERE a IN (WITH x AS (UPDATE t SET a = 1 RETURNING a) SELECT a FROM "
@@ -162,7 +164,7 @@
   EXPECT_EQ(sql.classify(chain).effect, Effect::Unknown);
   std::string subqueries = "SELECT 1";
   for (int i = 0; i < 2'000; ++i)
-    subqueries = "SELECT (" + subqueries + ")";
+    subqueries.insert(0, "SELECT (").append(")");
   EXPECT_EQ(sql.classify(subqueries).effect, Effect::Unknown);
   std::string negations = "SELECT ";
   for (int i = 0; i < 20'000; ++i)
--- a/tests/version_tracker_fixture.h
+++ b/tests/version_tracker_fixture.h
@@ -36,7 +36,7 @@
   const std::array<int, kResourceTypeCount> values = {contracts, members, 0};
   for (std::size_t i = 0; i < kResourceTypeCount; ++i) {
     file[i].body = make_body(values[i]);
-    file[i].content_hash = static_cast<std::uint64_t>(1000 + values[i]);
+    file[i].content_hash = 1000U + static_cast<std::uint64_t>(values[i]);
   }
   return file;
 }
--- a/tests/version_tracker_test.cpp
+++ b/tests/version_tracker_test.cpp
@@ -80,7 +80,9 @@
     return answer;
   }
 
-  int running(ResourceType type) const { return value_of(tracker_->accepted(type).running.body); }
+  [[nodiscard]] int running(ResourceType type) const {
+    return value_of(tracker_->accepted(type).running.body);
+  }
 
   Settings settings_;
   std::unique_ptr<VersionTracker> tracker_;
