--- a/tests/integration/stub_endpoint.cpp
+++ b/tests/integration/stub_endpoint.cpp
@@ -59,7 +59,7 @@
     return true;
   }
 
-  ScriptedResponse next_response(const Request& request) const {
+  [[nodiscard]] ScriptedResponse next_response(const Request& request) const {
     if (request.is_write && !endpoint.replication.is_primary)
       return ScriptedResponse::RejectNotPrimary;  // whatever the script says
     std::deque<ScriptedResponse>& script = endpoint.harness_.script;
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -44,7 +44,7 @@
 
 std::string write_platform_config(const std::string& folder, const std::string& discovery_address,
                                   const PlatformSettings& settings) {
-  const std::string path = folder + "/config.json";
+  std::string path = folder + "/config.json";
   std::ofstream(path)
       << R"({"name":"n0","listen":")" << settings.listen_address << R"(","discovery":")"
       << discovery_address
