Log turns of the loop, endpoint lists, request endings and each close with its reason

The incident's log could not say when a list arrived, which endpoint was known to drain, whether a watch was closed with bytes unread, why a request was rejected, or what held the loop up. New events: loop_turn_long, timers_late, endpoint_watch_opened, endpoint_list_received, endpoint_draining, endpoint_removed, attempt_failed, attempt_not_written, request_rejected, request_failed; client_closed with each reason.

--- a/include/gorsebeam/actions.h
+++ b/include/gorsebeam/actions.h
@@ -29,15 +29,26 @@
   std::uint32_t attempt = 0;
 };
 
+/// Why the router ends a request itself.
+enum class AnswerReason {
+  RateLimit,      ///< Its team is over its rate limit.
+  OutOfTime,      ///< No further attempt could be answered in time.
+  AttemptsUsed,   ///< It has had all attempts that it may have.
+  NotRepeatable,  ///< An attempt may have run, and its class allows no other.
+  NoPrimary,      ///< Its group has had no primary for half of its time.
+};
+
 /// The final answer to a request: rejected, and safe to send again.
 struct RejectRequest {
   std::string request_id;
   Nanos retry_after = 0;  ///< 0: no advice.
+  AnswerReason reason = AnswerReason::OutOfTime;
 };
 
 /// The final answer to a request: failed, with no promise about its effect.
 struct FailRequest {
   std::string request_id;
+  AnswerReason reason = AnswerReason::OutOfTime;
 };
 
 /// Asks for a TimerExpired at `at`. Replaces the timer set before.
--- a/include/gorsebeam/log_messages.h
+++ b/include/gorsebeam/log_messages.h
@@ -39,8 +39,14 @@
   EndpointId endpoint = 0;
 };
 
+/// The endpoint list says for the first time that an endpoint drains or was removed.
+struct EndpointLeaving {
+  EndpointId endpoint = 0;
+  EndpointStatus status = EndpointStatus::Draining;
+};
+
 /// One message for the operators' log.
 using LogMessage = std::variant<PrimaryElected, PrimaryDemoted, PrimarySuspected, EndpointEjected,
-                                EndpointReadmitted>;
+                                EndpointReadmitted, EndpointLeaving>;
 
 }  // namespace gorsebeam
--- a/src/connection_pool/pooled_connection.cpp
+++ b/src/connection_pool/pooled_connection.cpp
@@ -85,6 +85,9 @@
   const bool is_allowed = use_.is_health_check ? broker_.is_health_check_allowed(endpoint_)
                                                : broker_.is_attempt_allowed(use_.attempt);
   if (left <= 0 || !is_allowed) {
+    net::log({"attempt_not_written",
+              {{"endpoint", std::to_string(endpoint_)},
+               {"reason", left <= 0 ? "out_of_time" : "not_allowed"}}});
     complete_use(response_with(AttemptStatus::NotSent), AfterUse::Keep);
     return;
   }
--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMaxHeadSize = 16 * 1024;
 constexpr std::size_t kMaxChunkSizeLine = 64;
 constexpr std::size_t kMaxLoggedStatusLine = 80;
+constexpr Nanos kNanosPerMillisecond = 1'000'000;
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kVersion = "HTTP/1.1 ";
@@ -62,6 +63,7 @@
   response_state_ = ResponseState::Head;
   next_list_ = ListOrder::FirstOfWatch;
   body_.clear();
+  last_progress_at_ = net::now();
   silence_timer_.after(reconnect_backoff_.silence_timeout());
   stream_ = net::Stream::connect(address_, *this);
   if (!stream_)
@@ -83,15 +85,16 @@
   // The new address may count revisions differently, so the whole list is asked for.
   revision_ = 0;
   revision_filter_.start_new_epoch();
-  logged_reason_.clear();
   reconnect_backoff_.reset();
   start();
 }
 
 void EndpointWatch::schedule_reconnect(const std::string& reason, WatchEnd end) {
-  if (reason != logged_reason_)
-    net::log({"endpoint_watch_closed", {{"reason", reason}}});
-  logged_reason_ = reason;
+  const bool has_unread = stream_ && stream_->readable();
+  net::log({"endpoint_watch_closed",
+            {{"reason", reason},
+             {"idle_ms", std::to_string((net::now() - last_progress_at_) / kNanosPerMillisecond)},
+             {"unread", has_unread ? "yes" : "no"}}});
   stop();
   reconnect_timer_.after(reconnect_backoff_.next_delay(end));
 }
@@ -101,6 +104,8 @@
                               " HTTP/1.1\r\nHost: " + address_ +
                               "\r\nAccept: application/json\r\n\r\n";
   stream_->write({request});
+  net::log(
+      {"endpoint_watch_opened", {{"address", address_}, {"revision", std::to_string(revision_)}}});
 }
 
 void EndpointWatch::ended(const std::string& why) {
@@ -108,6 +113,7 @@
 }
 
 void EndpointWatch::received() {
+  last_progress_at_ = net::now();
   read_response();
   // The timeout depends on whether a list has arrived.
   if (stream_->open())
@@ -195,9 +201,15 @@
 }
 
 void EndpointWatch::apply(EndpointListDocument list) {
+  const std::int64_t revision = list.revision;
+  const std::size_t entries = list.endpoints.size();
   revision_filter_.remove_outdated(list, std::exchange(next_list_, ListOrder::Later));
+  net::log({"endpoint_list_received",
+            {{"revision", std::to_string(revision)},
+             {"complete", list.complete ? "yes" : "no"},
+             {"entries", std::to_string(entries)},
+             {"outdated", std::to_string(entries - list.endpoints.size())}}});
   revision_ = revision_filter_.revision();
-  logged_reason_.clear();
   reconnect_backoff_.record_list();
   const EndpointList::Kind kind =
       list.complete ? EndpointList::Kind::Full : EndpointList::Kind::Delta;
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -51,8 +51,7 @@
   /// Applies all whole lists of the body.
   void apply_lists();
   void apply(EndpointListDocument list);
-  /// Closes the watch and opens it again after a backoff; logs `reason` unless it is the same as
-  /// the last time.
+  /// Closes the watch and opens it again after a backoff.
   void schedule_reconnect(const std::string& reason, WatchEnd end = WatchEnd::Closed);
 
   proxy::RequestBroker& broker_;
@@ -66,7 +65,7 @@
   JsonObjectSplitter body_;
   ResponseState response_state_ = ResponseState::Head;
   ListOrder next_list_ = ListOrder::FirstOfWatch;
-  std::string logged_reason_;  // empty once a list arrived
+  Nanos last_progress_at_ = 0;  // when it was opened or last received something
 };
 
 }  // namespace gorsebeam::discovery
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -20,6 +20,28 @@
 // Bytes that are read behind a pending request while memory is short.
 constexpr std::size_t kMaxReadAheadUnderPressure = 8 * 1024;
 
+const char* name_of(CloseReason reason) {
+  switch (reason) {
+  case CloseReason::PeerClosed:
+    return "peer_closed";
+  case CloseReason::ClientEnded:
+    return "client_ended";
+  case CloseReason::ErrorSent:
+    return "error_sent";
+  case CloseReason::Idle:
+    return "idle";
+  case CloseReason::Replaced:
+    return "replaced";
+  case CloseReason::Shutdown:
+    return "shutdown";
+  case CloseReason::Overdue:
+    return "overdue";
+  case CloseReason::Exception:
+    return "exception";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(Frontend& frontend, net::SocketHandle socket)
@@ -98,7 +120,7 @@
     process_input();
   } catch (const std::exception& error) {
     net::log({"connection_closed", {{"reason", "exception"}, {"error", error.what()}}});
-    close();
+    close(CloseReason::Exception);
   }
 }
 
@@ -111,6 +133,7 @@
   is_starting_ = true;
   request_size_ = size;
   if (frontend_.is_stopping()) {
+    net::log({"request_rejected", {{"request", request.id}, {"reason", "shutdown"}}});
     reject(0);
     is_starting_ = false;
     return true;
@@ -130,7 +153,7 @@
   request_id_.clear();
   last_progress_at_ = net::now();
   if (frontend_.is_stopping() && stream_->input().size() == 0)
-    return close_when_written();
+    return close_when_written(CloseReason::Shutdown);
   if (!is_starting_)
     process_input();
 }
@@ -152,30 +175,36 @@
   if (state_ == State::Open && stream_->all_written())
     send_closing_error(reason);
   if (stream_->open() && !is_lingering())
-    close();
+    close(CloseReason::Overdue);
 }
 
 // The client has disconnected: its pending request ends without an answer. What was written to it
 // before is still sent.
 void ClientConnection::drop_request_and_retire() {
+  begin_closing(CloseReason::PeerClosed);
   if (is_busy_)
     frontend_.broker().client_disconnected(request_id_);
   is_busy_ = false;
-  retire();
+  retire(CloseReason::PeerClosed);
 }
 
-void ClientConnection::retire() {
-  begin_closing();
+void ClientConnection::retire(CloseReason reason) {
+  begin_closing(reason);
   linger();
 }
 
-void ClientConnection::begin_closing() {
-  if (state_ == State::Open)
-    state_ = State::Closing;
+void ClientConnection::begin_closing(CloseReason reason) {
+  if (state_ != State::Open)
+    return;
+  state_ = State::Closing;
+  net::log({"client_closed",
+            {{"reason", name_of(reason)},
+             {"pending_request", is_busy_ ? request_id_ : "none"},
+             {"unread_bytes", std::to_string(stream_->input().size())}}});
 }
 
-void ClientConnection::close_when_written() {
-  begin_closing();
+void ClientConnection::close_when_written(CloseReason reason) {
+  begin_closing(reason);
   last_progress_at_ = net::now();
   if (stream_->all_written())
     linger();
@@ -194,7 +223,8 @@
   frontend_.add_lingering(this);
 }
 
-void ClientConnection::close() {
+void ClientConnection::close(CloseReason reason) {
+  begin_closing(reason);
   if (is_busy_)
     frontend_.broker().client_disconnected(request_id_);
   is_busy_ = false;
@@ -203,7 +233,7 @@
 }
 
 void ClientConnection::ended(const std::string&) {
-  close();
+  close(CloseReason::PeerClosed);
 }
 
 }  // namespace gorsebeam::frontend
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -14,6 +14,18 @@
 
 class Frontend;
 
+/// Why the gateway ends a client connection, as the log names it.
+enum class CloseReason {
+  PeerClosed,   ///< The client closed or reset it.
+  ClientEnded,  ///< The client asked for the end in its protocol.
+  ErrorSent,    ///< It broke the protocol, was overdue or was rejected, and was told so.
+  Idle,         ///< It rested for long while there were many.
+  Replaced,     ///< It rested, and a new connection needed its place.
+  Shutdown,     ///< The gateway stops.
+  Overdue,      ///< As ErrorSent, but the error could not be sent at once.
+  Exception,    ///< A defect in the gateway.
+};
+
 class ClientConnection : public net::Stream::Events, public proxy::ClientCall {
 public:
   /// `frontend` owns the connection and outlives it.
@@ -48,10 +60,10 @@
   void reject_and_close(const char* reason);
 
   /// Closes the sending side of an idle connection, which then lingers.
-  void retire();
+  void retire(CloseReason reason);
 
   /// Closes it now and drops a pending request.
-  void close();
+  void close(CloseReason reason);
 
 protected:
   /// Consumes what it can of the input, until it needs more bytes or has begun a request. Called
@@ -75,7 +87,7 @@
 
   /// Closes the connection after what is written. It then lingers: the sending side is closed, and
   /// what the client still sends is read and dropped until it hangs up.
-  void close_when_written();
+  void close_when_written(CloseReason reason);
 
   Frontend& frontend_;
   std::shared_ptr<net::Stream> stream_;
@@ -97,7 +109,7 @@
 
   void process_input();
   void process_input_guarded();
-  void begin_closing();
+  void begin_closing(CloseReason reason);
   void linger();
   void drop_request_and_retire();
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -105,7 +105,7 @@
       connection_admission::rank_replaceable(idle.descriptions, net::now());
   if (order.empty())
     return false;
-  idle.connections[order.front()]->retire();
+  idle.connections[order.front()]->retire(CloseReason::Replaced);
   return true;
 }
 
@@ -128,7 +128,7 @@
       continue;
     ClientConnection* connection = idle.connections[candidate.index];
     if (connection->answered_count() > 0) {
-      connection->retire();
+      connection->retire(CloseReason::Idle);
       continue;
     }
     connection->is_over_limit_ = true;  // selects the protocol's error code
@@ -160,7 +160,7 @@
   // Bounds the descriptors: the connection that has lingered longest is closed. After the stop no
   // new connection needs its descriptor.
   if (lingering_.size() > limits_.lingering && !is_stopping_)
-    lingering_.front()->close();
+    lingering_.front()->close(CloseReason::Idle);
   if (!lingering_.empty())
     linger_timer_.at(lingering_.front()->last_progress_at() + kMaxLinger);
   resume_listening();
@@ -169,7 +169,7 @@
 void Frontend::close_expired_lingering() {
   const Nanos now = net::now();
   while (!lingering_.empty() && now - lingering_.front()->last_progress_at() >= kMaxLinger)
-    lingering_.front()->close();
+    lingering_.front()->close(CloseReason::Idle);
   if (!lingering_.empty())
     linger_timer_.at(lingering_.front()->last_progress_at() + kMaxLinger);
 }
@@ -202,7 +202,7 @@
   is_stopping_ = true;
   listener_->close();
   for (ClientConnection* connection : idle_connections().connections)
-    connection->retire();
+    connection->retire(CloseReason::Shutdown);
   if (!connections_.empty())
     stop_timer_.after(kStopSweepInterval);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "mongo/frontend.h"
 #include "mongo/upstream_protocol.h"
 #include "net/log.h"
+#include "net/loop_monitor.h"
 #include "net/signals.h"
 #include "postgres/frontend.h"
 #include "postgres/upstream_protocol.h"
@@ -218,6 +219,7 @@
     else
       stop();
   });
+  net::observe_loop();
   g_main_loop_run(loop_.get());
   net::log({"shutdown_complete", {}});
 }
--- a/src/logging/log_record.cpp
+++ b/src/logging/log_record.cpp
@@ -15,6 +15,22 @@
   return "unknown";
 }
 
+const char* reason_name(AnswerReason reason) {
+  switch (reason) {
+  case AnswerReason::RateLimit:
+    return "rate_limit";
+  case AnswerReason::OutOfTime:
+    return "out_of_time";
+  case AnswerReason::AttemptsUsed:
+    return "attempts_used";
+  case AnswerReason::NotRepeatable:
+    return "not_repeatable";
+  case AnswerReason::NoPrimary:
+    return "no_primary";
+  }
+  return "unknown";
+}
+
 struct RecordBuilder {
   LogRecord operator()(const PrimaryElected& message) const {
     return group_event("primary_elected", message.group, message.endpoint);
@@ -38,6 +54,12 @@
     return {"endpoint_readmitted", {{"endpoint", std::to_string(message.endpoint)}}};
   }
 
+  LogRecord operator()(const EndpointLeaving& message) const {
+    if (message.status == EndpointStatus::Draining)
+      return {"endpoint_draining", {{"endpoint", std::to_string(message.endpoint)}}};
+    return {"endpoint_removed", {{"endpoint", std::to_string(message.endpoint)}}};
+  }
+
 private:
   static LogRecord group_event(const char* event, GroupId group, EndpointId endpoint) {
     return {event, {{"group", std::to_string(group)}, {"endpoint", std::to_string(endpoint)}}};
@@ -66,6 +88,34 @@
   return std::visit(RecordBuilder{}, message);
 }
 
+const char* name_of(AnswerReason reason) {
+  return reason_name(reason);
+}
+
+const char* name_of(AttemptStatus status) {
+  switch (status) {
+  case AttemptStatus::Ok:
+    return "ok";
+  case AttemptStatus::Misdirected:
+    return "misdirected";
+  case AttemptStatus::Error:
+    return "error";
+  case AttemptStatus::Rejected:
+    return "rejected";
+  case AttemptStatus::Timeout:
+    return "timeout";
+  case AttemptStatus::ConnectFailed:
+    return "connect_failed";
+  case AttemptStatus::Reset:
+    return "reset";
+  case AttemptStatus::Cancelled:
+    return "cancelled";
+  case AttemptStatus::NotSent:
+    return "not_sent";
+  }
+  return "unknown";
+}
+
 std::string to_text(const LogRecord& record) {
   std::string text = record.event;
   for (const auto& [name, value] : record.fields)
--- a/src/logging/log_record.h
+++ b/src/logging/log_record.h
@@ -1,6 +1,8 @@
 /// One line of the operators' log: a stable event name and its fields. Pure; `net/log` writes it.
 #pragma once
 
+#include "gorsebeam/actions.h"
+#include "gorsebeam/events.h"
 #include "gorsebeam/log_messages.h"
 
 #include <string>
@@ -20,6 +22,10 @@
 /// The record of a router's message.
 [[nodiscard]] LogRecord to_record(const LogMessage& message);
 
+/// A reason or a status as log fields name it, such as "out_of_time" or "connect_failed".
+[[nodiscard]] const char* name_of(AnswerReason reason);
+[[nodiscard]] const char* name_of(AttemptStatus status);
+
 /// "endpoint_ejected endpoint=7 reason=consecutive_timeouts". A value that is not a single word is
 /// quoted, and control characters are replaced, so that no value can begin a line of its own.
 [[nodiscard]] std::string to_text(const LogRecord& record);
--- a/src/mongo/frontend.cpp
+++ b/src/mongo/frontend.cpp
@@ -186,7 +186,7 @@
 
   void send_malformed_error(const std::string& text) {
     send_reply(error_reply({kInvalidBson, "InvalidBSON", text}));
-    close_when_written();
+    close_when_written(frontend::CloseReason::ErrorSent);
   }
 
   /// The command's elements that are forwarded as they are; neighbours are joined to one part.
@@ -230,7 +230,7 @@
     // A message that forbids an answer could not even be told that it failed, while each request
     // has a final answer.
     if ((op_msg->flags & kMoreToCome) != 0)
-      return close_when_written();
+      return close_when_written(frontend::CloseReason::ErrorSent);
     handle_command(op_msg->body);
   }
 
@@ -248,7 +248,7 @@
     stream_->write({encode_op_reply(reply.take(), ++last_sent_id_, request_id_)});
     stream_->input().consume(message_size_);
     if (is_over_limit())
-      close_when_written();
+      close_when_written(frontend::CloseReason::ErrorSent);
   }
 
   Writer greet(std::string_view hello) {
@@ -281,12 +281,12 @@
       send_reply(greet(command));
       stream_->input().consume(message_size_);
       if (is_over_limit())
-        close_when_written();
+        close_when_written(frontend::CloseReason::ErrorSent);
       return;
     }
     if (is_over_limit()) {
       send_reply(over_limit_reply());
-      return close_when_written();
+      return close_when_written(frontend::CloseReason::ErrorSent);
     }
     if (is_one_of(first.name, kLocalCommands) || is_one_of(first.name, kBuildInfoCommands))
       return answer_locally(first.name);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "log.h"
+#include "loop_monitor.h"
 
 namespace gorsebeam::net {
 namespace {
@@ -80,6 +81,7 @@
   SocketHandle socket(g_socket_accept(socket_.get(), nullptr, &raw));
   const ErrorHandle error(raw);
   if (socket) {
+    count_loop_work(LoopWork::Accept);
     handle_accepted_(std::move(socket));
     return true;
   }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,7 @@
 #include "stream.h"
 
 #include "log.h"
+#include "loop_monitor.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -175,6 +176,7 @@
 }
 
 void Stream::read_some() {
+  count_loop_work(LoopWork::Read);
   char* space = input_.reserve_space(kMinReadSize);
   GError* raw = nullptr;
   const gssize size = g_socket_receive(socket_.get(), space, input_.free_space(), nullptr, &raw);
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -1,12 +1,14 @@
 #include "timer.h"
 
 #include "log.h"
+#include "loop_monitor.h"
 
 #include <glib.h>
 
 #include <algorithm>
 #include <exception>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -67,12 +69,20 @@
   return remaining <= 0 ? TRUE : FALSE;
 }
 
+void log_lateness(std::int64_t time) {
+  const auto& timers = queue().timers;
+  const std::int64_t lateness = timers.empty() ? 0 : time - timers.begin()->first.first;
+  if (lateness > kLongTurn)
+    log({"timers_late", {{"late_ms", std::to_string(lateness / kMillisecond)}}});
+}
+
 // Fires each timer that is due now once: an action may set, stop or destroy any timer, and what it
 // sets waits for the next iteration.
 gboolean dispatch_queue(GSource*, GSourceFunc, gpointer) {
   auto& timers = queue().timers;
   std::vector<Timer::QueueKey> due;
   const std::int64_t time = now();
+  log_lateness(time);
   for (const auto& [key, timer] : timers) {
     if (key.first > time)
       break;
@@ -80,8 +90,10 @@
   }
   for (const Timer::QueueKey& key : due) {
     const auto found = timers.find(key);
-    if (found != timers.end())
-      found->second->fire();
+    if (found == timers.end())
+      continue;
+    count_loop_work(LoopWork::Timer);
+    found->second->fire();
   }
   return G_SOURCE_CONTINUE;
 }
--- a/src/postgres/frontend.cpp
+++ b/src/postgres/frontend.cpp
@@ -106,7 +106,7 @@
 
   void send_fatal_error(const char* sqlstate, const std::string& text) {
     stream_->write({encode_error("FATAL", sqlstate, text)});
-    close_when_written();
+    close_when_written(frontend::CloseReason::ErrorSent);
   }
 
   void send_closing_error(const char* reason) override {
@@ -139,7 +139,7 @@
     case 'Q':
       return handle_query(message);
     case 'X':  // Terminate; an answer may still be on its way, with bytes behind this message
-      return close_when_written();
+      return close_when_written(frontend::CloseReason::ClientEnded);
     case 'S':  // Sync
       skips_to_sync_ = false;
       stream_->write({ready_for_query_});
@@ -183,7 +183,7 @@
   void handle_startup(const StartupMessage& startup) {
     const std::uint32_t version = wire::read_u32_big_endian(startup.body.data());
     if (version == kCancelRequest)
-      return close_when_written();
+      return close_when_written(frontend::CloseReason::ClientEnded);
     if (version == kSslRequest || version == kGssEncryptionRequest) {
       stream_->write({"N"});
       return stream_->input().consume(startup.size);
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -1,5 +1,6 @@
 #include "request_broker.h"
 
+#include "logging/log_record.h"
 #include "net/log.h"
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 
 constexpr EndpointId kReservedEndpointId = 0xffffffff;
 constexpr std::size_t kIdDigits = 8;
+constexpr Nanos kNanosPerMillisecond = 1'000'000;
 
 /// FNV-1a, 32 bits.
 std::uint32_t hash_of(const std::string& text) {
@@ -34,6 +36,15 @@
   return static_cast<EndpointId>(std::stoul(suffix, nullptr, 16));
 }
 
+void log_failed_attempt(const AttemptResult& result) {
+  net::log({"attempt_failed",
+            {{"request", result.request_id},
+             {"attempt", std::to_string(result.attempt)},
+             {"endpoint", std::to_string(result.endpoint)},
+             {"status", logging::name_of(result.status)},
+             {"elapsed_ms", std::to_string(result.elapsed / kNanosPerMillisecond)}}});
+}
+
 }  // namespace
 
 RequestBroker::RequestBroker(const Settings& settings, std::uint64_t seed)
@@ -112,6 +123,8 @@
   result.replication_position = response.replication_position;
   result.commit_position = response.commit_position;
   result.load_report = response.load_report;
+  if (response.status != AttemptStatus::Ok)
+    log_failed_attempt(result);
   events_.emplace_back(std::move(result));
   if (is_answer)
     complete_request(request)->respond(response.value);
@@ -262,14 +275,22 @@
 
 void RequestBroker::perform(const RejectRequest& action) {
   ClientCall* const call = complete_if_open(action.request_id);
-  if (call != nullptr)
-    call->reject(action.retry_after);
+  if (call == nullptr)
+    return;
+  net::log({"request_rejected",
+            {{"request", action.request_id},
+             {"reason", logging::name_of(action.reason)},
+             {"retry_after_ms", std::to_string(action.retry_after / kNanosPerMillisecond)}}});
+  call->reject(action.retry_after);
 }
 
 void RequestBroker::perform(const FailRequest& action) {
   ClientCall* const call = complete_if_open(action.request_id);
-  if (call != nullptr)
-    call->fail();
+  if (call == nullptr)
+    return;
+  net::log({"request_failed",
+            {{"request", action.request_id}, {"reason", logging::name_of(action.reason)}}});
+  call->fail();
 }
 
 void RequestBroker::perform(const SetTimer& action) {
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -52,8 +52,8 @@
     hedge(request);
     return;
   }
-  if (rejections_.is_out_of_chances(request)) {
-    rejections_.give_up(request);
+  if (const auto reason = rejections_.reason_to_give_up(request)) {
+    rejections_.give_up(request, *reason);
     return;
   }
   const ConsistencyLevel level = state_.class_of(request).consistency;
@@ -175,7 +175,7 @@
 void Dispatcher::discover_primary(PendingRequest& request) {
   ReplicaGroup& group = state_.group_of(request);
   if (rejections_.is_discovery_hopeless(request, group)) {
-    rejections_.give_up(request);
+    rejections_.give_up(request, AnswerReason::NoPrimary);
     return;
   }
   const bool reports_hold_roles = state_.settings.load_reports_hold_roles;
--- a/src/router/endpoint_list_updater.cpp
+++ b/src/router/endpoint_list_updater.cpp
@@ -82,6 +82,8 @@
     endpoint.listing.status = EndpointStatus::Up;
     return;
   }
+  if (!endpoint.is_leaving)
+    state_.event.log(EndpointLeaving{endpoint.listing.id, status});
   endpoint.listing.status = status;
   endpoint.removed_at = is_removed ? std::min(endpoint.removed_at, state_.event.now) : kNever;
   endpoint.is_leaving = true;
--- a/src/router/rejection_policy.cpp
+++ b/src/router/rejection_policy.cpp
@@ -12,13 +12,19 @@
   const Nanos retry_after = request.request.rate_limit_retry_after;
   if (retry_after <= 0)
     return false;
-  close(request, retry_after);
+  close(request, AnswerReason::RateLimit, retry_after);
   return true;
 }
 
-bool RejectionPolicy::is_out_of_chances(const PendingRequest& request) const {
-  return state_.event.now >= request.give_up_at || !retries_.has_attempts_left(request) ||
-         !retries_.is_repeatable(request);
+std::optional<AnswerReason>
+RejectionPolicy::reason_to_give_up(const PendingRequest& request) const {
+  if (state_.event.now >= request.give_up_at)
+    return AnswerReason::OutOfTime;
+  if (!retries_.has_attempts_left(request))
+    return AnswerReason::AttemptsUsed;
+  if (!retries_.is_repeatable(request))
+    return AnswerReason::NotRepeatable;
+  return std::nullopt;
 }
 
 // A client must not be held for an election, which lasts seconds: what was not sent by half of its
@@ -34,9 +40,9 @@
   return half_is_over && group.primary_evidence_at < now - kHandoverTime;
 }
 
-void RejectionPolicy::give_up(PendingRequest& request) const {
+void RejectionPolicy::give_up(PendingRequest& request, AnswerReason reason) const {
   const bool advise = state_.settings.retry_after_allowed;
-  close(request, advise ? state_.settings.max_retry_after : 0);
+  close(request, reason, advise ? state_.settings.max_retry_after : 0);
 }
 
 // Saying that a request is safe to send again must be true.
@@ -48,14 +54,14 @@
          request_class.deduplication_scope == DeduplicationScope::All;
 }
 
-void RejectionPolicy::close(PendingRequest& request, Nanos retry_after) const {
+void RejectionPolicy::close(PendingRequest& request, AnswerReason reason, Nanos retry_after) const {
   if (request.is_closed || request.in_flight > 0)
     return;
   request.is_closed = true;
   if (can_reject(request))
-    state_.event.emit(RejectRequest{request.request.id, retry_after});
+    state_.event.emit(RejectRequest{request.request.id, retry_after, reason});
   else
-    state_.event.emit(FailRequest{request.request.id});
+    state_.event.emit(FailRequest{request.request.id, reason});
 }
 
 }  // namespace gorsebeam::router
--- a/src/router/rejection_policy.h
+++ b/src/router/rejection_policy.h
@@ -4,6 +4,8 @@
 #include "router/retry_policy.h"
 #include "router/router_state.h"
 
+#include <optional>
+
 namespace gorsebeam::router {
 
 /// Every final answer of the router itself passes here.
@@ -16,19 +18,19 @@
   /// fits. Returns whether it did.
   [[nodiscard]] bool reject_over_rate_limit(PendingRequest& request) const;
 
-  /// Whether a request without an attempt in flight can get no further one.
-  [[nodiscard]] bool is_out_of_chances(const PendingRequest& request) const;
+  /// Why a request without an attempt in flight can get no further one; nothing if it can.
+  [[nodiscard]] std::optional<AnswerReason> reason_to_give_up(const PendingRequest& request) const;
 
   /// Whether a request that needs its group's unknown primary should not wait for it any longer.
   [[nodiscard]] bool is_discovery_hopeless(const PendingRequest& request,
                                            const ReplicaGroup& group) const;
 
   /// Closes a request without an attempt in flight: rejected when that is true to say, else failed.
-  void give_up(PendingRequest& request) const;
+  void give_up(PendingRequest& request, AnswerReason reason) const;
 
 private:
   [[nodiscard]] bool can_reject(const PendingRequest& request) const;
-  void close(PendingRequest& request, Nanos retry_after) const;
+  void close(PendingRequest& request, AnswerReason reason, Nanos retry_after) const;
 
   RouterState& state_;
   const RetryPolicy& retries_;
