--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -121,8 +121,12 @@
   write_platform_config(folder_, agent_address, settings_);
 }
 
-void GatewayHarness::reload(const std::string& agent_address, const std::string& log_text) {
+void GatewayHarness::write_discovery_address(const std::string& agent_address) const {
   write_platform_config(folder_, agent_address, settings_);
+}
+
+void GatewayHarness::reload(const std::string& agent_address, const std::string& log_text) {
+  write_discovery_address(agent_address);
   gateway.read_log();
   const std::size_t log_size = gateway.log.size();
   gateway.send_signal(SIGHUP);
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -59,6 +59,8 @@
   void set_platform_settings(const PlatformSettings& settings);
   /// The endpoint list comes from `agent_address` and not from a file, from the next start on.
   void use_discovery(const std::string& agent_address);
+  /// Writes a configuration with `agent_address`, for the next start or reload.
+  void write_discovery_address(const std::string& agent_address) const;
   /// Writes a configuration with `agent_address`, has it reloaded and waits for `log_text`.
   void reload(const std::string& agent_address, const std::string& log_text);
 
