--- a/src/connection_pool/pooled_connection.cpp
+++ b/src/connection_pool/pooled_connection.cpp
@@ -82,9 +82,7 @@
 // endpoint is current have expired.
 void PooledConnection::write_request() {
   const Nanos left = use_.deadline - net::now();
-  const bool is_allowed = use_.is_health_check ? broker_.is_health_check_allowed(endpoint_)
-                                               : broker_.is_attempt_allowed(use_.attempt);
-  if (left <= 0 || !is_allowed) {
+  if (left <= 0 || !is_authorized()) {
     net::log({"attempt_not_written",
               {{"endpoint", std::to_string(endpoint_)},
                {"reason", left <= 0 ? "out_of_time" : "not_allowed"}}});
@@ -102,6 +100,12 @@
     flushed();
 }
 
+bool PooledConnection::is_authorized() {
+  if (use_.is_health_check)
+    return broker_.authorize_health_check(endpoint_);
+  return broker_.authorize_attempt(use_.attempt);
+}
+
 void PooledConnection::flushed() {
   if (state_ == State::Writing)
     state_ = State::AwaitingResponse;
--- a/src/connection_pool/pooled_connection.h
+++ b/src/connection_pool/pooled_connection.h
@@ -94,6 +94,7 @@
 
   void become_ready();
   void write_request();
+  [[nodiscard]] bool is_authorized();
   void read_greeting();
   void read_response();
   void handle_timer();
--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -49,7 +49,7 @@
                              EndpointListDocument known, ReconnectBackoff reconnect_backoff)
     : broker_(broker), address_(std::move(address)), revision_(known.revision),
       silence_timer_([this] {
-        schedule_reconnect("silent", WatchEnd::Silent);
+        check_silence();
       }),
       reconnect_timer_([this] {
         start();
@@ -60,6 +60,9 @@
 }
 
 void EndpointWatch::start() {
+  reconnect_timer_.stop();
+  reconnect_at_ = kNotReconnecting;
+  is_reading_ = false;
   response_state_ = ResponseState::Head;
   next_list_ = ListOrder::FirstOfWatch;
   body_.clear();
@@ -73,13 +76,33 @@
 void EndpointWatch::stop() {
   silence_timer_.stop();
   reconnect_timer_.stop();
+  reconnect_at_ = kNotReconnecting;
   if (stream_)
     stream_->close();
 }
 
+// The lists that are read go to the broker, which may ask for more of them before it decides.
+void EndpointWatch::read_pending() {
+  if (is_reading_)
+    return;
+  if (net::now() >= reconnect_at_)
+    start();
+  if (stream_ && stream_->open())
+    stream_->process_pending();
+}
+
+void EndpointWatch::check_silence() {
+  const Nanos last_progress_at = last_progress_at_;
+  read_pending();
+  const bool is_still_open = stream_ && stream_->open();
+  if (is_still_open && last_progress_at_ == last_progress_at)
+    schedule_reconnect("silent", WatchEnd::Silent);
+}
+
 void EndpointWatch::change_address(const std::string& address) {
   if (address == address_)
     return;
+  read_pending();
   stop();
   address_ = address;
   // The new address may count revisions differently, so the whole list is asked for.
@@ -96,7 +119,8 @@
              {"idle_ms", std::to_string((net::now() - last_progress_at_) / kNanosPerMillisecond)},
              {"unread", has_unread ? "yes" : "no"}}});
   stop();
-  reconnect_timer_.after(reconnect_backoff_.next_delay(end));
+  reconnect_at_ = net::now() + reconnect_backoff_.next_delay(end);
+  reconnect_timer_.at(reconnect_at_);
 }
 
 void EndpointWatch::connected() {
@@ -114,7 +138,9 @@
 
 void EndpointWatch::received() {
   last_progress_at_ = net::now();
+  is_reading_ = true;
   read_response();
+  is_reading_ = false;
   // The timeout depends on whether a list has arrived.
   if (stream_->open())
     silence_timer_.after(reconnect_backoff_.silence_timeout());
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -11,6 +11,7 @@
 #include "net/timer.h"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -18,7 +19,7 @@
 
 /// Passes each list that arrives to the broker, which it borrows. Runs on the main loop's thread;
 /// owns its connection and its timers, so nothing is called after it is destroyed or stopped.
-class EndpointWatch : public net::Stream::Events {
+class EndpointWatch : public net::Stream::Events, public proxy::EndpointListSource {
 public:
   /// Passes `known`, the list as it was last held, to the broker at once. `address` is
   /// "127.0.0.4:8080".
@@ -31,11 +32,17 @@
   /// Closes the watch and opens none again.
   void stop();
 
-  /// Watches discovery at another address; does nothing if it is the same. The endpoints that the
-  /// broker holds stay in use meanwhile.
+  /// Reads what discovery has written by now. A change counts as notified once it is written, and
+  /// not once the main loop comes to it.
+  void read_pending() override;
+
+  /// Watches discovery at another address; does nothing if it is the same. What the old one has
+  /// written is read before. The endpoints that the broker holds stay in use meanwhile.
   void change_address(const std::string& address);
 
 private:
+  static constexpr Nanos kNotReconnecting = std::numeric_limits<Nanos>::max();
+
   /// What of the HTTP response is read next.
   enum class ResponseState { Head, PlainBody, ChunkedBody };
 
@@ -43,6 +50,8 @@
   void received() override;
   void ended(const std::string& why) override;
 
+  /// Ends a watch that was silent for too long.
+  void check_silence();
   void read_response();
   /// Returns whether the whole head was read; false also if it was refused.
   [[nodiscard]] bool read_head();
@@ -60,12 +69,14 @@
   std::shared_ptr<net::Stream> stream_;
   net::Timer silence_timer_;
   net::Timer reconnect_timer_;
+  Nanos reconnect_at_ = kNotReconnecting;
   ReconnectBackoff reconnect_backoff_;
   RevisionFilter revision_filter_;
   JsonObjectSplitter body_;
   ResponseState response_state_ = ResponseState::Head;
   ListOrder next_list_ = ListOrder::FirstOfWatch;
   Nanos last_progress_at_ = 0;  // when it was opened or last received something
+  bool is_reading_ = false;     // `received` is on the stack
 };
 
 }  // namespace gorsebeam::discovery
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -197,6 +197,8 @@
   if (state_ != State::Open)
     return;
   state_ = State::Closing;
+  if (is_busy_ && reason != CloseReason::PeerClosed)
+    frontend_.broker().report_closed_unanswered(request_id_);
   net::log({"client_closed",
             {{"reason", name_of(reason)},
              {"pending_request", is_busy_ ? request_id_ : "none"},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,6 +77,7 @@
 }
 
 Gateway::~Gateway() {
+  postgres_->broker().set_list_source(nullptr);
   if (endpoint_watch_)
     endpoint_watch_->stop();
 }
@@ -110,6 +111,7 @@
       postgres_->broker(), config.discovery_address, config.initial_endpoints,
       discovery::ReconnectBackoff(settings.router_count, service, config.seed));
   endpoint_watch_->start();
+  postgres_->broker().set_list_source(endpoint_watch_.get());
 }
 
 void Gateway::stop() {
--- a/src/mongo/frontend.cpp
+++ b/src/mongo/frontend.cpp
@@ -4,6 +4,7 @@
 #include "command_comment.h"
 
 #include "frontend/session_hash.h"
+#include "net/loop_monitor.h"
 
 #include <algorithm>
 #include <array>
@@ -364,7 +365,7 @@
       if (*limit_ms > 0)  // 0 means no limit in the protocol
         allowed = *limit_ms * kMillisecond;
     }
-    request.deadline = now + allowed;
+    request.deadline = net::earliest_arrival() + allowed;
     if (!contracts_.has_team(team_))
       return CommandError{kUnauthorized, "Unauthorized",
                           "no contract with the team '" + team_ + "'"};
--- a/src/net/loop_monitor.cpp
+++ b/src/net/loop_monitor.cpp
@@ -15,9 +15,14 @@
 constexpr std::int64_t kNanosPerMillisecond = 1'000'000;
 constexpr std::size_t kWorkKinds = 3;
 
+// A wait that returns sooner found something ready.
+constexpr std::int64_t kMinWait = 1'000'000;
+
 struct LoopState {
-  std::int64_t turn_began_at = 0;           ///< 0: not observed.
-  std::int64_t previous_turn_began_at = 0;  ///< 0: this is the first.
+  std::int64_t turn_began_at = 0;  ///< 0: not observed.
+  std::int64_t wait_began_at = 0;
+  std::int64_t wait_due_at = 0;  ///< When the wait was to end at the latest.
+  std::int64_t earliest_arrival = 0;
   std::array<std::uint64_t, kWorkKinds> work{};
 };
 
@@ -37,15 +42,25 @@
 
 gboolean end_turn(GSource*, gint* timeout_ms) {
   *timeout_ms = -1;
-  const std::int64_t duration = now() - state.turn_began_at;
+  state.wait_began_at = now();
+  state.wait_due_at = next_timer_at();
+  const std::int64_t duration = state.wait_began_at - state.turn_began_at;
   if (duration > kLongTurn)
     log_long_turn(duration);
   return FALSE;
 }
 
+std::int64_t earliest_arrival_of_turn(std::int64_t began_at) {
+  if (began_at - state.wait_began_at < kMinWait)
+    return state.turn_began_at;
+  const bool was_woken_in_time = began_at - kMaxTimerLateness < state.wait_due_at;
+  return was_woken_in_time ? began_at : state.wait_began_at;
+}
+
 gboolean begin_turn(GSource*) {
-  state.previous_turn_began_at = state.turn_began_at;
-  state.turn_began_at = now();
+  const std::int64_t began_at = now();
+  state.earliest_arrival = earliest_arrival_of_turn(began_at);
+  state.turn_began_at = began_at;
   state.work = {};
   return FALSE;
 }
@@ -63,6 +78,7 @@
   if (state.turn_began_at != 0)
     return;
   state.turn_began_at = now();
+  state.earliest_arrival = state.turn_began_at;
   GSource* source = g_source_new(&observer_functions, sizeof(GSource));
   // Before every other source, so that its functions run in each turn.
   g_source_set_priority(source, G_PRIORITY_HIGH - 1);
@@ -75,9 +91,7 @@
 }
 
 std::int64_t earliest_arrival() {
-  if (state.turn_began_at == 0)
-    return now();
-  return state.previous_turn_began_at == 0 ? state.turn_began_at : state.previous_turn_began_at;
+  return state.turn_began_at == 0 ? now() : state.earliest_arrival;
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kMinReadSize = 4 * 1024;  // doubles while a message goes on
 constexpr std::size_t kMaxVectors = 16;
+constexpr int kMaxPendingReads = 64;
 
 // The peer's end, also behind unread bytes. GLib has no name for POLLRDHUP and passes the bit on
 // to poll as it is.
@@ -153,6 +154,16 @@
   return stream->writable_source_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
+void Stream::process_pending() {
+  const auto keep_alive = shared_from_this();
+  run_guarded([this] {
+    if (connecting_ && socket_ && g_socket_condition_check(socket_.get(), G_IO_OUT) != 0)
+      finish_connecting();
+    for (int i = 0; i < kMaxPendingReads && !connecting_ && readable_source_ && readable(); ++i)
+      read_some();
+  });
+}
+
 void Stream::finish_connecting() {
   GError* raw = nullptr;
   const bool succeeded = g_socket_check_connect_result(socket_.get(), &raw) != FALSE;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -65,6 +65,10 @@
   void pause_reading(PeerCloseWatch watch = PeerCloseWatch::Off);
   void resume_reading();
 
+  /// Handles now what the main loop would handle in its next turns: an established connection, and
+  /// what has arrived. The callbacks run inside this call.
+  void process_pending();
+
   /// Whether bytes or the peer's end wait unread in the kernel.
   [[nodiscard]] bool readable() const;
 
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -27,6 +28,7 @@
 struct TimerQueue {
   std::map<Timer::QueueKey, Timer*> timers;
   std::uint64_t last_sequence = 0;
+  std::int64_t sockets_read_since = 0;  ///< Timers due by then have waited for a whole turn.
 };
 
 gboolean prepare_queue(GSource*, gint* timeout_ms);
@@ -72,22 +74,41 @@
 void log_lateness(std::int64_t time) {
   const auto& timers = queue().timers;
   const std::int64_t lateness = timers.empty() ? 0 : time - timers.begin()->first.first;
-  if (lateness > kLongTurn)
+  const bool is_first_sight =
+      timers.empty() || timers.begin()->first.first > queue().sockets_read_since;
+  if (lateness > kLongTurn && is_first_sight)
     log({"timers_late", {{"late_ms", std::to_string(lateness / kMillisecond)}}});
 }
 
+// Whether a timer that is due must wait for one turn, in which the sockets are read.
+bool must_wait_for_sockets(std::int64_t due_at, std::int64_t time) {
+  return due_at > queue().sockets_read_since && due_at < time - kMaxTimerLateness;
+}
+
+// The timers that fire now; late ones fire in the next turn.
+std::vector<Timer::QueueKey> select_due(std::int64_t time) {
+  std::vector<Timer::QueueKey> due;
+  bool has_late = false;
+  for (const auto& [key, timer] : queue().timers) {
+    if (key.first > time)
+      break;
+    if (must_wait_for_sockets(key.first, time))
+      has_late = true;
+    else
+      due.push_back(key);
+  }
+  if (has_late)
+    queue().sockets_read_since = time;
+  return due;
+}
+
 // Fires each timer that is due now once: an action may set, stop or destroy any timer, and what it
 // sets waits for the next iteration.
 gboolean dispatch_queue(GSource*, GSourceFunc, gpointer) {
   auto& timers = queue().timers;
-  std::vector<Timer::QueueKey> due;
   const std::int64_t time = now();
   log_lateness(time);
-  for (const auto& [key, timer] : timers) {
-    if (key.first > time)
-      break;
-    due.push_back(key);
-  }
+  const std::vector<Timer::QueueKey> due = select_due(time);
   for (const Timer::QueueKey& key : due) {
     const auto found = timers.find(key);
     if (found == timers.end())
@@ -104,6 +125,11 @@
   return (unix_time_offset() + g_get_monotonic_time()) * kMicrosecond;
 }
 
+std::int64_t next_timer_at() {
+  const auto& timers = queue().timers;
+  return timers.empty() ? std::numeric_limits<std::int64_t>::max() : timers.begin()->first.first;
+}
+
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -13,8 +13,18 @@
 /// times and need no mapping.
 std::int64_t now();
 
+/// A timer that is due for longer than this waits for one more turn of the loop.
+constexpr std::int64_t kMaxTimerLateness = 20'000'000;
+
+/// When the first timer is due; the highest value if none is set.
+[[nodiscard]] std::int64_t next_timer_at();
+
 /// All timers of the process are in one queue, and the main loop has one source for it: setting a
 /// timer does not wake the loop. Times are nanoseconds.
+///
+/// A timer often stands for something that did not arrive in time. After a pause of the loop both
+/// may be there at once, the timer and what it waits for. So a timer that is late fires only after
+/// a turn in which all sockets that were ready have been read.
 class Timer {
 public:
   /// `action` runs on the main loop; it may set, stop or destroy any timer. An exception in it is
--- a/src/proxy/interfaces.h
+++ b/src/proxy/interfaces.h
@@ -13,7 +13,7 @@
 /// Order of calls:
 ///  - The broker starts an attempt with `Upstream::start_attempt`; the upstream ends it with
 ///    exactly one `RequestBroker::complete_attempt`. A request has at most one attempt in flight.
-///  - The upstream asks `RequestBroker::is_attempt_allowed` right before it writes, and gets the
+///  - The upstream asks `RequestBroker::authorize_attempt` right before it writes, and gets the
 ///    bytes from `ClientCall::body` if the attempt is still allowed.
 ///  - Each of these calls may come back into the caller before it returns: an attempt may end
 ///    inside `start_attempt`, and a request may be answered inside `begin_request`.
@@ -53,6 +53,10 @@
 public:
   virtual ~ClientCall() = default;
 
+  /// Whether the client has closed its connection, or its sending side, though the frontend may
+  /// not have come to it yet.
+  [[nodiscard]] virtual bool has_client_left() const = 0;
+
   /// The request body for an endpoint that is to finish within `left` nanoseconds. May be called
   /// once per attempt until the request is complete. The parts are valid until the next call of
   /// this object.
@@ -69,6 +73,15 @@
   virtual void fail() = 0;
 };
 
+/// Where the endpoint list comes from, if it can have changes that are not passed on yet.
+class EndpointListSource {
+public:
+  virtual ~EndpointListSource() = default;
+
+  /// Passes on, by `RequestBroker::update_endpoints`, all that has arrived by now.
+  virtual void read_pending() = 0;
+};
+
 /// Carries attempts and health checks to endpoints.
 class Upstream {
 public:
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t kIdDigits = 8;
 constexpr Nanos kNanosPerMillisecond = 1'000'000;
 
+// How old the list may be on which something is decided or sent. Well within the grace period of a
+// drain, and long enough for a call on the source to cost little beside the requests.
+constexpr Nanos kMaxListDelay = 20 * kNanosPerMillisecond;
+
 /// FNV-1a, 32 bits.
 std::uint32_t hash_of(const std::string& text) {
   constexpr std::uint32_t kOffsetBasis = 2166136261;
@@ -51,6 +55,9 @@
     : settings_(settings), router_(settings, seed), timer_([this] {
         events_.emplace_back(TimerExpired{});
         dispatch_events();
+      }),
+      list_timer_([this] {
+        dispatch_events();
       }) {}
 
 bool RequestBroker::begin_request(Request request, ClientCall& call) {
@@ -62,6 +69,9 @@
   PendingRequest& pending = pending_requests_[id];
   pending.call = &call;
   pending.deadline = request.deadline;
+  pending.begun_at = net::now();
+  pending.history.class_index = request.class_index;
+  pending.history.group = request.group;
   ++open_requests_;
   events_.emplace_back(std::move(request));
   dispatch_events();
@@ -110,6 +120,7 @@
   const EventBatch batch(*this);
   const auto request = pending_requests_.find(attempt.request_id);
   request->second.current_attempt = kNoAttempt;
+  record_attempt_end(request->second.history, attempt, response.status);
   const bool is_open = request->second.call != nullptr;
   const bool is_answer = is_open && response.status == AttemptStatus::Ok;
   AttemptResult result;
@@ -132,12 +143,69 @@
     erase_if_finished(request);
 }
 
-bool RequestBroker::is_attempt_allowed(AttemptId attempt_id) {
+void RequestBroker::record_attempt_end(RequestHistory& history, const Attempt& attempt,
+                                       AttemptStatus status) {
+  if (!attempt.written_at)
+    return;
+  --history.in_flight;
+  const bool may_have_run = status == AttemptStatus::Error || status == AttemptStatus::Timeout ||
+                            status == AttemptStatus::Reset || status == AttemptStatus::Cancelled;
+  if (may_have_run && !history.may_have_run_since)
+    history.may_have_run_since = attempt.written_at;
+}
+
+bool RequestBroker::authorize_attempt(AttemptId attempt_id) {
+  refresh_endpoint_list();
   const auto found = attempts_.find(attempt_id);
   if (found == attempts_.end())
     return false;
-  const Attempt& attempt = found->second;
-  return router_.is_attempt_allowed(net::now(), attempt.request_id, attempt.endpoint);
+  Attempt& attempt = found->second;
+  PendingRequest& request = pending_requests_.at(attempt.request_id);
+  const Nanos now = net::now();
+  // A list that was read just now has not reached the router, and a client that left not the
+  // frontend.
+  if (!list_events_.empty() && guard_.check_endpoint(attempt.endpoint))
+    return false;
+  const bool is_first_look = now - request.begun_at < kMaxListDelay;
+  if (request.call == nullptr || (!is_first_look && request.call->has_client_left()))
+    return false;
+  if (!router_.is_attempt_allowed(now, attempt.request_id, attempt.endpoint))
+    return false;
+  request.history.is_open = request.call != nullptr;
+  if (const auto violation = guard_.check_attempt(request.history, attempt.endpoint, now)) {
+    report_violation(*violation, attempt.request_id, attempt.endpoint);
+    return false;
+  }
+  attempt.written_at = now;
+  ++request.history.written_attempts;
+  ++request.history.in_flight;
+  return true;
+}
+
+bool RequestBroker::authorize_health_check(EndpointId endpoint) {
+  refresh_endpoint_list();
+  const auto violation = guard_.check_endpoint(endpoint);
+  if (!list_events_.empty() && violation)
+    return false;
+  if (!router_.is_health_check_allowed(endpoint))
+    return false;
+  if (violation)
+    report_violation(*violation, "", endpoint);
+  return !violation;
+}
+
+void RequestBroker::report_closed_unanswered(const std::string& request_id) {
+  report_violation(Violation::ClosedUnanswered, request_id, 0);
+}
+
+void RequestBroker::report_violation(Violation violation, const std::string& request_id,
+                                     EndpointId endpoint) {
+  guard_.count(violation);
+  net::log({"invariant_violated",
+            {{"rule", name_of(violation)},
+             {"request", request_id},
+             {"endpoint", std::to_string(endpoint)},
+             {"count", std::to_string(guard_.count_of(violation))}}});
 }
 
 void RequestBroker::complete_health_check(EndpointId endpoint, const UpstreamResponse& response) {
@@ -168,6 +236,7 @@
 
 void RequestBroker::remove_endpoint(EndpointId endpoint) {
   upstream_->remove_endpoint(endpoint);
+  guard_.record_unlisted(endpoint);
   const auto name = endpoint_names_.find(endpoint);
   endpoint_ids_.erase(name->second);
   endpoint_names_.erase(name);
@@ -197,30 +266,57 @@
   for (const ListedEndpoint& listed : endpoints) {
     Endpoint endpoint = listed.endpoint;
     endpoint.id = assign_endpoint_id(listed.name);
+    guard_.record_listed(endpoint.id, endpoint.group, endpoint.status);
     if (endpoint.status != EndpointStatus::Removed)
       upstream_->add_endpoint(endpoint.id, listed.address);
     else if (removal_is_binding)
       remove_endpoint(endpoint.id);
     event.endpoints.push_back(std::move(endpoint));
   }
-  events_.emplace_back(std::move(event));
+  list_events_.push_back(std::move(event));
+}
+
+void RequestBroker::refresh_endpoint_list() {
+  const Nanos now = net::now();
+  if (list_source_ == nullptr || now - list_refreshed_at_ < kMaxListDelay)
+    return;
+  list_refreshed_at_ = now;
+  // The events wait: this may be called from within the sending of another one's action.
+  ++open_batches_;
+  list_source_->read_pending();
+  --open_batches_;
+  if (!list_events_.empty() && !dispatching_)
+    list_timer_.after(0);
+}
+
+std::optional<Event> RequestBroker::pop_event() {
+  if (!list_events_.empty()) {
+    Event event = std::move(list_events_.front());
+    list_events_.pop_front();
+    return event;
+  }
+  if (events_.empty())
+    return std::nullopt;
+  Event event = std::move(events_.front());
+  events_.pop_front();
+  return event;
 }
 
 void RequestBroker::dispatch_events() {
   if (dispatching_ || open_batches_ > 0)
     return;
   dispatching_ = true;
-  while (!events_.empty()) {
-    const Event event = std::move(events_.front());
-    events_.pop_front();
+  refresh_endpoint_list();
+  while (const std::optional<Event> event = pop_event()) {
     actions_.clear();
-    router_.handle(net::now(), event, actions_);
+    router_.handle(net::now(), *event, actions_);
     for (const Action& action : actions_)
       std::visit(
           [&](const auto& chosen) {
             perform(chosen);
           },
           action);
+    refresh_endpoint_list();
   }
   dispatching_ = false;
 }
@@ -239,7 +335,7 @@
     return;
   }
   const AttemptId attempt = next_attempt_++;
-  attempts_[attempt] = {action.request_id, number, action.endpoint, now};
+  attempts_[attempt] = {action.request_id, number, action.endpoint, now, std::nullopt};
   request.current_attempt = attempt;
   Nanos deadline = request.deadline;
   if (action.timeout > 0)
@@ -274,9 +370,18 @@
 }
 
 void RequestBroker::perform(const RejectRequest& action) {
+  const auto pending = pending_requests_.find(action.request_id);
+  const auto violation = pending == pending_requests_.end()
+                             ? std::nullopt
+                             : guard_.check_rejection(pending->second.history);
   ClientCall* const call = complete_if_open(action.request_id);
   if (call == nullptr)
     return;
+  if (violation) {
+    report_violation(*violation, action.request_id, 0);
+    call->fail();
+    return;
+  }
   net::log({"request_rejected",
             {{"request", action.request_id},
              {"reason", logging::name_of(action.reason)},
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -6,10 +6,12 @@
 #pragma once
 
 #include "interfaces.h"
+#include "invariant_guard.h"
 #include "net/timer.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +38,9 @@
   /// Sets the upstream, which is borrowed. Call once, before any other function.
   void attach(Upstream& upstream) { upstream_ = &upstream; }
 
+  /// Sets where the endpoint list comes from; null: nowhere that has to be asked. Borrowed.
+  void set_list_source(EndpointListSource* source) { list_source_ = source; }
+
   /// For frontends: hands a request to the router and borrows `call` until the request is complete;
   /// the final answer may come before this returns. Returns false, and does nothing, if
   /// `request.id` is empty, too long, or the id of a request that is still open.
@@ -52,14 +57,20 @@
   /// For the upstream: the one end of a health check. Ignored if none is in flight.
   void complete_health_check(EndpointId endpoint, const UpstreamResponse& response);
 
-  /// For the upstream, right before it writes: whether the router still allows the attempt. If not,
-  /// the attempt ends as `NotSent`.
-  [[nodiscard]] bool is_attempt_allowed(AttemptId attempt);
+  /// For the upstream, right before it writes: whether the attempt may still be written, by what
+  /// the endpoint list says now, by the router and by the invariants. If so it counts as written,
+  /// else it is to end as `NotSent`.
+  [[nodiscard]] bool authorize_attempt(AttemptId attempt);
+
+  /// For the upstream, right before it writes: the same for a health check.
+  [[nodiscard]] bool authorize_health_check(EndpointId endpoint);
 
-  /// For the upstream, right before it writes: whether the router still allows the health check.
-  [[nodiscard]] bool is_health_check_allowed(EndpointId endpoint) const {
-    return router_.is_health_check_allowed(endpoint);
-  }
+  /// For frontends: a connection is closed with a request that has no final answer, though its
+  /// client has not left.
+  void report_closed_unanswered(const std::string& request_id);
+
+  /// Violations of the invariants, which are defects of the gateway.
+  [[nodiscard]] const InvariantGuard& invariants() const { return guard_; }
 
   /// For discovery and inventories: a new list of `endpoints`, or changes to it.
   void update_endpoints(EndpointList::Kind kind, const std::vector<ListedEndpoint>& endpoints);
@@ -97,6 +108,8 @@
     std::uint32_t started_attempts = 0;
     AttemptId current_attempt = kNoAttempt;
     Nanos deadline = 0;
+    Nanos begun_at = 0;
+    RequestHistory history;
   };
 
   using PendingRequests = std::unordered_map<std::string, PendingRequest>;
@@ -106,12 +119,26 @@
     std::uint32_t number = 0;  ///< Counted from 0 for each request.
     EndpointId endpoint = 0;
     Nanos started_at = 0;
+    std::optional<Nanos> written_at;
   };
 
   /// Passes all waiting events to the router and performs its actions. Does nothing while a batch
   /// is open, or inside another call of itself.
   void dispatch_events();
 
+  /// Has the list's source pass on what has arrived. A change counts as notified once it was
+  /// written to the gateway, so that nothing may be sent on an older list after a pause.
+  void refresh_endpoint_list();
+
+  /// Removes the next event for the router: changes of the endpoint list come first.
+  [[nodiscard]] std::optional<Event> pop_event();
+
+  /// Adds the end of a written or unwritten attempt to its request's history.
+  static void record_attempt_end(RequestHistory& history, const Attempt& attempt,
+                                 AttemptStatus status);
+
+  void report_violation(Violation violation, const std::string& request_id, EndpointId endpoint);
+
   void perform(const StartAttempt& action);
   void perform(const SendHealthCheck& action);
   void perform(const CancelAttempt& action);
@@ -137,8 +164,13 @@
 
   Settings settings_;
   Router router_;
+  InvariantGuard guard_{settings_};
   Upstream* upstream_ = nullptr;
   net::Timer timer_;
+  EndpointListSource* list_source_ = nullptr;
+  Nanos list_refreshed_at_ = 0;
+  std::deque<EndpointList> list_events_;
+  net::Timer list_timer_;  // hands over what was read outside of a dispatch
   std::deque<Event> events_;
   std::vector<Action> actions_;  // kept for its memory
   bool dispatching_ = false;
--- a/tests/integration/held_up_loop_test.cpp
+++ b/tests/integration/held_up_loop_test.cpp
@@ -16,8 +16,12 @@
 using std::chrono::milliseconds;
 
 // Above the gateway's bounds, which count while it does not run.
-constexpr milliseconds kBeyondDrainGrace{350};     // 0.25 s, and 0.05 s of slack
-constexpr milliseconds kBeyondWatchSilence{2600};  // 2.5 s
+constexpr milliseconds kBeyondDrainGrace{350};        // 0.25 s, and 0.05 s of slack
+constexpr milliseconds kBeyondWatchSilence{2600};     // 2.5 s
+constexpr milliseconds kBeyondMessageDelay{2600};     // 2.5 s
+constexpr milliseconds kBeyondConnectTimeout{1600};   // 1.5 s, as the test sets it
+constexpr milliseconds kBeyondRequestDeadline{2600};  // 2.5 s
+constexpr milliseconds kLongPause{1000};
 
 using Clients = std::vector<std::unique_ptr<TestClient>>;
 
@@ -142,4 +146,104 @@
 
 INSTANTIATE_TEST_SUITE_P(, HeldUpWatch, postgres_only(), protocol_name);
 
+class HeldUpLoop : public GatewayIntegrationTest {};
+
+// The connection's timeout is due when the gateway runs again, and its greeting is there.
+TEST_P(HeldUpLoop, ConnectionThatOpenedInTimeIsNoFailure) {
+  PlatformSettings settings;
+  settings.connect_timeout_ms = 1500;
+  WarmGateway warm(protocol(), 2, 8, settings);
+  warm.harness.hold_greetings();
+  warm.client->send_request(read_request("opened", 6000));
+  static_cast<void>(warm.harness.await_held_greeting());
+  warm.harness.gateway.freeze();
+  warm.harness.release_greetings();
+  run_main_loop_for(kBeyondConnectTimeout);
+
+  warm.harness.gateway.resume();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  ASSERT_EQ(warm.harness.attempt_count("opened"), 1);
+  ASSERT_FALSE(warm.harness.gateway.has_logged("status=connect_failed"));
+  warm.harness.expect_invariants_and_running();
+}
+
+// The attempt's timeout and the request's deadline are due, and the response is there.
+TEST_P(HeldUpLoop, ResponseThatArrivedInTimeIsServed) {
+  WarmGateway warm(protocol(), 2, 8);
+  warm.harness.script = {ScriptedResponse::NoResponse};
+  warm.client->send_request(keyed_write("answered"));
+  warm.harness.await_first_attempt("answered");
+  warm.harness.gateway.freeze();
+  warm.harness.attempts.back().endpoint->respond_to_open_attempts();
+  run_main_loop_for(kBeyondRequestDeadline);
+
+  warm.harness.gateway.resume();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  ASSERT_EQ(warm.harness.attempt_count("answered"), 1);
+  warm.harness.expect_invariants_and_running();
+}
+
+// A request is read long after it arrived: its client has waited all the while.
+TEST_P(HeldUpLoop, ForwardsNoMoreTimeThanTheClientHasLeft) {
+  constexpr int kTimeoutMs = 2000;
+  constexpr int kSlackMs = 150;
+  WarmGateway warm(protocol(), 2, 8);
+  warm.harness.gateway.freeze();
+  warm.client->send_request(read_request("late", kTimeoutMs));
+  warm.client->await_flushed();
+  run_main_loop_for(kLongPause);
+
+  warm.harness.gateway.resume();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  ASSERT_EQ(warm.harness.attempts.back().request.id, "late");
+  ASSERT_LE(warm.harness.attempts.back().request.timeout_ms,
+            kTimeoutMs - kLongPause.count() + kSlackMs);
+  warm.harness.expect_invariants_and_running();
+}
+
+// The rest of a message came in time, and the bound on incomplete ones is due.
+TEST_P(HeldUpLoop, MessageThatWasCompletedInTimeIsServed) {
+  WarmGateway warm(protocol(), 2, 8);
+  const std::string message = protocol().encode_request(read_request("halves", 6000));
+  warm.client->write(message.substr(0, message.size() / 2));
+  const auto other = warm.harness.connect_client();
+  await_gateway_loop_turns(*other, "turn");
+  warm.harness.gateway.freeze();
+  warm.harness.sent_requests["halves"] = 1;
+  warm.client->write(message.substr(message.size() / 2));
+  warm.client->await_flushed();
+  run_main_loop_for(kBeyondMessageDelay);
+
+  warm.harness.gateway.resume();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  warm.harness.expect_invariants_and_running();
+}
+
+// The client's end and the end of its first attempt are both there, and the attempt's connection is
+// the older one.
+TEST_P(HeldUpLoop, RetriesNothingForAClientThatHasLeft) {
+  WarmGateway warm(protocol(), 3, 24);
+  const auto leaving = warm.harness.connect_client();
+  warm.harness.script = {ScriptedResponse::NoResponse};
+  leaving->send_request(read_request("left"));
+  warm.harness.await_first_attempt("left");
+  StubEndpoint& first = *warm.harness.attempts.back().endpoint;
+  warm.harness.gateway.freeze();
+  leaving->close();
+  first.close_connections();
+  run_main_loop_for(kBeyondDrainGrace);
+
+  warm.harness.gateway.resume();
+
+  expect_reads_served(*warm.client, "b", 8);
+  ASSERT_EQ(warm.harness.attempt_count("left"), 1);
+  ASSERT_TRUE(warm.harness.gateway.is_running());
+}
+
+INSTANTIATE_TEST_SUITE_P(, HeldUpLoop, both_protocols(), protocol_name);
+
 }  // namespace
--- a/tests/integration/stub_endpoint.cpp
+++ b/tests/integration/stub_endpoint.cpp
@@ -145,6 +145,16 @@
       connection->stream->write({std::exchange(connection->held_greeting, "")});
 }
 
+void StubEndpoint::respond_to_open_attempts() {
+  for (const auto& connection : connections_) {
+    if (connection->attempt_number == 0)
+      continue;
+    connection->end_attempt();
+    connection->stream->write(
+        {harness_.protocol.encode_response(ScriptedResponse::Succeed, replication, "by " + name)});
+  }
+}
+
 void StubEndpoint::send_unsolicited(const std::string& bytes) {
   for (const auto& connection : connections_)
     if (connection->stream->open())
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -73,6 +73,8 @@
 
 /// Counts its final answers.
 struct CountingCall : proxy::ClientCall {
+  [[nodiscard]] bool has_client_left() const override { return false; }
+
   int answers = 0;
 
   proxy::Parts body(Nanos) override { return {"SELECT"}; }
--- a/tests/timer_test.cpp
+++ b/tests/timer_test.cpp
@@ -59,4 +59,25 @@
   EXPECT_EQ(order, "abc");
 }
 
+// What a late timer stands for may have arrived: a ready source of the same turn runs first.
+TEST(Timer, FiresAfterTheSourcesThatAreReadyWhenItIsLate) {
+  std::string order;
+  Timer late([&] {
+    order += 't';
+  });
+  late.after(-1000 * kMs);
+  // Attached behind the timers' own source, as every socket is.
+  g_idle_add_full(
+      G_PRIORITY_DEFAULT,
+      [](gpointer text) -> gboolean {
+        *static_cast<std::string*>(text) += 's';
+        return G_SOURCE_REMOVE;
+      },
+      &order, nullptr);
+  g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(order, "s");
+  g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(order, "st");
+}
+
 }  // namespace
