Read responses first after a pause, and survive errors of accept

Related paths of the incident's class, found by going through what ends, repeats or hands over work: - After a pause later requests were sent before responses that had come earlier were read: what these say of roles counts as known 0.1 s after it was written. They are read first now. - A connection that rested past its retirement while the loop stood still was used once more. - Closing the listener stopped at the first error of accept, and what was queued behind was reset unread; without descriptors the loop turned without end, as the socket stays readable.

--- a/src/connection_pool/connection_pool.cpp
+++ b/src/connection_pool/connection_pool.cpp
@@ -99,7 +99,8 @@
 // When the connection used last has been idle for too long, all others have been for longer, and
 // the loop closes them too.
 PooledConnection* ConnectionPool::acquire_idle(EndpointConnections& endpoint) {
-  const Nanos max_idle_time = idle_lifetime_.max_idle_time();
+  // The timer that retires a connection may be late after a pause of the loop.
+  const Nanos max_idle_time = std::min(idle_lifetime_.max_idle_time(), retirement_age(limits_));
   while (!endpoint.idle.empty()) {
     PooledConnection* const connection = endpoint.idle.back();
     const Nanos idle_time = net::now() - connection->idle_since();
@@ -164,6 +165,19 @@
   endpoints_[connection.endpoint()].idle.push_back(&connection);
 }
 
+// A response may end connections, so that each is looked up again before it is read.
+void ConnectionPool::read_pending() {
+  std::vector<PooledConnection*> awaiting;
+  for (const auto& [connection, owned] : connections_) {
+    if (connection->is_awaiting_response())
+      awaiting.push_back(connection);
+  }
+  for (PooledConnection* const connection : awaiting) {
+    if (connections_.count(connection) > 0)
+      connection->read_pending();
+  }
+}
+
 void ConnectionPool::cancel_attempt(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
   if (found != attempts_.end())
--- a/src/connection_pool/connection_pool.h
+++ b/src/connection_pool/connection_pool.h
@@ -37,6 +37,7 @@
                      Nanos deadline) override;
   /// Ends after `PoolLimits::connect_timeout` at the latest.
   void start_health_check(EndpointId endpoint) override;
+  void read_pending() override;
   void cancel_attempt(proxy::AttemptId attempt) override;
   void detach_call(proxy::AttemptId attempt) override;
 
--- a/src/connection_pool/pool_limits.h
+++ b/src/connection_pool/pool_limits.h
@@ -16,4 +16,8 @@
   std::size_t buffered = 32 << 20;  ///< Bytes that all connections hold, also those of clients.
 };
 
+/// The idle time after which a connection is retired: well before the endpoint would close it, as a
+/// request that crosses that close ends as a reset. The highest `Nanos` if endpoints close none.
+[[nodiscard]] Nanos retirement_age(const PoolLimits& limits);
+
 }  // namespace gorsebeam::connection_pool
--- a/src/connection_pool/pooled_connection.cpp
+++ b/src/connection_pool/pooled_connection.cpp
@@ -3,6 +3,7 @@
 #include "net/log.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace gorsebeam::connection_pool {
@@ -15,6 +16,12 @@
 
 }  // namespace
 
+Nanos retirement_age(const PoolLimits& limits) {
+  if (limits.keepalive <= 0)
+    return std::numeric_limits<Nanos>::max();
+  return limits.keepalive - std::min<Nanos>(limits.keepalive / 4, kMaxKeepaliveMargin);
+}
+
 proxy::UpstreamResponse response_with(AttemptStatus status) {
   proxy::UpstreamResponse response;
   response.status = status;
@@ -246,11 +253,8 @@
     return;
   }
   idle_since_ = net::now();
-  // A request that crosses the endpoint's own close ends as a reset, so the connection is retired
-  // well before the endpoint would close it.
-  const Nanos keepalive = owner_.limits().keepalive;
-  if (keepalive > 0)
-    timer_.after(keepalive - std::min<Nanos>(keepalive / 4, kMaxKeepaliveMargin));
+  if (owner_.limits().keepalive > 0)
+    timer_.after(retirement_age(owner_.limits()));
   owner_.add_idle(*this);
 }
 
--- a/src/connection_pool/pooled_connection.h
+++ b/src/connection_pool/pooled_connection.h
@@ -60,6 +60,14 @@
   /// connection up.
   [[nodiscard]] bool is_idle_and_silent() const;
 
+  /// A request or health check is written, as a whole or in part, and its response is awaited.
+  [[nodiscard]] bool is_awaiting_response() const {
+    return is_open() && (state_ == State::Writing || state_ == State::AwaitingResponse);
+  }
+
+  /// Handles what has arrived by now.
+  void read_pending() { stream_->process_pending(); }
+
   [[nodiscard]] EndpointId endpoint() const { return endpoint_; }
 
   /// When it was last added to the idle connections; 0: never.
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -207,12 +207,12 @@
 
 void Frontend::stop_accepting() {
   is_stopping_ = true;
-  listener_->close();
+  const bool is_closed = listener_->drain_and_close();
   for (ClientConnection* connection : idle_connections().connections) {
     if (!connection->has_unread())
       connection->retire(CloseReason::Shutdown);
   }
-  if (!connections_.empty())
+  if (!is_closed || !connections_.empty())
     stop_timer_.after(kStopSweepInterval);
 }
 
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -52,7 +52,9 @@
   [[nodiscard]] bool is_stopping() const { return is_stopping_; }
 
   /// No connection is left.
-  [[nodiscard]] bool empty() const { return connections_.empty() && lingering_.empty(); }
+  [[nodiscard]] bool empty() const {
+    return connections_.empty() && lingering_.empty() && !(is_stopping_ && listener_->is_open());
+  }
 
   proxy::RequestBroker& broker() { return broker_; }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,11 +4,16 @@
 #include "log.h"
 #include "loop_monitor.h"
 
+#include <cstdint>
+#include <utility>
+
 namespace gorsebeam::net {
 namespace {
 
 constexpr int kBacklog = 512;
 constexpr int kMaxAcceptsPerTurn = 16;
+constexpr int kMaxAcceptsAtClose = 4 * kBacklog;
+constexpr std::int64_t kBackOff = 20'000'000;
 
 SocketHandle open_listening_socket(GSocketAddress* address, ErrorHandle& error) {
   GError* raw = nullptr;
@@ -48,46 +53,94 @@
   return std::string(host.get()) + ":" + std::to_string(g_inet_socket_address_get_port(inet));
 }
 
+Listener::Listener(AcceptHandler handle_accepted)
+    : handle_accepted_(std::move(handle_accepted)), back_off_timer_([this] {
+        start_watching();
+      }) {}
+
 void Listener::pause() {
+  is_paused_ = true;
   source_.reset();
 }
 
 void Listener::resume() {
-  if (!socket_ || source_)
+  is_paused_ = false;
+  start_watching();
+}
+
+void Listener::start_watching() {
+  if (!socket_ || source_ || is_paused_)
     return;
+  back_off_timer_.stop();
   source_.watch(socket_.get(), G_IO_IN, &Listener::on_ready, this);
 }
 
+void Listener::back_off() {
+  source_.reset();
+  back_off_timer_.after(kBackOff);
+}
+
+bool Listener::drain_and_close() {
+  if (!accept_all_queued())
+    return false;
+  close_socket();
+  return true;
+}
+
 void Listener::close() {
-  while (socket_ && accept_one()) {
-  }
+  static_cast<void>(accept_all_queued());
+  close_socket();
+}
+
+void Listener::close_socket() {
   source_.reset();
+  back_off_timer_.stop();
   if (socket_)
     g_socket_close(socket_.get(), nullptr);
   socket_.reset();
 }
 
+bool Listener::accept_all_queued() {
+  AcceptResult result = socket_ ? AcceptResult::Accepted : AcceptResult::QueueEmpty;
+  for (int i = 0; i < kMaxAcceptsAtClose && can_go_on(result); ++i)
+    result = accept_one();
+  return result == AcceptResult::QueueEmpty;
+}
+
 gboolean Listener::on_ready(GSocket*, GIOCondition, gpointer self) {
   auto* listener = static_cast<Listener*>(self);
+  AcceptResult result = AcceptResult::Accepted;
   // The handler may pause the listener, which resets the source.
-  for (int i = 0; i < kMaxAcceptsPerTurn; ++i)
-    if (!listener->source_ || !listener->accept_one())
-      break;
+  for (int i = 0; i < kMaxAcceptsPerTurn && can_go_on(result) && listener->source_; ++i)
+    result = listener->accept_one();
+  const bool makes_progress =
+      result == AcceptResult::Accepted || result == AcceptResult::QueueEmpty;
+  if (!makes_progress && listener->source_)
+    listener->back_off();
   return listener->source_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
-bool Listener::accept_one() {
+bool Listener::can_go_on(AcceptResult result) {
+  return result == AcceptResult::Accepted || result == AcceptResult::ConnectionLost;
+}
+
+// By accept(2), without descriptors the connection stays in the queue. Most other errors are those
+// of one connection, which has left the queue, and the call is to be repeated.
+Listener::AcceptResult Listener::accept_one() {
   GError* raw = nullptr;
   SocketHandle socket(g_socket_accept(socket_.get(), nullptr, &raw));
   const ErrorHandle error(raw);
   if (socket) {
     count_loop_work(LoopWork::Accept);
     handle_accepted_(std::move(socket));
-    return true;
+    return AcceptResult::Accepted;
   }
-  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == FALSE)
-    log({"accept_failed", {{"error", error->message}}});
-  return false;
+  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE)
+    return AcceptResult::QueueEmpty;
+  log({"accept_failed", {{"error", error->message}}});
+  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_TOO_MANY_OPEN_FILES) != FALSE)
+    return AcceptResult::NoDescriptors;
+  return AcceptResult::ConnectionLost;
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "handles.h"
+#include "timer.h"
 
 #include <functional>
 #include <optional>
@@ -23,7 +24,7 @@
   using AcceptHandler = std::function<void(SocketHandle)>;
 
   /// `handle_accepted` runs for each accepted socket and owns it.
-  explicit Listener(AcceptHandler handle_accepted) : handle_accepted_(std::move(handle_accepted)) {}
+  explicit Listener(AcceptHandler handle_accepted);
 
   /// Listens on a numeric address such as "127.0.0.1:6432"; port 0 means any free one.
   [[nodiscard]] std::optional<ListenError> listen(const std::string& address);
@@ -35,7 +36,12 @@
   void pause();
   void resume();
 
-  /// Accepts what the kernel has queued already, then closes the socket.
+  /// Accepts what the kernel has queued already, then closes the socket. A connection in the queue
+  /// may hold a request, and closing the socket under it would reset it: returns false, and stays
+  /// open, while they cannot be accepted, for lack of descriptors or memory.
+  [[nodiscard]] bool drain_and_close();
+
+  /// As drain_and_close(), but closes the socket in any case.
   void close();
 
   [[nodiscard]] bool is_open() const { return socket_ != nullptr; }
@@ -43,12 +49,28 @@
 private:
   static gboolean on_ready(GSocket*, GIOCondition, gpointer self);
 
-  /// Returns false if no connection waits or the call failed.
-  bool accept_one();
+  enum class AcceptResult {
+    Accepted,
+    QueueEmpty,
+    ConnectionLost,  ///< One ended in the queue; the next may be sound.
+    NoDescriptors,   ///< None can be taken now.
+  };
+
+  AcceptResult accept_one();
+  /// Whether another call may accept a connection.
+  [[nodiscard]] static bool can_go_on(AcceptResult result);
+  /// Returns whether the queue is empty.
+  [[nodiscard]] bool accept_all_queued();
+  void close_socket();
+  void start_watching();
+  /// Stops watching for a while: the socket stays readable, and the loop would turn for nothing.
+  void back_off();
 
   AcceptHandler handle_accepted_;
   SocketHandle socket_;
   SourceHandle source_;
+  Timer back_off_timer_;
+  bool is_paused_ = false;  ///< By the owner.
 };
 
 }  // namespace gorsebeam::net
--- a/src/proxy/interfaces.h
+++ b/src/proxy/interfaces.h
@@ -103,6 +103,10 @@
   /// upstream's own.
   virtual void start_health_check(EndpointId endpoint) = 0;
 
+  /// Passes on, by `complete_attempt` and `complete_health_check`, all responses that have arrived
+  /// by now.
+  virtual void read_pending() = 0;
+
   /// Abandons an attempt whatever its progress; it ends as `Cancelled` before this returns. An
   /// attempt that ended already is ignored.
   virtual void cancel_attempt(AttemptId attempt) = 0;
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -2,8 +2,10 @@
 
 #include "logging/log_record.h"
 #include "net/log.h"
+#include "net/loop_monitor.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 #include <variant>
@@ -15,6 +17,10 @@
 constexpr std::size_t kIdDigits = 8;
 constexpr Nanos kNanosPerMillisecond = 1'000'000;
 
+// How old an unread response may be when something is decided: what a response tells counts as
+// known 0.1 s after it was written.
+constexpr Nanos kMaxResponseDelay = 40 * kNanosPerMillisecond;
+
 // How old the list may be on which something is decided or sent. Well within the grace period of a
 // drain, and long enough for a call on the source to cost little beside the requests.
 constexpr Nanos kMaxListDelay = 20 * kNanosPerMillisecond;
@@ -289,6 +295,21 @@
     list_timer_.after(0);
 }
 
+void RequestBroker::refresh_responses() {
+  const Nanos now = net::now();
+  const bool is_held_up = now - net::earliest_arrival() > kMaxResponseDelay;
+  if (!is_held_up || now - responses_refreshed_at_ < kMaxResponseDelay)
+    return;
+  responses_refreshed_at_ = now;
+  // What the responses tell comes before what waits already.
+  std::deque<Event> waiting;
+  waiting.swap(events_);
+  ++open_batches_;
+  upstream_->read_pending();
+  --open_batches_;
+  std::move(waiting.begin(), waiting.end(), std::back_inserter(events_));
+}
+
 std::optional<Event> RequestBroker::pop_event() {
   if (!list_events_.empty()) {
     Event event = std::move(list_events_.front());
@@ -307,6 +328,7 @@
     return;
   dispatching_ = true;
   refresh_endpoint_list();
+  refresh_responses();
   while (const std::optional<Event> event = pop_event()) {
     actions_.clear();
     router_.handle(net::now(), *event, actions_);
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -130,6 +130,10 @@
   /// written to the gateway, so that nothing may be sent on an older list after a pause.
   void refresh_endpoint_list();
 
+  /// Reads the responses that have arrived, if the loop was held up: what they say of roles and
+  /// positions counts as known soon after they were written. Else the loop itself is in time.
+  void refresh_responses();
+
   /// Removes the next event for the router: changes of the endpoint list come first.
   [[nodiscard]] std::optional<Event> pop_event();
 
@@ -169,6 +173,7 @@
   net::Timer timer_;
   EndpointListSource* list_source_ = nullptr;
   Nanos list_refreshed_at_ = 0;
+  Nanos responses_refreshed_at_ = 0;
   std::deque<EndpointList> list_events_;
   net::Timer list_timer_;  // hands over what was read outside of a dispatch
   std::deque<Event> events_;
--- a/tests/integration/held_up_loop_test.cpp
+++ b/tests/integration/held_up_loop_test.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kBeyondMessageDelay{2600};     // 2.5 s
 constexpr milliseconds kBeyondConnectTimeout{1600};   // 1.5 s, as the test sets it
 constexpr milliseconds kBeyondRequestDeadline{2600};  // 2.5 s
+constexpr milliseconds kBeyondKeepalive{2200};        // 2 s, as the test sets it
 constexpr milliseconds kLongPause{1000};
 
 using Clients = std::vector<std::unique_ptr<TestClient>>;
@@ -244,6 +245,58 @@
   ASSERT_TRUE(warm.harness.gateway.is_running());
 }
 
+// The former primary has said that it is a replica, and then another write comes, on a connection
+// that is older than the endpoint's.
+TEST_P(HeldUpLoop, ResponsesAreReadBeforeLaterRequests) {
+  GatewayHarness harness(protocol(), 2, 0);
+  harness.start();
+  const auto later = harness.connect_client();
+  const auto client = harness.connect_client();
+  ASSERT_EQ(client->send_and_await(keyed_write("warm")), ClientResult::Served);
+  for (const auto& endpoint : harness.endpoints)
+    endpoint->close_connections();
+  ASSERT_EQ(client->send_and_await(keyed_write("reopen")), ClientResult::Served);
+  StubEndpoint& former = *harness.endpoints[0];
+  harness.script = {ScriptedResponse::NoResponse};
+  client->send_request(keyed_write("first"));
+  harness.await_first_attempt("first");
+  harness.gateway.freeze();
+  former.replication.is_primary = false;
+  harness.endpoints[1]->replication.is_primary = true;
+  former.respond_to_open_attempts(ScriptedResponse::RejectNotPrimary);
+  later->send_request(keyed_write("later"));
+  later->await_flushed();
+  run_main_loop_for(kBeyondDrainGrace);
+  const int requests_before = former.request_count;
+
+  harness.gateway.resume();
+
+  ASSERT_EQ(client->await_response(), ClientResult::Served);
+  ASSERT_EQ(later->await_response(), ClientResult::Served);
+  ASSERT_EQ(former.request_count, requests_before);
+  harness.expect_invariants_and_running();
+}
+
+// An idle connection has rested for longer than its endpoint keeps it, and its retirement is due.
+TEST_P(HeldUpLoop, UsesNoConnectionThatEndpointsHaveClosedMeanwhile) {
+  PlatformSettings settings;
+  settings.keepalive_ms = 2000;
+  WarmGateway warm(protocol(), 2, 8, settings);
+  for (const auto& endpoint : warm.harness.endpoints)
+    endpoint->idle_reset_ms = settings.keepalive_ms;
+  warm.harness.gateway.freeze();
+  warm.client->send_request(keyed_write("rested"));
+  warm.client->await_flushed();
+  run_main_loop_for(kBeyondKeepalive);
+
+  warm.harness.gateway.resume();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  for (const auto& endpoint : warm.harness.endpoints)
+    ASSERT_EQ(endpoint->idle_reset_count, 0) << endpoint->name;
+  warm.harness.expect_invariants_and_running();
+}
+
 INSTANTIATE_TEST_SUITE_P(, HeldUpLoop, both_protocols(), protocol_name);
 
 }  // namespace
--- a/tests/integration/stub_endpoint.cpp
+++ b/tests/integration/stub_endpoint.cpp
@@ -145,13 +145,13 @@
       connection->stream->write({std::exchange(connection->held_greeting, "")});
 }
 
-void StubEndpoint::respond_to_open_attempts() {
+void StubEndpoint::respond_to_open_attempts(ScriptedResponse response) {
   for (const auto& connection : connections_) {
     if (connection->attempt_number == 0)
       continue;
     connection->end_attempt();
     connection->stream->write(
-        {harness_.protocol.encode_response(ScriptedResponse::Succeed, replication, "by " + name)});
+        {harness_.protocol.encode_response(response, replication, "by " + name)});
   }
 }
 
--- a/tests/integration/stub_endpoint.h
+++ b/tests/integration/stub_endpoint.h
@@ -27,8 +27,8 @@
   /// Sends the held greetings; no greeting is held from then on.
   void release_greetings();
   [[nodiscard]] int open_connection_count() const;
-  /// Responds with success to each request that has had no response.
-  void respond_to_open_attempts();
+  /// Sends `response` to each request that has had none.
+  void respond_to_open_attempts(ScriptedResponse response = ScriptedResponse::Succeed);
   /// Sends `bytes` on each open connection though nothing asked for them.
   void send_unsolicited(const std::string& bytes);
   /// Closes the open connections and goes on listening.
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -57,7 +57,7 @@
       << R"(],"extra":{"read_level":["eventual","causal","mutate","mutate"],"lag_allowed":[0,0,0,0],)"
       << R"("list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
       << R"("limits":{"probes":true,"send_cap":6,"dial_timeout":)" << settings.connect_timeout_ms
-      << R"(000000,"keepalive":30000000000,)"
+      << R"(000000,"keepalive":)" << settings.keepalive_ms << "000000,"
       << R"("retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":0.5,)"
       << R"("drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
   return path;
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -22,6 +22,7 @@
   int connect_timeout_ms = 250;  ///< For a connection to an endpoint.
   /// How long the group of a write with an idempotency key drops its duplicates.
   int deduplication_window_ms = 2000;
+  int keepalive_ms = 30'000;        ///< After which endpoints close idle connections.
   int latency_objective_ms = 2000;  ///< Of each class; its clients give up a second later.
   std::string listen_address = "127.0.0.1:0";
 };
--- /dev/null
+++ b/tests/listener_test.cpp
@@ -0,0 +1,133 @@
+// Errors of accept(2): which connections are lost, and whether the loop turns for nothing.
+#include "net/listener.h"
+#include "net/stream.h"
+#include "net/timer.h"
+
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <glib.h>
+#include <sys/socket.h>
+
+namespace {
+
+std::deque<int> next_errors;  // of the next calls; 0: the call is made
+int accept_calls = 0;
+
+}  // namespace
+
+// GLib accepts by this call.
+extern "C" int accept(int descriptor, sockaddr* address, socklen_t* length) {
+  ++accept_calls;
+  const int error = next_errors.empty() ? 0 : next_errors.front();
+  if (!next_errors.empty())
+    next_errors.pop_front();
+  if (error == 0)
+    return accept4(descriptor, address, length, 0);
+  errno = error;
+  return -1;
+}
+
+namespace {
+
+using namespace gorsebeam::net;
+
+class Client : public Stream::Events {
+public:
+  explicit Client(const std::string& address) : stream_(Stream::connect(address, *this)) {}
+
+  void connected() override { is_connected = true; }
+
+  void received() override {}
+
+  void ended(const std::string&) override {}
+
+  bool is_connected = false;
+
+private:
+  std::shared_ptr<Stream> stream_;
+};
+
+class ListenerTest : public testing::Test {
+protected:
+  ListenerTest()
+      : listener([this](SocketHandle socket) {
+          accepted.push_back(std::move(socket));
+        }) {
+    next_errors.clear();
+    EXPECT_FALSE(listener.listen("127.0.0.1:0"));
+  }
+
+  ~ListenerTest() override { next_errors.clear(); }
+
+  /// Connects `count` clients while the listener is paused, so that all of them are queued.
+  void queue_clients(std::size_t count) {
+    listener.pause();
+    for (std::size_t i = 0; i < count; ++i)
+      clients.push_back(std::make_unique<Client>(listener.address()));
+    for (const auto& client : clients)
+      while (!client->is_connected)
+        g_main_context_iteration(nullptr, TRUE);
+  }
+
+  void await_accepted(std::size_t count) {
+    while (accepted.size() < count)
+      g_main_context_iteration(nullptr, TRUE);
+  }
+
+  Listener listener;
+  std::vector<SocketHandle> accepted;
+  std::vector<std::unique_ptr<Client>> clients;
+};
+
+// The socket stays readable, so that a loop that watched it would turn without end.
+TEST_F(ListenerTest, WaitsForDescriptorsWithoutTurningTheLoop) {
+  constexpr std::int64_t kShortage = 100'000'000;
+  constexpr int kMaxCalls = 10;  // one in 20 ms, and a few
+  queue_clients(1);
+  next_errors.assign(100'000, EMFILE);
+  accept_calls = 0;
+  Timer shortage_end([] {
+    next_errors.clear();
+  });
+  shortage_end.after(kShortage);
+  listener.resume();
+  while (!next_errors.empty())
+    g_main_context_iteration(nullptr, TRUE);
+  EXPECT_LE(accept_calls, kMaxCalls);
+  await_accepted(1);
+}
+
+TEST_F(ListenerTest, AcceptsTheNextConnectionAfterOneThatWasLost) {
+  queue_clients(4);
+  next_errors = {ECONNABORTED, EPROTO, 0, ENETUNREACH, 0};
+  listener.resume();
+  await_accepted(4);
+}
+
+// What is queued behind the lost connection may hold a request.
+TEST_F(ListenerTest, ClosesOnlyOnceTheQueueIsEmpty) {
+  queue_clients(4);
+  next_errors = {ECONNABORTED, 0, ECONNABORTED};
+  EXPECT_TRUE(listener.drain_and_close());
+  EXPECT_EQ(accepted.size(), 4U);
+  EXPECT_FALSE(listener.is_open());
+}
+
+TEST_F(ListenerTest, StaysOpenWhileQueuedConnectionsCannotBeAccepted) {
+  queue_clients(3);
+  next_errors = {0, EMFILE};
+  EXPECT_FALSE(listener.drain_and_close());
+  EXPECT_TRUE(listener.is_open());
+  EXPECT_EQ(accepted.size(), 1U);
+  EXPECT_TRUE(listener.drain_and_close());
+  EXPECT_EQ(accepted.size(), 3U);
+}
+
+}  // namespace
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -330,6 +330,8 @@
     });
   }
 
+  void read_pending() override {}
+
   void cancel_attempt(proxy::AttemptId attempt) override {
     if (in_flight_.erase(attempt) == 0)
       return;
--- a/tests/soak/virtual_time.cpp
+++ b/tests/soak/virtual_time.cpp
@@ -1,5 +1,6 @@
 #include "virtual_time.h"
 
+#include "net/loop_monitor.h"
 #include "net/timer.h"
 
 #include <algorithm>
@@ -44,6 +45,10 @@
   return current_time;
 }
 
+std::int64_t earliest_arrival() {
+  return current_time;  // nothing holds the loop up
+}
+
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
