Bound the arrival of what is read by the loop's waits, found by a fault soak of processes

Found with it in the code since, and mended: - connections accepted or read over several turns after a pause were dated by the last turn; the wait for events is observed itself now (interrupted ones, late ones), for at most 0.1 s at a time; - ENOBUFS and ENOMEM in a read or write closed the connection, with its request.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -3,6 +3,7 @@
 #include "frontend.h"
 
 #include "net/log.h"
+#include "net/loop_monitor.h"
 
 #include <algorithm>
 #include <exception>
@@ -14,6 +15,7 @@
 constexpr Nanos kSecond = 1'000'000'000;
 constexpr Nanos kMaxMessageDelay = 5 * kSecond / 2;  // an error or a close is due 3 s after connect
 constexpr Nanos kMaxAnswerDelay = 5 * kSecond;       // longer than any deadline
+constexpr Nanos kMinPause = kSecond / 50;            // of the loop
 constexpr std::size_t kMaxMessagesPerTurn = 16;      // of one connection in a turn of the loop
 constexpr std::size_t kMessageSlack = 1024;
 
@@ -45,11 +47,16 @@
 }  // namespace
 
 ClientConnection::ClientConnection(Frontend& frontend, net::SocketHandle socket)
-    : frontend_(frontend), stream_(net::Stream::adopt(std::move(socket), *this)),
+    : frontend_(frontend),
+      stream_(net::Stream::adopt(std::move(socket), *this, frontend.earliest_accept_arrival())),
       last_progress_at_(net::now()), resume_timer_([this] {
         process_input_guarded();
       }) {}
 
+Nanos ClientConnection::earliest_arrival() const {
+  return read_from_ > 0 ? read_from_ : net::earliest_arrival();
+}
+
 bool ClientConnection::is_idle() const {
   return !is_busy_ && stream_->input().size() == 0 && stream_->all_written();
 }
@@ -57,6 +64,7 @@
 void ClientConnection::received() {
   if (state_ != State::Open)
     return stream_->input().consume(stream_->input().size());
+  read_from_ = stream_->input_arrival();
   // Bounds what a client can make us hold: behind a pending request its next ones wait in the
   // kernel. While memory allows more is read, so that the disconnection of a client that sends much
   // is noticed; beyond that its end is watched without reading on.
@@ -68,6 +76,7 @@
   if (stream_->input().size() > max_size)
     stream_->pause_reading(is_busy_ ? net::PeerCloseWatch::On : net::PeerCloseWatch::Off);
   process_input();
+  read_from_ = 0;
   if (stream_->open() && !is_busy_)
     frontend_.enforce_buffer_limit();
 }
@@ -202,7 +211,8 @@
   net::log({"client_closed",
             {{"reason", name_of(reason)},
              {"pending_request", is_busy_ ? request_id_ : "none"},
-             {"unread_bytes", std::to_string(stream_->input().size())}}});
+             {"unread_bytes", std::to_string(stream_->input().size())},
+             {"error", end_reason_}}});
 }
 
 void ClientConnection::close_when_written(CloseReason reason) {
@@ -234,7 +244,8 @@
   frontend_.remove(this);
 }
 
-void ClientConnection::ended(const std::string&) {
+void ClientConnection::ended(const std::string& reason) {
+  end_reason_ = reason;
   close(CloseReason::PeerClosed);
 }
 
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -7,6 +7,7 @@
 #include "proxy/request_broker.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -46,6 +47,9 @@
   /// Answered requests; 2 stands for two or more.
   [[nodiscard]] std::size_t answered_count() const { return answered_count_; }
 
+  /// The earliest time at which the message that is parsed now can have arrived.
+  [[nodiscard]] Nanos earliest_arrival() const;
+
   /// When it last made progress: was accepted, sent a message, was answered or received an answer.
   [[nodiscard]] Nanos last_progress_at() const { return last_progress_at_; }
 
@@ -116,6 +120,8 @@
   void drop_request_and_retire();
 
   std::string request_id_;
+  std::string end_reason_;  ///< As the socket reported it; empty: it did not.
+  Nanos read_from_ = 0;     ///< Of the bytes that are being handled; 0: they were read before.
   std::size_t request_size_ = 0;
   State state_ = State::Open;
   bool is_busy_ = false;        ///< A request is pending.
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -56,6 +56,9 @@
     return connections_.empty() && lingering_.empty() && !(is_stopping_ && listener_->is_open());
   }
 
+  /// The earliest time at which the connection that is accepted now can have come.
+  [[nodiscard]] Nanos earliest_accept_arrival() const { return listener_->earliest_arrival(); }
+
   proxy::RequestBroker& broker() { return broker_; }
 
   [[nodiscard]] const FrontendLimits& limits() const { return limits_; }
--- a/src/mongo/frontend.cpp
+++ b/src/mongo/frontend.cpp
@@ -4,7 +4,6 @@
 #include "command_comment.h"
 
 #include "frontend/session_hash.h"
-#include "net/loop_monitor.h"
 
 #include <algorithm>
 #include <array>
@@ -365,7 +364,7 @@
       if (*limit_ms > 0)  // 0 means no limit in the protocol
         allowed = *limit_ms * kMillisecond;
     }
-    request.deadline = net::earliest_arrival() + allowed;
+    request.deadline = earliest_arrival() + allowed;
     if (!contracts_.has_team(team_))
       return CommandError{kUnauthorized, "Unauthorized",
                           "no contract with the team '" + team_ + "'"};
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "loop_monitor.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -58,8 +59,15 @@
         start_watching();
       }) {}
 
+std::int64_t Listener::earliest_arrival() const {
+  const std::int64_t of_turn = net::earliest_arrival();
+  return backlog_since_ ? std::min(*backlog_since_, of_turn) : of_turn;
+}
+
+// While it is paused the queue fills at any time, and what is said of it ends.
 void Listener::pause() {
   is_paused_ = true;
+  backlog_since_.reset();
   source_.reset();
 }
 
@@ -109,10 +117,14 @@
 
 gboolean Listener::on_ready(GSocket*, GIOCondition, gpointer self) {
   auto* listener = static_cast<Listener*>(self);
+  const std::int64_t earliest = listener->earliest_arrival();
   AcceptResult result = AcceptResult::Accepted;
   // The handler may pause the listener, which resets the source.
   for (int i = 0; i < kMaxAcceptsPerTurn && can_go_on(result) && listener->source_; ++i)
     result = listener->accept_one();
+  listener->backlog_since_.reset();
+  if (result != AcceptResult::QueueEmpty && listener->source_)
+    listener->backlog_since_ = earliest;
   const bool makes_progress =
       result == AcceptResult::Accepted || result == AcceptResult::QueueEmpty;
   if (!makes_progress && listener->source_)
@@ -124,8 +136,8 @@
   return result == AcceptResult::Accepted || result == AcceptResult::ConnectionLost;
 }
 
-// By accept(2), without descriptors the connection stays in the queue. Most other errors are those
-// of one connection, which has left the queue, and the call is to be repeated.
+// By accept(2), without descriptors or memory the connection stays in the queue. Most other errors
+// are those of one connection, which has left the queue, and the call is to be repeated.
 Listener::AcceptResult Listener::accept_one() {
   GError* raw = nullptr;
   SocketHandle socket(g_socket_accept(socket_.get(), nullptr, &raw));
@@ -138,9 +150,10 @@
   if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE)
     return AcceptResult::QueueEmpty;
   log({"accept_failed", {{"error", error->message}}});
-  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_TOO_MANY_OPEN_FILES) != FALSE)
-    return AcceptResult::NoDescriptors;
-  return AcceptResult::ConnectionLost;
+  const bool lacks_resources =
+      g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_TOO_MANY_OPEN_FILES) != FALSE ||
+      g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_NO_SPACE) != FALSE;  // memory
+  return lacks_resources ? AcceptResult::NoResources : AcceptResult::ConnectionLost;
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -4,6 +4,7 @@
 #include "handles.h"
 #include "timer.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -46,6 +47,10 @@
 
   [[nodiscard]] bool is_open() const { return socket_ != nullptr; }
 
+  /// The earliest time of `now()` at which the connection that is accepted now can have come: with
+  /// more in the queue than one turn accepts, earlier than the turn itself says.
+  [[nodiscard]] std::int64_t earliest_arrival() const;
+
 private:
   static gboolean on_ready(GSocket*, GIOCondition, gpointer self);
 
@@ -53,7 +58,7 @@
     Accepted,
     QueueEmpty,
     ConnectionLost,  ///< One ended in the queue; the next may be sound.
-    NoDescriptors,   ///< None can be taken now.
+    NoResources,     ///< None can be taken now, for lack of descriptors or memory.
   };
 
   AcceptResult accept_one();
@@ -71,6 +76,8 @@
   SourceHandle source_;
   Timer back_off_timer_;
   bool is_paused_ = false;  ///< By the owner.
+  /// What the last turn left in the queue came after this.
+  std::optional<std::int64_t> backlog_since_;
 };
 
 }  // namespace gorsebeam::net
--- a/src/net/loop_monitor.cpp
+++ b/src/net/loop_monitor.cpp
@@ -5,7 +5,9 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstddef>
 #include <string>
 
@@ -16,13 +18,14 @@
 constexpr std::size_t kWorkKinds = 3;
 
 // A wait that returns sooner found something ready.
-constexpr std::int64_t kMinWait = 1'000'000;
+constexpr std::int64_t kMinWait = kNanosPerMillisecond;
 
 struct LoopState {
-  std::int64_t turn_began_at = 0;  ///< 0: not observed.
-  std::int64_t wait_began_at = 0;
-  std::int64_t wait_due_at = 0;  ///< When the wait was to end at the latest.
+  bool is_observed = false;
+  std::int64_t turn_began_at = 0;
+  std::int64_t sockets_seen_at = 0;  ///< What was there by then has been found.
   std::int64_t earliest_arrival = 0;
+  std::uint64_t turn_number = 0;
   std::array<std::uint64_t, kWorkKinds> work{};
 };
 
@@ -32,7 +35,10 @@
   return std::to_string(state.work[static_cast<std::size_t>(work)]);
 }
 
-void log_long_turn(std::int64_t duration) {
+void end_turn(std::int64_t now) {
+  const std::int64_t duration = now - state.turn_began_at;
+  if (duration <= kLongTurn)
+    return;
   log({"loop_turn_long",
        {{"duration_ms", std::to_string(duration / kNanosPerMillisecond)},
         {"accepts", work_count(LoopWork::Accept)},
@@ -40,58 +46,61 @@
         {"timers", work_count(LoopWork::Timer)}}});
 }
 
-gboolean end_turn(GSource*, gint* timeout_ms) {
-  *timeout_ms = -1;
-  state.wait_began_at = now();
-  state.wait_due_at = next_timer_at();
-  const std::int64_t duration = state.wait_began_at - state.turn_began_at;
-  if (duration > kLongTurn)
-    log_long_turn(duration);
-  return FALSE;
-}
-
-std::int64_t earliest_arrival_of_turn(std::int64_t began_at) {
-  if (began_at - state.wait_began_at < kMinWait)
-    return state.turn_began_at;
-  const bool was_woken_in_time = began_at - kMaxTimerLateness < state.wait_due_at;
-  return was_woken_in_time ? began_at : state.wait_began_at;
+/// Records a wait that looked at the sockets. After one that ended late it is not known when it did
+/// so: the process may have stood still before or behind that look.
+void record_wait(std::int64_t began_at, std::int64_t ended_at, gint timeout_ms) {
+  const std::int64_t due_at = began_at + timeout_ms * kNanosPerMillisecond;
+  const bool is_late = ended_at - kMaxTimerLateness >= due_at;
+  const std::int64_t looked_at = is_late ? began_at : ended_at;
+  const bool found_at_once = ended_at - began_at < kMinWait;
+  state.earliest_arrival = found_at_once ? state.sockets_seen_at : looked_at;
+  state.sockets_seen_at = looked_at;
+  ++state.turn_number;
 }
 
-gboolean begin_turn(GSource*) {
-  const std::int64_t began_at = now();
-  state.earliest_arrival = earliest_arrival_of_turn(began_at);
-  state.turn_began_at = began_at;
+void begin_turn(std::int64_t now) {
+  state.turn_began_at = now;
   state.work = {};
-  return FALSE;
 }
 
-gboolean dispatch_nothing(GSource*, GSourceFunc, gpointer) {
-  return G_SOURCE_CONTINUE;
+gint wait_for_events(GPollFD* descriptors, guint count, gint timeout_ms) {
+  const bool is_bounded = timeout_ms >= 0 && timeout_ms < kMaxWaitMs;
+  const gint timeout = is_bounded ? timeout_ms : kMaxWaitMs;
+  const std::int64_t began_at = now();
+  end_turn(began_at);
+  const gint ready = g_poll(descriptors, count, timeout);
+  const int error = errno;
+  const std::int64_t ended_at = now();
+  // A wait that a signal ends has not looked at the sockets.
+  if (ready >= 0)
+    record_wait(began_at, ended_at, timeout);
+  begin_turn(ended_at);
+  errno = error;
+  return ready;
 }
 
-GSourceFuncs observer_functions = {end_turn, begin_turn, dispatch_nothing,
-                                   nullptr,  nullptr,    nullptr};
-
 }  // namespace
 
 void observe_loop() {
-  if (state.turn_began_at != 0)
+  if (state.is_observed)
     return;
-  state.turn_began_at = now();
+  state.is_observed = true;
+  begin_turn(now());
+  state.sockets_seen_at = state.turn_began_at;
   state.earliest_arrival = state.turn_began_at;
-  GSource* source = g_source_new(&observer_functions, sizeof(GSource));
-  // Before every other source, so that its functions run in each turn.
-  g_source_set_priority(source, G_PRIORITY_HIGH - 1);
-  g_source_attach(source, nullptr);
-  g_source_unref(source);  // the main context holds it
+  g_main_context_set_poll_func(nullptr, wait_for_events);
 }
 
 void count_loop_work(LoopWork work) {
   ++state.work[static_cast<std::size_t>(work)];
 }
 
+std::uint64_t turn_number() {
+  return state.turn_number;
+}
+
 std::int64_t earliest_arrival() {
-  return state.turn_began_at == 0 ? now() : state.earliest_arrival;
+  return state.is_observed ? state.earliest_arrival : now();
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/loop_monitor.h
+++ b/src/net/loop_monitor.h
@@ -17,18 +17,25 @@
 /// A turn that lasts longer, or a timer that fires later than this, is logged.
 constexpr std::int64_t kLongTurn = 100'000'000;
 
-/// Attaches the observer to the default main context, once for the process. The first call also
-/// begins the first turn.
+/// The longest wait for events: so long at most a pause within a wait may go unnoticed.
+constexpr int kMaxWaitMs = 100;
+
+/// Observes the default main context from now on, for as long as the process lives.
 void observe_loop();
 
 /// Counts one piece of work of the present turn.
 void count_loop_work(LoopWork work);
 
-/// The earliest time of `now()` at which bytes that are read in this turn can have arrived:
+/// Counts the turns whose wait looked at the sockets. What was not watched in the turn before may
+/// have been there to be read.
+[[nodiscard]] std::uint64_t turn_number();
+
+/// The earliest time of `now()` at which bytes that are read in this turn can have arrived, on a
+/// socket that was watched before:
 ///  - the beginning of the turn, if the loop waited for events and was woken in time;
-///  - the beginning of that wait, if it ended long after the first timer was due: the process did
-///    not run, and what woke it may have been there for as long;
-///  - the beginning of the turn before, if something was ready already when the wait began.
+///  - the beginning of that wait, if it ended long after it was due: the process did not run, and
+///    what woke it may have been there for as long;
+///  - the end of the wait before, if something was ready already when this one began.
 /// Without `observe_loop()` it is the present.
 [[nodiscard]] std::int64_t earliest_arrival();
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kMinReadSize = 4 * 1024;  // doubles while a message goes on
 constexpr std::size_t kMaxVectors = 16;
 constexpr int kMaxPendingReads = 64;
+constexpr int kMaxTransientErrors = 50;
+constexpr std::int64_t kTransientRest = 5'000'000;
 
 // The peer's end, also behind unread bytes. GLib has no name for POLLRDHUP and passes the bit on
 // to poll as it is.
@@ -30,7 +32,10 @@
 
 }  // namespace
 
-Stream::Stream(SocketHandle socket, Events& events) : events_(&events), socket_(std::move(socket)) {
+Stream::Stream(SocketHandle socket, Events& events)
+    : events_(&events), socket_(std::move(socket)), rest_timer_([this] {
+        end_rest();
+      }) {
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
@@ -52,7 +57,13 @@
 }
 
 std::shared_ptr<Stream> Stream::adopt(SocketHandle socket, Events& events) {
+  return adopt(std::move(socket), events, now());
+}
+
+std::shared_ptr<Stream> Stream::adopt(SocketHandle socket, Events& events, std::int64_t arrival) {
   std::shared_ptr<Stream> stream(new Stream(std::move(socket), events));
+  stream->ready_in_turn_ = turn_number();
+  stream->ready_since_ = arrival;
   stream->watch_readable();
   return stream;
 }
@@ -65,6 +76,7 @@
   readable_source_.reset();
   writable_source_.reset();
   peer_close_source_.reset();
+  rest_timer_.stop();
   if (socket_)
     g_socket_close(socket_.get(), nullptr);
   socket_.reset();
@@ -179,6 +191,26 @@
   events_->connected();
 }
 
+// GLib reports a lack of memory (ENOMEM) as one of space, and has no code for one of buffers
+// (ENOBUFS).
+bool Stream::rest_after_transient(const GError& error) {
+  const bool may_pass = error.domain == G_IO_ERROR &&
+                        (error.code == G_IO_ERROR_NO_SPACE || error.code == G_IO_ERROR_FAILED);
+  if (!may_pass || ++transient_errors_ > kMaxTransientErrors)
+    return false;
+  readable_source_.reset();
+  writable_source_.reset();
+  rest_timer_.after(kTransientRest);
+  return true;
+}
+
+void Stream::end_rest() {
+  ready_in_turn_ = turn_number();
+  watch_readable();
+  if (!all_written())
+    watch_writable();
+}
+
 void Stream::fail(const std::string& reason) {
   if (!socket_)
     return;
@@ -186,16 +218,31 @@
   events_->ended(reason);
 }
 
+// After a pause more may wait than one turn reads: what is there in the next turn again may have
+// come as early. Else each turn says it for itself.
+void Stream::record_ready() {
+  const std::uint64_t turn = turn_number();
+  const bool goes_on = turn <= ready_in_turn_ + 1;
+  const bool was_held_up = now() - ready_since_ > kMaxTimerLateness;
+  const std::int64_t arrival = net::earliest_arrival();
+  ready_since_ = goes_on && was_held_up ? std::min(arrival, ready_since_) : arrival;
+  ready_in_turn_ = turn;
+}
+
 void Stream::read_some() {
   count_loop_work(LoopWork::Read);
+  record_ready();
   char* space = input_.reserve_space(kMinReadSize);
   GError* raw = nullptr;
   const gssize size = g_socket_receive(socket_.get(), space, input_.free_space(), nullptr, &raw);
   const ErrorHandle error(raw);
   if (size < 0 && would_block(error))
     return;
+  if (size < 0 && rest_after_transient(*error))
+    return;
   if (size < 0)
     return fail(error->message);
+  transient_errors_ = 0;
   if (size == 0)
     return fail("closed by the peer");
   input_.append_written(static_cast<std::size_t>(size));
@@ -248,8 +295,11 @@
   const ErrorHandle error(raw);
   if (sent < 0 && would_block(error))
     return;
+  if (sent < 0 && rest_after_transient(*error))
+    return;
   if (sent < 0)
     return fail(error->message);
+  transient_errors_ = 0;
   written_ += static_cast<std::size_t>(sent);
   if (!all_written())
     return;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -4,8 +4,10 @@
 #include "address.h"
 #include "handles.h"
 #include "input_buffer.h"
+#include "timer.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -46,7 +48,10 @@
   /// the main loop, never from within this call.
   static std::shared_ptr<Stream> connect(const std::string& address, Events& events);
 
-  /// Takes over a connected socket.
+  /// Takes over a connected socket, whose first bytes came after `arrival` at the earliest.
+  static std::shared_ptr<Stream> adopt(SocketHandle socket, Events& events, std::int64_t arrival);
+
+  /// As above, with bytes that come from now on.
   static std::shared_ptr<Stream> adopt(SocketHandle socket, Events& events);
   ~Stream();
 
@@ -83,6 +88,9 @@
 
   [[nodiscard]] bool open() const { return socket_ != nullptr; }
 
+  /// The earliest time of `now()` at which what was read last can have arrived.
+  [[nodiscard]] std::int64_t input_arrival() const { return ready_since_; }
+
 private:
   Stream(SocketHandle socket, Events& events);
   static gboolean on_readable(GSocket*, GIOCondition, gpointer self);
@@ -99,6 +107,11 @@
   void write_some();
   void fail(const std::string& reason);
 
+  /// Whether a failed call may succeed soon. If so both directions rest for a moment; not for ever,
+  /// as an error without a name may also be the connection's end.
+  [[nodiscard]] bool rest_after_transient(const GError& error);
+  void end_rest();
+
   /// Copies all but the first `sent` bytes of `parts` to the output buffer.
   void buffer_unsent(const Parts& parts, std::size_t sent);
   void release_output();
@@ -111,6 +124,12 @@
   InputBuffer input_;
   std::string output_;
   std::size_t written_ = 0;  ///< Bytes of `output_` that the kernel has accepted.
+  void record_ready();
+
+  std::uint64_t ready_in_turn_ = 0;  ///< The last turn in which there was something to be read.
+  std::int64_t ready_since_ = 0;
+  Timer rest_timer_;
+  int transient_errors_ = 0;  ///< In a row.
   bool connecting_ = false;
   bool paused_ = false;
 };
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <exception>
-#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -125,11 +124,6 @@
   return (unix_time_offset() + g_get_monotonic_time()) * kMicrosecond;
 }
 
-std::int64_t next_timer_at() {
-  const auto& timers = queue().timers;
-  return timers.empty() ? std::numeric_limits<std::int64_t>::max() : timers.begin()->first.first;
-}
-
 Timer::Timer(std::function<void()> action) : action_(std::move(action)) {}
 
 void Timer::at(std::int64_t when) {
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -16,9 +16,6 @@
 /// A timer that is due for longer than this waits for one more turn of the loop.
 constexpr std::int64_t kMaxTimerLateness = 20'000'000;
 
-/// When the first timer is due; the highest value if none is set.
-[[nodiscard]] std::int64_t next_timer_at();
-
 /// All timers of the process are in one queue, and the main loop has one source for it: setting a
 /// timer does not wake the loop. Times are nanoseconds.
 ///
--- a/src/postgres/frontend.cpp
+++ b/src/postgres/frontend.cpp
@@ -4,7 +4,6 @@
 #include "statement.h"
 
 #include "frontend/session_hash.h"
-#include "net/loop_monitor.h"
 #include "wire/integers.h"
 
 #include <algorithm>
@@ -240,7 +239,7 @@
       return error;
     Request request = make_request(statement, settings);
     request.class_index = request_class->second;
-    request.deadline = net::earliest_arrival() + static_cast<Nanos>(*deadline_ms) * kMillisecond;
+    request.deadline = earliest_arrival() + static_cast<Nanos>(*deadline_ms) * kMillisecond;
     request.group = static_cast<GroupId>(*group);
     const auto decision = contracts_.admit(team_, net::now(), request);
     if (decision != proxy::ContractEnforcer::Decision::Admitted)
--- /dev/null
+++ b/tests/fault_soak/oracle.cpp
@@ -0,0 +1,182 @@
+#include "oracle.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fault_soak {
+
+void Oracle::report(const std::string& rule, const std::string& detail, Millis at) {
+  violations_.push_back({rule, detail, at});
+}
+
+void Oracle::gateway_started(int gateway, Millis at) {
+  Gateway& state = gateways_[gateway];
+  state = Gateway{};
+  state.started_at = at;
+}
+
+void Oracle::gateway_killed(int gateway) {
+  for (auto& [id, request] : requests_) {
+    if (request.gateway == gateway)
+      request.is_closed = true;
+  }
+}
+
+void Oracle::gateway_terminated(int gateway, Millis at) {
+  gateways_[gateway].terminated_at = at;
+}
+
+void Oracle::gateway_paused(int gateway, Millis at) {
+  gateways_[gateway].pauses.emplace_back(at, std::numeric_limits<Millis>::max());
+}
+
+void Oracle::gateway_resumed(int gateway, Millis at) {
+  auto& pauses = gateways_[gateway].pauses;
+  if (!pauses.empty())
+    pauses.back().second = at;
+}
+
+Millis Oracle::paused_between(const Gateway& gateway, Millis from, Millis to) const {
+  Millis total = 0;
+  for (const auto& [begin, end] : gateway.pauses)
+    total += std::max<Millis>(0, std::min(end, to) - std::max(begin, from));
+  return total;
+}
+
+void Oracle::endpoint_notified(int gateway, int endpoint, bool is_leaving, Millis at) {
+  auto& leaving_since = gateways_[gateway].leaving_since;
+  if (is_leaving)
+    leaving_since.emplace(endpoint, at);
+  else
+    leaving_since.erase(endpoint);
+}
+
+// A pause is no excuse: what was written to the gateway before it is known after it.
+void Oracle::check_endpoint(const Gateway& gateway, int gateway_index, int endpoint,
+                            const std::string& what, Millis at) {
+  const auto found = gateway.leaving_since.find(endpoint);
+  if (found == gateway.leaving_since.end())
+    return;
+  const Millis late = at - found->second;
+  if (late > kDrainGrace + kRecordSlack)
+    report("drain",
+           what + " by gateway " + std::to_string(gateway_index) + " at endpoint " +
+               std::to_string(endpoint) + ", " + std::to_string(late) + " ms after the notice",
+           at);
+}
+
+void Oracle::request_sent(int gateway, const std::string& id, ServiceClass service_class,
+                          Millis deadline, Millis at) {
+  Request& request = requests_[id];
+  request.gateway = gateway;
+  request.service_class = service_class;
+  request.sent_at = at;
+  request.deadline = deadline;
+}
+
+void Oracle::answer_received(const std::string& id, Millis at) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end())
+    return report("unknown", "an answer to no request", at);
+  Request& request = found->second;
+  request.is_closed = true;
+  if (++request.answers > 1)
+    report("answers", "request " + id + " was answered twice", at);
+  const Gateway& gateway = gateways_[request.gateway];
+  const Millis paused = paused_between(gateway, request.sent_at, at);
+  if (at > request.deadline + kAnswerSlack + kRecordSlack + paused)
+    report("lost",
+           "request " + id + " was answered " + std::to_string(at - request.deadline) +
+               " ms after its time",
+           at);
+}
+
+void Oracle::client_left(const std::string& id, Millis at) {
+  Request& request = requests_[id];
+  request.left_at = at;
+  request.is_closed = true;
+}
+
+bool Oracle::connection_ended(const std::string& id, Millis at) {
+  Request& request = requests_[id];
+  if (request.is_closed)
+    return false;
+  request.is_closed = true;
+  const Gateway& gateway = gateways_[request.gateway];
+  const bool is_past_termination =
+      gateway.terminated_at > 0 && request.sent_at > gateway.terminated_at + kTerminationGrace;
+  const Millis open_for = at - request.sent_at - paused_between(gateway, request.sent_at, at);
+  const bool has_crossed = open_for < kCrossingTime + kRecordSlack && request.last_attempt_at == 0;
+  if (!is_past_termination && !has_crossed)
+    report("lost",
+           "the connection ended under request " + id + " after " +
+               std::to_string(at - request.sent_at) + " ms",
+           at);
+  return has_crossed;
+}
+
+void Oracle::attempt_arrived(int endpoint, const std::string& id, Millis time_left, Millis at) {
+  ++attempt_count_;
+  const auto found = requests_.find(id);
+  if (found == requests_.end())
+    return report("unknown", "an attempt of no request: " + id, at);
+  Request& request = found->second;
+  const Gateway& gateway = gateways_[request.gateway];
+  check_endpoint(gateway, request.gateway, endpoint, "request " + id, at);
+  if (!request.in_flight.empty())
+    report("duplicate", "two attempts of request " + id + " are in flight", at);
+  check_repeat(request, id, at);
+  if (request.left_at > 0 && at > request.left_at + kDisconnectGrace + kRecordSlack)
+    report("lost",
+           "an attempt of request " + id + ", " + std::to_string(at - request.left_at) +
+               " ms after its client left",
+           at);
+  if (time_left > request.deadline - at + kDeadlineSlack + kRecordSlack)
+    report("deadline",
+           "request " + id + " was forwarded with " + std::to_string(time_left) + " ms of " +
+               std::to_string(request.deadline - at),
+           at);
+  request.in_flight.insert(endpoint);
+  request.last_attempt_at = at;
+}
+
+void Oracle::check_repeat(const Request& request, const std::string& id, Millis at) {
+  if (request.may_have_run_since == 0 || request.service_class == ServiceClass::Idempotent)
+    return;
+  if (request.service_class == ServiceClass::SingleShot)
+    return report("duplicate", "single-shot request " + id + " was repeated", at);
+  if (at - request.may_have_run_since > deduplication_window_ + kDeadlineSlack + kRecordSlack)
+    report("duplicate", "keyed request " + id + " was repeated after its window", at);
+}
+
+void Oracle::attempt_ended(int endpoint, const std::string& id, Effect effect) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end())
+    return;
+  Request& request = found->second;
+  request.in_flight.erase(endpoint);
+  if (effect == Effect::MayHaveRun && request.may_have_run_since == 0)
+    request.may_have_run_since = request.last_attempt_at;
+}
+
+void Oracle::health_check_arrived(int gateway, int endpoint, Millis at) {
+  check_endpoint(gateways_[gateway], gateway, endpoint, "a health check", at);
+}
+
+void Oracle::check_overdue(Millis at) {
+  for (auto& [id, request] : requests_) {
+    if (request.is_closed)
+      continue;
+    const Gateway& gateway = gateways_[request.gateway];
+    const Millis paused = paused_between(gateway, request.sent_at, at);
+    if (at < request.deadline + kAnswerSlack + kRecordSlack + paused)
+      continue;
+    request.is_closed = true;
+    const bool is_owed =
+        gateway.terminated_at == 0 || request.sent_at <= gateway.terminated_at + kTerminationGrace;
+    if (is_owed)
+      report("lost", "request " + id + " has no answer", at);
+  }
+}
+
+}  // namespace fault_soak
