--- a/src/net/loop_monitor.cpp
+++ b/src/net/loop_monitor.cpp
@@ -17,8 +17,9 @@
 constexpr std::int64_t kNanosPerMillisecond = 1'000'000;
 constexpr std::size_t kWorkKinds = 3;
 
-// A wait that returns sooner found something ready.
-constexpr std::int64_t kMinWait = kNanosPerMillisecond;
+// A wait that returns sooner may have found something ready at once: on a busy machine the call
+// itself takes some milliseconds.
+constexpr std::int64_t kMinWait = 10 * kNanosPerMillisecond;
 
 struct LoopState {
   bool is_observed = false;
