Never wait for the log's reader, and split the endpoint directory from the broker

A full pipe on standard error blocked the one thread: the same class as a long turn of the loop. A line that would have to wait is counted as suppressed. The test fills a one-page pipe that nobody reads; it fails without the check.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -13,6 +13,9 @@
 #include <optional>
 #include <utility>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace gorsebeam::net {
 namespace {
 
@@ -48,6 +51,13 @@
   return buffer.GetString();
 }
 
+// Standard error may be a pipe whose reader has stopped. A line is written only if it cannot block,
+// as a full pipe would hold up the whole process: a pipe that is writable takes a line at once.
+bool is_log_writable() {
+  pollfd descriptor{STDERR_FILENO, POLLOUT, 0};
+  return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
+
 /// Lines of one event name within the present second.
 struct RecentLines {
   gint64 since = 0;  ///< Monotonic time in microseconds at which the second began.
@@ -66,7 +76,7 @@
     recent.written = 0;
   }
   ++recent.written;
-  if (recent.written > kMaxLinesPerSecond) {
+  if (recent.written > kMaxLinesPerSecond || !is_log_writable()) {
     ++recent.suppressed;
     return std::nullopt;
   }
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -10,7 +10,8 @@
 /// Applies to every line from now on.
 void set_log_format(LogFormat wanted);
 
-/// Lines of one event name that are written within a second; more are counted and left out.
+/// Lines of one event name that are written within a second; more are counted and left out, and so
+/// are those that would have to wait for the reader of standard error.
 constexpr int kMaxLinesPerSecond = 5;
 
 /// Text: "gorsebeam: EVENT name=value". JSON: an object with "time" (Unix ms), "event" and the
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -13,8 +13,6 @@
 namespace gorsebeam::proxy {
 namespace {
 
-constexpr EndpointId kReservedEndpointId = 0xffffffff;
-constexpr std::size_t kIdDigits = 8;
 constexpr Nanos kNanosPerMillisecond = 1'000'000;
 
 // How old an unread response may be when something is decided: what a response tells counts as
@@ -25,27 +23,6 @@
 // drain, and long enough for a call on the source to cost little beside the requests.
 constexpr Nanos kMaxListDelay = 20 * kNanosPerMillisecond;
 
-/// FNV-1a, 32 bits.
-std::uint32_t hash_of(const std::string& text) {
-  constexpr std::uint32_t kOffsetBasis = 2166136261;
-  constexpr std::uint32_t kPrime = 16777619;
-  std::uint32_t hash = kOffsetBasis;
-  for (const char c : text)
-    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
-  return hash;
-}
-
-/// All gateways must order endpoints alike, so an id follows from the name: a name that ends in
-/// eight hex digits, as discovery's names do, has that number, and any other name its hash.
-EndpointId preferred_endpoint_id(const std::string& name) {
-  if (name.size() <= kIdDigits)
-    return hash_of(name);
-  const std::string suffix = name.substr(name.size() - kIdDigits);
-  if (suffix.find_first_not_of("0123456789abcdef") != std::string::npos)
-    return hash_of(name);
-  return static_cast<EndpointId>(std::stoul(suffix, nullptr, 16));
-}
-
 void log_failed_attempt(const AttemptResult& result) {
   net::log({"attempt_failed",
             {{"request", result.request_id},
@@ -228,35 +205,18 @@
   dispatch_events();
 }
 
-EndpointId RequestBroker::assign_endpoint_id(const std::string& name) {
-  const auto known = endpoint_ids_.find(name);
-  if (known != endpoint_ids_.end())
-    return known->second;
-  EndpointId id = preferred_endpoint_id(name);
-  while (id == kReservedEndpointId || endpoint_names_.count(id) > 0)
-    ++id;
-  endpoint_ids_[name] = id;
-  endpoint_names_[id] = name;
-  return id;
-}
-
 void RequestBroker::remove_endpoint(EndpointId endpoint) {
   upstream_->remove_endpoint(endpoint);
   guard_.record_unlisted(endpoint);
-  const auto name = endpoint_names_.find(endpoint);
-  endpoint_ids_.erase(name->second);
-  endpoint_names_.erase(name);
+  directory_.forget(endpoint);
 }
 
 void RequestBroker::remove_unlisted(const std::vector<ListedEndpoint>& endpoints) {
   std::set<std::string> listed_names;
   for (const ListedEndpoint& listed : endpoints)
     listed_names.insert(listed.name);
-  for (auto next = endpoint_names_.begin(); next != endpoint_names_.end();) {
-    const auto known = next++;  // remove_endpoint invalidates only the iterator to its own entry
-    if (listed_names.count(known->second) == 0)
-      remove_endpoint(known->first);
-  }
+  for (const EndpointId endpoint : directory_.all_but(listed_names))
+    remove_endpoint(endpoint);
 }
 
 void RequestBroker::update_endpoints(EndpointList::Kind kind,
@@ -271,7 +231,7 @@
   event.kind = kind;
   for (const ListedEndpoint& listed : endpoints) {
     Endpoint endpoint = listed.endpoint;
-    endpoint.id = assign_endpoint_id(listed.name);
+    endpoint.id = directory_.assign_id(listed.name);
     guard_.record_listed(endpoint.id, endpoint.group, endpoint.status);
     if (endpoint.status != EndpointStatus::Removed)
       upstream_->add_endpoint(endpoint.id, listed.address);
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -5,6 +5,7 @@
 /// be called when.
 #pragma once
 
+#include "endpoint_directory.h"
 #include "interfaces.h"
 #include "invariant_guard.h"
 #include "net/timer.h"
@@ -162,7 +163,6 @@
   /// Completes the request if it is open and returns its call; null if it is not open.
   ClientCall* complete_if_open(const std::string& request_id);
 
-  EndpointId assign_endpoint_id(const std::string& name);
   void remove_endpoint(EndpointId endpoint);
   void remove_unlisted(const std::vector<ListedEndpoint>& endpoints);
 
@@ -182,8 +182,7 @@
   int open_batches_ = 0;
   PendingRequests pending_requests_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::map<std::string, EndpointId> endpoint_ids_;
-  std::map<EndpointId, std::string> endpoint_names_;
+  EndpointDirectory directory_;
   std::map<EndpointId, Nanos> health_checks_;  // when each that is in flight was started
   AttemptId next_attempt_ = kNoAttempt + 1;
   std::size_t open_requests_ = 0;
--- a/tests/integration/gateway_process.cpp
+++ b/tests/integration/gateway_process.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <exception>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <glib-unix.h>
@@ -108,6 +109,11 @@
   return exit_status(wait_status_);
 }
 
+void GatewayProcess::shrink_log_pipe() const {
+  constexpr int kPage = 4096;
+  require(fcntl(log_descriptor_, F_SETPIPE_SZ, kPage) == kPage, "the log's pipe cannot be shrunk");
+}
+
 void GatewayProcess::read_log() {
   std::array<char, 4096> buffer{};
   ssize_t length = ::read(log_descriptor_, buffer.data(), buffer.size());
--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -36,6 +36,9 @@
   /// Waits for the program to exit; -1 if a signal ended it.
   int await_exit_code();
 
+  /// Has the program's log hold one page, and not the pipe's usual size.
+  void shrink_log_pipe() const;
+
   /// Reads what the program has logged so far into `log`.
   void read_log();
   bool has_logged(const std::string& text, std::size_t from = 0);
--- a/tests/integration/held_up_loop_test.cpp
+++ b/tests/integration/held_up_loop_test.cpp
@@ -297,6 +297,24 @@
   warm.harness.expect_invariants_and_running();
 }
 
+// The log's pipe is full, as nobody reads it; the gateway serves on.
+TEST_P(HeldUpLoop, LogThatNobodyReadsHoldsNothingUp) {
+  constexpr int kFailures = 40;             // each logs a line of about 190 bytes
+  constexpr int kReadsBetweenFailures = 9;  // so that no endpoint is ejected for its errors
+  constexpr milliseconds kInterval{200};    // the log takes five lines of an event in a second
+  WarmGateway warm(protocol(), 3, 24);
+  warm.harness.gateway.read_log();
+  warm.harness.gateway.shrink_log_pipe();
+  for (int i = 0; i < kFailures; ++i) {
+    expect_reads_served(*warm.client, "between" + std::to_string(i) + "-", kReadsBetweenFailures);
+    warm.harness.script = {ScriptedResponse::Fail};
+    const std::string id = "failing" + std::to_string(i) + "-" + std::string(100, 'x');
+    ASSERT_EQ(warm.client->send_and_await(read_request(id)), ClientResult::Served);
+    run_main_loop_for(kInterval);
+  }
+  warm.harness.expect_invariants_and_running();
+}
+
 INSTANTIATE_TEST_SUITE_P(, HeldUpLoop, both_protocols(), protocol_name);
 
 }  // namespace
