Follow the linter in the incident's tests and tools

Member names of fixtures, static functions, names of interposed calls, main without exceptions; one constant that nothing used goes.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -15,7 +15,6 @@
 constexpr Nanos kSecond = 1'000'000'000;
 constexpr Nanos kMaxMessageDelay = 5 * kSecond / 2;  // an error or a close is due 3 s after connect
 constexpr Nanos kMaxAnswerDelay = 5 * kSecond;       // longer than any deadline
-constexpr Nanos kMinPause = kSecond / 50;            // of the loop
 constexpr std::size_t kMaxMessagesPerTurn = 16;      // of one connection in a turn of the loop
 constexpr std::size_t kMessageSlack = 1024;
 
--- a/tests/fault_soak/gateway_under_test.cpp
+++ b/tests/fault_soak/gateway_under_test.cpp
@@ -221,8 +221,8 @@
     kill(pid_, number);
 }
 
-gboolean GatewayProcess::on_log(gint, GIOCondition condition, gpointer data) {
-  auto* self = static_cast<GatewayProcess*>(data);
+gboolean GatewayProcess::on_log(gint, GIOCondition condition, gpointer self_pointer) {
+  auto* self = static_cast<GatewayProcess*>(self_pointer);
   self->read_log();
   if ((condition & G_IO_IN) != 0)
     return G_SOURCE_CONTINUE;
--- a/tests/fault_soak/gateway_under_test.h
+++ b/tests/fault_soak/gateway_under_test.h
@@ -105,7 +105,7 @@
   [[nodiscard]] const std::string& log() const { return log_; }
 
 private:
-  static gboolean on_log(gint descriptor, GIOCondition, gpointer self);
+  static gboolean on_log(gint descriptor, GIOCondition condition, gpointer self_pointer);
   void read_log();
 
   const ProcessSettings settings_;
--- a/tests/fault_soak/main.cpp
+++ b/tests/fault_soak/main.cpp
@@ -6,7 +6,7 @@
 #include "world.h"
 
 #include <cstdio>
-#include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -75,16 +75,7 @@
     faults << line << '\n';
 }
 
-}  // namespace
-
-int main(int argument_count, char** argument_values) {
-  const std::vector<std::string> arguments(argument_values, argument_values + argument_count);
-  if (arguments.size() < 2) {
-    std::fprintf(stderr, "usage: fault_soak PROGRAM [--shim FILE] [--seeds FIRST COUNT] "
-                         "[--gateways N] [--seconds N] [--logs DIR]\n");
-    return 2;
-  }
-  Options options = parse(arguments);
+int play_all(Options options) {
   int broken = 0;
   int void_runs = 0;
   for (int i = 0; i < options.seeds; ++i) {
@@ -103,3 +94,18 @@
   std::printf("%d seeds, %d broken, %d void\n", options.seeds, broken, void_runs);
   return broken > 0 || void_runs == options.seeds ? 1 : 0;
 }
+
+}  // namespace
+
+int main(int argument_count, char** argument_values) {
+  try {
+    const std::vector<std::string> arguments(argument_values, argument_values + argument_count);
+    return play_all(parse(arguments));
+  } catch (const std::exception& error) {
+    std::fprintf(stderr,
+                 "fault_soak: %s\nusage: fault_soak PROGRAM [--shim FILE] [--seeds FIRST COUNT] "
+                 "[--gateways N] [--seconds N] [--logs DIR]\n",
+                 error.what());
+    return 2;
+  }
+}
--- a/tests/fault_soak/oracle.cpp
+++ b/tests/fault_soak/oracle.cpp
@@ -36,7 +36,7 @@
     pauses.back().second = at;
 }
 
-Millis Oracle::paused_between(const Gateway& gateway, Millis from, Millis to) const {
+Millis Oracle::paused_between(const Gateway& gateway, Millis from, Millis to) {
   Millis total = 0;
   for (const auto& [begin, end] : gateway.pauses)
     total += std::max<Millis>(0, std::min(end, to) - std::max(begin, from));
--- a/tests/fault_soak/oracle.h
+++ b/tests/fault_soak/oracle.h
@@ -99,7 +99,7 @@
   void check_endpoint(const Gateway& gateway, int gateway_index, int endpoint,
                       const std::string& what, Millis at);
   void check_repeat(const Request& request, const std::string& id, Millis at);
-  [[nodiscard]] Millis paused_between(const Gateway& gateway, Millis from, Millis to) const;
+  [[nodiscard]] static Millis paused_between(const Gateway& gateway, Millis from, Millis to);
 
   const Millis deduplication_window_;
   std::map<int, Gateway> gateways_;
--- a/tests/fault_soak/world.h
+++ b/tests/fault_soak/world.h
@@ -91,7 +91,7 @@
   /// Has attempts whose connection is closed by now end before another one counts.
   void settle_attempts(const std::string& request_id);
   void finish();
-  void run_loop_until(const std::function<bool()>& condition);
+  static void run_loop_until(const std::function<bool()>& condition);
 
   const SoakSettings settings_;
   std::mt19937_64 random_;
--- a/tests/frontend_accept_test.cpp
+++ b/tests/frontend_accept_test.cpp
@@ -22,6 +22,7 @@
 }  // namespace
 
 // Counts the calls that GLib makes, for a socket's condition as for the main loop.
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 extern "C" int poll(pollfd* descriptors, nfds_t count, int timeout_ms) {
   ++poll_calls;
   const timespec timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1'000'000L};
@@ -75,7 +76,8 @@
 
 class FullFrontend : public testing::Test {
 protected:
-  FullFrontend() : broker(make_settings(), 1), frontend(broker, make_limits(), make_connection) {}
+  FullFrontend()
+      : broker_(make_settings(), 1), frontend_(broker_, make_limits(), make_connection) {}
 
   static Settings make_settings() {
     Settings settings;
@@ -102,7 +104,7 @@
   void connect_clients(std::size_t count) {
     const std::size_t expected = accepted + count;
     for (std::size_t i = 0; i < count; ++i)
-      clients.push_back(std::make_unique<Client>(frontend.address()));
+      clients_.push_back(std::make_unique<Client>(frontend_.address()));
     while (accepted < expected)
       g_main_context_iteration(nullptr, TRUE);
   }
@@ -119,16 +121,16 @@
 
   static inline std::size_t accepted = 0;
 
-  proxy::RequestBroker broker;
-  frontend::Frontend frontend;
-  std::vector<std::unique_ptr<Client>> clients;
+  proxy::RequestBroker broker_;
+  frontend::Frontend frontend_;
+  std::vector<std::unique_ptr<Client>> clients_;
 };
 
 // Each accept replaces a connection at rest, and asks the kernel about that one. It asked about all
 // of them once: with the descriptors full of resting clients the loop stood still for over a
 // second.
 TEST_F(FullFrontend, AsksTheKernelAboutOneRestingConnectionAtAnAccept) {
-  ASSERT_FALSE(frontend.listen("127.0.0.1:0"));
+  ASSERT_FALSE(frontend_.listen("127.0.0.1:0"));
   connect_clients(kPlaces);
   run_loop_for(100 * kMillisecond);  // a connection is replaced only after 50 ms at rest
   const int calls_before = poll_calls;
--- a/tests/invariant_guard_test.cpp
+++ b/tests/invariant_guard_test.cpp
@@ -14,7 +14,11 @@
 constexpr EndpointId kEndpoint = 7;
 constexpr GroupId kGroup = 3;
 
-enum ClassIndex : std::size_t { kIdempotent, kKeyedInCell, kKeyedEverywhere, kSingleShot };
+// Classes, by their index in the settings.
+constexpr std::size_t kIdempotent = 0;
+constexpr std::size_t kKeyedInCell = 1;
+constexpr std::size_t kKeyedEverywhere = 2;
+constexpr std::size_t kSingleShot = 3;
 
 RequestClass make_class(Idempotency idempotency, DeduplicationScope scope) {
   RequestClass made;
@@ -36,7 +40,7 @@
 
 class InvariantGuardTest : public testing::Test {
 protected:
-  InvariantGuardTest() { guard.record_listed(kEndpoint, kGroup, EndpointStatus::Up); }
+  InvariantGuardTest() { guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Up); }
 
   static RequestHistory open_request(std::size_t class_index) {
     RequestHistory request;
@@ -53,84 +57,84 @@
     return request;
   }
 
-  Settings settings = make_settings();
-  InvariantGuard guard{settings};
+  Settings settings_ = make_settings();
+  InvariantGuard guard_{settings_};
 };
 
 TEST_F(InvariantGuardTest, AllowsFirstAttemptAtListedEndpoint) {
-  EXPECT_EQ(guard.check_attempt(open_request(kSingleShot), kEndpoint, 0), std::nullopt);
+  EXPECT_EQ(guard_.check_attempt(open_request(kSingleShot), kEndpoint, 0), std::nullopt);
 }
 
 TEST_F(InvariantGuardTest, DeniesEndpointThatDrainsOrIsNotListed) {
-  guard.record_listed(kEndpoint, kGroup, EndpointStatus::Draining);
-  EXPECT_EQ(guard.check_endpoint(kEndpoint), Violation::EndpointLeaving);
-  EXPECT_EQ(guard.check_attempt(open_request(kIdempotent), kEndpoint, 0),
+  guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Draining);
+  EXPECT_EQ(guard_.check_endpoint(kEndpoint), Violation::EndpointLeaving);
+  EXPECT_EQ(guard_.check_attempt(open_request(kIdempotent), kEndpoint, 0),
             Violation::EndpointLeaving);
-  guard.record_unlisted(kEndpoint);
-  EXPECT_EQ(guard.check_endpoint(kEndpoint), Violation::EndpointUnknown);
-  guard.record_listed(kEndpoint, kGroup, EndpointStatus::Up);
-  EXPECT_EQ(guard.check_endpoint(kEndpoint), std::nullopt) << "listed as up again";
+  guard_.record_unlisted(kEndpoint);
+  EXPECT_EQ(guard_.check_endpoint(kEndpoint), Violation::EndpointUnknown);
+  guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Up);
+  EXPECT_EQ(guard_.check_endpoint(kEndpoint), std::nullopt) << "listed as up again";
 }
 
 TEST_F(InvariantGuardTest, DeniesEndpointOfAnotherGroup) {
-  guard.record_listed(kEndpoint, kGroup + 1, EndpointStatus::Up);
-  EXPECT_EQ(guard.check_attempt(open_request(kIdempotent), kEndpoint, 0),
+  guard_.record_listed(kEndpoint, kGroup + 1, EndpointStatus::Up);
+  EXPECT_EQ(guard_.check_attempt(open_request(kIdempotent), kEndpoint, 0),
             Violation::EndpointUnknown);
 }
 
 TEST_F(InvariantGuardTest, RemovalBindsOnlyAfterADrainWhereOnlyDrainingIsBinding) {
-  settings.only_draining_is_binding = true;
-  guard.record_listed(kEndpoint, kGroup, EndpointStatus::Removed);
-  EXPECT_EQ(guard.check_endpoint(kEndpoint), std::nullopt);
-  guard.record_listed(kEndpoint, kGroup, EndpointStatus::Draining);
-  guard.record_listed(kEndpoint, kGroup, EndpointStatus::Removed);
-  EXPECT_EQ(guard.check_endpoint(kEndpoint), Violation::EndpointLeaving);
+  settings_.only_draining_is_binding = true;
+  guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Removed);
+  EXPECT_EQ(guard_.check_endpoint(kEndpoint), std::nullopt);
+  guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Draining);
+  guard_.record_listed(kEndpoint, kGroup, EndpointStatus::Removed);
+  EXPECT_EQ(guard_.check_endpoint(kEndpoint), Violation::EndpointLeaving);
 }
 
 TEST_F(InvariantGuardTest, DeniesAttemptBesideAnotherUnlessHedgingIsAllowed) {
   RequestHistory request = open_request(kIdempotent);
   request.written_attempts = 1;
   request.in_flight = 1;
-  EXPECT_EQ(guard.check_attempt(request, kEndpoint, 0), Violation::SecondInFlight);
-  settings.hedging_allowed = true;
-  EXPECT_EQ(guard.check_attempt(request, kEndpoint, 0), std::nullopt);
+  EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 0), Violation::SecondInFlight);
+  settings_.hedging_allowed = true;
+  EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 0), std::nullopt);
 }
 
 TEST_F(InvariantGuardTest, DeniesAttemptsOfEndedRequestsAndBeyondTheLimit) {
   RequestHistory request = open_request(kIdempotent);
   request.written_attempts = 3;
-  EXPECT_EQ(guard.check_attempt(request, kEndpoint, 0), Violation::AttemptsExceeded);
+  EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 0), Violation::AttemptsExceeded);
   request.is_open = false;
-  EXPECT_EQ(guard.check_attempt(request, kEndpoint, 0), Violation::AttemptAfterEnd);
+  EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 0), Violation::AttemptAfterEnd);
 }
 
 TEST_F(InvariantGuardTest, RepeatsOnlyAsTheClassAllows) {
-  EXPECT_EQ(guard.check_attempt(request_that_may_have_run(kIdempotent), kEndpoint, 9 * kSecond),
+  EXPECT_EQ(guard_.check_attempt(request_that_may_have_run(kIdempotent), kEndpoint, 9 * kSecond),
             std::nullopt);
-  EXPECT_EQ(guard.check_attempt(request_that_may_have_run(kSingleShot), kEndpoint, 1),
+  EXPECT_EQ(guard_.check_attempt(request_that_may_have_run(kSingleShot), kEndpoint, 1),
             Violation::RepeatNotAllowed);
   for (const std::size_t keyed : {kKeyedInCell, kKeyedEverywhere}) {
     const RequestHistory request = request_that_may_have_run(keyed);
-    EXPECT_EQ(guard.check_attempt(request, kEndpoint, 2 * kSecond - 1), std::nullopt);
-    EXPECT_EQ(guard.check_attempt(request, kEndpoint, 2 * kSecond), Violation::RepeatNotAllowed);
+    EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 2 * kSecond - 1), std::nullopt);
+    EXPECT_EQ(guard_.check_attempt(request, kEndpoint, 2 * kSecond), Violation::RepeatNotAllowed);
   }
 }
 
 TEST_F(InvariantGuardTest, RejectsOnlyWhatIsSafeToSendAgain) {
-  EXPECT_EQ(guard.check_rejection(open_request(kSingleShot)), std::nullopt);
-  EXPECT_EQ(guard.check_rejection(request_that_may_have_run(kIdempotent)), std::nullopt);
-  EXPECT_EQ(guard.check_rejection(request_that_may_have_run(kKeyedEverywhere)), std::nullopt);
-  EXPECT_EQ(guard.check_rejection(request_that_may_have_run(kKeyedInCell)),
+  EXPECT_EQ(guard_.check_rejection(open_request(kSingleShot)), std::nullopt);
+  EXPECT_EQ(guard_.check_rejection(request_that_may_have_run(kIdempotent)), std::nullopt);
+  EXPECT_EQ(guard_.check_rejection(request_that_may_have_run(kKeyedEverywhere)), std::nullopt);
+  EXPECT_EQ(guard_.check_rejection(request_that_may_have_run(kKeyedInCell)),
             Violation::RejectionNotTrue);
-  EXPECT_EQ(guard.check_rejection(request_that_may_have_run(kSingleShot)),
+  EXPECT_EQ(guard_.check_rejection(request_that_may_have_run(kSingleShot)),
             Violation::RejectionNotTrue);
 }
 
 TEST_F(InvariantGuardTest, CountsEachKindOfViolation) {
-  guard.count(Violation::ClosedUnanswered);
-  guard.count(Violation::ClosedUnanswered);
-  EXPECT_EQ(guard.count_of(Violation::ClosedUnanswered), 2U);
-  EXPECT_EQ(guard.count_of(Violation::EndpointLeaving), 0U);
+  guard_.count(Violation::ClosedUnanswered);
+  guard_.count(Violation::ClosedUnanswered);
+  EXPECT_EQ(guard_.count_of(Violation::ClosedUnanswered), 2U);
+  EXPECT_EQ(guard_.count_of(Violation::EndpointLeaving), 0U);
 }
 
 }  // namespace
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -23,6 +23,7 @@
 }  // namespace
 
 // GLib accepts by this call.
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 extern "C" int accept(int descriptor, sockaddr* address, socklen_t* length) {
   ++accept_calls;
   const int error = next_errors.empty() ? 0 : next_errors.front();
@@ -57,33 +58,33 @@
 class ListenerTest : public testing::Test {
 protected:
   ListenerTest()
-      : listener([this](SocketHandle socket) {
-          accepted.push_back(std::move(socket));
+      : listener_([this](SocketHandle socket) {
+          accepted_.push_back(std::move(socket));
         }) {
     next_errors.clear();
-    EXPECT_FALSE(listener.listen("127.0.0.1:0"));
+    EXPECT_FALSE(listener_.listen("127.0.0.1:0"));
   }
 
   ~ListenerTest() override { next_errors.clear(); }
 
-  /// Connects `count` clients while the listener is paused, so that all of them are queued.
+  /// Connects `count` clients_ while the listener_ is paused, so that all of them are queued.
   void queue_clients(std::size_t count) {
-    listener.pause();
+    listener_.pause();
     for (std::size_t i = 0; i < count; ++i)
-      clients.push_back(std::make_unique<Client>(listener.address()));
-    for (const auto& client : clients)
+      clients_.push_back(std::make_unique<Client>(listener_.address()));
+    for (const auto& client : clients_)
       while (!client->is_connected)
         g_main_context_iteration(nullptr, TRUE);
   }
 
   void await_accepted(std::size_t count) {
-    while (accepted.size() < count)
+    while (accepted_.size() < count)
       g_main_context_iteration(nullptr, TRUE);
   }
 
-  Listener listener;
-  std::vector<SocketHandle> accepted;
-  std::vector<std::unique_ptr<Client>> clients;
+  Listener listener_;
+  std::vector<SocketHandle> accepted_;
+  std::vector<std::unique_ptr<Client>> clients_;
 };
 
 // The socket stays readable, so that a loop that watched it would turn without end.
@@ -97,7 +98,7 @@
     next_errors.clear();
   });
   shortage_end.after(kShortage);
-  listener.resume();
+  listener_.resume();
   while (!next_errors.empty())
     g_main_context_iteration(nullptr, TRUE);
   EXPECT_LE(accept_calls, kMaxCalls);
@@ -107,7 +108,7 @@
 TEST_F(ListenerTest, AcceptsTheNextConnectionAfterOneThatWasLost) {
   queue_clients(4);
   next_errors = {ECONNABORTED, EPROTO, 0, ENETUNREACH, 0};
-  listener.resume();
+  listener_.resume();
   await_accepted(4);
 }
 
@@ -115,19 +116,19 @@
 TEST_F(ListenerTest, ClosesOnlyOnceTheQueueIsEmpty) {
   queue_clients(4);
   next_errors = {ECONNABORTED, 0, ECONNABORTED};
-  EXPECT_TRUE(listener.drain_and_close());
-  EXPECT_EQ(accepted.size(), 4U);
-  EXPECT_FALSE(listener.is_open());
+  EXPECT_TRUE(listener_.drain_and_close());
+  EXPECT_EQ(accepted_.size(), 4U);
+  EXPECT_FALSE(listener_.is_open());
 }
 
 TEST_F(ListenerTest, StaysOpenWhileQueuedConnectionsCannotBeAccepted) {
   queue_clients(3);
   next_errors = {0, EMFILE};
-  EXPECT_FALSE(listener.drain_and_close());
-  EXPECT_TRUE(listener.is_open());
-  EXPECT_EQ(accepted.size(), 1U);
-  EXPECT_TRUE(listener.drain_and_close());
-  EXPECT_EQ(accepted.size(), 3U);
+  EXPECT_FALSE(listener_.drain_and_close());
+  EXPECT_TRUE(listener_.is_open());
+  EXPECT_EQ(accepted_.size(), 1U);
+  EXPECT_TRUE(listener_.drain_and_close());
+  EXPECT_EQ(accepted_.size(), 3U);
 }
 
 }  // namespace
--- a/tests/shim/fault_shim.cpp
+++ b/tests/shim/fault_shim.cpp
@@ -64,6 +64,7 @@
 
 extern "C" {
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 int accept(int descriptor, sockaddr* address, socklen_t* length) {
   static auto* const kNext = next_symbol<int(int, sockaddr*, socklen_t*)>("accept");
   if (fails(20, {EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM}))
@@ -72,6 +73,7 @@
   return accepted;
 }
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 int connect(int descriptor, const sockaddr* address, socklen_t length) {
   static auto* const kNext = next_symbol<int(int, const sockaddr*, socklen_t)>("connect");
   if (is_socket_of_ip(descriptor) &&
@@ -80,6 +82,7 @@
   return kNext(descriptor, address, length);
 }
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 int poll(pollfd* descriptors, nfds_t count, int timeout_ms) {
   static auto* const kNext = next_symbol<int(pollfd*, nfds_t, int)>("poll");
   if (fails(20, {EINTR}))
@@ -87,6 +90,7 @@
   return kNext(descriptors, count, timeout_ms);
 }
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 ssize_t recv(int descriptor, void* buffer, size_t size, int flags) {
   static auto* const kNext = next_symbol<ssize_t(int, void*, size_t, int)>("recv");
   if (fails(30, {EINTR, ENOMEM}))
@@ -94,6 +98,7 @@
   return kNext(descriptor, buffer, shortened(size), flags);
 }
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 ssize_t send(int descriptor, const void* buffer, size_t size, int flags) {
   static auto* const kNext = next_symbol<ssize_t(int, const void*, size_t, int)>("send");
   if (fails(30, {EINTR, EAGAIN, ENOBUFS, ENOMEM}))
@@ -101,6 +106,7 @@
   return kNext(descriptor, buffer, shortened(size), flags);
 }
 
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name): libc reserves its names
 ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
   static auto* const kNext = next_symbol<ssize_t(int, const msghdr*, int)>("sendmsg");
   if (fails(30, {EINTR, EAGAIN}))
