Let an interrupted look at the log's pipe cost no line

The fault soak with the shim stood still: EINTR in the look at the pipe dropped the line that says where a process listens.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -52,10 +52,11 @@
 }
 
 // Standard error may be a pipe whose reader has stopped. A line is written only if it cannot block,
-// as a full pipe would hold up the whole process: a pipe that is writable takes a line at once.
+// as a full pipe would hold up the whole process: a pipe that is writable takes a line at once. A
+// call that is interrupted says nothing, and costs no line.
 bool is_log_writable() {
   pollfd descriptor{STDERR_FILENO, POLLOUT, 0};
-  return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+  return poll(&descriptor, 1, 0) != 0;
 }
 
 /// Lines of one event name within the present second.
