Let the guard itself see an attempt of a request that has ended

The broker returned before the guard was asked, so that attempt_after_end could never be counted. Such an attempt is denied as before: by the router, or now by the guard, which logs it.

--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -149,12 +149,12 @@
   // frontend.
   if (!list_events_.empty() && guard_.check_endpoint(attempt.endpoint))
     return false;
+  request.history.is_open = request.call != nullptr;
   const bool is_first_look = now - request.begun_at < kMaxListDelay;
-  if (request.call == nullptr || (!is_first_look && request.call->has_client_left()))
+  if (request.history.is_open && !is_first_look && request.call->has_client_left())
     return false;
   if (!router_.is_attempt_allowed(now, attempt.request_id, attempt.endpoint))
     return false;
-  request.history.is_open = request.call != nullptr;
   if (const auto violation = guard_.check_attempt(request.history, attempt.endpoint, now)) {
     report_violation(*violation, attempt.request_id, attempt.endpoint);
     return false;
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -70,9 +70,6 @@
   /// client has not left.
   void report_closed_unanswered(const std::string& request_id);
 
-  /// Violations of the invariants, which are defects of the gateway.
-  [[nodiscard]] const InvariantGuard& invariants() const { return guard_; }
-
   /// For discovery and inventories: a new list of `endpoints`, or changes to it.
   void update_endpoints(EndpointList::Kind kind, const std::vector<ListedEndpoint>& endpoints);
 
