Show a second copy of an answer that is served to another request

Cause: a connection to a data host is reused as soon as an answer is whole. A second copy that comes after the next request was written is taken for the answer to that request.

--- /dev/null
+++ b/review/standins/main.cpp
@@ -0,0 +1,16 @@
+#include "cases.h"
+#include "rig.h"
+
+#include <csignal>
+#include <iostream>
+#include <string>
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string name = argc > 1 ? argv[1] : "";
+  rig::open_record();
+  if (name == "second_copy")
+    return rig::second_copy();
+  std::cerr << "unknown case\n";
+  return 2;
+}
