Show session reads that are sent to replicas far behind their own write

Cause: a read whose `after` lies in a millisecond that is not over yet gets the age 0 of its last write, which the router takes for "nothing written".

--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -11,4 +11,7 @@
 /// final answer.
 int half_written_inventory(bool waits_for_removal);
 
+/// Session reads carry their last commit, while the replicas apply the log slowly.
+int read_at_once();
+
 }  // namespace rig
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -15,6 +15,8 @@
     return rig::half_written_inventory(true);
   if (name == "second_copy")
     return rig::second_copy();
+  if (name == "read_at_once")
+    return rig::read_at_once();
   std::cerr << "unknown case\n";
   return 2;
 }
--- a/review/standins/rig.cpp
+++ b/review/standins/rig.cpp
@@ -287,6 +287,8 @@
 }
 
 std::string Host::status() const {
+  if (reports_only_to_probes_)
+    return status_message("part", is_primary_ ? "master" : "replica");
   const double position = position_ms();
   return status_message("part", is_primary_ ? "master" : "replica") +
          status_message("caught_up_to", fixed(std::floor(position), 0)) +
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -111,6 +111,9 @@
 
   void set_work_ms(double work) { work_ms_ = work; }
 
+  /// Answers tell the role, and for a write the time of its commit; the rest shows only in probes.
+  void report_only_to_probes() { reports_only_to_probes_ = true; }
+
   /// Every n-th answer to a client's statement is followed by a second copy of itself, written this
   /// many milliseconds later if nothing else waits on the connection then; n = 0: none.
   void set_second_copy(int every, double gap_ms) {
@@ -143,6 +146,7 @@
   std::atomic<double> lag_ms_{5};
   std::atomic<double> frozen_at_{0};
   std::atomic<double> work_ms_{2};
+  std::atomic<bool> reports_only_to_probes_{false};
   std::atomic<int> copy_every_{0};
   std::atomic<double> copy_gap_ms_{0};
   std::atomic<int> answers_{0};
