Confirm a response equal to the previous one before it is served

By the same way a write could be confirmed before it ran, and a copy of a rejection could have a write sent again that had run.

Cause: a connection is reused once ReadyForQuery has come, and the first response behind a request was taken for its response. PostgreSQL's messages do not name their request, so the second copy of a response that arrives after the next request was written was served to that request (connection_pool/pooled_connection, postgres/upstream_protocol). Excluded: a mix-up inside the gateway (MongoDB, with the same pool and broker, never serves a copy) and bytes left in the buffer (such a connection was closed before, too).

Change: a response with the same bytes as the connection's previous one is confirmed by an empty query, which an endpoint answers without effect and in order: the response is the last one before that answer (postgres/response_matcher). What cannot be confirmed is a reset or an error, never an answer. On related paths: bytes behind a handshake's reply close the connection, and a good response before the request's last byte is no response. Logged as surplus_response and unsolicited_input.

Why it works: whatever the endpoint wrote before it read the empty query arrives before the answer to it, whenever it arrives. A pause before reuse, or distrust after the first surplus response, would only make the crossing rarer.

--- a/src/connection_pool/pooled_connection.cpp
+++ b/src/connection_pool/pooled_connection.cpp
@@ -111,6 +111,7 @@
     return;
   }
   state_.start_writing();
+  has_requested_confirmation_ = false;
   idle_time_before_request_ = idle_time(net::now());
   timer_.at(assignment_->deadline);
   if (assignment_->kind() == RequestKind::HealthCheck)
@@ -146,7 +147,8 @@
   case State::Connecting:
   case State::Ready:
   case State::Idle:
-    owner_.discard(*this);  // the endpoint sent bytes without a request
+    log_unsolicited_input();
+    owner_.discard(*this);
     return;
   }
 }
@@ -164,6 +166,12 @@
     return;
   case HandshakeResult::Status::Complete:
     stream_->input().consume(result.consumed_bytes);
+    // Bytes behind the reply would be taken for the response to the first request.
+    if (stream_->input().size() > 0) {
+      log_unsolicited_input();
+      fail(AttemptStatus::ConnectFailed);
+      return;
+    }
     become_ready();
     return;
   }
@@ -177,6 +185,10 @@
     await_more_of_response();
     return;
   }
+  if (parsed.status == ParsedResponse::Status::Unconfirmed && can_buffer_response(input.size())) {
+    await_confirmation();
+    return;
+  }
   // The size limit applies to a complete response too, so that the result does not depend on the
   // number of reads in which the response arrived.
   const bool is_complete = parsed.status == ParsedResponse::Status::Complete;
@@ -185,9 +197,17 @@
     fail(AttemptStatus::Error);  // the endpoint has the request, so it may have run
     return;
   }
+  if (parsed.response.status == AttemptStatus::Ok && !state_.is_request_written()) {
+    net::log({"surplus_response", {{"endpoint", std::to_string(endpoint_)}}});
+    fail(AttemptStatus::ConnectFailed);  // no endpoint serves a request before its last byte
+    return;
+  }
+  if (parsed.surplus_responses > 0)
+    net::log({"surplus_response", {{"endpoint", std::to_string(endpoint_)}}});
   // A connection is not reusable after a response to a request that was written only in part, or
-  // with bytes behind the response.
-  const bool is_reusable = state_.is_request_written() && input.size() == parsed.consumed_bytes;
+  // with bytes before or behind the response.
+  const bool is_reusable = state_.is_request_written() && parsed.surplus_responses == 0 &&
+                           input.size() == parsed.consumed_bytes;
   end_assignment(parsed.response, is_reusable ? Disposition::Keep : Disposition::Close,
                  parsed.consumed_bytes);
 }
@@ -207,6 +227,22 @@
   timer_.at(std::min(assignment_->deadline, net::now() + kMaxResponseGap));
 }
 
+// The response to the request may still be to come, so its time limit is that of a request that has
+// no response yet.
+void PooledConnection::await_confirmation() {
+  timer_.at(assignment_->deadline);
+  if (std::exchange(has_requested_confirmation_, true))
+    return;
+  stream_->write(protocol_->confirmation_message());
+}
+
+void PooledConnection::log_unsolicited_input() const {
+  const Duration idle_time = state_.is_opening() ? 0ms : this->idle_time(net::now());
+  net::log({"unsolicited_input",
+            {{"endpoint", std::to_string(endpoint_)},
+             {"idle_us", std::to_string(idle_time / std::chrono::microseconds(1))}}});
+}
+
 void PooledConnection::ended(const std::string&) {
   if (!assignment_) {
     owner_.discard(*this);
--- a/src/connection_pool/pooled_connection.h
+++ b/src/connection_pool/pooled_connection.h
@@ -115,6 +115,9 @@
   /// Whether the pool's limits allow `input_size` bytes of an incomplete response to be kept.
   [[nodiscard]] bool can_buffer_response(std::size_t input_size) const;
   void await_more_of_response();
+  void await_confirmation();
+  /// Logs that the endpoint sent bytes that no request caused.
+  void log_unsolicited_input() const;
   void handle_timer();
   /// Ends the current assignment, if there is one, with `response`, which takes `consumed_bytes` of
   /// the input.
@@ -137,6 +140,8 @@
   std::optional<TimePoint> idle_since_;  ///< When the connection last became idle; empty if never.
   /// How long the connection was idle before the current request; 0 for its first request.
   Duration idle_time_before_request_{};
+  /// Whether `UpstreamProtocol::confirmation_message` was written after the current request.
+  bool has_requested_confirmation_ = false;
 };
 
 }  // namespace gorsebeam::connection_pool
--- a/src/connection_pool/upstream_protocol.h
+++ b/src/connection_pool/upstream_protocol.h
@@ -34,13 +34,26 @@
 struct ParsedResponse {
   enum class Status {
     Incomplete,  ///< Call again with more bytes.
+    /// A complete response arrived, but it may be another copy of the response to the connection's
+    /// previous request. Write `confirmation_message` once, and call again with more bytes.
+    Unconfirmed,
     Complete,
     Malformed,  ///< The bytes do not follow the protocol.
   };
 
   Status status = Status::Incomplete;
-  std::size_t consumed_bytes = 0;    ///< With `Complete`: the size of the response.
+  /// With `Complete`: the size of all bytes that were parsed.
+  std::size_t consumed_bytes = 0;
   proxy::UpstreamResponse response;  ///< With `Complete`; borrows from the parsed bytes.
+  /// With `Complete`: the number of responses before this one that belong to no request.
+  std::size_t surplus_responses = 0;
+
+  /// A result without a response.
+  static ParsedResponse with_status(Status status) {
+    ParsedResponse parsed;
+    parsed.status = status;
+    return parsed;
+  }
 };
 
 /// The protocol of one connection, which owns it. Performs no I/O; runs on one thread.
@@ -60,7 +73,13 @@
   /// The message of a health check, valid until the next call of a function of this object.
   virtual proxy::ByteSpans health_check_message() = 0;
 
-  /// Parses the response to a request of `kind`. `in` starts with its first byte.
+  /// A message that the endpoint answers without effect, in the order of its requests. What arrives
+  /// before that answer is therefore complete. Called only after `ParsedResponse::Unconfirmed`.
+  /// The parts are valid until the next call of a function of this object.
+  virtual proxy::ByteSpans confirmation_message() = 0;
+
+  /// Parses the response to the last request, which is of `kind`. `in` starts with the first byte
+  /// that arrived after the request was written.
   virtual ParsedResponse parse_response(std::string_view in, RequestKind kind,
                                         InputState input) = 0;
 };
--- a/src/mongo/upstream_protocol.cpp
+++ b/src/mongo/upstream_protocol.cpp
@@ -164,17 +164,23 @@
     return {header_};
   }
 
+  // Replies name the request that they answer, so none is ever unconfirmed.
+  proxy::ByteSpans confirmation_message() override { return {}; }
+
   ParsedResponse parse_response(std::string_view in, RequestKind kind, InputState) override {
     using Status = ParsedResponse::Status;
     const wire::FramingResult<Reply> framed = read_reply(in);
     if (!framed) {
       const bool is_incomplete = framed.error() == FramingError::Incomplete;
-      return {is_incomplete ? Status::Incomplete : Status::Malformed, 0, {}};
+      return ParsedResponse::with_status(is_incomplete ? Status::Incomplete : Status::Malformed);
     }
     const Reply& reply = framed.value();
-    if (kind == RequestKind::HealthCheck)
-      return {Status::Complete, reply.size, interpret_hello_reply(reply.document)};
-    return {Status::Complete, reply.size, interpret_command_reply(reply.document, reply.sections)};
+    ParsedResponse parsed = ParsedResponse::with_status(Status::Complete);
+    parsed.consumed_bytes = reply.size;
+    parsed.response = kind == RequestKind::HealthCheck
+                          ? interpret_hello_reply(reply.document)
+                          : interpret_command_reply(reply.document, reply.sections);
+    return parsed;
   }
 
 private:
--- a/src/postgres/response_parser.cpp
+++ b/src/postgres/response_parser.cpp
@@ -12,7 +12,6 @@
 namespace gorsebeam::postgres {
 
 using connection_pool::InputState;
-using connection_pool::ParsedResponse;
 using connection_pool::RequestKind;
 using proxy::UpstreamResponse;
 using wire::FramingError;
@@ -97,6 +96,9 @@
       return true;
     case 'N':
       return true;
+    case 'I':
+      is_empty_query_ = true;
+      return true;
     case 'Z':
       is_ready_ = true;
       return true;
@@ -111,24 +113,39 @@
   /// Returns the response in the messages that were added, which have `size` bytes together.
   /// Without ReadyForQuery a response is complete only if it has a result or an error and the
   /// connection ended after that, as it does after a fatal error.
-  ParsedResponse finish(InputState input, std::size_t size) {
-    using Status = ParsedResponse::Status;
+  QueryResponse finish(InputState input, std::size_t size) {
+    using Kind = QueryResponse::Kind;
     const bool has_result = !sqlstate_.empty() || !command_complete_.empty();
-    const bool is_complete = is_ready_ || (input == InputState::Ended && has_result);
-    if (!is_complete)
-      return {Status::Incomplete, 0, {}};
-    if (!sqlstate_.empty()) {
+    if (!is_ready_ && (input == InputState::Open || !has_result))
+      return {};
+    QueryResponse parsed;
+    parsed.size = size;
+    parsed.is_ready_for_query = is_ready_;
+    parsed.kind = kind_of_response();
+    if (parsed.kind != Kind::Result)
+      return parsed;
+    if (sqlstate_.empty()) {
+      response_.status = AttemptStatus::Ok;
+      response_.body = {row_description_, row_, command_complete_};
+    } else {
       response_.status = attempt_status_for(sqlstate_);
-      return {Status::Complete, size, std::move(response_)};
     }
-    if (has_invalid_rows_ || row_description_.empty() || row_.empty() || command_complete_.empty())
-      return {Status::Malformed, 0, {}};
-    response_.status = AttemptStatus::Ok;
-    response_.body = {row_description_, row_, command_complete_};
-    return {Status::Complete, size, std::move(response_)};
+    parsed.is_protocol_violation = sqlstate_ == kProtocolViolation;
+    parsed.response = std::move(response_);
+    return parsed;
   }
 
 private:
+  [[nodiscard]] QueryResponse::Kind kind_of_response() const {
+    using Kind = QueryResponse::Kind;
+    if (!sqlstate_.empty())
+      return is_empty_query_ ? Kind::Malformed : Kind::Result;
+    const bool is_row = !row_description_.empty() && !row_.empty() && !command_complete_.empty();
+    if (is_empty_query_)
+      return row_description_.empty() && row_.empty() ? Kind::EmptyQuery : Kind::Malformed;
+    return is_row && !has_invalid_rows_ ? Kind::Result : Kind::Malformed;
+  }
+
   void add_row_description(const Message& message) {
     if (!row_description_.empty() || message.body.size() < 2 || !is_one_column(message.body))
       has_invalid_rows_ = true;
@@ -179,6 +196,7 @@
   std::string_view row_;
   std::string_view command_complete_;
   std::string_view sqlstate_;  ///< The SQLSTATE of the last error; empty if there was none.
+  bool is_empty_query_ = false;
   bool has_invalid_rows_ = false;
   bool is_ready_ = false;
 };
@@ -192,8 +210,9 @@
   return message;
 }
 
-ParsedResponse parse_query_response(std::string_view in, RequestKind kind, InputState input) {
-  using Status = ParsedResponse::Status;
+QueryResponse parse_query_response(std::string_view in, RequestKind kind, InputState input) {
+  QueryResponse malformed;
+  malformed.kind = QueryResponse::Kind::Malformed;
   ResponseParser parser(kind);
   std::size_t offset = 0;
   while (!parser.is_ready()) {
@@ -202,7 +221,7 @@
     if (!message && message.error() == FramingError::Incomplete)
       break;
     if (!message || !parser.add(message.value()))
-      return {Status::Malformed, 0, {}};
+      return malformed;
     offset += message.value().encoded.size();
   }
   return parser.finish(input, offset);
--- a/src/postgres/response_parser.h
+++ b/src/postgres/response_parser.h
@@ -14,15 +14,32 @@
 
 /// The types of the messages that an endpoint may send in each of its states.
 constexpr std::string_view kHandshakeMessageTypes = "RSKZEN";
-constexpr std::string_view kResponseMessageTypes = "TDCESNZ";
+constexpr std::string_view kResponseMessageTypes = "TDCESNIZ";
 
 /// Reads the message at the beginning of `in`. A complete message is returned whatever its type is.
 /// An incomplete one is malformed if it cannot become a message of one of `types`.
 wire::FramingResult<Message> read_expected_message(std::string_view in, std::string_view types);
 
+/// The result of parsing the response to one simple query.
+struct QueryResponse {
+  enum class Kind {
+    Incomplete,
+    Result,      ///< A row, or an error.
+    EmptyQuery,  ///< The response to a query without a statement.
+    Malformed,
+  };
+
+  Kind kind = Kind::Incomplete;
+  std::size_t size = 0;  ///< In bytes; 0 unless the response is complete.
+  proxy::UpstreamResponse response;
+  /// Whether it is the error with which an endpoint rejects a message that it does not accept.
+  bool is_protocol_violation = false;
+  /// Whether it ends with ReadyForQuery, and not with the end of the connection.
+  bool is_ready_for_query = false;
+};
+
 /// Parses the response to one simple query at the beginning of `in`.
-connection_pool::ParsedResponse parse_query_response(std::string_view in,
-                                                     connection_pool::RequestKind kind,
-                                                     connection_pool::InputState input);
+QueryResponse parse_query_response(std::string_view in, connection_pool::RequestKind kind,
+                                   connection_pool::InputState input);
 
 }  // namespace gorsebeam::postgres
--- a/src/postgres/upstream_protocol.cpp
+++ b/src/postgres/upstream_protocol.cpp
@@ -1,6 +1,7 @@
 #include "upstream_protocol.h"
 
 #include "codec.h"
+#include "response_matcher.h"
 #include "response_parser.h"
 
 #include "wire/integers.h"
@@ -71,11 +72,17 @@
     return {header_};
   }
 
+  proxy::ByteSpans confirmation_message() override {
+    header_ = encode_message('Q', std::string_view("\0", 1));
+    return {header_};
+  }
+
   ParsedResponse parse_response(std::string_view in, RequestKind kind, InputState input) override {
-    return parse_query_response(in, kind, input);
+    return matcher_.parse(in, kind, input);
   }
 
 private:
+  ResponseMatcher matcher_;
   std::string header_;  ///< The parts of the last message that was sent point into it.
 };
 
--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -42,11 +42,19 @@
       return false;
     if (message->request)
       serve(*message->request);
+    else if (message->is_empty_query)
+      reply_to_empty_query(message->reply);
     else
       reply_to_handshake_or_health_check(message->reply);
     return true;
   }
 
+  // A gateway sends an empty query only behind a response, so no request is in flight.
+  void reply_to_empty_query(const std::string& reply) {
+    if (now_ms() >= endpoint.unresponsive_until)
+      stream->write({reply});
+  }
+
   void reply_to_handshake_or_health_check(const std::string& reply) {
     const bool is_handshake = !std::exchange(is_handshake_complete, true);
     const Millis now = now_ms();
--- a/tests/integration/postgres_protocol.cpp
+++ b/tests/integration/postgres_protocol.cpp
@@ -18,6 +18,7 @@
 constexpr char kDataRow = 'D';
 constexpr char kCommandComplete = 'C';
 constexpr char kErrorResponse = 'E';
+constexpr char kEmptyQueryResponse = 'I';
 constexpr char kNoticeResponse = 'N';
 constexpr char kQuery = 'Q';
 
@@ -221,6 +222,9 @@
       return std::nullopt;
     const std::string statement = input.substr(kHeaderBytes, size - kHeaderBytes - 1);
     input.erase(0, size);
+    if (statement.empty())
+      return EndpointMessage{
+          std::nullopt, encode_message(kEmptyQueryResponse, "") + encode_ready_for_query(), true};
     if (statement != "SHOW gauges")
       return EndpointMessage{decode_request(statement), ""};
     const std::string seconds =
--- a/tests/integration/protocol.h
+++ b/tests/integration/protocol.h
@@ -21,6 +21,7 @@
   Duplicate,          ///< Sends a second response right after a valid one.
   MalformedReport,    ///< Sends a valid response with a malformed load report and position.
   UnboundedResponse,  ///< Sends more well-formed bytes than a response may have.
+  RepeatPrevious,     ///< Sends the connection's previous response again, and then a valid one.
 };
 
 /// How a request ended for its client.
@@ -62,8 +63,9 @@
 
 /// A message of the gateway as an endpoint reads it.
 struct EndpointMessage {
-  std::optional<Request> request;  ///< Empty for a handshake or health check.
-  std::string reply;               ///< The reply to a handshake or health check; else empty.
+  std::optional<Request> request;  ///< Empty for a handshake, a health check or an empty query.
+  std::string reply;               ///< The reply to such a message; else empty.
+  bool is_empty_query = false;     ///< A PostgreSQL query without a statement, which has no effect.
 };
 
 /// Encodes and decodes one wire protocol as clients and endpoints of the gateway do.
--- a/tests/integration/stub_endpoint.cpp
+++ b/tests/integration/stub_endpoint.cpp
@@ -45,7 +45,7 @@
     if (!message)
       return false;
     std::string reply = message->request ? respond(*message->request) : message->reply;
-    if (!message->request && is_handshake_complete)
+    if (!message->request && is_handshake_complete && !message->is_empty_query)
       ++endpoint.health_check_count;
     if (!std::exchange(is_handshake_complete, true) && endpoint.pauses_handshakes)
       paused_handshake_reply = std::exchange(reply, "");
@@ -89,7 +89,10 @@
     }
     std::string value = "by " + endpoint.name;
     value.resize(std::max(value.size(), endpoint.min_value_bytes), '.');
-    return harness.protocol.encode_response(response, endpoint.replication, value);
+    const std::string encoded =
+        harness.protocol.encode_response(response, endpoint.replication, value);
+    const std::string previous = std::exchange(last_response, encoded);
+    return response == ScriptedResponse::RepeatPrevious ? previous + encoded : encoded;
   }
 
   void end_attempt() {
@@ -102,6 +105,7 @@
   std::shared_ptr<Stream> stream;
   std::string input;
   std::string paused_handshake_reply;
+  std::string last_response;  ///< Empty before the first response.
   bool is_handshake_complete = false;
   std::size_t attempt_number = 0;  ///< 1 + index in GatewayHarness::attempts; 0: none in flight.
   gint64 last_used_at = g_get_monotonic_time();
--- a/tests/integration/stub_endpoint.h
+++ b/tests/integration/stub_endpoint.h
@@ -28,6 +28,12 @@
   /// Sends the paused handshake replies; no handshake is paused from then on.
   void resume_handshakes();
   [[nodiscard]] int open_connection_count() const;
+
+  /// The number of connections since the start, closed ones included.
+  [[nodiscard]] int accepted_connection_count() const {
+    return static_cast<int>(connections_.size());
+  }
+
   /// Waits until the gateway has closed all connections, which shows that it has applied a list
   /// without the endpoint.
   void await_connections_closed() const;
--- a/tests/integration/upstream_bytes_test.cpp
+++ b/tests/integration/upstream_bytes_test.cpp
@@ -43,6 +43,51 @@
   warm.harness.expect_invariants_and_running();
 }
 
+// Guards against the answer to another request: an endpoint's second copy of a response that
+// arrives after the next request was written was served as the response to that request.
+TEST_P(UpstreamBytes, ServesNoSecondCopyOfThePreviousResponse) {
+  WarmGateway warm(protocol(), 2, 12);
+  for (int round = 1; round <= 5; ++round) {
+    // The length of the value tells which request it belongs to.
+    const std::size_t value_bytes = 100 + static_cast<std::size_t>(round);
+    warm.harness.set_min_value_bytes(value_bytes);
+    warm.harness.script = {ScriptedResponse::RepeatPrevious};
+    const std::string id = "c" + std::to_string(round);
+    ASSERT_EQ(warm.client->send_and_await(read_request(id)), ClientResult::Served);
+    ASSERT_EQ(warm.client->last_value.size(), value_bytes) << "round " << round;
+  }
+  warm.harness.expect_invariants_and_running();
+}
+
+class PostgresUpstreamBytes : public GatewayIntegrationTest {};
+
+// As above, for a request that must not be retried: it is confirmed by its own response.
+TEST_P(PostgresUpstreamBytes, FindsResponseToWriteBehindSecondCopy) {
+  WarmGateway warm(protocol(), 1, 4);
+  warm.harness.set_min_value_bytes(100);
+  ASSERT_EQ(warm.client->send_and_await(single_shot_write("first")), ClientResult::Served);
+  warm.harness.set_min_value_bytes(200);
+  warm.harness.script = {ScriptedResponse::RepeatPrevious};
+  ASSERT_EQ(warm.client->send_and_await(single_shot_write("second")), ClientResult::Served);
+  ASSERT_EQ(warm.client->last_value.size(), 200U);
+  ASSERT_EQ(warm.harness.attempt_count("second"), 1);
+  warm.harness.expect_invariants_and_running();
+}
+
+// Equal responses to consecutive requests are ordinary, and cost neither a retry nor a connection.
+TEST_P(PostgresUpstreamBytes, KeepsConnectionOverEqualResponses) {
+  WarmGateway warm(protocol(), 1, 4);
+  const int connections = warm.harness.endpoints.front()->accepted_connection_count();
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "equal" + std::to_string(i);
+    ASSERT_EQ(warm.client->send_and_await(single_shot_write(id)), ClientResult::Served);
+    ASSERT_EQ(warm.harness.attempt_count(id), 1);
+  }
+  ASSERT_EQ(warm.harness.endpoints.front()->accepted_connection_count(), connections);
+  warm.harness.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, PostgresUpstreamBytes, postgres_only(), protocol_name);
 INSTANTIATE_TEST_SUITE_P(, UpstreamBytes, both_protocols(), protocol_name);
 
 }  // namespace
