Take the position that a session's read carries as it is, also ahead of the clock

Cause: the frontend turned the token into the age of the last write, max(0, now - after), and the router took an age of 0 for a session without a write, as the simulator's wire has it. Commits are told in milliseconds, rounded up, so a read within that millisecond had age 0 and went to any replica; so did each token ahead of the gateway's clock. Excluded: positions of replicas taken for newer than they are (the same reads a millisecond later are right) and the parsing of 'after' (unit test).

Change: Request::session_token is the position, empty where nothing was written; no clock is read. Only the simulator's adapter knows that its 0 means none. On related paths: an 'after' that is no position is rejected in place of ignored, and a MongoDB session read, which can carry no token, must see what was committed before it arrived.

Why it works: there is no value left that a real token can have and that stands for none.

--- a/include/gorsebeam/events.h
+++ b/include/gorsebeam/events.h
@@ -44,9 +44,9 @@
   std::optional<std::uint64_t> session;
   TimePoint deadline{};  ///< When the client stops waiting.
   GroupId group = 0;
-  /// SessionTokenSource::Client only: how long ago the session's last write was committed; 0: no
-  /// write.
-  std::optional<Duration> session_token_age;
+  /// SessionTokenSource::Client only: the position of the session's last commit, which a session
+  /// read must see. It can lie ahead of the router's clock. Empty: the session has written nothing.
+  std::optional<ReplicationPosition> session_token;
   bool is_client_retry = false;
   std::uint32_t max_attempts = 0;  ///< By its contract; 0: only the settings limit it.
   /// Above 0: the request exceeds its team's rate limit, which admits one after this time.
--- a/include/gorsebeam/types.h
+++ b/include/gorsebeam/types.h
@@ -50,7 +50,7 @@
 
 /// Who knows the last write of a session.
 enum class SessionTokenSource {
-  Client,  ///< Each session read says how long ago the session's last write was committed.
+  Client,  ///< Each session read names the position of the session's last commit.
   Router,  ///< The router remembers the writes that went through it.
 };
 
--- a/src/mongo/client_connection.cpp
+++ b/src/mongo/client_connection.cpp
@@ -140,6 +140,9 @@
     if (const auto text = admission_.missing_contract())
       return CommandError{ErrorCode::Unauthorized, *text};
     const TimePoint now = net::now();
+    // No command carries the position of its session's last commit, which any gateway may have
+    // passed on. Ignored where the router knows what its sessions have written.
+    parsed.value().request.session_token = position_at(now);
     auto request = admission_.admit(std::move(parsed.value()), earliest_arrival(), now);
     if (!request)
       return CommandError{ErrorCode::Unauthorized, proxy::describe(request.error())};
--- a/src/postgres/client_connection.cpp
+++ b/src/postgres/client_connection.cpp
@@ -10,7 +10,6 @@
 #include "frontend/request_admission.h"
 #include "net/timer.h"
 
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -158,11 +157,7 @@
     if (!parsed)
       return parsed.error();
     StatementRequest& statement = parsed.value();
-    const TimePoint now = net::now();
-    if (statement.last_write_at)
-      statement.parsed.request.session_token_age =
-          std::max(Duration{}, now - *statement.last_write_at);
-    auto request = admission_.admit(std::move(statement.parsed), earliest_arrival(), now);
+    auto request = admission_.admit(std::move(statement.parsed), earliest_arrival(), net::now());
     if (!request)
       return SqlError{kInsufficientPrivilege, proxy::describe(request.error())};
     statement_size_ = text.size();
--- a/src/postgres/statement_request.cpp
+++ b/src/postgres/statement_request.cpp
@@ -64,11 +64,17 @@
   return {offset, statement.deadline.size()};
 }
 
-std::optional<TimePoint> last_write_at(const Statement& statement) {
+/// Sets the session token of `request` from the statement's field "after", if there is one. Returns
+/// why the statement is rejected if the field is not a position: without it the read could be
+/// answered from before its session's last write.
+std::optional<SqlError> set_session_token(const Statement& statement, Request& request) {
+  if (statement.last_write.empty())
+    return std::nullopt;
   const auto unix_ms = parse_whole_number(statement.last_write, kMaxLastWriteMs);
   if (!unix_ms)
-    return std::nullopt;
-  return TimePoint(std::chrono::milliseconds(*unix_ms));
+    return SqlError{kSyntaxError, "the statement's comment holds no position in 'after'"};
+  request.session_token = ReplicationPosition(std::chrono::milliseconds(*unix_ms));
+  return std::nullopt;
 }
 
 }  // namespace
@@ -95,6 +101,8 @@
   if (const auto error = check_class(statement, classification, classifier, settings))
     return *error;
   StatementRequest request;
+  if (const auto error = set_session_token(statement, request.parsed.request))
+    return *error;
   request.parsed.request.id = std::string(statement.id);
   request.parsed.request.class_index = request_class->index;
   request.parsed.request.group = static_cast<GroupId>(*group);
@@ -105,7 +113,6 @@
   request.parsed.is_single_attempt =
       classifier != nullptr && classification.effect == Effect::Unknown;
   request.deadline = deadline_field(statement, text);
-  request.last_write_at = last_write_at(statement);
   return request;
 }
 
--- a/src/postgres/statement_request.h
+++ b/src/postgres/statement_request.h
@@ -22,8 +22,6 @@
 struct StatementRequest {
   frontend::ParsedRequest parsed;
   DeadlineField deadline;
-  /// The time of the session's last commit; nothing if the client does not report it.
-  std::optional<TimePoint> last_write_at;
 };
 
 /// Parses the statement in `text` into a request, or returns why the statement is rejected. If
--- a/src/router/session_requirements.cpp
+++ b/src/router/session_requirements.cpp
@@ -14,8 +14,7 @@
     return kUnknownPosition;
   if (settings_.session_token_source == SessionTokenSource::Router)
     return request.session ? writes_.required_position(*request.session, now) : kUnknownPosition;
-  const Duration age = request.session_token_age.value_or(Duration{});
-  return age > 0ns ? position_at(now - age) : kUnknownPosition;
+  return request.session_token.value_or(kUnknownPosition);
 }
 
 bool SessionRequirements::is_tracked_write(const PendingRequest& request) const {
--- a/src/simulator_adapter/event_reader.cpp
+++ b/src/simulator_adapter/event_reader.cpp
@@ -86,7 +86,8 @@
   return list;
 }
 
-Request read_request(const JsonObjectReader& body, const DeploymentProfile& profile) {
+Request read_request(TimePoint now, const JsonObjectReader& body,
+                     const DeploymentProfile& profile) {
   Request request;
   request.id = body.read_string("op_id");
   const auto request_class = profile.class_indexes.find(body.read_string("tier_class"));
@@ -104,8 +105,10 @@
     request.session = static_cast<std::uint64_t>(body.read_integer("session"));
   request.deadline = TimePoint(Duration(body.read_integer("valid_until")));
   request.group = body.read_uint32("partition_no");
-  if (body.find("token_ms"))
-    request.session_token_age = to_duration(body.read_number("token_ms", 0) * kNanosPerMillisecond);
+  // The simulator's 0 stands for a session without a write.
+  const double token_age_ms = body.read_number("token_ms", 0);
+  if (token_age_ms > 0)
+    request.session_token = position_at(now - to_duration(token_age_ms * kNanosPerMillisecond));
   request.is_client_retry = body.read_bool("repeat");
   return request;
 }
@@ -165,12 +168,12 @@
   return endpoints;
 }
 
-Event read_event(const std::string& name, const JsonObjectReader& body,
+Event read_event(TimePoint now, const std::string& name, const JsonObjectReader& body,
                  const DeploymentProfile& profile, const EndpointBuffers& buffers) {
   if (name == "VIEW")
     return read_endpoint_list(body, buffers);
   if (name == "ORDER")
-    return read_request(body, profile);
+    return read_request(now, body, profile);
   if (name == "OUTCOME")
     return read_attempt_result(body, profile.replication_epoch);
   if (name == "STATUS_BACK")
--- a/src/simulator_adapter/session.cpp
+++ b/src/simulator_adapter/session.cpp
@@ -100,7 +100,7 @@
   if (name == "INBOX" || name == "BEGUN")
     return;
   RouterInstance& instance = found->second;
-  const Event event = read_event(name, body, instance.profile, endpoint_buffers_);
+  const Event event = read_event(now_, name, body, instance.profile, endpoint_buffers_);
   actions_.clear();
   instance.router.handle(now_, event, actions_);
   write_actions(actions_, router_id, reply);
--- a/tests/integration/platform_config.cpp
+++ b/tests/integration/platform_config.cpp
@@ -49,8 +49,8 @@
       << R"(},"known":{"revision":0,"complete":true,"members":[]},"settings":{"classes":[)"
       << join(config.classes, encode_class) << R"(],"extra":{"read_level":[)"
       << join(config.classes, encode_read_level) << R"(],"lag_allowed":[)"
-      << join(config.classes, encode_max_lag)
-      << R"(],"list_role":"static","token_mode":"kept","checks":"none","positions":true,"zero":0},)"
+      << join(config.classes, encode_max_lag) << R"(],"list_role":"static","token_mode":")"
+      << config.token_mode << R"(","checks":"none","positions":true,"zero":0},)"
       << R"("limits":{"probes":true,"send_cap":)" << kMaxAttempts << R"(,"dial_timeout":)"
       << nanoseconds(config.connect_timeout_ms) << R"(,"keepalive":)"
       << nanoseconds(config.keepalive_ms)
--- a/tests/integration/platform_config.h
+++ b/tests/integration/platform_config.h
@@ -26,6 +26,8 @@
   std::size_t max_sockets = 400;
   int connect_timeout_ms = 250;
   int keepalive_ms = 30'000;
+  /// `kept`: the gateway knows what its sessions wrote; `brought`: their reads carry it.
+  std::string token_mode = "kept";
   std::vector<PlatformClass> classes;
 };
 
--- a/tests/integration/request_outcomes_test.cpp
+++ b/tests/integration/request_outcomes_test.cpp
@@ -185,6 +185,54 @@
   harness.expect_invariants_and_running();
 }
 
+/// A deployment whose session reads carry their token, with replicas that lag by a minute.
+class CarriedSessionToken : public GatewayIntegrationTest {
+protected:
+  CarriedSessionToken() {
+    harness_.endpoints[1]->replication.lag_ms = 60'000;
+    harness_.endpoints[2]->replication.lag_ms = 60'000;
+    PlatformSettings settings;
+    settings.token_mode = "brought";
+    harness_.set_platform_settings(settings);
+    harness_.start();
+    client_ = harness_.connect_client();
+    expect_reads_served(*client_, "warm", 12);
+  }
+
+  GatewayHarness harness_{protocol(), 3, 0};
+  std::unique_ptr<TestClient> client_;
+};
+
+// Guards against stale session reads: a read whose token was not over yet at the gateway's clock
+// was taken for one of a session without a write, and was sent to any replica.
+TEST_P(CarriedSessionToken, AheadOfTheGatewaysClockConstrainsTheRead) {
+  for (const int ahead_ms : {0, 1, 5, 1000, 3'600'000}) {
+    for (int session = 0; session < 4; ++session) {
+      const std::string number = std::to_string(ahead_ms) + "-" + std::to_string(session);
+      Request read = session_read("r" + number);
+      read.statement = "SELECT data FROM facts WHERE code = 'k";
+      read.statement.append(number).append("' /* after=");
+      read.statement.append(std::to_string(unix_ms_now() + ahead_ms)).append(" */");
+      ASSERT_EQ(client_->send_and_await(read), ClientResult::Served) << number;
+      ASSERT_EQ(client_->last_value, "by m0") << number;
+    }
+  }
+  harness_.expect_invariants_and_running();
+}
+
+class UncarriedSessionToken : public CarriedSessionToken {};
+
+// Where no command can carry the token, a session's read must not be taken for one without a write.
+TEST_P(UncarriedSessionToken, SessionReadSeesWhatWasCommittedBeforeIt) {
+  for (int i = 0; i < 8; ++i) {
+    ASSERT_EQ(client_->send_and_await(session_read("r" + std::to_string(i))), ClientResult::Served);
+    ASSERT_EQ(client_->last_value, "by m0") << i;
+  }
+  harness_.expect_invariants_and_running();
+}
+
+INSTANTIATE_TEST_SUITE_P(, CarriedSessionToken, postgres_only(), protocol_name);
+INSTANTIATE_TEST_SUITE_P(, UncarriedSessionToken, mongo_only(), protocol_name);
 INSTANTIATE_TEST_SUITE_P(, RequestOutcomes, both_protocols(), protocol_name);
 INSTANTIATE_TEST_SUITE_P(, SessionConsistency, both_protocols(), protocol_name);
 
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <glib.h>
 #include <unistd.h>
 
 namespace test_harness {
@@ -50,6 +51,7 @@
   config.discovery_address = discovery_address;
   config.connect_timeout_ms = settings.connect_timeout_ms;
   config.keepalive_ms = settings.keepalive_ms;
+  config.token_mode = settings.token_mode;
   config.classes = {make_class(settings, "any", "free", "eventual"),
                     make_class(settings, "session", "free", "causal"),
                     make_class(settings, "save", "guarded", "mutate"),
@@ -262,6 +264,10 @@
   }
 }
 
+std::int64_t unix_ms_now() {
+  return g_get_real_time() / 1000 + 1;
+}
+
 void expect_contains(const std::string& text, const std::string& part) {
   ASSERT_NE(text.find(part), std::string::npos)
       << "'" << text << "' does not contain '" << part << "'";
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -9,6 +9,7 @@
 #include "stub_endpoint.h"
 #include "test_client.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
   /// How long a group drops duplicates of a write with an idempotency key.
   int deduplication_window_ms = 2000;
   int keepalive_ms = 30'000;        ///< The idle time after which endpoints close connections.
+  std::string token_mode = "kept";  ///< See PlatformConfig.
   int latency_objective_ms = 2000;  ///< Of each class, whose deadline is one second longer.
   std::string listen_address = "127.0.0.1:0";
 };
@@ -133,6 +135,9 @@
 /// Asserts that `text` contains `part`.
 void expect_contains(const std::string& text, const std::string& part);
 
+/// The present Unix time in milliseconds, rounded up as the commit of a write is.
+std::int64_t unix_ms_now();
+
 std::string make_temporary_folder();
 /// Writes the platform's configuration and returns its path.
 std::string write_platform_config(const std::string& folder, const std::string& discovery_address,
--- a/tests/postgres_statement_request_test.cpp
+++ b/tests/postgres_statement_request_test.cpp
@@ -45,7 +45,15 @@
   EXPECT_TRUE(request.request.is_client_retry);
   EXPECT_EQ(request.time_limit, 1500ms);
   EXPECT_FALSE(request.is_single_attempt);
-  EXPECT_EQ(parsed.value().last_write_at, TimePoint(1700000000123ms));
+  EXPECT_EQ(request.request.session_token, ReplicationPosition(1700000000123ms));
+}
+
+TEST_F(PostgresStatementRequest, ReadsNoSessionTokenWhereTheSessionHasWrittenNothing) {
+  for (const std::string after : {"", ",after="}) {
+    const auto parsed = parse("SELECT 'beef' /* id=a,c=session,d=5,cluster=0" + after + " */");
+    ASSERT_TRUE(parsed) << after;
+    EXPECT_FALSE(parsed.value().parsed.request.session_token) << after;
+  }
 }
 
 TEST_F(PostgresStatementRequest, HashesSessionKeysThatAreNotHexadecimalNumbers) {
@@ -75,6 +83,10 @@
        "the statement's comment holds no time to wait"},
       {"SELECT 1 /* id=a,c=any,d=5,cluster=4294967296 */", "42601",
        "the statement's comment names no cluster"},
+      {"SELECT 1 /* id=a,c=session,d=5,cluster=0,after=soon */", "42601",
+       "the statement's comment holds no position in 'after'"},
+      {"SELECT 1 /* id=a,c=session,d=5,cluster=0,after=9000000000001 */", "42601",
+       "the statement's comment holds no position in 'after'"},
       {"DELETE FROM t /* id=a,c=any,d=5,cluster=0 */", "42601",
        "the statement does not fit its class"},
       {"SELECT 1 /* id=a,c=save,d=5,cluster=0,k=1 */", "42601",
--- a/tests/router/router_harness.cpp
+++ b/tests/router/router_harness.cpp
@@ -102,13 +102,14 @@
 
 std::string RouterHarness::send_request(std::size_t class_index,
                                         std::optional<std::uint64_t> session,
-                                        Duration session_token_age) {
+                                        std::optional<Duration> session_token_age) {
   Request request;
   request.id = "r" + std::to_string(next_request_number++);
   request.class_index = class_index;
   request.session = session;
   request.deadline = now + 2000ms;
-  request.session_token_age = session_token_age;
+  if (session_token_age)
+    request.session_token = position_at(now - *session_token_age);
   deliver(request);
   return request.id;
 }
--- a/tests/router/router_harness.h
+++ b/tests/router/router_harness.h
@@ -69,9 +69,10 @@
   /// 20 ms.
   void list_healthy_group();
 
-  /// Sends a request with a deadline in 2 s to group 0 and returns its id.
+  /// Sends a request with a deadline in 2 s to group 0 and returns its id. `session_token_age` is
+  /// the age of the session's last commit; negative if that lies ahead of the router's clock.
   std::string send_request(std::size_t class_index, std::optional<std::uint64_t> session = {},
-                           Duration session_token_age = 0ms);
+                           std::optional<Duration> session_token_age = {});
 
   /// Ends an attempt. If the status is Ok or Misdirected, endpoint 1 reports that it is the
   /// primary, and every other endpoint that it is a replica.
--- a/tests/router/router_health_check_test.cpp
+++ b/tests/router/router_health_check_test.cpp
@@ -42,7 +42,7 @@
     request.class_index = group % 2 == 1 ? kBoundedRead : kSessionRead;
     request.group = group;
     request.session = 7;
-    request.session_token_age = 1000ms;
+    request.session_token = position_at(harness.now - 1000ms);
     request.deadline = harness.now + 2000ms;
     harness.deliver(request);
     const std::vector<SendHealthCheck> checks = harness.actions_of<SendHealthCheck>();
--- a/tests/router/router_replication_position_test.cpp
+++ b/tests/router/router_replication_position_test.cpp
@@ -86,6 +86,18 @@
   }
 }
 
+TEST(RouterReplicationPosition, SessionReadNeedsATokenThatIsNotOverYet) {
+  for (const Duration age : {0ms, -1ms, -3'600'000ms}) {
+    RouterHarness harness;
+    harness.list_healthy_group();
+    const std::string id = harness.send_request(kSessionRead, 9, age);
+    harness.run_timers_for(1500ms);
+    for (const EndpointId replica : {2U, 3U, 4U})
+      EXPECT_FALSE(harness.was_attempted(id, replica)) << replica;
+    EXPECT_TRUE(harness.was_attempted(id, 1));
+  }
+}
+
 TEST(RouterReplicationPosition, SessionReadNeedsItsSessionsLastWrite) {
   Settings settings = default_settings();
   settings.session_token_source = SessionTokenSource::Router;
--- a/tests/router/session_requirements_test.cpp
+++ b/tests/router/session_requirements_test.cpp
@@ -32,17 +32,18 @@
   return write;
 }
 
-TEST(SessionRequirements, ReadsTheClientsTokenAsAnAge) {
+// Guards against a token that is taken for none: one that is as new as the router's clock, or
+// newer.
+TEST(SessionRequirements, TakesTheClientsToken) {
   const Settings settings = make_settings(SessionTokenSource::Client);
   const SessionRequirements sessions(settings);
   Request read = make_session_read();
   EXPECT_EQ(sessions.token_for(read, settings.classes[kRead], TimePoint(100ns)), kUnknownPosition);
-  read.session_token_age = 0ns;
-  EXPECT_EQ(sessions.token_for(read, settings.classes[kRead], TimePoint(100ns)), kUnknownPosition)
-      << "an age of 0 stands for no write";
-  read.session_token_age = 30ns;
-  EXPECT_EQ(sessions.token_for(read, settings.classes[kRead], TimePoint(100ns)),
-            ReplicationPosition(70ns));
+  for (const ReplicationPosition token :
+       {ReplicationPosition(70ns), ReplicationPosition(100ns), ReplicationPosition(130ns)}) {
+    read.session_token = token;
+    EXPECT_EQ(sessions.token_for(read, settings.classes[kRead], TimePoint(100ns)), token);
+  }
   EXPECT_EQ(sessions.token_for(read, settings.classes[kWrite], TimePoint(100ns)), kUnknownPosition);
 }
 
--- a/tests/simulator_adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -68,6 +68,31 @@
           R"({"CALL_OUT":{"router_id":4,"op_id":"abc","give_up_after":398000000,"node":55}})"));
 }
 
+// A session read goes to a replica that is 10 ms behind if its session has written nothing, which
+// the simulator says by a token age of 0, or has written before that.
+TEST_F(SimulatorSession, ReadsTheAgeOfASessionsLastWrite) {
+  send(R"({"TURN":{"time":1000000}})");
+  send(
+      R"({"NEW_INSTANCE":{"router_id":4,"init_seed":9,"profile_data":{"classes":[{"name":"own","aim":100000000,)"
+      R"("give_up":500000000,"effect":"free","worth":1}],"extra":{"read_level":["causal"],"lag_allowed":[0],)"
+      R"("zero":0,"token_mode":"brought"},"limits":{"probes":true,"send_cap":3},"obligations":{"cold_from":0.5},)"
+      R"("report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}}})");
+  send(R"({"SHEET":{"buffer":2,"elements":[{"node":55,"cluster":3,"mode":"up"}]}})");
+  send(R"({"VIEW":{"router_id":4,"kind":"disk","buffer":2,"seq_no":1}})");
+  send(R"({"END":{}})");
+  send(R"({"TURN":{"time":1010000000}})");
+  send(
+      R"({"STATUS_BACK":{"router_id":4,"node":55,"code":"GOOD","delay_seen":1000,"report":{"x0":1.0,"x1":0}}})");
+  for (const auto& [token_ms, is_sent] : {std::pair("0", true), {"20", true}, {"0.001", false}}) {
+    reply_.clear();
+    send(
+        std::string(R"({"ORDER":{"router_id":4,"op_id":"id-)") + token_ms +
+        R"(","tier_class":"own","session":5,"valid_until":1400000000,"partition_no":3,"token_ms":)" +
+        token_ms + "}}");
+    EXPECT_EQ(reply_.find("CALL_OUT") != std::string::npos, is_sent) << token_ms << ": " << reply_;
+  }
+}
+
 TEST_F(SimulatorSession, NamesTheMalformedPart) {
   start_router();
   EXPECT_THAT(send_malformed("{\"TURN\":"), HasSubstr("not JSON"));
