Keep an endpoint's id while the router knows anything under it

Cause: ids come from the last eight digits of a name, and an id was free at once when its endpoint left the list, while the router keeps its state for 60 s (proxy/endpoint_directory, release_id).

Change: a released id stays its endpoint's own until the router knows nothing of it (Router::knows_endpoint).

--- a/include/gorsebeam/router.h
+++ b/include/gorsebeam/router.h
@@ -41,6 +41,10 @@
   /// Whether a health check that the router started may still be written to its endpoint.
   [[nodiscard]] bool is_health_check_allowed(EndpointId endpoint) const;
 
+  /// Whether the router holds anything about an endpoint, listed or not. Until it does not, the id
+  /// must not be given to another endpoint.
+  [[nodiscard]] bool knows_endpoint(EndpointId endpoint) const;
+
 private:
   class Core;
   std::unique_ptr<Core> core_;
--- a/src/proxy/endpoint_directory.cpp
+++ b/src/proxy/endpoint_directory.cpp
@@ -33,8 +33,10 @@
 
 EndpointId EndpointDirectory::assign_id(const std::string& name) {
   const auto known = ids_.find(name);
-  if (known != ids_.end())
+  if (known != ids_.end()) {
+    released_.erase(known->second);
     return known->second;
+  }
   EndpointId id = preferred_endpoint_id(name);
   while (id == kReservedEndpointId || names_.count(id) > 0)
     ++id;
@@ -44,17 +46,28 @@
 }
 
 void EndpointDirectory::release_id(EndpointId endpoint) {
-  const auto name = names_.find(endpoint);
-  if (name == names_.end())
-    return;
-  ids_.erase(name->second);
-  names_.erase(name);
+  if (names_.count(endpoint) > 0)
+    released_.insert(endpoint);
+}
+
+void EndpointDirectory::forget_released(const std::function<bool(EndpointId)>& is_in_use) {
+  for (auto it = released_.begin(); it != released_.end();) {
+    const EndpointId id = *it;
+    if (is_in_use(id)) {
+      ++it;
+      continue;
+    }
+    const auto name = names_.find(id);
+    ids_.erase(name->second);
+    names_.erase(name);
+    it = released_.erase(it);
+  }
 }
 
 std::vector<EndpointId> EndpointDirectory::ids_except(const std::set<std::string>& names) const {
   std::vector<EndpointId> others;
   for (const auto& [id, name] : names_) {
-    if (names.count(name) == 0)
+    if (names.count(name) == 0 && released_.count(id) == 0)
       others.push_back(id);
   }
   return others;
--- a/src/proxy/endpoint_registry.cpp
+++ b/src/proxy/endpoint_registry.cpp
@@ -16,6 +16,9 @@
   // entries must not stay behind.
   if (kind == EndpointList::Kind::Full && removal_is_binding)
     remove_unlisted(endpoints, upstream);
+  directory_.forget_released([this](EndpointId endpoint) {
+    return router_.knows_endpoint(endpoint);
+  });
   EndpointList list;
   list.kind = kind;
   for (const ListedEndpoint& listed : endpoints) {
--- a/src/proxy/endpoint_registry.h
+++ b/src/proxy/endpoint_registry.h
@@ -1,7 +1,8 @@
 /// Applies endpoint lists to the directory of ids, the invariant guard and the upstream, which must
 /// know the listed endpoints before the router gets the list.
 ///
-/// Runs on one thread. Holds one entry for each endpoint of the list.
+/// Runs on one thread. Holds one entry for each endpoint of the list, and for each other one that
+/// the router still knows.
 #pragma once
 
 #include "endpoint_directory.h"
@@ -15,9 +16,9 @@
 
 class EndpointRegistry {
 public:
-  /// Borrows both arguments, which must outlive the registry.
-  EndpointRegistry(const Settings& settings, InvariantGuard& guard)
-      : settings_(settings), guard_(guard) {}
+  /// Borrows all arguments, which must outlive the registry.
+  EndpointRegistry(const Settings& settings, const Router& router, InvariantGuard& guard)
+      : settings_(settings), router_(router), guard_(guard) {}
 
   /// Applies a list of `endpoints`, or changes to it, and returns the event for the router.
   [[nodiscard]] EndpointList
@@ -28,6 +29,7 @@
   void remove(EndpointId endpoint, Upstream& upstream);
 
   const Settings& settings_;
+  const Router& router_;
   InvariantGuard& guard_;
   EndpointDirectory directory_;
 };
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -137,7 +137,7 @@
   Settings settings_;
   Router router_;
   InvariantGuard guard_{settings_};
-  EndpointRegistry registry_{settings_, guard_};
+  EndpointRegistry registry_{settings_, router_, guard_};
   RequestTracker requests_;
   InFlightTable in_flight_;
   EventQueue queue_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -55,6 +55,10 @@
     return endpoint != nullptr && endpoint->is_usable();
   }
 
+  [[nodiscard]] bool knows_endpoint(EndpointId endpoint_id) const {
+    return state_.endpoints.find(endpoint_id) != nullptr;
+  }
+
 private:
   void on(const EndpointList& list) { updater_.apply(list); }
 
@@ -173,4 +177,8 @@
   return core_->is_health_check_allowed(endpoint);
 }
 
+bool Router::knows_endpoint(EndpointId endpoint) const {
+  return core_->knows_endpoint(endpoint);
+}
+
 }  // namespace gorsebeam
--- a/tests/request_broker_test.cpp
+++ b/tests/request_broker_test.cpp
@@ -80,14 +80,22 @@
 protected:
   RequestBrokerTest() {
     broker_.attach(upstream_);
+    list_replica("replica");
+    report_health(upstream_.health_checks.back());
+  }
+
+  /// Applies a list of one replica.
+  void list_replica(const std::string& name) {
     ListedEndpoint replica;
-    replica.name = "replica";
+    replica.name = name;
     replica.address = "127.0.0.1:1";
     broker_.update_endpoints(EndpointList::Kind::Full, {replica});
+  }
+
+  void report_health(EndpointId endpoint) {
     UpstreamResponse healthy;
     healthy.status = AttemptStatus::Ok;
-    for (const EndpointId endpoint : std::vector<EndpointId>(upstream_.health_checks))
-      broker_.complete_health_check(endpoint, healthy);
+    broker_.complete_health_check(endpoint, healthy);
   }
 
   bool begin(const std::string& id, FakeCall& call) {
@@ -107,6 +115,18 @@
   FakeUpstream upstream_;
 };
 
+// Guards against stale reads at a replica that replaced another one: it got the id of that one, and
+// with it its position and its admission, if their names ended in the same digits.
+TEST_F(RequestBrokerTest, GivesAReplacementAnIdOfItsOwn) {
+  list_replica("pg-porto-20261201");
+  const EndpointId former = upstream_.health_checks.back();
+  report_health(former);
+  const std::size_t checks = upstream_.health_checks.size();
+  list_replica("pg-nord-20261201");
+  ASSERT_EQ(upstream_.health_checks.size(), checks + 1) << "nothing is known of it";
+  EXPECT_NE(upstream_.health_checks.back(), former);
+}
+
 TEST_F(RequestBrokerTest, FailsOnlyTheRequestWhoseHandlingThrows) {
   FakeCall earlier;
   ASSERT_TRUE(begin("earlier", earlier));
