Keep a drain that a list of another discovery agent does not name

Cause: the event of an endpoint that a whole list omits was replaced by "omitted", which does not hold against the list of another agent (discovery/revision_filter, remove_unlisted). The drain was lost with it.

Change: an endpoint that was listed as draining or removed stays so when a list omits it, until its next start or a later list of the same agent.

Result: RevisionFilter.KeepsADrainOverTwoAddressChanges fails without the change ("all a+ b+ c+" in place of "all a- b+ c+") and passes.

--- a/src/discovery/revision_filter.cpp
+++ b/src/discovery/revision_filter.cpp
@@ -59,8 +59,11 @@
 void RevisionFilter::remove_unlisted(const std::set<std::string>& listed_names,
                                      std::int64_t revision) {
   for (auto& [name, event] : last_events_) {
-    if (listed_names.count(name) == 0)
-      event = {epoch_, revision, EndpointStatus::Removed, event.started_at, true};
+    if (listed_names.count(name) > 0)
+      continue;
+    // That a list omits an endpoint does not undo that it was listed as draining or removed.
+    const bool was_available = event.is_unlisted || event.status == EndpointStatus::Up;
+    event = {epoch_, revision, EndpointStatus::Removed, event.started_at, was_available};
   }
 }
 
--- a/src/discovery/revision_filter.h
+++ b/src/discovery/revision_filter.h
@@ -49,7 +49,9 @@
     std::int64_t revision = 0;
     EndpointStatus status = EndpointStatus::Up;
     TimePoint started_at{};
-    bool is_unlisted = false;  ///< Whether a complete list omitted the endpoint.
+    /// Whether a complete list omitted the endpoint, which was never listed as draining or removed
+    /// since it started.
+    bool is_unlisted = false;
   };
 
   /// Records an entry of a list with the given revision, and replaces the entry's status where an
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -146,6 +146,26 @@
   EXPECT_EQ(filtered(filter, 41, false, {endpoint("a", kUp)}), " a+");
 }
 
+// Guards against requests to a draining endpoint: a list that omitted it made its drain forgotten,
+// and a third agent, which lagged, listed it as up.
+TEST(RevisionFilter, KeepsADrainOverTwoAddressChanges) {
+  for (const EndpointStatus status : {kDraining, kRemoved}) {
+    RevisionFilter filter;
+    filtered(filter, 40, true, {endpoint("a", kUp, TimePoint(5ns)), endpoint("b", kUp)},
+             ListOrder::FirstOfWatch);
+    filtered(filter, 41, false, {endpoint("a", status, TimePoint(5ns))});
+    filter.start_new_epoch();
+    EXPECT_EQ(filtered(filter, 43, true, {endpoint("c", kUp)}, ListOrder::FirstOfWatch), "all c+");
+    filter.start_new_epoch();
+    const auto lagging = {endpoint("a", kUp, TimePoint(5ns)), endpoint("b", kUp),
+                          endpoint("c", kUp)};
+    EXPECT_EQ(filtered(filter, 39, true, lagging, ListOrder::FirstOfWatch), "all a- b+ c+")
+        << "b was omitted, but never listed as draining";
+    EXPECT_EQ(filtered(filter, 44, false, {endpoint("a", kUp, TimePoint(5ns))}), " a+");
+    EXPECT_EQ(filtered(filter, 45, false, {endpoint("a", kUp, TimePoint(6ns))}), " a+");
+  }
+}
+
 TEST(RevisionFilter, ForgetsRemovedEndpointsBeyondTheMaximum) {
   RevisionFilter filter;
   for (int i = 0; i < 3000; ++i)
