Reject a reload whose operators' file names a class that needs a restart

Cause: the operators' file was validated with the classes of the new platform configuration, and its contracts converted with those of the start, which the running router has (gateway/gateway.cpp, apply_contracts).

Change: a reload validates with the running classes, so that the file is rejected with file, line and field and the last good one stays.

Result: Contracts.AreNotReloadedWithAClassThatNeedsARestart, on both protocols, fails without the change and passes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,7 +169,8 @@
   // A gateway that is stopping must not listen on a new address.
   if (is_stopping_)
     return log_rejected_reload("this gateway is stopping");
-  const auto read = read_gateway_config(config_.platform_config_path, config_.operator_file_path);
+  const auto read = read_gateway_config(config_.platform_config_path, config_.operator_file_path,
+                                        &config_.platform.profile.class_indexes);
   if (!read)
     return log_rejected_reload(read.error().to_string());
   const GatewayConfig& config = read.value();
--- a/src/gateway/gateway_config.h
+++ b/src/gateway/gateway_config.h
@@ -18,8 +18,11 @@
   std::string operator_file_path;  ///< Empty if there is no operators' file.
 };
 
-/// Reads and validates both files. An error names the file, the line and the field.
+/// Reads and validates both files. The operators' file may name the classes in `running_classes`,
+/// or, if that is null, those of the platform's configuration. A running gateway keeps the classes
+/// with which it started. An error names the file, the line and the field.
 [[nodiscard]] common::Result<GatewayConfig, settings::FileError>
-read_gateway_config(const std::string& config_path, const std::string& file_path);
+read_gateway_config(const std::string& config_path, const std::string& file_path,
+                    const config::ClassIndexes* running_classes = nullptr);
 
 }  // namespace gorsebeam::gateway
--- a/tests/integration/contracts_test.cpp
+++ b/tests/integration/contracts_test.cpp
@@ -46,6 +46,20 @@
   harness_.expect_invariants_and_running();
 }
 
+// Guards against the end of the process: a class that was added to both files was validated with
+// the new ones, and looked up among those of the start.
+TEST_P(Contracts, AreNotReloadedWithAClassThatNeedsARestart) {
+  PlatformSettings settings;
+  settings.added_class = "added";
+  harness_.set_platform_settings(settings);
+  harness_.write_operator_file("contracts { team { name: 'portal' class { name: 'any' tries: 1 } "
+                               "class { name: 'added' tries: 1 } } }");
+  harness_.reload("127.0.0.1:1", "reload_rejected");
+  expect_contains(harness_.gateway.log, "'added' is no class of the settings");
+  ASSERT_EQ(client_->send_and_await(read_request("one")), ClientResult::Served);
+  harness_.expect_invariants_and_running();
+}
+
 // After a reload, a request in flight ends by the terms under which it began; new requests are
 // subject to the new terms, which have no budget.
 TEST_P(Contracts, ApplyNewTermsToNewRequestsAfterReload) {
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -56,6 +56,9 @@
                     make_class(settings, "session", "free", "causal"),
                     make_class(settings, "save", "guarded", "mutate"),
                     make_class(settings, "once", "single_shot", "mutate")};
+  if (!settings.added_class.empty())
+    config.classes.push_back(
+        make_class(settings, settings.added_class.c_str(), "free", "eventual"));
   std::string path = folder + "/config.json";
   std::ofstream(path) << encode_platform_config(config);
   return path;
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -25,6 +25,7 @@
   int deduplication_window_ms = 2000;
   int keepalive_ms = 30'000;        ///< The idle time after which endpoints close connections.
   std::string token_mode = "kept";  ///< See PlatformConfig.
+  std::string added_class;          ///< The name of a further class of reads; empty: none.
   int latency_objective_ms = 2000;  ///< Of each class, whose deadline is one second longer.
   std::string listen_address = "127.0.0.1:0";
 };
