Reject an inventory whose last line does not end

Cause: a part of a file that ends within a line can be a valid inventory of other endpoints: "...,1" of "...,11".

--- a/src/inventory/csv_inventory.cpp
+++ b/src/inventory/csv_inventory.cpp
@@ -125,11 +125,7 @@
 
 }  // namespace
 
-InventoryResult read_csv(const std::string& path) {
-  auto content = settings::read_text_file(path, "cannot be read");
-  if (!content)
-    return content.error();
-  std::string& text = content.value();
+InventoryResult parse_csv(const std::string& path, std::string text) {
   // libcsv ends a line at CR and again at LF, so CR LF would count as two line ends.
   text.erase(std::remove(text.begin(), text.end(), '\r'), text.end());
   CsvParser parser;
--- a/src/inventory/endpoint_list_builder.h
+++ b/src/inventory/endpoint_list_builder.h
@@ -50,10 +50,10 @@
   std::vector<proxy::ListedEndpoint> endpoints_;
 };
 
-/// Reads a CSV inventory, which may be without endpoints.
-[[nodiscard]] InventoryResult read_csv(const std::string& path);
+/// Parses the text of the CSV inventory at `path`, which may be without endpoints.
+[[nodiscard]] InventoryResult parse_csv(const std::string& path, std::string text);
 
-/// Reads a YAML inventory, which may be without endpoints.
-[[nodiscard]] InventoryResult read_yaml(const std::string& path);
+/// Parses the text of the YAML inventory at `path`, which may be without endpoints.
+[[nodiscard]] InventoryResult parse_yaml(const std::string& path, const std::string& text);
 
 }  // namespace gorsebeam::inventory
--- a/src/inventory/yaml_inventory.cpp
+++ b/src/inventory/yaml_inventory.cpp
@@ -3,7 +3,6 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
-#include <ios>
 #include <optional>
 
 namespace gorsebeam::inventory {
@@ -166,19 +165,15 @@
 
 }  // namespace
 
-InventoryResult read_yaml(const std::string& path) {
+InventoryResult parse_yaml(const std::string& path, const std::string& text) {
   EndpointListBuilder builder(path);
-  // yaml-cpp reports errors by exceptions, both when it loads the file and when nodes are accessed.
+  // yaml-cpp reports errors by exceptions, both when it parses the text and when nodes are
+  // accessed.
   try {
-    if (auto error = add_root(YAML::LoadFile(path), builder))
+    if (auto error = add_root(YAML::Load(text), builder))
       return *std::move(error);
-  } catch (const YAML::BadFile&) {
-    return FileError{path, 0, std::nullopt, "cannot be read"};
   } catch (const YAML::Exception& error) {
     return builder.make_error(line_of(error.mark), "yaml", error.msg);
-  } catch (const std::ios_base::failure& error) {
-    // Reading throws if the path can be opened but not read, as with a folder.
-    return FileError{path, 0, std::nullopt, std::string("cannot be read: ") + error.what()};
   }
   return builder.release_endpoints();
 }
--- a/tests/inventory_test.cpp
+++ b/tests/inventory_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <utility>
 
 namespace {
 
@@ -78,6 +79,25 @@
                "is none of hosts, children and vars");
 }
 
+// Guards against foreign data: a file that was read half-written ended in "1" of "11", and the host
+// of group 11 was listed in group 1.
+TEST(Inventory, RejectsEachBeginningThatEndsWithinALine) {
+  const std::string csv = "name,address,group\na,127.0.0.1:1,1\nb,127.0.0.1:2,11\n";
+  const std::string yaml = "all:\n  hosts:\n    a: {address: '127.0.0.1:1', group: 1}\n"
+                           "    b:\n      address: 127.0.0.1:2\n      group: 11\n";
+  for (const auto& [text, extension] : {std::pair(csv, ".csv"), std::pair(yaml, ".yaml")}) {
+    ASSERT_TRUE(read_text(text, extension).has_value());
+    for (std::size_t size = 1; size < text.size(); ++size) {
+      if (text[size - 1] != '\n') {
+        EXPECT_FALSE(read_text(text.substr(0, size), extension).has_value()) << size;
+      }
+    }
+  }
+  expect_error(read_text(csv.substr(0, csv.size() - 2), ".csv"), 3, "none",
+               "the last line does not end, as in a file that is being written; end it, or write "
+               "another file and rename it to this one");
+}
+
 TEST(Inventory, RejectsAnEmptyListAndOtherExtensions) {
   const auto empty = read_text("name,address,group\n", ".csv");
   ASSERT_FALSE(empty.has_value());
