Keep the limit under which a pending MongoDB request was accepted

Cause: the message is read again from the input when it is sent, with the limit of that moment; a message that is too long for it became an empty command (mongo/client_connection, body).

Change: it is read again with its own size. PostgreSQL's frontend takes its statement by size and was not affected.

Result: RaceConditions.SendsRequestWholeAfterItsMessageLimitWasLowered fails without the change for MongoDB (the stub endpoint gets a command that it cannot read) and passes on both protocols.

--- a/src/mongo/client_connection.cpp
+++ b/src/mongo/client_connection.cpp
@@ -32,9 +32,10 @@
       : ClientConnection(frontend, std::move(socket)),
         admission_(contracts, frontend.broker().settings()) {}
 
-  // Reads the message from the input again, where it stays until its request is complete.
+  // Reads the message from the input again, where it stays until its request is complete. The limit
+  // under which it was accepted holds: a reload may have lowered the present one.
   proxy::ByteSpans body(Duration time_left) override {
-    const wire::FramingResult<Message> message = read_pending_message();
+    const wire::FramingResult<Message> message = read_message(input(), message_size_);
     const OpMsg op_msg = message ? read_op_msg(message.value().payload).value_or(OpMsg{}) : OpMsg{};
     return rewriter_.rewrite(op_msg, pending_command_kind_, time_left);
   }
@@ -62,17 +63,13 @@
 
 private:
   void parse() override {
-    const wire::FramingResult<Message> message = read_pending_message();
+    const wire::FramingResult<Message> message = read_message(input(), max_message_bytes());
     if (message)
       handle_message(message.value());
     else if (message.error() == FramingError::Malformed)
       close_with_error(ProtocolError::MalformedFrame);
   }
 
-  [[nodiscard]] wire::FramingResult<Message> read_pending_message() const {
-    return read_message(input(), max_message_bytes());
-  }
-
   void handle_message(const Message& message) {
     message_id_ = message.request_id;
     message_size_ = message.size;
--- a/tests/integration/race_conditions_test.cpp
+++ b/tests/integration/race_conditions_test.cpp
@@ -34,6 +34,25 @@
   }
 }
 
+// Guards against a spoilt command: a reload lowered the message limit under a pending request,
+// which could not be read again, and a command without its content was sent in its place.
+TEST_P(RaceConditions, SendsRequestWholeAfterItsMessageLimitWasLowered) {
+  WarmGateway warm(protocol(), 1, 4, long_connect_timeout());
+  warm.harness.pause_handshakes();
+  Request write = keyed_write("large");
+  write.idempotency_key.resize(100 * 1024, 'k');
+  warm.client->send_request(write);
+  ASSERT_EQ(&warm.harness.await_paused_handshake(), warm.harness.endpoints.front().get());
+  warm.harness.write_operator_file("limits { message_kib: 64 }");
+  warm.harness.publish_inventory();
+
+  warm.harness.resume_handshakes();
+
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  ASSERT_EQ(warm.harness.attempts.back().request.idempotency_key, write.idempotency_key);
+  warm.harness.expect_invariants_and_running();
+}
+
 TEST_P(RaceConditions, DoesNotRetryOnEndpointDrainedDuringConnect) {
   WarmGateway warm(protocol(), 4, 12, long_connect_timeout());
   warm.harness.pause_handshakes();
