Include the listed endpoint alone where the broker is not used

Change: they include proxy/listed_endpoint.h; the watch, which uses the broker, includes it by itself.

--- a/src/config/conversion.h
+++ b/src/config/conversion.h
@@ -5,7 +5,7 @@
 #include "validation.h"
 
 #include "proxy/contract_enforcer.h"
-#include "proxy/request_broker.h"
+#include "proxy/listed_endpoint.h"
 
 #include <vector>
 
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -10,6 +10,7 @@
 
 #include "net/stream.h"
 #include "net/timer.h"
+#include "proxy/request_broker.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/inventory/inventory.h
+++ b/src/inventory/inventory.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "common/result.h"
-#include "proxy/request_broker.h"
+#include "proxy/listed_endpoint.h"
 #include "settings/file_error.h"
 
 #include <string>
