--- a/tests/soak/virtual_time.cpp
+++ b/tests/soak/virtual_time.cpp
@@ -34,6 +34,10 @@
   current_time = when;
 }
 
+void discard_scheduled() {
+  scheduled_steps.clear();
+}
+
 std::size_t pending() {
   return scheduled_steps.size();
 }
--- a/tests/soak/virtual_time.h
+++ b/tests/soak/virtual_time.h
@@ -17,6 +17,9 @@
 /// Runs all steps and timers that are due by `when`, then sets the clock to `when`.
 void run_until(gorsebeam::TimePoint when);
 
+/// Removes all scheduled steps, whose owner is about to end, and all timers.
+void discard_scheduled();
+
 /// The number of scheduled steps and timers.
 [[nodiscard]] std::size_t pending();
 
