Draw the addresses of the recorded histories in a fixed order

Two numbers were drawn within one list of arguments, whose order of evaluation C++ leaves open; GCC evaluates it from right to left on x86-64 and from left to right on arm64. The draws are now two statements, in the order of the recorded value, which is unchanged: the test passes on arm64 with it. Not run on x86-64 here.

--- a/tests/version_tracker_digest_test.cpp
+++ b/tests/version_tracker_digest_test.cpp
@@ -249,8 +249,10 @@
   }
 
   void update_settings() {
-    if (draw(4) == 0)
-      settings_.stream.addresses.assign(draw(3), "b" + std::to_string(draw(9)));
+    if (draw(4) == 0) {
+      const std::string address = "b" + std::to_string(draw(9));
+      settings_.stream.addresses.assign(draw(3), address);
+    }
     settings_.dependency_timeout = std::chrono::milliseconds(1000 + draw(3000));
     settings_.stream.keepalive_interval = std::chrono::milliseconds(5000 + draw(5000));
     tracker_->update_settings(now_, settings_, actions_);
