Log slow starts, what rejected requests waited for, and the time of each line

The report's logs did not say that a slow start began, on which evidence, what it admitted, what a rejected request had waited for, or when a line was written. New events endpoint_slow_start_began, _window and _ended, new fields waited_for, attempts and age_ms of request_rejected and request_failed, and uptime_ms, by the monotonic clock, in every line.

--- a/include/gorsebeam/actions.h
+++ b/include/gorsebeam/actions.h
@@ -38,17 +38,29 @@
   NoPrimary,      ///< Its group still has no known primary after half of its time.
 };
 
+/// What a request without an attempt in flight last waited for.
+enum class WaitReason {
+  Nothing,         ///< It did not wait.
+  SlowStart,       ///< The endpoint that it may go to is in slow start and did not admit it.
+  Load,            ///< The load of the endpoints that it may go to did not admit it.
+  CurrentReplica,  ///< No replica was known to be current, or none was left.
+  Primary,         ///< Its group had no known primary.
+  RetryBackoff,    ///< The primary rejected its last attempt a short time ago.
+};
+
 /// The final answer to a request: rejected, and safe to send again.
 struct RejectRequest {
   std::string request_id;
   Duration retry_after{};  ///< 0: none is advised.
   AnswerReason reason = AnswerReason::OutOfTime;
+  WaitReason waited_for = WaitReason::Nothing;
 };
 
 /// The final answer to a request: failed, with no promise about its effect.
 struct FailRequest {
   std::string request_id;
   AnswerReason reason = AnswerReason::OutOfTime;
+  WaitReason waited_for = WaitReason::Nothing;
 };
 
 /// Requests a TimerExpired event at the time `at`. Replaces the timer that was set before.
--- a/include/gorsebeam/log_messages.h
+++ b/include/gorsebeam/log_messages.h
@@ -1,6 +1,7 @@
 /// Log messages of a router as typed values. The embedding program renders them as text.
 #pragma once
 
+#include "gorsebeam/time.h"
 #include "gorsebeam/types.h"
 
 #include <variant>
@@ -58,9 +59,45 @@
   GroupId to = 0;
 };
 
+/// What shows that an endpoint's process started a short time ago.
+enum class SlowStartReason {
+  ListedStart,     ///< The endpoint list contains its start.
+  AssumedRestart,  ///< It did not answer, or broke connections, for long enough to have restarted.
+};
+
+/// An endpoint is in slow start from now on.
+struct SlowStartBegan {
+  EndpointId endpoint = 0;
+  SlowStartReason reason = SlowStartReason::ListedStart;
+  Duration age{};       ///< Since its process started.
+  double capacity = 1;  ///< The fraction of its full capacity that it has now.
+};
+
+/// What an endpoint in slow start was sent.
+struct SlowStartCounts {
+  int attempts = 0;  ///< All attempts, including recovery attempts.
+  int recovery_attempts = 0;
+  int health_checks = 0;
+  /// How often an attempt was not admitted. A waiting request counts each time it is considered.
+  int not_admitted = 0;
+};
+
+/// What an endpoint in slow start was sent within one overload window.
+struct SlowStartWindow {
+  EndpointId endpoint = 0;
+  double capacity = 1;  ///< As in `SlowStartBegan`.
+  SlowStartCounts counts;
+};
+
+/// An endpoint's slow start is over.
+struct SlowStartEnded {
+  EndpointId endpoint = 0;
+  SlowStartCounts counts;  ///< Of the whole slow start.
+};
+
 /// One message for the log.
-using LogMessage =
-    std::variant<PrimaryElected, PrimaryDemoted, PrimarySuspected, EndpointEjected,
-                 EndpointReadmitted, EndpointDraining, EndpointRemoved, EndpointMoved>;
+using LogMessage = std::variant<PrimaryElected, PrimaryDemoted, PrimarySuspected, EndpointEjected,
+                                EndpointReadmitted, EndpointDraining, EndpointRemoved,
+                                EndpointMoved, SlowStartBegan, SlowStartWindow, SlowStartEnded>;
 
 }  // namespace gorsebeam
--- a/src/logging/log_record.cpp
+++ b/src/logging/log_record.cpp
@@ -1,5 +1,7 @@
 #include "log_record.h"
 
+#include <cmath>
+
 namespace gorsebeam::logging {
 namespace {
 
@@ -15,6 +17,27 @@
   return "unknown";
 }
 
+const char* reason_name(SlowStartReason reason) {
+  switch (reason) {
+  case SlowStartReason::ListedStart:
+    return "listed_start";
+  case SlowStartReason::AssumedRestart:
+    return "assumed_restart";
+  }
+  return "unknown";
+}
+
+std::string percent(double fraction) {
+  return std::to_string(std::lround(100 * fraction));
+}
+
+void append_counts(Fields& fields, const SlowStartCounts& counts) {
+  fields.emplace_back("attempts", std::to_string(counts.attempts));
+  fields.emplace_back("recovery_attempts", std::to_string(counts.recovery_attempts));
+  fields.emplace_back("health_checks", std::to_string(counts.health_checks));
+  fields.emplace_back("not_admitted", std::to_string(counts.not_admitted));
+}
+
 /// Builds the record of a log message; there is an overload for each type.
 struct RecordBuilder {
   LogRecord operator()(const PrimaryElected& message) const {
@@ -54,7 +77,32 @@
              {"to_group", std::to_string(message.to)}}};
   }
 
+  LogRecord operator()(const SlowStartBegan& message) const {
+    return {"endpoint_slow_start_began",
+            {{"endpoint", std::to_string(message.endpoint)},
+             {"reason", reason_name(message.reason)},
+             {"age_ms", std::to_string(message.age / 1ms)},
+             {"capacity_percent", percent(message.capacity)}}};
+  }
+
+  LogRecord operator()(const SlowStartWindow& message) const {
+    Fields fields{{"endpoint", std::to_string(message.endpoint)},
+                  {"capacity_percent", percent(message.capacity)}};
+    append_counts(fields, message.counts);
+    return make_record("endpoint_slow_start_window", std::move(fields));
+  }
+
+  LogRecord operator()(const SlowStartEnded& message) const {
+    Fields fields{{"endpoint", std::to_string(message.endpoint)}};
+    append_counts(fields, message.counts);
+    return make_record("endpoint_slow_start_ended", std::move(fields));
+  }
+
 private:
+  static LogRecord make_record(const char* event, Fields fields) {
+    return {event, std::move(fields)};
+  }
+
   static LogRecord group_event(const char* event, GroupId group, EndpointId endpoint) {
     return {event, {{"group", std::to_string(group)}, {"endpoint", std::to_string(endpoint)}}};
   }
@@ -100,6 +148,24 @@
   return "unknown";
 }
 
+const char* wait_reason_name(WaitReason reason) {
+  switch (reason) {
+  case WaitReason::Nothing:
+    return "nothing";
+  case WaitReason::SlowStart:
+    return "slow_start";
+  case WaitReason::Load:
+    return "load";
+  case WaitReason::CurrentReplica:
+    return "current_replica";
+  case WaitReason::Primary:
+    return "primary";
+  case WaitReason::RetryBackoff:
+    return "retry_backoff";
+  }
+  return "unknown";
+}
+
 const char* status_name(AttemptStatus status) {
   switch (status) {
   case AttemptStatus::Ok:
--- a/src/logging/log_record.h
+++ b/src/logging/log_record.h
@@ -26,6 +26,9 @@
 /// The value of the log field `reason` for `reason`, such as "out_of_time".
 [[nodiscard]] const char* reason_name(AnswerReason reason);
 
+/// The value of the log field `waited_for` for `reason`, such as "slow_start".
+[[nodiscard]] const char* wait_reason_name(WaitReason reason);
+
 /// The value of the log field `status` for `status`, such as "connect_failed".
 [[nodiscard]] const char* status_name(AttemptStatus status);
 
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -67,6 +67,12 @@
   int suppressed = 0;
 };
 
+/// The time since the process wrote its first line, in milliseconds of the monotonic clock.
+gint64 log_uptime_ms() {
+  static const gint64 kBeganAt = g_get_monotonic_time();
+  return (g_get_monotonic_time() - kBeganAt) / 1000;
+}
+
 /// Returns how many lines with this event name were suppressed since the last written one, or
 /// nothing if the current line is to be suppressed too.
 std::optional<int> admit_line(const char* event) {
@@ -92,9 +98,11 @@
 }
 
 void log(logging::LogRecord record) {
+  const gint64 uptime_ms = log_uptime_ms();
   const std::optional<int> suppressed = admit_line(record.event);
   if (!suppressed)
     return;
+  record.fields.emplace_back("uptime_ms", std::to_string(uptime_ms));
   if (*suppressed > 0)
     record.fields.emplace_back("suppressed", std::to_string(*suppressed));
   const bool is_json = current_format == LogFormat::Json;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -15,8 +15,10 @@
 constexpr int kMaxLinesPerSecond = 5;
 
 /// Writes one line to the log. As text it is "gorsebeam: EVENT name=value ..."; as JSON it is an
-/// object with "time" (in Unix milliseconds), "event" and the fields. The first line after
-/// suppressed lines of the same event has their number in the field `suppressed`.
+/// object with "time" (in Unix milliseconds), "event" and the fields. Each line has the field
+/// `uptime_ms`, the time since the first line, which a change of the system clock does not affect.
+/// The first line after suppressed lines of the same event has their number in the field
+/// `suppressed`.
 void log(logging::LogRecord record);
 
 }  // namespace gorsebeam::net
--- a/src/proxy/action_executor.cpp
+++ b/src/proxy/action_executor.cpp
@@ -12,6 +12,21 @@
 
 namespace gorsebeam::proxy {
 
+namespace {
+
+/// The fields that tell what happened to a request before its final answer.
+logging::Fields history_fields(const TrackedRequest& request, WaitReason waited_for) {
+  return {{"waited_for", logging::wait_reason_name(waited_for)},
+          {"attempts", std::to_string(request.started_attempts)},
+          {"age_ms", std::to_string((net::now() - request.begun_at) / 1ms)}};
+}
+
+void append(logging::Fields& fields, const logging::Fields& further) {
+  fields.insert(fields.end(), further.begin(), further.end());
+}
+
+}  // namespace
+
 void ActionExecutor::perform(const Action& action) {
   std::visit(
       [this](const auto& chosen) {
@@ -69,6 +84,7 @@
   if (request == nullptr)
     return;
   const auto violation = guard_.check_rejection(request->history);
+  const logging::Fields history = history_fields(*request, action.waited_for);
   ClientCall* const call = requests_.complete(action.request_id);
   if (call == nullptr)
     return;
@@ -77,19 +93,26 @@
     call->fail();
     return;
   }
-  net::log({"request_rejected",
-            {{"request", action.request_id},
-             {"reason", logging::reason_name(action.reason)},
-             {"retry_after_ms", std::to_string(action.retry_after / 1ms)}}});
+  logging::Fields fields{{"request", action.request_id},
+                         {"reason", logging::reason_name(action.reason)},
+                         {"retry_after_ms", std::to_string(action.retry_after / 1ms)}};
+  append(fields, history);
+  net::log({"request_rejected", std::move(fields)});
   call->reject(action.retry_after);
 }
 
 void ActionExecutor::execute(const FailRequest& action) {
+  const TrackedRequest* const request = requests_.find(action.request_id);
+  if (request == nullptr)
+    return;
+  const logging::Fields history = history_fields(*request, action.waited_for);
   ClientCall* const call = requests_.complete(action.request_id);
   if (call == nullptr)
     return;
-  net::log({"request_failed",
-            {{"request", action.request_id}, {"reason", logging::reason_name(action.reason)}}});
+  logging::Fields fields{{"request", action.request_id},
+                         {"reason", logging::reason_name(action.reason)}};
+  append(fields, history);
+  net::log({"request_failed", std::move(fields)});
   call->fail();
 }
 
--- a/src/router/attempt_starter.cpp
+++ b/src/router/attempt_starter.cpp
@@ -1,6 +1,7 @@
 #include "router/attempt_starter.h"
 
 #include "router/replication_positions.h"
+#include "router/slow_start.h"
 
 namespace gorsebeam::router {
 
@@ -8,9 +9,13 @@
   EndpointState* endpoint = state_.endpoints.find(id);
   if (endpoint == nullptr || !retries_.can_start_attempt(request, *endpoint))
     return false;
-  if (!admission_.admits_during_slow_start(*endpoint, request))
+  if (!admission_.admits_during_slow_start(*endpoint, request)) {
+    request.waits_for = WaitReason::SlowStart;
     return false;
+  }
   const bool is_recovery = kind == AttemptKind::Recovery;
+  const auto traffic = is_recovery ? SlowStartTraffic::RecoveryAttempt : SlowStartTraffic::Attempt;
+  record_slow_start_traffic(*endpoint, traffic, state_.settings, state_.event);
   if (is_recovery)
     endpoint->has_recovery_attempt = true;
   const TimePoint now = state_.event.now;
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -35,8 +35,12 @@
 
 void Dispatcher::dispatch(PendingRequest& request) {
   const TimePoint now = state_.event.now;
-  if (request.is_closed || (now < request.retry_not_before && now < request.give_up_at))
+  if (request.is_closed)
     return;
+  if (now < request.retry_not_before && now < request.give_up_at) {
+    request.waits_for = WaitReason::RetryBackoff;
+    return;
+  }
   if (request.in_flight > 0) {
     hedge(request);
     return;
@@ -45,6 +49,7 @@
     rejections_.give_up(request, *reason);
     return;
   }
+  request.waits_for = WaitReason::Nothing;
   const ConsistencyLevel level = state_.class_of(request).consistency;
   if (level == ConsistencyLevel::Write || level == ConsistencyLevel::Strong)
     send_to_primary(request);
@@ -81,6 +86,8 @@
 // that proves a replica current. It goes to the primary if none may arrive, or once a longer wait
 // would miss its latency objective.
 void Dispatcher::await_current_replica(PendingRequest& request) {
+  if (request.waits_for == WaitReason::Nothing)
+    request.waits_for = WaitReason::CurrentReplica;
   const bool position_may_arrive = positions_.request_positions(request);
   const Duration work = to_duration(2 * state_.typical_latency(request));
   if (position_may_arrive && state_.event.now < request.objective_at - work)
@@ -100,12 +107,19 @@
   else if (rejections_.cannot_find_primary_in_time(request, group))
     rejections_.give_up(request, AnswerReason::NoPrimary);
   else
-    discovery_.discover_for(request);
+    discover_primary(request);
+}
+
+void Dispatcher::discover_primary(PendingRequest& request) {
+  request.waits_for = WaitReason::Primary;
+  discovery_.discover_for(request);
 }
 
 void Dispatcher::start_at_primary(PendingRequest& request, EndpointId primary) {
   if (admission_.admits_under_load(state_.endpoints.at(primary), request))
     starter_.start(request, primary, AttemptKind::Normal);
+  else
+    request.waits_for = WaitReason::Load;
 }
 
 // Dispatches in order of descending value per work, so that under overload the requests of the
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -37,6 +37,7 @@
   void read_from_replica(PendingRequest& request);
   void await_current_replica(PendingRequest& request);
   void send_to_primary(PendingRequest& request);
+  void discover_primary(PendingRequest& request);
   void start_at_primary(PendingRequest& request, EndpointId primary);
 
   RouterState& state_;
--- a/src/router/endpoint_list_updater.cpp
+++ b/src/router/endpoint_list_updater.cpp
@@ -1,5 +1,7 @@
 #include "router/endpoint_list_updater.h"
 
+#include "router/slow_start.h"
+
 #include <algorithm>
 #include <set>
 #include <vector>
@@ -52,7 +54,8 @@
     state_.endpoints.join_group(endpoint);
   const bool has_restarted = is_new || entry.started_at != previous_start;
   if (entry.started_at > TimePoint{} && has_restarted)
-    endpoint.slow_start_since = std::max(endpoint.slow_start_since, entry.started_at);
+    begin_slow_start(endpoint, entry.started_at, SlowStartReason::ListedStart, state_.settings,
+                     state_.event);
   if (entry.status != EndpointStatus::Up) {
     exclude(endpoint, previous_status, entry.status);
     return;
--- a/src/router/endpoint_selection.cpp
+++ b/src/router/endpoint_selection.cpp
@@ -130,7 +130,7 @@
   return std::max(0.0, all - own * state_.endpoints.serving_endpoint_count(group));
 }
 
-std::optional<EndpointId> EndpointSelector::pick_by_weighted_hash(const PendingRequest& request,
+std::optional<EndpointId> EndpointSelector::pick_by_weighted_hash(PendingRequest& request,
                                                                   WeightedIds candidates) {
   std::uint64_t hash = request.affinity_hash;
   while (!candidates.empty()) {
@@ -146,8 +146,11 @@
       ++picked;
     }
     EndpointState& endpoint = state_.endpoints.at(candidates[picked].first);
-    if (admission_.admits_under_load(endpoint, request) &&
-        admission_.admits_during_slow_start(endpoint, request))
+    if (!admission_.admits_under_load(endpoint, request))
+      request.waits_for = WaitReason::Load;
+    else if (!admission_.admits_during_slow_start(endpoint, request))
+      request.waits_for = WaitReason::SlowStart;
+    else
       return endpoint.listing.id;
     candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(picked));
     hash = mix_hash(hash);
@@ -237,7 +240,7 @@
   return best;
 }
 
-std::optional<EndpointId> EndpointSelector::choose_replica(const PendingRequest& request) {
+std::optional<EndpointId> EndpointSelector::choose_replica(PendingRequest& request) {
   const auto long_reads_at = long_read_replica(state_.group_of(request));
   if (long_reads_at && is_long_running(request.request.class_index)) {
     if (was_attempted(request, *long_reads_at))
--- a/src/router/endpoint_selection.h
+++ b/src/router/endpoint_selection.h
@@ -30,7 +30,8 @@
 
   /// The replica that gets the read, or the primary where saturated replicas share the reads with
   /// it; empty if no endpoint is admitted.
-  [[nodiscard]] std::optional<EndpointId> choose_replica(const PendingRequest& request);
+  /// Sets `request.waits_for` if load or a slow start kept all candidates from admitting it.
+  [[nodiscard]] std::optional<EndpointId> choose_replica(PendingRequest& request);
 
   /// The ejected endpoint that gets the read as a recovery attempt, if any is due.
   [[nodiscard]] std::optional<EndpointId> choose_recovery_attempt(const PendingRequest& request,
@@ -50,7 +51,7 @@
 
   [[nodiscard]] Candidates collect_candidates(const PendingRequest& request,
                                               std::optional<EndpointId> long_read_replica);
-  [[nodiscard]] std::optional<EndpointId> pick_by_weighted_hash(const PendingRequest& request,
+  [[nodiscard]] std::optional<EndpointId> pick_by_weighted_hash(PendingRequest& request,
                                                                 WeightedIds candidates);
   [[nodiscard]] std::optional<EndpointId> most_advanced(const PendingRequest& request,
                                                         const std::vector<EndpointId>& candidates);
--- a/src/router/endpoint_table.h
+++ b/src/router/endpoint_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gorsebeam/events.h"
+#include "gorsebeam/log_messages.h"
 #include "router/load_estimator.h"
 #include "router/time_points.h"
 
@@ -17,6 +18,14 @@
 /// How long a newly ejected endpoint gets no recovery attempt; doubles with each failure.
 constexpr Duration kInitialRecoveryBackoff = 500ms;
 
+/// What an endpoint in slow start was sent.
+struct SlowStartActivity {
+  bool is_active = false;  ///< Its slow start has begun and its end was not logged yet.
+  TimePoint window_began_at{};
+  SlowStartCounts window;  ///< Since `window_began_at`.
+  SlowStartCounts total;   ///< Since the slow start began.
+};
+
 /// What the router knows about one endpoint. A new endpoint counts as ejected until it answers, as
 /// nothing is known about it.
 struct EndpointState {
@@ -51,7 +60,8 @@
   TimePoint role_evidence_at = kUnknownTime;
   TimePoint answered_as_replica_at = kUnknownTime;  ///< When it last answered that it is a replica.
   TimePoint slow_start_since = kUnknownTime;        ///< When its slow start began.
-  DecayingLoad load;                                ///< Estimated from its own answers.
+  SlowStartActivity slow_start;
+  DecayingLoad load;  ///< Estimated from its own answers.
 
   /// Whether requests and health checks may be sent to it at all.
   [[nodiscard]] bool is_usable() const { return listing.status == EndpointStatus::Up; }
--- a/src/router/health_check_scheduler.cpp
+++ b/src/router/health_check_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "router/health_check_scheduler.h"
 
 #include "router/replication_positions.h"
+#include "router/slow_start.h"
 
 #include <algorithm>
 
@@ -36,6 +37,7 @@
     budget_ -= 1;
   endpoint.has_health_check = true;
   endpoint.last_health_check_at = event_.now;
+  record_slow_start_traffic(endpoint, SlowStartTraffic::HealthCheck, settings_, event_);
   event_.emit(SendHealthCheck{endpoint.listing.id});
   return true;
 }
--- a/src/router/load_admission.cpp
+++ b/src/router/load_admission.cpp
@@ -36,7 +36,7 @@
 // times the square root of the overload factor, as typical work needs less than the settings
 // assume. The fraction is lower while the endpoint's pool is overloaded, as clients retry rejected
 // requests. Trade-off: an endpoint that does the work of several may still be overloaded.
-bool LoadAdmission::admits_during_slow_start(const EndpointState& endpoint,
+bool LoadAdmission::admits_during_slow_start(EndpointState& endpoint,
                                              const PendingRequest& request) {
   const double capacity = slow_start_capacity(endpoint, state_.settings, state_.event.now);
   if (capacity >= 1)
@@ -46,7 +46,11 @@
   const double tolerance = start_is_listed ? std::sqrt(state_.settings.overload_factor) : 1;
   const double overload_reduction =
       pool.exceeds(kTargetLoad) ? kTargetLoad * pool.count() / pool.sum() : 1;
-  return unit_interval(request.id_hash) < tolerance * capacity * overload_reduction;
+  const bool admits = unit_interval(request.id_hash) < tolerance * capacity * overload_reduction;
+  if (!admits)
+    record_slow_start_traffic(endpoint, SlowStartTraffic::NotAdmitted, state_.settings,
+                              state_.event);
+  return admits;
 }
 
 double LoadAdmission::saturation(Role role) {
--- a/src/router/outlier_ejection.cpp
+++ b/src/router/outlier_ejection.cpp
@@ -1,5 +1,7 @@
 #include "router/outlier_ejection.h"
 
+#include "router/slow_start.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,7 +47,7 @@
   endpoint.needs_recovery_attempt = false;
   endpoint.error_ratio = 0;
   if (needs_slow_start(endpoint, may_have_restarted))
-    endpoint.slow_start_since = event_.now;
+    begin_slow_start(endpoint, event_.now, SlowStartReason::AssumedRestart, settings_, event_);
   endpoints_.mark_dispatchable(endpoint.listing.group);
   event_.log(EndpointReadmitted{endpoint.listing.id});
 }
--- a/src/router/rejection_policy.cpp
+++ b/src/router/rejection_policy.cpp
@@ -62,9 +62,9 @@
     return;
   request.is_closed = true;
   if (can_reject(request))
-    state_.event.emit(RejectRequest{request.request.id, retry_after, reason});
+    state_.event.emit(RejectRequest{request.request.id, retry_after, reason, request.waits_for});
   else
-    state_.event.emit(FailRequest{request.request.id, reason});
+    state_.event.emit(FailRequest{request.request.id, reason, request.waits_for});
 }
 
 }  // namespace gorsebeam::router
--- a/src/router/request_table.h
+++ b/src/router/request_table.h
@@ -1,6 +1,7 @@
 /// Holds the open requests and their attempts.
 #pragma once
 
+#include "gorsebeam/actions.h"
 #include "gorsebeam/events.h"
 #include "gorsebeam/settings.h"
 #include "router/time_points.h"
@@ -44,8 +45,9 @@
   bool is_closed = false;        ///< It has its final answer, or its client disconnected.
   bool is_hedged = false;        ///< A hedged attempt was sent.
   TimePoint retry_not_before{};  ///< No attempt starts before this time.
-  TimePoint check_at = kNever;   ///< When it is checked next.
-  int in_flight = 0;             ///< The number of attempts in flight.
+  WaitReason waits_for = WaitReason::Nothing;  ///< Why its last dispatch started no attempt.
+  TimePoint check_at = kNever;                 ///< When it is checked next.
+  int in_flight = 0;                           ///< The number of attempts in flight.
 };
 
 /// Owns the open requests. Its size is bounded by the requests that the embedding program keeps
--- a/tests/fault_soak/gateway_process.cpp
+++ b/tests/fault_soak/gateway_process.cpp
@@ -130,7 +130,7 @@
   if (found == std::string::npos)
     return;
   const std::size_t begin = found + prefix.size();
-  const std::size_t end = log_.find('\n', begin);
+  const std::size_t end = log_.find(' ', begin);
   if (end == std::string::npos)
     return;
   address_ = log_.substr(begin, end - begin);
--- a/tests/integration/gateway_process.cpp
+++ b/tests/integration/gateway_process.cpp
@@ -130,7 +130,7 @@
   const std::size_t found = log.rfind(prefix);
   require(found != std::string::npos, "the log names no listener for " + protocol_label);
   const std::size_t begin = found + prefix.size();
-  return log.substr(begin, log.find('\n', begin) - begin);
+  return log.substr(begin, log.find(' ', begin) - begin);
 }
 
 int run_program(const std::vector<std::string>& arguments, std::string& output) {
