--- a/tests/fault_soak/fake_client.cpp
+++ b/tests/fault_soak/fake_client.cpp
@@ -24,14 +24,17 @@
   return "failed";
 }
 
-// Maps a number between 0 and 9 to a class: of ten requests, six are idempotent reads, three are
-// keyed writes and one is a single-shot write.
+// Maps a number between 0 and 19 to a class: of twenty requests, sixteen are idempotent reads,
+// three are keyed writes and one is a single-shot write.
 ServiceClass class_for_draw(Millis draw) {
-  if (draw < 6)
+  if (draw < 16)
     return ServiceClass::Idempotent;
-  return draw < 9 ? ServiceClass::Keyed : ServiceClass::SingleShot;
+  return draw < 19 ? ServiceClass::Keyed : ServiceClass::SingleShot;
 }
 
+// The longest time from a response to the client's next request while there is a crowd.
+constexpr Millis kMaxThinkTimeInCrowd = 20;
+
 }  // namespace
 
 FakeClient::FakeClient(SoakContext& context, int gateway, const GatewayProcess& process,
@@ -59,7 +62,7 @@
 }
 
 Request FakeClient::draw_request(const std::string& id) {
-  service_class_ = class_for_draw(context_.traffic_random.between(0, 9));
+  service_class_ = class_for_draw(context_.traffic_random.between(0, 19));
   Request request;
   request.id = id;
   request.service_class = class_name(service_class_);
@@ -107,7 +110,9 @@
       continue;  // an error that precedes the close of a connection without a request
     context_.oracle.response_received(std::exchange(request_id_, ""), now_ms());
     ++context_.report.result_counts[result_name(response->result)];
-    send_next_request_after(context_.traffic_random.between(5, 250));
+    const bool is_crowd = now_ms() < context_.crowd_until;
+    const Millis max_think_time = is_crowd ? kMaxThinkTimeInCrowd : context_.settings.max_think_time;
+    send_next_request_after(context_.traffic_random.between(5, max_think_time));
   }
 }
 
--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -80,18 +80,19 @@
     context.oracle.attempt_arrived(endpoint.index_, request.id, request.timeout_ms, now);
     if (now < endpoint.unresponsive_until)
       return;
-    context.tasks.run_after(context.traffic_random.between(1, 40),
-                            [self = weak_from_this(), request] {
-                              const auto connection = self.lock();
-                              if (connection && connection->request_id == request.id)
-                                connection->respond(request);
-                            });
+    const auto served_at = endpoint.occupy_worker(now, request.timeout_ms);
+    if (!served_at) {
+      respond_with(ScriptedResponse::RejectOverloaded);
+      return;
+    }
+    context.tasks.run_after(*served_at - now, [self = weak_from_this(), request] {
+      const auto connection = self.lock();
+      if (connection && connection->request_id == request.id && connection->stream->is_open())
+        connection->respond_with(connection->draw_response(request));
+    });
   }
 
-  void respond(const Request& request) {
-    if (!stream->is_open())
-      return;
-    const ScriptedResponse response = draw_response(request);
+  void respond_with(ScriptedResponse response) {
     if (response == ScriptedResponse::CloseConnection) {
       close();
       return;
@@ -155,10 +156,31 @@
   listed.address = listeners_[static_cast<std::size_t>(gateway)]->address();
   listed.status = listed_status;
   listed.is_primary = index_ == 0;
-  listed.started_at_ms = started_at_ms;
+  listed.started_at_ms = listed_start_ms_;
   return listed;
 }
 
+void FakeEndpoint::start_process() {
+  started_at_ms_ = g_get_real_time() / 1000;
+  started_at_ = now_ms();
+  worker_free_at_.fill(started_at_);
+  context_.oracle.endpoint_started(index_, started_at_ms_, started_at_);
+}
+
+std::optional<Millis> FakeEndpoint::occupy_worker(Millis now, Millis timeout) {
+  const auto worker = std::min_element(worker_free_at_.begin(), worker_free_at_.end());
+  const Millis begins_at = std::max(*worker, now);
+  const double mean_service_time = (kMinServiceTime + kMaxServiceTime) / 2.0;
+  const auto max_wait = static_cast<Millis>(kMaxQueueLength * mean_service_time / kWorkers);
+  if (begins_at - now > std::min(max_wait, timeout))
+    return std::nullopt;
+  const Millis age = started_at_ == 0 ? kSlowStartDuration : now - started_at_;
+  const auto work =
+      static_cast<double>(context_.traffic_random.between(kMinServiceTime, kMaxServiceTime));
+  *worker = begins_at + static_cast<Millis>(work / capacity_fraction(age));
+  return *worker;
+}
+
 void FakeEndpoint::close_connections() {
   const auto connections = std::exchange(connections_, {});
   for (const auto& connection : connections)
--- a/tests/fault_soak/fake_endpoint.h
+++ b/tests/fault_soak/fake_endpoint.h
@@ -1,6 +1,7 @@
 /// Fake PostgreSQL endpoints, which form one replica group and which all gateways connect to.
 #pragma once
 
+#include "endpoint_capacity.h"
 #include "soak_clock.h"
 #include "soak_context.h"
 
@@ -8,9 +9,11 @@
 #include "integration/listed_status.h"
 #include "net/listener.h"
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,12 +35,20 @@
   /// The endpoint's entry in the list that the gateway's discovery agent sends.
   [[nodiscard]] test_harness::ListedEndpoint listed_for(int gateway) const;
 
+  /// The start that lists contain, in Unix time; 0: long ago.
+  [[nodiscard]] std::int64_t listed_start_ms() const { return listed_start_ms_; }
+
+  /// The endpoint's process starts now, and is cold.
+  void start_process();
+
+  /// From now on, lists contain the last start.
+  void list_start() { listed_start_ms_ = started_at_ms_; }
+
   void close_connections();
   /// Ends each attempt of the request whose connection the gateway has closed.
   void end_closed_attempts(const std::string& request_id);
 
   test_harness::ListedStatus listed_status = test_harness::ListedStatus::Up;
-  std::int64_t started_at_ms = 0;  ///< In Unix time; 0: long ago.
   bool is_primary = false;
   Millis unresponsive_until = 0;     ///< Until then, the endpoint responds to nothing.
   Millis slow_handshakes_until = 0;  ///< Until then, it completes handshakes late.
@@ -45,11 +56,20 @@
 private:
   struct Connection;
 
+  /// Takes the worker that is free first, for one request that arrives at `now` and is given up
+  /// after `timeout`. Returns when the worker has served the request; empty if the queue is full or
+  /// the request would begin too late.
+  [[nodiscard]] std::optional<Millis> occupy_worker(Millis now, Millis timeout);
+
   SoakContext& context_;
   FakeEndpointGroup& group_;
   const int index_;
   std::vector<std::unique_ptr<gorsebeam::net::Listener>> listeners_;  ///< Indexed by gateway.
   std::list<std::shared_ptr<Connection>> connections_;
+  std::array<Millis, kWorkers> worker_free_at_{};
+  std::int64_t started_at_ms_ = 0;    ///< The last start, in Unix time; 0: long ago.
+  Millis started_at_ = 0;             ///< The same on the soak's clock; 0: long ago.
+  std::int64_t listed_start_ms_ = 0;  ///< The start that lists contain.
 };
 
 /// All endpoints of the run, which form one replica group.
--- a/tests/fault_soak/fault_injector.cpp
+++ b/tests/fault_soak/fault_injector.cpp
@@ -2,8 +2,6 @@
 
 #include <array>
 
-#include <glib.h>
-
 namespace fault_soak {
 
 using test_harness::ListedStatus;
@@ -13,6 +11,8 @@
 constexpr Millis kFirstFaultDelay = 500;
 constexpr int kMinUpEndpoints = 3;
 constexpr int kFloodConnections = 60;
+// The longest time from an endpoint's start to the list that contains it.
+constexpr Millis kMaxListingDelay = 2500;
 
 }  // namespace
 
@@ -30,7 +30,7 @@
 void FaultInjector::inject_fault() {
   using Fault = void (FaultInjector::*)();
   // Each entry is equally probable, so pause_gateway is three times as probable as another fault.
-  static constexpr std::array<Fault, 12> kFaults{
+  static constexpr std::array<Fault, 14> kAllFaults{
       &FaultInjector::pause_gateway,
       &FaultInjector::pause_gateway,
       &FaultInjector::pause_gateway,
@@ -43,12 +43,28 @@
       &FaultInjector::close_endpoint_connections,
       &FaultInjector::slow_handshakes,
       &FaultInjector::flood_connections,
+      &FaultInjector::restart_endpoint,
+      &FaultInjector::begin_crowd,
+  };
+  static constexpr std::array<Fault, 8> kRecoveryFaults{
+      &FaultInjector::drain_endpoint,
+      &FaultInjector::drain_endpoint,
+      &FaultInjector::restart_endpoint,
+      &FaultInjector::terminate_gateway,
+      &FaultInjector::kill_gateway,
+      &FaultInjector::make_endpoint_unresponsive,
+      &FaultInjector::make_endpoint_unresponsive,
+      &FaultInjector::begin_crowd,
   };
   if (now_ms() - started_at_ > context_.settings.duration)
     return;
-  const Fault fault = kFaults.at(context_.fault_random.index(kFaults.size()));
+  const bool is_recovery = context_.settings.profile == FaultProfile::Recovery;
+  const Fault fault = is_recovery
+                          ? kRecoveryFaults.at(context_.fault_random.index(kRecoveryFaults.size()))
+                          : kAllFaults.at(context_.fault_random.index(kAllFaults.size()));
   (this->*fault)();
-  inject_after(context_.fault_random.between(20, 250));
+  inject_after(is_recovery ? context_.fault_random.between(100, 700)
+                           : context_.fault_random.between(20, 250));
 }
 
 GatewayUnderTest& FaultInjector::draw_gateway() {
@@ -129,8 +145,8 @@
   });
 }
 
-// Drains an endpoint, then removes it and later lists it again, as just started. At least
-// kMinUpEndpoints endpoints stay up, so that requests can still be served.
+// Drains an endpoint, then removes it. Later it starts again, and the list contains it some time
+// after that. At least kMinUpEndpoints endpoints stay up, so that requests can still be served.
 void FaultInjector::drain_endpoint() {
   FakeEndpoint& endpoint = draw_endpoint();
   if (endpoints_.up_count() <= kMinUpEndpoints || endpoint.listed_status != ListedStatus::Up)
@@ -144,13 +160,45 @@
     endpoint.close_connections();
     publish_endpoints();
   });
-  context_.tasks.run_after(context_.fault_random.between(3500, 6000), [this, &endpoint] {
+  const Millis started_after = context_.fault_random.between(3000, 4500);
+  context_.tasks.run_after(started_after, [&endpoint] {
+    endpoint.start_process();
+  });
+  const Millis listing_delay = context_.fault_random.between(0, kMaxListingDelay);
+  context_.tasks.run_after(started_after + listing_delay, [this, &endpoint] {
     endpoint.listed_status = ListedStatus::Up;
-    endpoint.started_at_ms = g_get_real_time() / 1000;
+    endpoint.list_start();
+    publish_endpoints();
+  });
+}
+
+// An endpoint crashes and starts again, while the list shows it as up. The list contains the start
+// some time after it.
+void FaultInjector::restart_endpoint() {
+  FakeEndpoint& endpoint = draw_endpoint();
+  if (endpoint.listed_status != ListedStatus::Up)
+    return;
+  const Millis downtime = context_.fault_random.between(300, 1500);
+  log_fault("restart", endpoint.index(), downtime);
+  endpoint.close_connections();
+  endpoint.unresponsive_until = now_ms() + downtime;
+  context_.tasks.run_after(downtime, [&endpoint] {
+    endpoint.close_connections();
+    endpoint.start_process();
+  });
+  const Millis listing_delay = context_.fault_random.between(0, kMaxListingDelay);
+  context_.tasks.run_after(downtime + listing_delay, [this, &endpoint] {
+    endpoint.list_start();
     publish_endpoints();
   });
 }
 
+void FaultInjector::begin_crowd() {
+  const Millis duration = context_.fault_random.between(1000, 4000);
+  log_fault("crowd", "for " + std::to_string(duration) + " ms");
+  context_.crowd_until = now_ms() + duration;
+}
+
 void FaultInjector::make_endpoint_unresponsive() {
   FakeEndpoint& endpoint = draw_endpoint();
   const Millis duration = context_.fault_random.between(200, 2500);
--- a/tests/fault_soak/fault_injector.h
+++ b/tests/fault_soak/fault_injector.h
@@ -44,6 +44,8 @@
   void close_endpoint_connections();
   void slow_handshakes();
   void flood_connections();
+  void restart_endpoint();
+  void begin_crowd();
 
   GatewayUnderTest& draw_gateway();
   FakeEndpoint& draw_endpoint();
--- a/tests/fault_soak/fault_soak_environment.cpp
+++ b/tests/fault_soak/fault_soak_environment.cpp
@@ -115,6 +115,7 @@
     violation.at -= started_at_;
   report.requests = context_.oracle.request_count();
   report.attempts = context_.oracle.attempt_count();
+  report.slow_start_utilization = context_.oracle.highest_slow_start_utilization();
 }
 
 }  // namespace fault_soak
--- a/tests/fault_soak/gateway_process.cpp
+++ b/tests/fault_soak/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway_process.h"
 
+#include "endpoint_capacity.h"
 #include "service_classes.h"
 
 #include "integration/platform_config.h"
@@ -60,6 +61,11 @@
   config.listen_address = address_.empty() ? "127.0.0.1:0" : address_;
   config.discovery_address = agent_address;
   config.max_sockets = kMaxSockets;
+  config.gateways = settings_.gateways;
+  config.slow_start_ms = static_cast<int>(kSlowStartDuration);
+  config.initial_capacity = std::to_string(kInitialCapacity);
+  config.overload_window_ms = static_cast<int>(kOverloadWindow);
+  config.overload_factor = std::to_string(kOverloadFactor);
   config.keepalive_ms = kKeepaliveMs;
   config.classes = {make_class(ServiceClass::Idempotent, "free", "eventual", 500, 2000),
                     make_class(ServiceClass::Keyed, "guarded", "mutate", 750, 2500),
@@ -130,7 +136,7 @@
   if (found == std::string::npos)
     return;
   const std::size_t begin = found + prefix.size();
-  const std::size_t end = log_.find(' ', begin);
+  const std::size_t end = log_.find_first_of(" \n", begin);
   if (end == std::string::npos)
     return;
   address_ = log_.substr(begin, end - begin);
--- a/tests/fault_soak/gateway_process.h
+++ b/tests/fault_soak/gateway_process.h
@@ -14,6 +14,7 @@
   std::string shim;  ///< Path of a library to preload into the process; empty: none.
   std::string folder;
   int index = 0;
+  int gateways = 1;  ///< In the run.
   unsigned shim_seed = 0;
 };
 
--- a/tests/fault_soak/gateway_under_test.cpp
+++ b/tests/fault_soak/gateway_under_test.cpp
@@ -34,6 +34,7 @@
   settings.shim = context.settings.shim;
   settings.folder = parent_folder + "/" + std::to_string(index);
   settings.index = index;
+  settings.gateways = context.settings.gateways;
   settings.shim_seed = static_cast<unsigned>(context.traffic_random.next());
   std::filesystem::create_directory(settings.folder);
   return settings;
@@ -79,6 +80,8 @@
 
 void GatewayUnderTest::notify_oracle_of_list() {
   for (const auto& endpoint : endpoints_.endpoints()) {
+    if (endpoint->listed_status != ListedStatus::Removed)
+      context_.oracle.endpoint_start_listed(index_, endpoint->index(), endpoint->listed_start_ms());
     ListedStatus& notified = statuses_known_to_oracle_[static_cast<std::size_t>(endpoint->index())];
     if (notified == endpoint->listed_status)
       continue;
--- a/tests/fault_soak/main.cpp
+++ b/tests/fault_soak/main.cpp
@@ -2,7 +2,7 @@
 /// rules the gateways violated.
 ///
 ///   fault_soak PROGRAM [--shim FILE] [--seeds FIRST COUNT] [--gateways N] [--seconds N]
-///              [--logs DIR]
+///              [--logs DIR] [--profile recovery]
 ///
 /// The fault soak depends on real time, so it is run by hand and not in CI. A run in which the
 /// soak's own event loop stalled is invalid. The exit status is 0 if at least one run was valid and
@@ -48,6 +48,10 @@
       options.soak.duration = 1000LL * std::stoi(value);
     } else if (name == "--logs") {
       options.log_folder = value;
+    } else if (name == "--profile" && value == "recovery") {
+      options.soak.profile = fault_soak::FaultProfile::Recovery;
+      options.soak.clients_per_gateway = 12;
+      options.soak.max_think_time = 1000;
     } else if (name == "--seeds") {
       options.first_seed = std::stoull(value);
       ++i;
@@ -67,6 +71,7 @@
   std::printf("; faults:");
   for (const auto& [kind, count] : report.fault_counts)
     std::printf(" %s %d", kind.c_str(), count);
+  std::printf("; slow start at most %.0f %% of the budget", 100 * report.slow_start_utilization);
   std::printf("; longest iteration of the soak's event loop %lld ms; violations: %zu\n",
               static_cast<long long>(report.longest_iteration), report.violations.size());
   for (const fault_soak::Violation& violation : report.violations)
@@ -115,7 +120,7 @@
   } catch (const std::exception& error) {
     std::fprintf(stderr,
                  "fault_soak: %s\nusage: fault_soak PROGRAM [--shim FILE] [--seeds FIRST COUNT] "
-                 "[--gateways N] [--seconds N] [--logs DIR]\n",
+                 "[--gateways N] [--seconds N] [--logs DIR] [--profile recovery]\n",
                  error.what());
     return 2;
   }
--- a/tests/fault_soak/oracle.cpp
+++ b/tests/fault_soak/oracle.cpp
@@ -51,6 +51,27 @@
   gateways_[gateway].draining_since.emplace(endpoint, at);
 }
 
+void Oracle::endpoint_started(int endpoint, std::int64_t start, Millis at) {
+  starts_[endpoint] = start;
+  overload_rule_.endpoint_started(endpoint, at);
+}
+
+void Oracle::endpoint_start_listed(int gateway, int endpoint, std::int64_t start) {
+  gateways_[gateway].listed_starts[endpoint] = start;
+}
+
+void Oracle::check_overload(int gateway, int endpoint, Millis at) {
+  const auto start = starts_.find(endpoint);
+  if (start == starts_.end())
+    return;
+  const auto& listed = gateways_[gateway].listed_starts;
+  const auto found = listed.find(endpoint);
+  const bool is_notified = found != listed.end() && found->second == start->second;
+  const auto knowledge = is_notified ? StartKnowledge::Notified : StartKnowledge::NotNotified;
+  if (const auto failure = overload_rule_.record_attempt(endpoint, knowledge, at))
+    report("overload", *failure, at);
+}
+
 // A pause of the process does not extend the time limit: after the pause, the gateway has to read
 // the list that was sent in the meantime before it sends traffic.
 void Oracle::check_draining_endpoint(int gateway, int endpoint, const std::string& traffic,
@@ -135,6 +156,7 @@
                   at);
   Request& request = found->second;
   check_draining_endpoint(request.gateway, endpoint, "request " + id, at);
+  check_overload(request.gateway, endpoint, at);
   if (!request.in_flight.empty())
     report("duplicate",
            "an attempt of request " + id + " arrived at endpoint " + std::to_string(endpoint) +
--- a/tests/fault_soak/oracle.h
+++ b/tests/fault_soak/oracle.h
@@ -5,10 +5,12 @@
 /// time on the soak's clock. It does not know the causes of events; the gateways' logs show these.
 #pragma once
 
+#include "overload_rule.h"
 #include "service_classes.h"
 #include "soak_clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -69,6 +71,11 @@
   /// The gateway's discovery agent has sent a list in which the endpoint is draining or missing.
   void endpoint_listed_as_draining(int gateway, int endpoint, Millis at);
 
+  /// The endpoint's process has started, and is cold. `start` identifies the start.
+  void endpoint_started(int endpoint, std::int64_t start, Millis at);
+  /// The gateway's discovery agent has sent a list that contains the start of the endpoint.
+  void endpoint_start_listed(int gateway, int endpoint, std::int64_t start);
+
   void request_sent(int gateway, const std::string& id, ServiceClass service_class, Millis deadline,
                     Millis at);
   void response_received(const std::string& id, Millis at);
@@ -87,6 +94,11 @@
 
   [[nodiscard]] const std::vector<Violation>& violations() const { return violations_; }
 
+  /// The highest share of its budget that any endpoint in slow start got.
+  [[nodiscard]] double highest_slow_start_utilization() const {
+    return overload_rule_.highest_utilization();
+  }
+
   [[nodiscard]] std::size_t request_count() const { return requests_.size(); }
 
   [[nodiscard]] std::size_t attempt_count() const { return attempt_count_; }
@@ -98,6 +110,7 @@
     std::vector<std::pair<Millis, Millis>> pauses;  ///< Begin and end.
     /// For each endpoint that is listed as draining or is missing: the time of the first such list.
     std::map<int, Millis> draining_since;
+    std::map<int, std::int64_t> listed_starts;  ///< The newest listed start of each endpoint.
   };
 
   struct Request {
@@ -118,6 +131,7 @@
   void report(const std::string& rule, const std::string& detail, Millis at);
   /// Checks that the endpoint was not drained or removed too long ago to get traffic.
   void check_draining_endpoint(int gateway, int endpoint, const std::string& traffic, Millis at);
+  void check_overload(int gateway, int endpoint, Millis at);
   void check_retry(const Request& request, const std::string& id, Millis at);
   void check_forwarded_timeout(const Request& request, const std::string& id, Millis timeout,
                                Millis at);
@@ -129,6 +143,8 @@
 
   Millis deduplication_window_;
   std::map<int, Gateway> gateways_;
+  std::map<int, std::int64_t> starts_;  ///< The last start of each endpoint that has restarted.
+  OverloadRule overload_rule_;
   std::map<std::string, Request> requests_;
   std::vector<Violation> violations_;
   std::size_t attempt_count_ = 0;
--- a/tests/fault_soak/soak_context.h
+++ b/tests/fault_soak/soak_context.h
@@ -16,6 +16,12 @@
 
 namespace fault_soak {
 
+/// Which faults are injected.
+enum class FaultProfile {
+  All,
+  Recovery,  ///< Endpoints that leave and start again, gateways that end, crowds; no pauses.
+};
+
 struct SoakSettings {
   std::string program;
   std::string shim;  ///< Path of a library to preload into the processes; empty: none.
@@ -23,7 +29,9 @@
   int gateways = 10;
   int endpoints = 6;
   int clients_per_gateway = 6;
+  Millis max_think_time = 250;  ///< The longest time from a response to the next request.
   Millis duration = 12'000;
+  FaultProfile profile = FaultProfile::All;
 };
 
 struct SoakReport {
@@ -33,6 +41,8 @@
   std::map<std::string, int> result_counts;  ///< By result: `served`, `rejected`, `failed`.
   std::size_t requests = 0;
   std::size_t attempts = 0;
+  /// The highest share of its budget that any endpoint in slow start got.
+  double slow_start_utilization = 0;
   /// The longest iteration of the soak's own event loop. If it is too long, the run is invalid.
   Millis longest_iteration = 0;
 };
@@ -55,6 +65,7 @@
   SoakReport report;
   DelayedTasks tasks;
   int next_request_number = 0;
+  Millis crowd_until = 0;    ///< Until then, clients send requests in quick succession.
   bool is_run_over = false;  ///< If set, no request is sent and no process started.
 };
 
--- a/tests/fault_soak_oracle_test.cpp
+++ b/tests/fault_soak_oracle_test.cpp
@@ -1,3 +1,4 @@
+#include "fault_soak/endpoint_capacity.h"
 #include "fault_soak/oracle.h"
 
 #include <gtest/gtest.h>
@@ -198,5 +199,30 @@
   EXPECT_EQ(violated_rules(), Rules{"lost"});
 }
 
+// Sends so many further requests, each of which has one attempt at the endpoint.
+void send_attempts(Oracle& oracle, int attempts) {
+  for (int i = 0; i < attempts; ++i) {
+    const std::string id = "r" + std::to_string(oracle.request_count());
+    oracle.request_sent(kGateway, id, ServiceClass::Idempotent, kDeadline, kStart);
+    oracle.attempt_arrived(kEndpoint, id, kTimeout, kStart);
+  }
+}
+
+TEST_F(OracleTest, ReportsOverloadOfAStartedEndpointOnce) {
+  oracle_.endpoint_started(kEndpoint, 77, kStart);
+  oracle_.endpoint_start_listed(kGateway, kEndpoint, 77);
+  send_attempts(oracle_, static_cast<int>(max_attempts_in_window(0)));
+  EXPECT_EQ(violated_rules(), Rules{});
+  send_attempts(oracle_, 2);
+  EXPECT_EQ(violated_rules(), Rules{"overload"});
+}
+
+TEST_F(OracleTest, AllowsOverloadByGatewaysThatWereNotNotifiedOfTheStart) {
+  oracle_.endpoint_started(kEndpoint, 77, kStart);
+  oracle_.endpoint_start_listed(kGateway, kEndpoint, 76);
+  send_attempts(oracle_, static_cast<int>(max_attempts_in_window(0)) + 2);
+  EXPECT_EQ(violated_rules(), Rules{});
+}
+
 }  // namespace
 }  // namespace fault_soak
--- a/tests/integration/platform_config.cpp
+++ b/tests/integration/platform_config.cpp
@@ -46,16 +46,20 @@
       << R"({"name":")" << config.name << R"(","listen":")" << config.listen_address
       << R"(","discovery":")" << config.discovery_address << R"(","seed":")" << config.seed
       << R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" << config.max_sockets
-      << R"(},"known":{"revision":0,"complete":true,"members":[]},"settings":{"classes":[)"
-      << join(config.classes, encode_class) << R"(],"extra":{"read_level":[)"
-      << join(config.classes, encode_read_level) << R"(],"lag_allowed":[)"
-      << join(config.classes, encode_max_lag) << R"(],"list_role":"static","token_mode":")"
-      << config.token_mode << R"(","checks":"none","positions":true,"zero":0},)"
+      << R"(},"known":{"revision":0,"complete":true,"members":[]},"settings":{"balancers":)"
+      << config.gateways << R"(,"classes":[)" << join(config.classes, encode_class)
+      << R"(],"extra":{"read_level":[)" << join(config.classes, encode_read_level)
+      << R"(],"lag_allowed":[)" << join(config.classes, encode_max_lag)
+      << R"(],"list_role":"static","token_mode":")" << config.token_mode
+      << R"(","checks":"none","positions":true,"zero":0},)"
       << R"("limits":{"probes":true,"send_cap":)" << kMaxAttempts << R"(,"dial_timeout":)"
       << nanoseconds(config.connect_timeout_ms) << R"(,"keepalive":)"
       << nanoseconds(config.keepalive_ms)
-      << R"(,"retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":0.5,)"
-      << R"("drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
+      << R"(,"retry_after":true,"max_retry_after":2000000000},"obligations":{"cold_from":)"
+      << config.initial_capacity << R"(,"cold":)" << nanoseconds(config.slow_start_ms)
+      << R"(,"fall":)" << nanoseconds(config.overload_window_ms) << R"(,"fall_multiple":)"
+      << config.overload_factor
+      << R"(,"drain_grace":250000000},"report":{"via":"answers","fields":["x0","x1"]},"tick":1000000}})";
   return json.str();
 }
 
--- a/tests/integration/platform_config.h
+++ b/tests/integration/platform_config.h
@@ -28,6 +28,12 @@
   int keepalive_ms = 30'000;
   /// `kept`: the gateway knows what its sessions wrote; `brought`: their reads carry it.
   std::string token_mode = "kept";
+  int gateways = 1;  ///< `balancers` in the configuration.
+  /// Slow start of endpoints; 0: there is none.
+  int slow_start_ms = 0;
+  std::string initial_capacity = "0.5";  ///< A JSON number: `cold_from` in the configuration.
+  int overload_window_ms = 0;
+  std::string overload_factor = "1";  ///< A JSON number: `fall_multiple` in the configuration.
   std::vector<PlatformClass> classes;
 };
 
