Limit an endpoint in slow start to a count in the overload window

Cause: slow start admitted a fraction of the requests, drawn by a hash of their ids. A new router, without samples of load, did not reduce anything.

Class of bug: a limit that is stated as a count was kept as a share of the input.

Change: router/permit_bucket grants permits at even intervals from a random phase, which expire; router/capacity_estimator estimates this router's share of an endpoint's capacity from what endpoints at full capacity serve for it, so that the sum over routers is what such an endpoint serves; router/slow_start_budget sets the rate so that within any window the permits used are the overload factor times the present capacity. Every attempt passes it in AttemptStarter: reads, writes, recovery attempts, retries, hedges, discovery of the primary. A new router starts with no permits and assumes an even share of an endpoint that serves one request at a time.

The four tests of RouterSlowStartBudget fail before the change, by the budget and by its slack, and pass with it.

395 unit tests pass (Release, arm64).

--- a/src/router/attempt_observer.cpp
+++ b/src/router/attempt_observer.cpp
@@ -83,6 +83,7 @@
                                      const UpstreamAttempt& attempt, const AttemptResult& result) {
   if (!attempt.is_overdue)
     state_.classes.record_answer(request.request.class_index, to_double(result.elapsed));
+  state_.capacities.record_answer(endpoint, state_.typical_latency(request));
   if (!state_.event.is_after_stall())
     record_load(endpoint, objective_fraction(request, result.elapsed));
   OutlierEjector::record_success(endpoint);
--- a/src/router/attempt_starter.cpp
+++ b/src/router/attempt_starter.cpp
@@ -9,10 +9,11 @@
   EndpointState* endpoint = state_.endpoints.find(id);
   if (endpoint == nullptr || !retries_.can_start_attempt(request, *endpoint))
     return false;
-  if (!admission_.admits_during_slow_start(*endpoint, request)) {
+  if (!budget_.admits(*endpoint)) {
     request.waits_for = WaitReason::SlowStart;
     return false;
   }
+  budget_.spend(*endpoint, request);
   const bool is_recovery = kind == AttemptKind::Recovery;
   const auto traffic = is_recovery ? SlowStartTraffic::RecoveryAttempt : SlowStartTraffic::Attempt;
   record_slow_start_traffic(*endpoint, traffic, state_.settings, state_.event);
--- a/src/router/attempt_starter.h
+++ b/src/router/attempt_starter.h
@@ -2,9 +2,9 @@
 /// it.
 #pragma once
 
-#include "router/load_admission.h"
 #include "router/retry_policy.h"
 #include "router/router_state.h"
+#include "router/slow_start_budget.h"
 
 namespace gorsebeam::router {
 
@@ -17,8 +17,8 @@
 /// Starts all attempts of the router.
 class AttemptStarter {
 public:
-  AttemptStarter(RouterState& state, const RetryPolicy& retries, LoadAdmission& admission)
-      : state_(state), retries_(retries), admission_(admission) {}
+  AttemptStarter(RouterState& state, const RetryPolicy& retries, SlowStartBudget& budget)
+      : state_(state), retries_(retries), budget_(budget) {}
 
   /// Starts an attempt of the request at the endpoint, if it is allowed. Returns whether it
   /// started.
@@ -27,7 +27,7 @@
 private:
   RouterState& state_;
   const RetryPolicy& retries_;
-  LoadAdmission& admission_;
+  SlowStartBudget& budget_;
 };
 
 }  // namespace gorsebeam::router
--- a/src/router/class_statistics.cpp
+++ b/src/router/class_statistics.cpp
@@ -24,6 +24,17 @@
   rows_.at(class_index).traffic += 1;
 }
 
+double ClassStatistics::mean_typical_latency() const {
+  // Each class counts as one recent request more, so that the sum is never empty.
+  double count = 0;
+  double sum = 0;
+  for (const Row& row : rows_) {
+    count += row.traffic + 1;
+    sum += (row.traffic + 1) * row.typical_latency;
+  }
+  return sum / count;
+}
+
 void ClassStatistics::record_answer(std::size_t class_index, double elapsed) {
   Row& row = rows_.at(class_index);
   row.typical_latency *= elapsed > row.typical_latency ? 1 + kStep : 1 - kStep;
--- a/src/router/class_statistics.h
+++ b/src/router/class_statistics.h
@@ -27,6 +27,10 @@
     return rows_.at(class_index).typical_latency;
   }
 
+  /// The mean typical latency of recent requests in nanoseconds, or of all classes if there were
+  /// none. Above 0.
+  [[nodiscard]] double mean_typical_latency() const;
+
   /// The number of recent requests, in which older requests count less.
   [[nodiscard]] double traffic(std::size_t class_index) const {
     return rows_.at(class_index).traffic;
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -10,6 +10,7 @@
 #include "router/request_scheduler.h"
 #include "router/retry_policy.h"
 #include "router/router_state.h"
+#include "router/slow_start_budget.h"
 
 namespace gorsebeam::router {
 
@@ -18,8 +19,9 @@
 public:
   Dispatcher(RouterState& state, RetryPolicy& retries, RequestScheduler& scheduler)
       : state_(state), retries_(retries), scheduler_(scheduler), rejections_(state, retries),
-        admission_(state), selector_(state, admission_), starter_(state, retries, admission_),
-        positions_(state, selector_), discovery_(state, selector_, admission_, starter_) {}
+        admission_(state), budget_(state), selector_(state, admission_, budget_),
+        starter_(state, retries, budget_), positions_(state, selector_),
+        discovery_(state, selector_, admission_, starter_) {}
 
   /// Handles a request that has just arrived.
   void accept(PendingRequest& request);
@@ -45,6 +47,7 @@
   RequestScheduler& scheduler_;
   RejectionPolicy rejections_;
   LoadAdmission admission_;
+  SlowStartBudget budget_;
   EndpointSelector selector_;
   AttemptStarter starter_;
   PositionRequester positions_;
--- a/src/router/endpoint_selection.cpp
+++ b/src/router/endpoint_selection.cpp
@@ -148,7 +148,7 @@
     EndpointState& endpoint = state_.endpoints.at(candidates[picked].first);
     if (!admission_.admits_under_load(endpoint, request))
       request.waits_for = WaitReason::Load;
-    else if (!admission_.admits_during_slow_start(endpoint, request))
+    else if (!budget_.admits(endpoint))
       request.waits_for = WaitReason::SlowStart;
     else
       return endpoint.listing.id;
--- a/src/router/endpoint_selection.h
+++ b/src/router/endpoint_selection.h
@@ -3,6 +3,7 @@
 
 #include "router/load_admission.h"
 #include "router/router_state.h"
+#include "router/slow_start_budget.h"
 
 #include <cstddef>
 #include <optional>
@@ -25,8 +26,8 @@
 /// routers send a session's reads to the same replica.
 class EndpointSelector {
 public:
-  EndpointSelector(RouterState& state, LoadAdmission& admission)
-      : state_(state), admission_(admission) {}
+  EndpointSelector(RouterState& state, LoadAdmission& admission, SlowStartBudget& budget)
+      : state_(state), admission_(admission), budget_(budget) {}
 
   /// The replica that gets the read, or the primary where saturated replicas share the reads with
   /// it; empty if no endpoint is admitted.
@@ -68,6 +69,7 @@
 
   RouterState& state_;
   LoadAdmission& admission_;
+  SlowStartBudget& budget_;
 };
 
 }  // namespace gorsebeam::router
--- a/src/router/endpoint_table.h
+++ b/src/router/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "gorsebeam/events.h"
 #include "gorsebeam/log_messages.h"
 #include "router/load_estimator.h"
+#include "router/permit_bucket.h"
 #include "router/time_points.h"
 
 #include <cstdint>
@@ -18,12 +19,15 @@
 /// How long a newly ejected endpoint gets no recovery attempt; doubles with each failure.
 constexpr Duration kInitialRecoveryBackoff = 500ms;
 
-/// What an endpoint in slow start was sent.
+/// What an endpoint in slow start was sent, and may be sent.
 struct SlowStartActivity {
   bool is_active = false;  ///< Its slow start has begun and its end was not logged yet.
   TimePoint window_began_at{};
   SlowStartCounts window;  ///< Since `window_began_at`.
   SlowStartCounts total;   ///< Since the slow start began.
+  /// For attempts at the endpoint, during the slow start that began at `permits_since`.
+  PermitBucket permits;
+  TimePoint permits_since = kUnknownTime;
 };
 
 /// What the router knows about one endpoint. A new endpoint counts as ejected until it answers, as
@@ -53,6 +57,7 @@
   TimePoint next_recovery_at{};       ///< No recovery attempt starts before this.
   /// The next backoff before a recovery attempt; doubles with each failure.
   Duration recovery_backoff = kInitialRecoveryBackoff;
+  TimePoint last_attempt_at = kUnknownTime;       ///< When an attempt at it last started.
   TimePoint last_answer_at{};                     ///< When it last answered an attempt.
   TimePoint last_health_check_at = kUnknownTime;  ///< When the last health check was sent.
   TimePoint position_reported_at = kUnknownTime;  ///< When it last reported a position.
@@ -110,6 +115,8 @@
   /// All endpoints, sorted by id.
   [[nodiscard]] Endpoints& all() { return endpoints_; }
 
+  [[nodiscard]] const Endpoints& all() const { return endpoints_; }
+
   /// Adds an endpoint to the group that its listing names.
   void join_group(const EndpointState& endpoint);
 
--- a/src/router/load_admission.cpp
+++ b/src/router/load_admission.cpp
@@ -1,7 +1,6 @@
 #include "router/load_admission.h"
 
 #include "router/hashing.h"
-#include "router/slow_start.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,30 +28,6 @@
   return unit_interval(request.id_hash + 1) < std::pow(headroom, exponent);
 }
 
-// An endpoint in slow start keeps its share in the hash, and a primary keeps its writes, but only a
-// fraction of these requests are sent. The hash of a request's id decides whether it belongs to the
-// fraction, at all endpoints alike, so that the rest does not overload the next endpoint. The
-// fraction is the endpoint's present capacity; if the list contained its start, it is that capacity
-// times the square root of the overload factor, as typical work needs less than the settings
-// assume. The fraction is lower while the endpoint's pool is overloaded, as clients retry rejected
-// requests. Trade-off: an endpoint that does the work of several may still be overloaded.
-bool LoadAdmission::admits_during_slow_start(EndpointState& endpoint,
-                                             const PendingRequest& request) {
-  const double capacity = slow_start_capacity(endpoint, state_.settings, state_.event.now);
-  if (capacity >= 1)
-    return true;
-  const DecayingLoad& pool = state_.pool_of(endpoint);
-  const bool start_is_listed = endpoint.slow_start_since == endpoint.listing.started_at;
-  const double tolerance = start_is_listed ? std::sqrt(state_.settings.overload_factor) : 1;
-  const double overload_reduction =
-      pool.exceeds(kTargetLoad) ? kTargetLoad * pool.count() / pool.sum() : 1;
-  const bool admits = unit_interval(request.id_hash) < tolerance * capacity * overload_reduction;
-  if (!admits)
-    record_slow_start_traffic(endpoint, SlowStartTraffic::NotAdmitted, state_.settings,
-                              state_.event);
-  return admits;
-}
-
 double LoadAdmission::saturation(Role role) {
   const double mean = state_.loads.mean_role_load(role, state_.event.now);
   return std::clamp(2 * mean / kTargetLoad - 1, 0.0, 1.0);
--- a/src/router/load_admission.h
+++ b/src/router/load_admission.h
@@ -22,10 +22,6 @@
   /// Whether the endpoint's load leaves room for the request.
   [[nodiscard]] bool admits_under_load(EndpointState& endpoint, const PendingRequest& request);
 
-  /// Whether the endpoint's slow start leaves room for the request.
-  [[nodiscard]] bool admits_during_slow_start(EndpointState& endpoint,
-                                              const PendingRequest& request);
-
   /// How close the endpoints of a role are to the target load: 0 up to half of it, 1 from the
   /// target load on, linear between.
   [[nodiscard]] double saturation(Role role);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -28,6 +28,7 @@
   void handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
     state_.event.now = now;
     state_.event.actions = &actions;
+    state_.capacities.advance(now);
     if (state_.timers.is_long_overdue(now))
       state_.event.stall_detected_at = now;
     std::visit(
@@ -76,6 +77,7 @@
     request.affinity_hash = router::mix_hash(arrived.session.value_or(request.id_hash + 2));
     request.session_token = state_.sessions.token_for(arrived, request_class, now);
     state_.classes.record_request(arrived.class_index);
+    state_.capacities.record_request();
     dispatcher_.accept(request);
     scheduler_.finish_or_reschedule(request);
   }
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -14,11 +14,11 @@
 
 }  // namespace
 
-RouterState::RouterState(Settings unchecked_settings, std::uint64_t seed)
-    : settings(checked(std::move(unchecked_settings))), classes(settings.classes),
-      roles(event, endpoints), outliers(event, settings, endpoints, roles),
-      health_checks(event, settings, endpoints), sessions(settings),
-      timers(seed, settings.clock_resolution) {}
+RouterState::RouterState(Settings unchecked_settings, std::uint64_t seed_of_router)
+    : settings(checked(std::move(unchecked_settings))), seed(seed_of_router),
+      classes(settings.classes), capacities(settings, endpoints), roles(event, endpoints),
+      outliers(event, settings, endpoints, roles), health_checks(event, settings, endpoints),
+      sessions(settings), timers(seed, settings.clock_resolution) {}
 
 DecayingLoad& RouterState::pool_of(const EndpointState& endpoint) {
   return loads.pool(endpoint.listing.zone, endpoints.role_of(endpoint), event.now);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gorsebeam/settings.h"
+#include "router/capacity_estimator.h"
 #include "router/class_statistics.h"
 #include "router/endpoint_table.h"
 #include "router/event_context.h"
@@ -46,11 +47,13 @@
   [[nodiscard]] DecayingLoad& load_of(EndpointState& endpoint) const;
 
   const Settings settings;
+  const std::uint64_t seed;
   EventContext event;
   EndpointTable endpoints;
   RequestTable requests;
   ClassStatistics classes;
   LatencyLoadEstimator loads;
+  CapacityEstimator capacities;
   RoleTracker roles;
   OutlierEjector outliers;
   HealthCheckScheduler health_checks;
