Count an endpoint as just started where its listed start cannot be right

A start is listed in wall-clock time. With the gateway's clock an hour behind the lists', a restarted endpoint stayed at the capacity of its first moment for an hour; with the lists' clock stepped back, its restart was not noticed, and it got a full load.

Class of bug: a wall-clock time compared with a monotonic one, without a check that both agree.

Change: a listed start in the future, or over 60 s before the previous list, which would have contained it, counts as a start now. A new process that knows no earlier list can only notice the first.

--- a/src/router/endpoint_list_updater.cpp
+++ b/src/router/endpoint_list_updater.cpp
@@ -12,6 +12,9 @@
 // The time after which a failed poll is repeated.
 constexpr Duration kPollRetryGap = 1000ms;
 
+// A list contains a start at most this long after it.
+constexpr Duration kMaxListDelay = 60'000ms;
+
 }  // namespace
 
 void EndpointListUpdater::apply(const EndpointList& list) {
@@ -35,6 +38,8 @@
         exclude(endpoint, endpoint.listing.status, EndpointStatus::Removed);
     }
   }
+  if (list.kind != EndpointList::Kind::Cached)
+    last_list_at_ = now;
   state_.endpoints.forget_removed(now, state_.requests.endpoints_in_use());
 }
 
@@ -54,8 +59,7 @@
     state_.endpoints.join_group(endpoint);
   const bool has_restarted = is_new || entry.started_at != previous_start;
   if (entry.started_at > TimePoint{} && has_restarted)
-    begin_slow_start(endpoint, entry.started_at, SlowStartReason::ListedStart, state_.settings,
-                     state_.event);
+    begin_listed_slow_start(endpoint, list.kind);
   if (entry.status != EndpointStatus::Up) {
     exclude(endpoint, previous_status, entry.status);
     return;
@@ -68,6 +72,19 @@
   state_.endpoints.mark_dispatchable(entry.group);
 }
 
+// Starts are in wall-clock time, and the clock that they were read from may have been changed. A
+// start in the future, or one that earlier lists must have contained, cannot be right: the endpoint
+// counts as just started, as its age is unknown.
+void EndpointListUpdater::begin_listed_slow_start(EndpointState& endpoint,
+                                                  EndpointList::Kind kind) {
+  const TimePoint now = state_.event.now;
+  const TimePoint listed = endpoint.listing.started_at;
+  const bool follows_lists = kind != EndpointList::Kind::Cached && last_list_at_ != kUnknownTime;
+  const bool is_too_old = follows_lists && listed < last_list_at_ - kMaxListDelay;
+  const TimePoint since = listed > now || is_too_old ? now : listed;
+  begin_slow_start(endpoint, since, SlowStartReason::ListedStart, state_.settings, state_.event);
+}
+
 // What is known about the endpoint's data belongs to the log of the group that it leaves: like a
 // new endpoint, it gets no reads until it answers. What is known about its process stays valid.
 void EndpointListUpdater::move_to_group(EndpointState& endpoint, GroupId group) {
--- a/src/router/endpoint_list_updater.h
+++ b/src/router/endpoint_list_updater.h
@@ -16,12 +16,14 @@
 
 private:
   void apply_entry(const Endpoint& entry, const EndpointList& list);
+  void begin_listed_slow_start(EndpointState& endpoint, EndpointList::Kind kind);
   void move_to_group(EndpointState& endpoint, GroupId group);
   void record_listed_primary(EndpointState& endpoint, EndpointList::Kind kind);
   void exclude(EndpointState& endpoint, EndpointStatus previous, EndpointStatus status);
   void log_exclusion(EndpointId id, EndpointStatus status) const;
 
   RouterState& state_;
+  TimePoint last_list_at_ = kUnknownTime;  ///< When the last list or change came from discovery.
 };
 
 }  // namespace gorsebeam::router
--- a/tests/router/endpoint_list_updater_test.cpp
+++ b/tests/router/endpoint_list_updater_test.cpp
@@ -54,6 +54,40 @@
   EXPECT_TRUE(state_.endpoints.at(2).is_usable());
 }
 
+class EndpointStartTest : public EndpointListUpdaterTest {
+protected:
+  static Settings settings_with_slow_start() {
+    Settings settings = default_settings();
+    settings.slow_start_duration = 10s;
+    return settings;
+  }
+
+  EndpointStartTest() : EndpointListUpdaterTest(settings_with_slow_start()) {}
+
+  /// Endpoint 2 is listed with a start at `started_at`, after a list that did not contain it.
+  const EndpointState& list_start(TimePoint started_at) {
+    apply(EndpointList::Kind::Full, {make_entry(2, EndpointStatus::Up)});
+    state_.event.now += 20s;
+    Endpoint entry = make_entry(2, EndpointStatus::Up);
+    entry.started_at = started_at;
+    apply(EndpointList::Kind::Delta, {entry});
+    return state_.endpoints.at(2);
+  }
+};
+
+TEST_F(EndpointStartTest, TakesTheListedStart) {
+  const TimePoint started_at = kStart + 17s;
+  EXPECT_EQ(list_start(started_at).slow_start_since, started_at);
+}
+
+TEST_F(EndpointStartTest, DoesNotProlongASlowStartByAClockThatIsAhead) {
+  EXPECT_EQ(list_start(kStart + 1h).slow_start_since, state_.event.now);
+}
+
+TEST_F(EndpointStartTest, NoticesAStartByAClockThatIsBehind) {
+  EXPECT_EQ(list_start(kStart - 15min).slow_start_since, state_.event.now);
+}
+
 Endpoint make_moved_entry(EndpointId id, EndpointStatus status = EndpointStatus::Up) {
   Endpoint entry = make_entry(id, status);
   entry.group = 9;
