--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -168,7 +168,7 @@
 }
 
 std::optional<Millis> FakeEndpoint::occupy_worker(Millis now, Millis timeout) {
-  const auto worker = std::min_element(worker_free_at_.begin(), worker_free_at_.end());
+  auto* const worker = std::min_element(worker_free_at_.begin(), worker_free_at_.end());
   const Millis begins_at = std::max(*worker, now);
   const double mean_service_time = (kMinServiceTime + kMaxServiceTime) / 2.0;
   const auto max_wait = static_cast<Millis>(kMaxQueueLength * mean_service_time / kWorkers);
--- a/tests/fault_soak/fault_injector.cpp
+++ b/tests/fault_soak/fault_injector.cpp
@@ -10,6 +10,8 @@
 
 constexpr Millis kFirstFaultDelay = 500;
 constexpr int kMinUpEndpoints = 3;
+// The same for the faults around recovery, so that a started endpoint does the work of several.
+constexpr int kMinUpEndpointsInRecovery = 2;
 constexpr int kFloodConnections = 60;
 // The longest time from an endpoint's start to the list that contains it.
 constexpr Millis kMaxListingDelay = 2500;
@@ -146,10 +148,12 @@
 }
 
 // Drains an endpoint, then removes it. Later it starts again, and the list contains it some time
-// after that. At least kMinUpEndpoints endpoints stay up, so that requests can still be served.
+// after that. Some endpoints stay up, so that requests can still be served.
 void FaultInjector::drain_endpoint() {
   FakeEndpoint& endpoint = draw_endpoint();
-  if (endpoints_.up_count() <= kMinUpEndpoints || endpoint.listed_status != ListedStatus::Up)
+  const bool is_recovery = context_.settings.profile == FaultProfile::Recovery;
+  const int min_up = is_recovery ? kMinUpEndpointsInRecovery : kMinUpEndpoints;
+  if (endpoints_.up_count() <= min_up || endpoint.listed_status != ListedStatus::Up)
     return;
   log_fault("drain", std::to_string(endpoint.index()));
   endpoint.listed_status = ListedStatus::Draining;
--- a/tests/fault_soak/gateway_process.cpp
+++ b/tests/fault_soak/gateway_process.cpp
@@ -67,7 +67,7 @@
   config.overload_window_ms = static_cast<int>(kOverloadWindow);
   config.overload_factor = std::to_string(kOverloadFactor);
   config.keepalive_ms = kKeepaliveMs;
-  config.classes = {make_class(ServiceClass::Idempotent, "free", "eventual", 500, 2000),
+  config.classes = {make_class(ServiceClass::Idempotent, "free", "causal", 500, 2000),
                     make_class(ServiceClass::Keyed, "guarded", "mutate", 750, 2500),
                     make_class(ServiceClass::SingleShot, "single_shot", "mutate", 750, 2500)};
   std::ofstream(config_path()) << test_harness::encode_platform_config(config);
