Write a duration of zero as a valid number in the tests' platform configuration

Since the slow start's settings were added, the integration tests' configuration held 0000000 for a duration of zero, which is not JSON, and no gateway of theirs started. The durations are multiplied now.

--- a/tests/integration/platform_config.cpp
+++ b/tests/integration/platform_config.cpp
@@ -19,7 +19,7 @@
 }
 
 std::string nanoseconds(int milliseconds) {
-  return std::to_string(milliseconds) + "000000";
+  return std::to_string(milliseconds * 1'000'000LL);
 }
 
 std::string encode_class(const PlatformClass& platform_class) {
