Hold permits without an allocation, and ignore a weight that is no capacity

Each known endpoint held an empty deque, which allocates over half a kilobyte: with thousands of endpoints that is memory for nothing. A listed size of zero or below made an endpoint's budget zero, or the estimate of all of them infinite; it counts as one now, as in the operators' file. 399 unit tests pass (Release, arm64).

--- a/src/router/capacity_estimator.cpp
+++ b/src/router/capacity_estimator.cpp
@@ -25,6 +25,11 @@
 
 }  // namespace
 
+double capacity_weight(const EndpointState& endpoint) {
+  const double weight = endpoint.listing.weight;
+  return std::isfinite(weight) && weight > 0 ? weight : 1;
+}
+
 void CapacityEstimator::advance(TimePoint now) {
   if (advanced_to_ == kUnknownTime) {
     observed_since_ = now;
@@ -50,7 +55,7 @@
       continue;
     up_count_ += 1;
     if (!endpoint.is_ejected && slow_start_capacity(endpoint, settings_, counted_at_) >= 1)
-      full_weight_ += endpoint.listing.weight;
+      full_weight_ += capacity_weight(endpoint);
   }
 }
 
--- a/src/router/capacity_estimator.h
+++ b/src/router/capacity_estimator.h
@@ -11,6 +11,9 @@
 
 namespace gorsebeam::router {
 
+/// The endpoint's relative capacity: its listed weight, or 1 if that is not a positive number.
+[[nodiscard]] double capacity_weight(const EndpointState& endpoint);
+
 /// Quantities of work are in seconds for which requests occupy an endpoint, so that a capacity is a
 /// number of requests that are served at the same time.
 class CapacityEstimator {
--- a/src/router/permit_bucket.cpp
+++ b/src/router/permit_bucket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace gorsebeam::router {
 
@@ -18,14 +19,16 @@
   }
   const auto limit =
       static_cast<std::size_t>(std::clamp(capacity, 1.0, static_cast<double>(kMaxPermits)));
-  while (!issued_at_.empty() && (issued_at_.size() > limit || issued_at_.front() < now - validity))
-    issued_at_.pop_front();
+  const auto first_valid = std::lower_bound(issued_at_.begin(), issued_at_.end(), now - validity);
+  issued_at_.erase(issued_at_.begin(), first_valid);
+  if (issued_at_.size() > limit)
+    issued_at_.erase(issued_at_.begin(), issued_at_.end() - static_cast<std::ptrdiff_t>(limit));
 }
 
 void PermitBucket::spend(double cost) {
   progress_ -= cost - 1;
   if (!issued_at_.empty())
-    issued_at_.pop_front();
+    issued_at_.erase(issued_at_.begin());
 }
 
 }  // namespace gorsebeam::router
--- a/src/router/permit_bucket.h
+++ b/src/router/permit_bucket.h
@@ -4,7 +4,7 @@
 #include "router/time_points.h"
 
 #include <cstddef>
-#include <deque>
+#include <vector>
 
 namespace gorsebeam::router {
 
@@ -39,8 +39,8 @@
 
 private:
   TimePoint refilled_at_{};
-  double progress_ = 0;              // the fraction of the next permit that has been earned
-  std::deque<TimePoint> issued_at_;  // the unused permits, the oldest first
+  double progress_ = 0;               // the fraction of the next permit that has been earned
+  std::vector<TimePoint> issued_at_;  // the unused permits, the oldest first
 };
 
 }  // namespace gorsebeam::router
--- a/src/router/slow_start_budget.cpp
+++ b/src/router/slow_start_budget.cpp
@@ -78,7 +78,7 @@
   const double connect_delay = std::min(1.0, ratio(settings.connect_timeout, window()));
   const double factor = settings.overload_factor / (1 + kValidityInWindows + connect_delay);
   const double capacity = slow_start_capacity(endpoint, settings, state_.event.now) *
-                          state_.capacities.capacity_share() * endpoint.listing.weight;
+                          state_.capacities.capacity_share() * capacity_weight(endpoint);
   return factor * capacity / (state_.classes.mean_typical_latency() / 1e9);
 }
 
--- a/tests/router/capacity_estimator_test.cpp
+++ b/tests/router/capacity_estimator_test.cpp
@@ -70,6 +70,14 @@
   EXPECT_DOUBLE_EQ(estimator_.capacity_share(), 0.25);
 }
 
+TEST_F(CapacityEstimatorTest, TakesAWeightThatIsNoCapacityForOne) {
+  EndpointState& endpoint = add_endpoint(1);
+  for (const double weight : {0.0, -3.0}) {
+    endpoint.listing.weight = weight;
+    EXPECT_DOUBLE_EQ(capacity_weight(endpoint), 1);
+  }
+}
+
 TEST_F(CapacityEstimatorTest, MeasuresTheRequestRateForEachEndpoint) {
   serve({&add_endpoint(1), &add_endpoint(2)}, 60, 10);
   EXPECT_NEAR(estimator_.request_rate_per_endpoint(), 30, 3);
