State the overload window and the operators' slack once

The router chose the length of the overload window in two modules, each with its own default; the operators' slack for chance was written in the fault soak's rule and in the fleet of routers, which also wrapped a time in a struct of its own. Each stands once now.

--- a/src/router/slow_start.cpp
+++ b/src/router/slow_start.cpp
@@ -5,7 +5,7 @@
 namespace gorsebeam::router {
 namespace {
 
-// The length of the windows whose counts are logged, where the settings give no overload window.
+// The overload window where the settings give none.
 constexpr Duration kDefaultWindow = 1000ms;
 
 void add(SlowStartCounts& counts, SlowStartTraffic traffic) {
@@ -38,6 +38,10 @@
   return initial + (1 - initial) * std::max(0.0, progress);
 }
 
+Duration overload_window(const Settings& settings) {
+  return settings.overload_duration > 0ms ? settings.overload_duration : kDefaultWindow;
+}
+
 void begin_slow_start(EndpointState& endpoint, TimePoint since, SlowStartReason reason,
                       const Settings& settings, const EventContext& event) {
   if (since <= endpoint.slow_start_since)
@@ -58,9 +62,7 @@
   if (!activity.is_active)
     return;
   const double capacity = slow_start_capacity(endpoint, settings, event.now);
-  const Duration length =
-      settings.overload_duration > 0ms ? settings.overload_duration : kDefaultWindow;
-  if (capacity >= 1 || event.now - activity.window_began_at >= length) {
+  if (capacity >= 1 || event.now - activity.window_began_at >= overload_window(settings)) {
     event.log(SlowStartWindow{endpoint.listing.id, capacity, activity.window});
     activity.window_began_at = event.now;
     activity.window = SlowStartCounts{};
--- a/src/router/slow_start.h
+++ b/src/router/slow_start.h
@@ -11,6 +11,10 @@
 [[nodiscard]] double slow_start_capacity(const EndpointState& endpoint, const Settings& settings,
                                          TimePoint now);
 
+/// The time within which the attempts at an endpoint in slow start are counted: the overload
+/// duration, or one second where the settings give none.
+[[nodiscard]] Duration overload_window(const Settings& settings);
+
 /// Begins a slow start of the endpoint at `since`, unless a later one has begun.
 void begin_slow_start(EndpointState& endpoint, TimePoint since, SlowStartReason reason,
                       const Settings& settings, const EventContext& event);
--- a/src/router/slow_start_budget.cpp
+++ b/src/router/slow_start_budget.cpp
@@ -8,9 +8,6 @@
 namespace gorsebeam::router {
 namespace {
 
-// The length of the overload window where the settings give none.
-constexpr Duration kDefaultWindow = 1000ms;
-
 // The fraction of the overload window for which an unused permit is valid.
 constexpr double kValidityInWindows = 0.5;
 
@@ -67,7 +64,8 @@
   }
   const double per_second = permits_per_second(endpoint);
   slow_start.permits.refill(now, per_second, validity(),
-                            per_second * kValidityInWindows * ratio(window(), 1s));
+                            per_second * kValidityInWindows *
+                                ratio(overload_window(state_.settings), 1s));
 }
 
 // Within any window, the permits that are used were issued in the window or before it within their
@@ -75,25 +73,21 @@
 // which a connection is established. With the rate divided accordingly, their sum is the budget.
 double SlowStartBudget::permits_per_second(const EndpointState& endpoint) const {
   const Settings& settings = state_.settings;
-  const double connect_delay = std::min(1.0, ratio(settings.connect_timeout, window()));
+  const double connect_delay =
+      std::min(1.0, ratio(settings.connect_timeout, overload_window(settings)));
   const double factor = settings.overload_factor / (1 + kValidityInWindows + connect_delay);
   const double capacity = slow_start_capacity(endpoint, settings, state_.event.now) *
                           state_.capacities.capacity_share() * capacity_weight(endpoint);
   return factor * capacity / (state_.classes.mean_typical_latency() / 1e9);
 }
 
-Duration SlowStartBudget::window() const {
-  const Duration configured = state_.settings.overload_duration;
-  return configured > 0ms ? configured : kDefaultWindow;
-}
-
 // Where a router has few requests for an endpoint, a permit that expired as early as elsewhere
 // would hardly ever meet a request. A longer validity is safe there: in any window only a fraction
 // of such routers has a request for the endpoint.
 Duration SlowStartBudget::validity() const {
   const double seconds_between_requests =
       1 / std::max(state_.capacities.request_rate_per_endpoint(), kLeastRequestRate);
-  const double seconds = std::max(kValidityInWindows * ratio(window(), 1s),
+  const double seconds = std::max(kValidityInWindows * ratio(overload_window(state_.settings), 1s),
                                   kValidityInRequestIntervals * seconds_between_requests);
   return std::min(to_duration(seconds * 1e9), state_.settings.slow_start_duration / 2);
 }
--- a/src/router/slow_start_budget.h
+++ b/src/router/slow_start_budget.h
@@ -24,7 +24,6 @@
   [[nodiscard]] bool is_limited(const EndpointState& endpoint) const;
   void refill(EndpointState& endpoint) const;
   [[nodiscard]] double permits_per_second(const EndpointState& endpoint) const;
-  [[nodiscard]] Duration window() const;
   [[nodiscard]] Duration validity() const;
 
   RouterState& state_;
--- a/tests/fault_soak/endpoint_capacity.cpp
+++ b/tests/fault_soak/endpoint_capacity.cpp
@@ -1,15 +1,10 @@
 #include "endpoint_capacity.h"
 
+#include "overload_slack.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace fault_soak {
-namespace {
-
-// The operators' slack depends on whether the budget is below this number of requests.
-constexpr double kSmallBudget = 30;
-
-}  // namespace
 
 double capacity_fraction(Millis age) {
   const double progress = static_cast<double>(age) / static_cast<double>(kSlowStartDuration);
@@ -19,8 +14,7 @@
 double max_attempts_in_window(Millis age) {
   const double window_seconds = static_cast<double>(kOverloadWindow) / 1000;
   const double budget = kOverloadFactor * capacity_fraction(age) * kFullCapacity * window_seconds;
-  const double factor = budget < kSmallBudget ? 3 : 2;
-  return budget + factor * std::sqrt(budget) + factor;
+  return budget + gorsebeam::test_support::overload_slack(budget);
 }
 
 }  // namespace fault_soak
--- a/tests/router/slow_start_fleet.cpp
+++ b/tests/router/slow_start_fleet.cpp
@@ -1,9 +1,9 @@
 #include "slow_start_fleet.h"
 
+#include "overload_slack.h"
 #include "router_settings.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <variant>
 
@@ -41,11 +41,6 @@
   return settings;
 }
 
-double slack_for_chance(double budget) {
-  const double factor = budget < 30 ? 3 : 2;
-  return factor * std::sqrt(budget) + factor;
-}
-
 }  // namespace
 
 SlowStartFleet::SlowStartFleet(int routers, EndpointId primary, double demand, std::uint64_t seed)
@@ -54,7 +49,7 @@
   for (const EndpointId id : {1, 2, 3, 4}) {
     listed_[id].id = id;
     listed_[id].listed_as_primary = id == primary;
-    workers_[id].resize(kWorkers);
+    workers_free_at_[id].resize(kWorkers);
   }
   for (std::size_t i = 0; i < nodes_.size(); ++i)
     restart_router(i);
@@ -161,14 +156,11 @@
 
 // Returns the time until the request has been served by the worker that is free first.
 Duration SlowStartFleet::serve(EndpointId endpoint) {
-  std::vector<Worker>& workers = workers_[endpoint];
-  Worker& worker =
-      *std::min_element(workers.begin(), workers.end(), [](const Worker& a, const Worker& b) {
-        return a.free_at < b.free_at;
-      });
+  std::vector<TimePoint>& workers = workers_free_at_[endpoint];
+  TimePoint& free_at = *std::min_element(workers.begin(), workers.end());
   const double service_seconds = kWorkers / kFleetFullCapacity / capacity(endpoint);
-  worker.free_at = std::max(worker.free_at, now_) + to_duration(service_seconds * 1e9);
-  return worker.free_at - now_;
+  free_at = std::max(free_at, now_) + to_duration(service_seconds * 1e9);
+  return free_at - now_;
 }
 
 void SlowStartFleet::record_started_attempt() {
@@ -182,7 +174,7 @@
                         ratio(kOverloadWindow, 1s);
   const auto count = static_cast<double>(window_.size());
   highest_share_ = std::max(highest_share_, count / budget);
-  has_failed_ = has_failed_ || count > budget + slack_for_chance(budget);
+  has_failed_ = has_failed_ || count > budget + test_support::overload_slack(budget);
 }
 
 void SlowStartFleet::publish(std::size_t node) {
@@ -205,7 +197,7 @@
 
 void SlowStartFleet::list_started_endpoint(Duration age) {
   started_at_ = now_ - age;
-  workers_[kStartedEndpoint].assign(kWorkers, {now_});
+  workers_free_at_[kStartedEndpoint].assign(kWorkers, now_);
   listed_[kStartedEndpoint].status = EndpointStatus::Up;
   listed_[kStartedEndpoint].started_at = started_at_;
   publish_all();
--- a/tests/router/slow_start_fleet.h
+++ b/tests/router/slow_start_fleet.h
@@ -76,10 +76,6 @@
     }
   };
 
-  struct Worker {
-    TimePoint free_at{};
-  };
-
   void schedule(TimePoint at, std::function<void()> run);
   void schedule_arrival();
   void send_request(std::size_t node);
@@ -104,7 +100,7 @@
   std::uint64_t next_request_ = 0;
   std::priority_queue<Task> tasks_;
   std::map<EndpointId, Endpoint> listed_;
-  std::map<EndpointId, std::vector<Worker>> workers_;
+  std::map<EndpointId, std::vector<TimePoint>> workers_free_at_;
   std::map<std::string, std::uint32_t> attempt_numbers_;
   TimePoint started_at_{};
   std::deque<TimePoint> window_;
