Fail overdue requests in time while exceptions repeat

Callers saw: a request that lost its timer, or the end of its attempt, to an exception got no final answer at its deadline while further exceptions came more often than every 100 ms. An exception in a frontend's `fail` left the broker, which ended the recovery, dropped the actions behind it, and ended the program where it left an event batch.

Cause: each exception set the recovery timer anew, so the timer was put off. `recover_from_exception` set it last, and `contain_exception` failed the request before it set the timer at all.

Change: a recovery that has begun is not put off; the timer is set first, in both functions; the steps of failing a request are contained one by one. One function, `run_contained`, contains exceptions at all four places.

--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -36,6 +36,8 @@
 
   void stop();
 
+  [[nodiscard]] bool is_set() const { return is_set_; }
+
   /// Whether the timer is set and its time has come.
   [[nodiscard]] bool is_due() const { return is_set_ && queue_key_.first <= now(); }
 
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -206,11 +206,9 @@
 template <typename Source>
 void RequestBroker::read_pending_into_queue(Source& source) {
   queue_.open_batch();
-  try {
+  run_contained("", [&source] {
     source.read_pending();
-  } catch (const std::exception& error) {
-    contain_exception(error, "");
-  }
+  });
   queue_.close_batch();
 }
 
@@ -252,28 +250,35 @@
 // The actions that the router decided on before an exception are performed: it counts on them.
 void RequestBroker::handle_event(const Event& event) {
   actions_.clear();
-  try {
+  run_contained(request_id_of(event), [this, &event] {
     router_.handle(net::now(), event, actions_);
-  } catch (const std::exception& error) {
-    contain_exception(error, request_id_of(event));
-  }
+  });
   for (const Action& action : actions_)
     perform(action);
 }
 
 void RequestBroker::perform(const Action& action) {
-  try {
+  run_contained(request_id_of(action), [this, &action] {
     executor_.perform(action);
+  });
+}
+
+template <typename Step>
+void RequestBroker::run_contained(const std::string& request_id, Step step) {
+  try {
+    step();
   } catch (const std::exception& error) {
-    contain_exception(error, request_id_of(action));
+    contain_exception(error, request_id);
   }
 }
 
+// A recovery that has begun is not put off: exceptions may repeat at any rate.
 void RequestBroker::contain_exception(const std::exception& error, const std::string& request_id) {
   net::log({"internal_error", {{"request", request_id}, {"error", error.what()}}});
-  fail_request(request_id);
   recovers_until_ = net::now() + longest_deadline(settings_) + kRecoveryMargin;
-  recovery_timer_.after(kRecoveryInterval);
+  if (!recovery_timer_.is_set())
+    recovery_timer_.after(kRecoveryInterval);
+  fail_request(request_id);
 }
 
 void RequestBroker::fail_request(const std::string& request_id) {
@@ -283,9 +288,13 @@
   const std::optional<AttemptId> attempt = request->current_attempt;
   ClientCall* const call = requests_.complete(request_id);
   queue_.push(ClientDisconnected{request_id});  // the router must not answer it again
-  if (attempt)
-    end_attempt(*attempt);
-  call->fail();
+  run_contained("", [this, attempt] {
+    if (attempt)
+      end_attempt(*attempt);
+  });
+  run_contained("", [call] {
+    call->fail();
+  });
 }
 
 // The upstream may or may not know the attempt, as starting it may have thrown.
@@ -299,11 +308,11 @@
 void RequestBroker::recover_from_exception() {
   const EventBatch batch(*this);
   const TimePoint now = net::now();
+  if (now < recovers_until_)
+    recovery_timer_.after(kRecoveryInterval);
   for (const std::string& request_id : requests_.overdue(now))
     fail_request(request_id);
   queue_.push(TimerExpired{});
-  if (now < recovers_until_)
-    recovery_timer_.after(kRecoveryInterval);
 }
 
 }  // namespace gorsebeam::proxy
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -108,9 +108,14 @@
   void handle_event(const Event& event);
   void perform(const Action& action);
 
-  /// Logs an exception and fails `request_id`, which is empty if no request is concerned.
+  /// Logs an exception, starts the recovery and fails `request_id`, which is empty if no request is
+  /// concerned. Throws nothing.
   void contain_exception(const std::exception& error, const std::string& request_id);
 
+  /// Runs `step` and contains an exception that leaves it.
+  template <typename Step>
+  void run_contained(const std::string& request_id, Step step);
+
   /// Gives an open request its final answer without the router. Ignored for any other request.
   void fail_request(const std::string& request_id);
 
--- a/tests/request_broker_test.cpp
+++ b/tests/request_broker_test.cpp
@@ -2,79 +2,22 @@
 // handling any later one, so that no request got an answer.
 #include "proxy/request_broker.h"
 
-#include "router_settings.h"
+#include "request_broker_fakes.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 namespace gorsebeam::proxy {
 namespace {
 
-/// Keeps the attempts and health checks that the broker starts.
-class FakeUpstream : public Upstream {
-public:
-  struct StartedAttempt {
-    AttemptId attempt;
-    EndpointId endpoint;
-  };
-
-  void add_endpoint(EndpointId, const std::string&) override {}
-
-  void remove_endpoint(EndpointId) override {}
-
-  void start_attempt(AttemptId attempt, EndpointId endpoint, ClientCall&, TimePoint) override {
-    if (throws_at_start)
-      throw std::out_of_range("map::at");
-    attempts.push_back({attempt, endpoint});
-  }
-
-  void start_health_check(EndpointId endpoint) override { health_checks.push_back(endpoint); }
-
-  void read_pending() override {
-    if (throws_at_read)
-      throw std::runtime_error("unreadable");
-  }
-
-  void cancel_attempt(AttemptId) override {}
-
-  void detach_call(AttemptId) override {}
-
-  bool throws_at_start = false;
-  bool throws_at_read = false;
-  std::vector<StartedAttempt> attempts;
-  std::vector<EndpointId> health_checks;
-};
-
-/// Counts the final answers that it gets.
-struct FakeCall : ClientCall {
-  [[nodiscard]] bool has_client_disconnected() const override { return false; }
-
-  ByteSpans body(Duration) override { return {}; }
-
-  void respond(const ByteSpans&) override { ++served; }
-
-  void reject(Duration) override { ++rejected; }
-
-  void fail() override { ++failed; }
-
-  int served = 0;
-  int rejected = 0;
-  int failed = 0;
-};
-
-Settings make_settings() {
-  Settings settings = test_support::make_settings(LoadReportSource::HealthChecks);
-  settings.classes = {
-      test_support::make_request_class("any", ConsistencyLevel::Eventual, Idempotency::Idempotent)};
-  settings.classes[0].latency_objective = 1s;
-  settings.classes[0].deadline = 2s;
-  return settings;
-}
+using test_support::FakeCall;
+using test_support::FakeUpstream;
+using test_support::list_of_one_replica;
+using test_support::UnreadableList;
 
 class RequestBrokerTest : public testing::Test {
 protected:
@@ -86,10 +29,7 @@
 
   /// Applies a list of one replica.
   void list_replica(const std::string& name) {
-    ListedEndpoint replica;
-    replica.name = name;
-    replica.address = "127.0.0.1:1";
-    broker_.update_endpoints(EndpointList::Kind::Full, {replica});
+    broker_.update_endpoints(EndpointList::Kind::Full, list_of_one_replica(name));
   }
 
   void report_health(EndpointId endpoint) {
@@ -111,7 +51,7 @@
     broker_.complete_attempt(upstream_.attempts.back().attempt, response);
   }
 
-  RequestBroker broker_{make_settings(), 1};
+  RequestBroker broker_{test_support::make_broker_settings(), 1};
   FakeUpstream upstream_;
 };
 
@@ -151,16 +91,6 @@
   EXPECT_EQ(broker_.open_requests(), 0U);
 }
 
-/// A source of the endpoint list whose reading throws.
-struct UnreadableList : EndpointListSource {
-  void read_pending() override {
-    ++reads;
-    throw std::runtime_error("unreadable");
-  }
-
-  int reads = 0;
-};
-
 TEST_F(RequestBrokerTest, HandlesEventsAlthoughReadingThrows) {
   UnreadableList list;
   broker_.set_list_source(&list);
--- a/tests/soak/list_histories.cpp
+++ b/tests/soak/list_histories.cpp
@@ -4,7 +4,8 @@
 /// step: each request gets one final answer in its time, nothing is written to an endpoint that is
 /// not listed as up in the request's group, no two attempts of a request are in flight, and no id
 /// is given to another endpoint within a minute of the removal of its last one. Histories with an
-/// odd seed inject no exceptions, and must log none.
+/// odd seed inject no exceptions, and must log none; in those whose seed is a multiple of four,
+/// exceptions also come in series, and attempts are lost during these.
 ///
 /// Usage: list_histories [SEEDS [FIRST]]. Prints each violation with its seed; the exit status is 0
 /// if there is none. Standard error, where the log goes, is read by the program itself.
@@ -35,6 +36,10 @@
 constexpr Duration kDeadline = 1000ms;
 // How long after its deadline a request may get its answer, also if an exception cost it a timer.
 constexpr Duration kAnswerSlack = 250ms;
+// A series of exceptions lasts for several deadlines, with shorter intervals than the broker's
+// recovery.
+constexpr Duration kSeriesDuration = 3 * kDeadline;
+constexpr Duration kSeriesInterval = 50ms;
 // An id stays its endpoint's own for this time after the removal.
 constexpr Duration kIdKeptFor = 60s;
 constexpr std::array kNames{
@@ -52,6 +57,10 @@
   return seed % 2 == 0;
 }
 
+bool injects_series(std::uint64_t seed) {
+  return seed % 4 == 0;
+}
+
 /// The log of this process, which goes to a temporary file.
 class LogFile {
 public:
@@ -96,6 +105,18 @@
   int in_flight = 0;
 };
 
+/// A source of the endpoint list whose reading throws during a series of exceptions.
+struct FaultyListSource : proxy::EndpointListSource {
+  void read_pending() override {
+    if (is_in_series())
+      throw std::runtime_error("a list that cannot be read");
+  }
+
+  [[nodiscard]] bool is_in_series() const { return net::now() < series_ends_at; }
+
+  TimePoint series_ends_at{};
+};
+
 /// One endpoint as the last list has it.
 struct Member {
   bool is_listed = false;
@@ -108,6 +129,7 @@
       : seed_(seed), random_(seed),
         broker_(std::make_unique<proxy::RequestBroker>(make_settings(), seed)) {
     broker_->attach(*this);
+    broker_->set_list_source(&list_source_);
     for (std::size_t i = 0; i < kNames.size(); ++i) {
       Member& member = members_[address_of(i)];
       member.listed.name = kNames.at(i);
@@ -160,12 +182,22 @@
   std::uint64_t draw(std::uint64_t bound) { return random_() % bound; }
 
   void perform_step() {
+    if (injects_series(seed_) && !list_source_.is_in_series() && draw(8) == 0)
+      begin_series();
     if (draw(3) == 0)
       return change_list();
     for (std::uint64_t count = 1 + draw(3); count > 0; --count)
       send_request();
   }
 
+  void begin_series() {
+    list_source_.series_ends_at = net::now() + kSeriesDuration;
+    for (Duration delay{}; delay < kSeriesDuration; delay += kSeriesInterval)
+      virtual_time::schedule(net::now() + delay, [this] {
+        const proxy::RequestBroker::EventBatch batch(*broker_);
+      });
+  }
+
   void change_list() {
     Member& member = members_[address_of(draw(kNames.size()))];
     Endpoint& endpoint = member.listed.endpoint;
@@ -240,6 +272,8 @@
                      TimePoint deadline) override {
     if (injects_exceptions(seed_) && draw(40) == 0)
       throw std::runtime_error("an attempt that cannot be started");
+    if (list_source_.is_in_series() && draw(4) == 0)
+      return;  // an exception has cost the attempt its end
     auto& history_call = static_cast<HistoryCall&>(call);
     const TimePoint connected_at = net::now() + std::chrono::milliseconds(draw(30));
     virtual_time::schedule(connected_at, [this, attempt, endpoint, &history_call, deadline] {
@@ -308,6 +342,7 @@
   std::map<EndpointId, TimePoint> removed_at_;
   std::vector<std::shared_ptr<HistoryCall>> calls_;
   std::uint64_t last_request_ = 0;
+  FaultyListSource list_source_;
   std::unique_ptr<proxy::RequestBroker> broker_;
 };
 
