Hash each PostgreSQL response once

Cause: on the ordinary path `may_be_surplus` and `complete` both hashed the bytes of a response.

Change: `parse` hashes them, and passes the hash on.

Result: ResponseMatcherTest passes unchanged. The cost of a request was not measured yet.

--- a/src/postgres/response_matcher.cpp
+++ b/src/postgres/response_matcher.cpp
@@ -33,9 +33,9 @@
   case Kind::Result:
     break;
   }
-  const std::string_view encoded = in.substr(0, response.size);
-  if (!may_be_surplus(response, encoded))
-    return complete(std::move(response), encoded);
+  const std::uint64_t hash = hash_of(in.substr(0, response.size));
+  if (!may_be_surplus(response, hash))
+    return complete(std::move(response), hash);
   if (input == InputState::Ended)  // it can no longer be confirmed
     return ParsedResponse::with_status(Status::Incomplete);
   phase_ = Phase::AwaitingConfirmation;
@@ -43,9 +43,8 @@
 }
 
 // A response without ReadyForQuery ends the connection, so it is no copy of an earlier one.
-bool ResponseMatcher::may_be_surplus(const QueryResponse& response,
-                                     std::string_view encoded) const {
-  return response.is_ready_for_query && hash_of(encoded) == previous_hash_;
+bool ResponseMatcher::may_be_surplus(const QueryResponse& response, std::uint64_t hash) const {
+  return response.is_ready_for_query && hash == previous_hash_;
 }
 
 // Without the answer to the empty query it is not known whether more responses follow. An endpoint
@@ -67,7 +66,7 @@
     case Kind::Malformed:
       return ParsedResponse::with_status(Status::Malformed);
     case Kind::EmptyQuery: {
-      ParsedResponse parsed = complete(std::move(last), last_encoded);
+      ParsedResponse parsed = complete(std::move(last), hash_of(last_encoded));
       parsed.consumed_bytes = offset;
       parsed.surplus_responses = responses - 1;
       return parsed;
@@ -85,11 +84,11 @@
   return ParsedResponse::with_status(can_be_confirmed ? Status::Unconfirmed : Status::Incomplete);
 }
 
-ParsedResponse ResponseMatcher::complete(QueryResponse response, std::string_view encoded) {
+ParsedResponse ResponseMatcher::complete(QueryResponse response, std::uint64_t hash) {
   phase_ = Phase::AwaitingResponse;
-  previous_hash_ = hash_of(encoded);
+  previous_hash_ = hash;
   ParsedResponse parsed = ParsedResponse::with_status(Status::Complete);
-  parsed.consumed_bytes = encoded.size();
+  parsed.consumed_bytes = response.size;
   parsed.response = std::move(response.response);
   return parsed;
 }
--- a/src/postgres/response_matcher.h
+++ b/src/postgres/response_matcher.h
@@ -34,13 +34,13 @@
     AwaitingConfirmation,  ///< The responses that arrive end with that to an empty query.
   };
 
-  /// Whether `response`, with the bytes `encoded`, may be a copy of the previous response.
-  [[nodiscard]] bool may_be_surplus(const QueryResponse& response, std::string_view encoded) const;
+  /// Whether `response`, whose bytes have the hash `hash`, may be a copy of the previous response.
+  [[nodiscard]] bool may_be_surplus(const QueryResponse& response, std::uint64_t hash) const;
   connection_pool::ParsedResponse parse_confirmed(std::string_view in,
                                                   connection_pool::RequestKind kind,
                                                   connection_pool::InputState input);
-  /// Records `response`, with the bytes `encoded`, as the one to the last request.
-  connection_pool::ParsedResponse complete(QueryResponse response, std::string_view encoded);
+  /// Records `response`, whose bytes have the hash `hash`, as the one to the last request.
+  connection_pool::ParsedResponse complete(QueryResponse response, std::uint64_t hash);
 
   Phase phase_ = Phase::AwaitingResponse;
   /// The hash (XXH3, 64 bits) of the previous response's bytes; empty before the first response.
