Compute the longest deadline of the classes in one place

Cause: the request broker and the gateway's shutdown each looped over the classes.

Change: `longest_deadline` beside `Settings` serves both. Behaviour is unchanged.

--- a/include/gorsebeam/settings.h
+++ b/include/gorsebeam/settings.h
@@ -3,6 +3,7 @@
 
 #include "gorsebeam/types.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -82,4 +83,12 @@
   double overload_factor = 1;
 };
 
+/// The longest deadline of any class; zero if there is no class.
+[[nodiscard]] inline Duration longest_deadline(const Settings& settings) {
+  Duration longest{};
+  for (const RequestClass& request_class : settings.classes)
+    longest = std::max(longest, request_class.deadline);
+  return longest;
+}
+
 }  // namespace gorsebeam
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -122,9 +122,8 @@
   net::log({"shutdown_started", {}});
   control_plane_->stop();
   stop_accepting_timer_.after(kAcceptAfterStop);
-  Duration deadline = kMinShutdownDeadline;
-  for (const RequestClass& request_class : config_.platform.profile.settings.classes)
-    deadline = std::max(deadline, request_class.deadline);
+  const Duration deadline =
+      std::max(kMinShutdownDeadline, longest_deadline(config_.platform.profile.settings));
   shutdown_deadline_timer_.after(deadline + kAcceptAfterStop);
 }
 
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -48,13 +48,6 @@
       variant);
 }
 
-Duration longest_deadline(const Settings& settings) {
-  Duration longest{};
-  for (const RequestClass& request_class : settings.classes)
-    longest = std::max(longest, request_class.deadline);
-  return longest;
-}
-
 AttemptResult make_result(const InFlightAttempt& attempt, const UpstreamResponse& response) {
   AttemptResult result;
   result.request_id = attempt.request_id;
