Add an endpoint to its group without a search for it there

Cause: join_group checked for an id that is in the group already, which neither caller brings about: one adds a new endpoint, the other one that has just left its former group.

Change: the check is removed. Behaviour is unchanged.

--- a/src/router/endpoint_table.cpp
+++ b/src/router/endpoint_table.cpp
@@ -24,9 +24,7 @@
 void EndpointTable::join_group(const EndpointState& endpoint) {
   const EndpointId id = endpoint.listing.id;
   std::vector<EndpointId>& ids = groups_[endpoint.listing.group].endpoints;
-  const auto position = std::lower_bound(ids.begin(), ids.end(), id);
-  if (position == ids.end() || *position != id)
-    ids.insert(position, id);
+  ids.insert(std::lower_bound(ids.begin(), ids.end(), id), id);
 }
 
 void EndpointTable::leave_group(const EndpointState& endpoint) {
