Name in one way that a list only omits an endpoint

Cause: `is_unlisted` and `was_available` of RevisionFilter stood for one thing.

Change: both are `is_only_omitted`. Behaviour is unchanged.

--- a/src/discovery/revision_filter.cpp
+++ b/src/discovery/revision_filter.cpp
@@ -13,7 +13,7 @@
 
 bool RevisionFilter::is_still_unavailable(const LastWatchEvent& event,
                                           const Endpoint& endpoint) const {
-  if (event.epoch == epoch_ || event.status == EndpointStatus::Up || event.is_unlisted)
+  if (event.epoch == epoch_ || event.status == EndpointStatus::Up || event.is_only_omitted)
     return false;
   return endpoint.status == EndpointStatus::Up && endpoint.started_at <= event.started_at;
 }
@@ -62,8 +62,8 @@
     if (listed_names.count(name) > 0)
       continue;
     // That a list omits an endpoint does not undo that it was listed as draining or removed.
-    const bool was_available = event.is_unlisted || event.status == EndpointStatus::Up;
-    event = {epoch_, revision, EndpointStatus::Removed, event.started_at, was_available};
+    const bool is_only_omitted = event.is_only_omitted || event.status == EndpointStatus::Up;
+    event = {epoch_, revision, EndpointStatus::Removed, event.started_at, is_only_omitted};
   }
 }
 
--- a/src/discovery/revision_filter.h
+++ b/src/discovery/revision_filter.h
@@ -51,7 +51,7 @@
     TimePoint started_at{};
     /// Whether a complete list omitted the endpoint, which was never listed as draining or removed
     /// since it started.
-    bool is_unlisted = false;
+    bool is_only_omitted = false;
   };
 
   /// Records an entry of a list with the given revision, and replaces the entry's status where an
