Date requests by the arrival of their bytes, not by their handling

Cause: ClientConnection::received dated only the bytes of its own call. What was handled later took the bound of the iteration that handled it: messages behind sixteen others, and behind output that the kernel had not accepted at once, such as a handshake reply. A stream whose reading had been paused dated input anew when it resumed.

A request waits since its last byte can have arrived, or since the response before it can have been written, whichever is later. The second has a bound of its own for responses that are written in pieces, by the same class as the first (ReadinessBound, formerly InputArrivalBound). Reading that resumes with input in the kernel keeps the bound of the last read.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -44,8 +44,10 @@
   return !has_pending_request() && input().empty() && stream_->all_written();
 }
 
-TimePoint ClientConnection::earliest_arrival() const {
-  return input_arrival_.value_or(net::earliest_arrival());
+// The time that a message waits for the response before it does not count. A pause of the process
+// is no such wait, nor is the time until a later iteration of the event loop handles the message.
+TimePoint ClientConnection::waiting_since(std::size_t size) const {
+  return std::max(stream_->input().earliest_arrival_of_first(size), responded_at_);
 }
 
 std::size_t ClientConnection::max_message_bytes() const {
@@ -55,10 +57,8 @@
 void ClientConnection::received() {
   if (is_closing())
     return consume(input().size());
-  input_arrival_ = stream_->earliest_input_arrival();
   limit_read_ahead();
   process_input();
-  input_arrival_.reset();
   if (state_ != State::Closed && !has_pending_request())
     frontend_.enforce_buffer_limit();
 }
@@ -83,6 +83,8 @@
   last_progress_at_ = net::now();
   if (is_closing())
     return linger();
+  if (answered_count_ > 0)
+    responded_at_ = stream_->earliest_flush();
   process_input();
 }
 
@@ -168,6 +170,7 @@
   const bool was_in_flight = state_ == State::RequestInFlight;
   state_ = State::AwaitingInput;
   answered_count_ = std::min<std::size_t>(answered_count_ + 1, 2);
+  responded_at_ = net::earliest_arrival();
   request_id_.clear();
   last_progress_at_ = net::now();
   if (frontend_.is_stopping() && input().empty())
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -87,8 +87,9 @@
 
   [[nodiscard]] bool is_over_limit() const { return is_over_limit_; }
 
-  /// The earliest time at which the message that is being parsed can have arrived.
-  [[nodiscard]] TimePoint earliest_arrival() const;
+  /// The earliest time from which the message in the first `size` bytes of the input can have
+  /// waited for its handling: its last byte had arrived, and the response before it was written.
+  [[nodiscard]] TimePoint waiting_since(std::size_t size) const;
 
   /// Passes the request, which is in the first `size` bytes of the input, to the broker. Returns
   /// false if the broker does not accept the id of the request (see
@@ -146,9 +147,8 @@
   std::shared_ptr<net::Stream> stream_;
   std::string request_id_;  ///< The id of the request in flight.
   std::string end_reason_;  ///< Why the stream ended; empty if the gateway ended it.
-  /// The earliest arrival of the input that is being handled; empty if that input was received in
-  /// an earlier iteration.
-  std::optional<TimePoint> input_arrival_;
+  /// The earliest time at which the last response can have been written completely.
+  TimePoint responded_at_{};
   std::size_t request_size_ = 0;  ///< The size of the pending request in the input.
   State state_ = State::AwaitingInput;
   bool is_over_limit_ = false;
--- a/src/mongo/client_connection.cpp
+++ b/src/mongo/client_connection.cpp
@@ -140,7 +140,7 @@
     // No command carries the position of its session's last commit, which any gateway may have
     // passed on. Ignored where the router knows what its sessions have written.
     parsed.value().request.session_token = position_at(now);
-    auto request = admission_.admit(std::move(parsed.value()), earliest_arrival(), now);
+    auto request = admission_.admit(std::move(parsed.value()), waiting_since(message_size_), now);
     if (!request)
       return CommandError{ErrorCode::Unauthorized, proxy::describe(request.error())};
     pending_command_kind_ = command.kind;
--- a/src/net/arrival_bound.cpp
+++ b/src/net/arrival_bound.cpp
@@ -24,12 +24,12 @@
   last_polled_at_ = polled_at;
 }
 
-void InputArrivalBound::record_read(const ReadTime& read) {
-  const bool continues = read.iteration <= last_input_iteration_ + 1;
-  const bool was_stalled = read.now - earliest_arrival_ > kLoopStallThreshold;
-  earliest_arrival_ = continues && was_stalled ? std::min(read.earliest_arrival, earliest_arrival_)
-                                               : read.earliest_arrival;
-  last_input_iteration_ = read.iteration;
+void ReadinessBound::record_use(const SocketUse& use) {
+  const bool continues = use.iteration <= last_use_iteration_ + 1;
+  const bool was_stalled = use.now - earliest_ > kLoopStallThreshold;
+  earliest_ =
+      continues && was_stalled ? std::min(use.earliest_arrival, earliest_) : use.earliest_arrival;
+  last_use_iteration_ = use.iteration;
 }
 
 }  // namespace gorsebeam::net
--- a/src/net/arrival_bound.h
+++ b/src/net/arrival_bound.h
@@ -1,5 +1,5 @@
-/// Lower bounds for the time at which input arrived, computed from the times of the event loop's
-/// polls. Pure.
+/// Lower bounds for the time at which input arrived or output could be written, computed from the
+/// times of the event loop's polls. Pure.
 ///
 /// If the event loop was stalled, input may have arrived long before it is read. Deadlines and the
 /// age of input therefore count from the earliest time at which the input can have arrived, not
@@ -41,38 +41,39 @@
   TimePoint earliest_arrival_;
 };
 
-/// When a read from a socket takes place.
-struct ReadTime {
+/// When a socket that the event loop found ready is read from or written to.
+struct SocketUse {
   TimePoint now;
   std::uint64_t iteration;
   TimePoint earliest_arrival;  ///< `LoopArrivalBound::earliest_arrival()` in this iteration.
 };
 
-/// The lower bound for the arrival of one connection's input. After a stall it may take several
-/// iterations to read that input.
-class InputArrivalBound {
+/// The lower bound for the time since which one connection is readable, so that its input can have
+/// arrived, or writable. After a stall it may take several iterations to read that input or to
+/// write the output.
+class ReadinessBound {
 public:
-  /// The connection was accepted in `iteration`; no input can have arrived before
-  /// `earliest_arrival`.
-  InputArrivalBound(std::uint64_t iteration, TimePoint earliest_arrival)
-      : last_input_iteration_(iteration), earliest_arrival_(earliest_arrival) {}
+  /// The connection was accepted in `iteration`, and was not ready before `earliest`.
+  ReadinessBound(std::uint64_t iteration, TimePoint earliest)
+      : last_use_iteration_(iteration), earliest_(earliest) {}
 
-  InputArrivalBound() = default;
+  ReadinessBound() = default;
 
-  /// Updates the bound at each read. After a stall more input may be ready than one iteration
-  /// reads, so the bound does not advance as long as each iteration has input to read.
-  void record_read(const ReadTime& read);
+  /// Updates the bound at each use. After a stall there may be more to read or to write than one
+  /// iteration does, so the bound does not advance as long as each iteration finds the socket
+  /// ready.
+  void record_use(const SocketUse& use);
 
-  /// Records that reading resumes after a suspension. The bound does not advance at the next read,
-  /// as the input may have arrived during the suspension.
-  void record_resumed(std::uint64_t iteration) { last_input_iteration_ = iteration; }
+  /// Records that the event loop polls the socket again after a suspension. The bound does not
+  /// advance at the next use, as the socket may have become ready during the suspension.
+  void record_resumed(std::uint64_t iteration) { last_use_iteration_ = iteration; }
 
-  /// The earliest arrival of the input of the last read.
-  [[nodiscard]] TimePoint earliest_arrival() const { return earliest_arrival_; }
+  /// The earliest time since which the socket can have been ready at its last use.
+  [[nodiscard]] TimePoint earliest() const { return earliest_; }
 
 private:
-  std::uint64_t last_input_iteration_ = 0;  ///< The last iteration that had input to read.
-  TimePoint earliest_arrival_{};
+  std::uint64_t last_use_iteration_ = 0;  ///< The last iteration that found the socket ready.
+  TimePoint earliest_{};
 };
 
 }  // namespace gorsebeam::net
--- a/src/net/input_buffer.cpp
+++ b/src/net/input_buffer.cpp
@@ -23,6 +23,7 @@
 // time.
 void InputBuffer::consume(std::size_t count) {
   begin_ += count;
+  arrival_times_.consume(count);
   if (begin_ >= end_)
     release();
 }
@@ -32,6 +33,7 @@
   end_ = 0;
   count_buffered(0, bytes_.size());
   std::vector<char>().swap(bytes_);
+  arrival_times_.clear();
 }
 
 char* InputBuffer::reserve_space(std::size_t min_size) {
--- a/src/net/input_buffer.h
+++ b/src/net/input_buffer.h
@@ -1,6 +1,8 @@
 /// The received bytes of one connection, parsed in place.
 #pragma once
 
+#include "input_arrival_times.h"
+
 #include <cstddef>
 #include <string_view>
 #include <vector>
@@ -36,8 +38,17 @@
   /// Size of the space that `reserve_space` returned.
   [[nodiscard]] std::size_t free_space() const { return bytes_.size() - end_; }
 
-  /// Adds the first `count` bytes of the space that `reserve_space` returned.
-  void append_written(std::size_t count) { end_ += count; }
+  /// Adds the first `count` bytes of the space that `reserve_space` returned, which arrived at
+  /// `earliest_arrival` at the earliest.
+  void append_written(std::size_t count, TimePoint earliest_arrival) {
+    end_ += count;
+    arrival_times_.append(count, earliest_arrival);
+  }
+
+  /// The earliest time at which the first `count` bytes, at least one, can have arrived completely.
+  [[nodiscard]] TimePoint earliest_arrival_of_first(std::size_t count) const {
+    return arrival_times_.earliest_arrival_of(count - 1);
+  }
 
   /// Drops all bytes and frees the memory.
   void release();
@@ -46,6 +57,7 @@
   std::vector<char> bytes_;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
+  InputArrivalTimes arrival_times_;
 };
 
 }  // namespace gorsebeam::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -62,7 +62,7 @@
 std::shared_ptr<Stream> Stream::adopt(SocketHandle socket, Events& events,
                                       TimePoint earliest_arrival) {
   std::shared_ptr<Stream> stream(new Stream(std::move(socket), events));
-  stream->arrival_bound_ = InputArrivalBound(current_iteration(), earliest_arrival);
+  stream->readable_bound_ = ReadinessBound(current_iteration(), earliest_arrival);
   stream->watch_readable();
   return stream;
 }
@@ -113,6 +113,8 @@
   if (!paused_)
     return;
   paused_ = false;
+  if (is_readable())
+    readable_bound_.record_resumed(current_iteration());
   watch_readable();
 }
 
@@ -200,7 +202,8 @@
 }
 
 void Stream::resume_after_backoff() {
-  arrival_bound_.record_resumed(current_iteration());
+  readable_bound_.record_resumed(current_iteration());
+  writable_bound_.record_resumed(current_iteration());
   watch_readable();
   if (!all_written())
     watch_writable();
@@ -215,7 +218,7 @@
 
 void Stream::read_some() {
   count_loop_work(LoopWork::Read);
-  arrival_bound_.record_read({now(), current_iteration(), net::earliest_arrival()});
+  readable_bound_.record_use({now(), current_iteration(), net::earliest_arrival()});
   char* space = input_.reserve_space(kMinReadSize);
   GError* raw = nullptr;
   const gssize size = g_socket_receive(socket_.get(), space, input_.free_space(), nullptr, &raw);
@@ -229,7 +232,7 @@
   backoff_.record_success();
   if (size == 0)
     return fail("closed by the peer");
-  input_.append_written(static_cast<std::size_t>(size));
+  input_.append_written(static_cast<std::size_t>(size), readable_bound_.earliest());
   events_->received();
 }
 
@@ -254,10 +257,12 @@
     return;
   // An error is not reported here: the next write from the event loop finds and reports it.
   output_.append_unsent(spans, sent);
+  writable_bound_ = ReadinessBound(current_iteration(), net::earliest_arrival());
   watch_writable();
 }
 
 void Stream::write_some() {
+  writable_bound_.record_use({now(), current_iteration(), net::earliest_arrival()});
   const std::string_view unsent = output_.unsent();
   GError* raw = nullptr;
   const gssize sent = g_socket_send(socket_.get(), unsent.data(), unsent.size(), nullptr, &raw);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -91,11 +91,9 @@
 
   [[nodiscard]] bool is_open() const { return socket_ != nullptr; }
 
-  /// The earliest time, on the clock of `now()`, at which the input of the last read can have
-  /// arrived.
-  [[nodiscard]] TimePoint earliest_input_arrival() const {
-    return arrival_bound_.earliest_arrival();
-  }
+  /// The earliest time, on the clock of `now()`, at which the kernel could have accepted the output
+  /// that it accepted last from the event loop.
+  [[nodiscard]] TimePoint earliest_flush() const { return writable_bound_.earliest(); }
 
 private:
   Stream(SocketHandle socket, Events& events);
@@ -125,7 +123,8 @@
   SourceHandle peer_close_source_;
   InputBuffer input_;
   OutputBuffer output_;
-  InputArrivalBound arrival_bound_;
+  ReadinessBound readable_bound_;
+  ReadinessBound writable_bound_;
   TransientErrorBackoff backoff_;
   bool connecting_ = false;
   bool paused_ = false;
--- a/src/postgres/client_connection.cpp
+++ b/src/postgres/client_connection.cpp
@@ -157,7 +157,8 @@
     if (!parsed)
       return parsed.error();
     StatementRequest& statement = parsed.value();
-    auto request = admission_.admit(std::move(statement.parsed), earliest_arrival(), net::now());
+    auto request =
+        admission_.admit(std::move(statement.parsed), waiting_since(message_size), net::now());
     if (!request)
       return SqlError{kInsufficientPrivilege, proxy::describe(request.error())};
     statement_size_ = text.size();
--- a/tests/arrival_bound_test.cpp
+++ b/tests/arrival_bound_test.cpp
@@ -40,34 +40,34 @@
   EXPECT_EQ(bound.earliest_arrival(), kStart + 10ms);
 }
 
-struct ReadCase {
+struct UseCase {
   const char* name;
-  std::uint64_t iteration;  ///< The previous read was in iteration 7.
-  Duration age;             ///< Time since `kStart`, the bound at the previous read.
+  std::uint64_t iteration;  ///< The previous use was in iteration 7.
+  Duration age;             ///< Time since `kStart`, the bound at the previous use.
   Duration loop_bound;
   Duration bound;
 };
 
-TEST(InputArrivalBound, IsKeptWhileInputContinuesAfterAStall) {
-  const std::vector<ReadCase> cases = {
+TEST(ReadinessBound, IsKeptWhileUseContinuesAfterAStall) {
+  const std::vector<UseCase> cases = {
       {"next iteration after a stall", 8, 21ms, 20ms, 0ms},
       {"same iteration after a stall", 7, 21ms, 20ms, 0ms},
       {"no stall", 8, 20ms, 19ms, 19ms},
-      {"an iteration without input", 9, 21ms, 20ms, 20ms},
+      {"an iteration without use", 9, 21ms, 20ms, 20ms},
       {"the loop's bound is earlier", 8, 21ms, -1ms, -1ms},
   };
-  for (const ReadCase& test : cases) {
-    InputArrivalBound bound(7, kStart);
-    bound.record_read({kStart + test.age, test.iteration, kStart + test.loop_bound});
-    EXPECT_EQ(bound.earliest_arrival(), kStart + test.bound) << test.name;
+  for (const UseCase& test : cases) {
+    ReadinessBound bound(7, kStart);
+    bound.record_use({kStart + test.age, test.iteration, kStart + test.loop_bound});
+    EXPECT_EQ(bound.earliest(), kStart + test.bound) << test.name;
   }
 }
 
-TEST(InputArrivalBound, IsKeptAcrossASuspensionOfReading) {
-  InputArrivalBound bound(7, kStart);
+TEST(ReadinessBound, IsKeptAcrossASuspension) {
+  ReadinessBound bound(7, kStart);
   bound.record_resumed(12);
-  bound.record_read({kStart + 30ms, 13, kStart + 29ms});
-  EXPECT_EQ(bound.earliest_arrival(), kStart);
+  bound.record_use({kStart + 30ms, 13, kStart + 29ms});
+  EXPECT_EQ(bound.earliest(), kStart);
 }
 
 }  // namespace
--- a/tests/integration/event_loop_stall_test.cpp
+++ b/tests/integration/event_loop_stall_test.cpp
@@ -82,6 +82,31 @@
   warm.harness.expect_invariants_and_running();
 }
 
+// More messages than the gateway handles in two iterations of its event loop arrive while it is
+// frozen. The last one is the request.
+TEST_P(EventLoopStall, ForwardsNoMoreThanRemainingClientTimeBehindManyMessages) {
+  constexpr int kTimeoutMs = 2000;
+  constexpr int kSlackMs = 150;
+  constexpr int kMessagesBefore = 100;
+  WarmGateway warm(protocol(), 2, 8);
+  warm.harness.gateway.freeze();
+  for (int i = 0; i < kMessagesBefore; ++i)
+    warm.client->send_request(unknown_class_request("before" + std::to_string(i)));
+  warm.client->send_request(read_request("last", kTimeoutMs));
+  warm.client->await_flushed();
+  run_main_loop_for(kStallDuration);
+
+  warm.harness.gateway.resume();
+
+  for (int i = 0; i < kMessagesBefore; ++i)
+    ASSERT_EQ(warm.client->await_response(), ClientResult::Failed);
+  ASSERT_EQ(warm.client->await_response(), ClientResult::Served);
+  ASSERT_EQ(warm.harness.attempts.back().request.id, "last");
+  ASSERT_LE(warm.harness.attempts.back().request.timeout_ms,
+            kTimeoutMs - kStallDuration.count() + kSlackMs);
+  warm.harness.expect_invariants_and_running();
+}
+
 // When the gateway runs again, the timeout for incomplete messages is due, but the rest of the
 // message has arrived in time.
 TEST_P(EventLoopStall, ServesMessageThatWasCompletedBeforeTimeout) {
