Read an arrived endpoint list although a read fails for lack of memory

Cause: before it sends something after a pause, the gateway reads the list that has arrived. A read that failed with a transient error (ENOMEM, ENOBUFS) suspended the connection for 5 ms, and the list counted as read.

Change: process_pending, which reads before a decision, ends up to three such suspensions and reads on at once. The event loop's own reads keep them.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMinReadSize = 4 * 1024;
 constexpr std::size_t kMaxOutputVectors = 16;
 constexpr int kMaxReadsPerCall = 64;
+constexpr int kMaxEndedBackoffsPerCall = 3;
 
 // POLLRDHUP is set when the peer has closed its sending side, even if earlier input is unread. GLib
 // has no constant for POLLRDHUP and passes the bit to poll(2) unchanged.
@@ -172,11 +173,22 @@
   run_guarded([this] {
     if (connecting_ && socket_ && g_socket_condition_check(socket_.get(), G_IO_OUT) != 0)
       finish_connecting();
-    for (int i = 0; i < kMaxReadsPerCall && !connecting_ && readable_source_ && is_readable(); ++i)
+    int ended_backoffs = 0;
+    for (int i = 0; i < kMaxReadsPerCall && !connecting_ && !paused_ && is_readable(); ++i) {
+      if (!readable_source_ && ++ended_backoffs > kMaxEndedBackoffsPerCall)
+        return;
+      if (!readable_source_)
+        end_backoff();
       read_some();
+    }
   });
 }
 
+void Stream::end_backoff() {
+  backoff_.stop();
+  resume_after_backoff();
+}
+
 void Stream::finish_connecting() {
   GError* raw = nullptr;
   const bool succeeded = g_socket_check_connect_result(socket_.get(), &raw) != FALSE;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -73,7 +73,8 @@
   void resume_reading();
 
   /// Handles at once the events that the event loop would handle in its next iterations: that the
-  /// connection is established, and input that has arrived. The callbacks run inside this call.
+  /// connection is established, and input that has arrived. A read that fails with a transient
+  /// error is tried again, a few times. The callbacks run inside this call.
   void process_pending();
 
   /// Whether the kernel holds unread input or the end of the peer's sending side.
@@ -116,6 +117,9 @@
   [[nodiscard]] bool back_off_after_transient_error(const GError& error);
   void resume_after_backoff();
 
+  /// Ends a backoff, if there is one, so that reading and writing go on at once.
+  void end_backoff();
+
   Events* events_;
   SocketHandle socket_;
   SourceHandle readable_source_;
