--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,7 @@
 #include "listener.h"
 
 #include "address.h"
+#include "contained_callback.h"
 #include "log.h"
 #include "loop_monitor.h"
 
@@ -147,7 +148,9 @@
   const ErrorHandle error(raw);
   if (socket) {
     count_loop_work(LoopWork::Accept);
-    handle_accepted_(std::move(socket));
+    run_contained("listener", [this, &socket] {
+      handle_accepted_(std::move(socket));
+    });
     return AcceptResult::Accepted;
   }
   if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE)
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -1,5 +1,7 @@
 #include "signals.h"
 
+#include "contained_callback.h"
+
 #include <glib-unix.h>
 
 #include <array>
@@ -70,7 +72,9 @@
     return G_SOURCE_CONTINUE;
   for (const PreviousAction& previous : signals->previous_actions_)
     if (std::exchange(raised_signals[static_cast<std::size_t>(previous.number)], 0) != 0)
-      signals->handler_(previous.number);
+      run_contained("signal", [signals, &previous] {
+        signals->handler_(previous.number);
+      });
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/snapshot_store/async_snapshot_writer.cpp
+++ b/src/snapshot_store/async_snapshot_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "snapshot_file.h"
 
+#include "net/contained_callback.h"
 #include "net/handles.h"
 
 #include <gio/gio.h>
@@ -28,7 +29,9 @@
   static void on_finished(GObject*, GAsyncResult* result, gpointer) {
     const auto* job = static_cast<WriteJob*>(g_task_get_task_data(G_TASK(result)));
     if (job->writer)
-      job->writer->finish(*job);
+      net::run_contained("snapshot", [job] {
+        job->writer->finish(*job);
+      });
   }
 
   static void destroy(gpointer data) {
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <stdexcept>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -60,6 +62,8 @@
 protected:
   ListenerTest()
       : listener_([this](SocketHandle socket) {
+          if (std::exchange(throws_at_next_, false))
+            throw std::runtime_error("no memory for the connection");
           accepted_.push_back(std::move(socket));
         }) {
     next_errors.clear();
@@ -84,6 +88,7 @@
   }
 
   Listener listener_;
+  bool throws_at_next_ = false;
   std::vector<SocketHandle> accepted_;
   std::vector<std::unique_ptr<Client>> clients_;
 };
@@ -114,6 +119,14 @@
   await_accepted(4);
 }
 
+// Guards against a program that ends with an exception which concerns one connection.
+TEST_F(ListenerTest, AcceptsTheNextConnectionAfterAnException) {
+  queue_clients(2);
+  throws_at_next_ = true;
+  listener_.resume();
+  await_accepted(1);
+}
+
 // A connection that is queued behind a lost one may hold a request, so a lost connection must not
 // end the drain.
 TEST_F(ListenerTest, ClosesOnlyOnceTheQueueIsEmpty) {
