Read an inventory once it has stopped changing, and check an end mark

Cause: a reload read the file as it was, and a file that is cut behind a whole line cannot be told from a whole one.

An inventory may announce an end mark in its first line, without which as last line it is invalid.

Result: EndpointLifecycle.AppliesAnInventoryOnlyOnceItIsWritten freezes the gateway while the rest is written; without the change it finds no reload_started. Open: the start reads inventories as they are.

--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace gorsebeam::config {
 namespace {
@@ -122,4 +123,16 @@
   return content;
 }
 
+std::vector<std::string> inventory_paths(const std::string& path) {
+  const auto parsed = ParsedOperatorFile::parse(path);
+  std::vector<std::string> paths;
+  if (!parsed)
+    return paths;
+  const pb::Gateway& gateway = parsed.value().gateway();
+  for (const std::string& inventory : {gateway.postgres().inventory(), gateway.mongo().inventory()})
+    if (!inventory.empty())
+      paths.push_back(parsed.value().resolve_path(inventory));
+  return paths;
+}
+
 }  // namespace gorsebeam::config
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -7,6 +7,7 @@
 #include "validation.h"
 
 #include <string>
+#include <vector>
 
 namespace gorsebeam::config {
 
@@ -24,4 +25,7 @@
 [[nodiscard]] common::Result<OperatorFile, settings::FileError>
 read_operator_file(const std::string& path, const ClassIndexes* classes);
 
+/// The paths of the inventories that the file names; none if the file cannot be read.
+[[nodiscard]] std::vector<std::string> inventory_paths(const std::string& path);
+
 }  // namespace gorsebeam::config
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,7 +12,9 @@
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace gorsebeam::gateway {
 namespace {
@@ -50,7 +52,9 @@
 }  // namespace
 
 Gateway::Gateway(GatewayConfig config)
-    : config_(std::move(config)), loop_(g_main_loop_new(nullptr, FALSE)),
+    : config_(std::move(config)), loop_(g_main_loop_new(nullptr, FALSE)), inventory_timer_([this] {
+        await_settled_inventories();
+      }),
       stop_accepting_timer_([this] {
         stop_accepting();
       }),
@@ -164,6 +168,30 @@
   return listen(mongo_->frontend(), address, "MongoDB");
 }
 
+void Gateway::begin_reload() {
+  if (config_.operator_file_path.empty())
+    return reload();
+  std::vector<std::string> inventories = config::inventory_paths(config_.operator_file_path);
+  if (inventories.empty())
+    return reload();
+  net::log({"reload_started", {{"inventories", std::to_string(inventories.size())}}});
+  inventory_watch_.begin(std::move(inventories), net::now());
+  inventory_timer_.after(kInventorySettleTime);
+}
+
+void Gateway::await_settled_inventories() {
+  switch (inventory_watch_.check(net::now())) {
+  case InventoryWatch::State::Changing:
+    return inventory_timer_.after(kInventorySettleTime);
+  case InventoryWatch::State::Settled:
+    return reload();
+  case InventoryWatch::State::GivenUp:
+    return log_rejected_reload(config_.operator_file_path +
+                               ": an inventory goes on changing; write another file and rename it "
+                               "to the inventory");
+  }
+}
+
 void Gateway::reload() {
   // A gateway that is stopping must not listen on a new address.
   if (is_stopping_)
@@ -229,7 +257,7 @@
 void Gateway::run() {
   const net::Signals signals({SIGHUP, SIGTERM, SIGINT}, [this](int number) {
     if (number == SIGHUP)
-      reload();
+      begin_reload();
     else
       stop();
   });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway_config.h"
+#include "inventory_watch.h"
 #include "protocol_path.h"
 
 #include "control_plane/control_plane_client.h"
@@ -40,8 +41,12 @@
   void quit_when_drained();
   void start_discovery();
 
-  /// Reads all files again, on SIGHUP. They are read and validated before anything changes: an
-  /// invalid file is logged and changes nothing.
+  /// Starts a reload, on SIGHUP. Inventories are read once they have stopped changing.
+  void begin_reload();
+  void await_settled_inventories();
+
+  /// Reads all files again. They are read and validated before anything changes: an invalid file is
+  /// logged and changes nothing.
   void reload();
   void apply_config(const GatewayConfig& config);
 
@@ -71,6 +76,8 @@
   /// Null if the operators' file lists the PostgreSQL endpoints.
   std::unique_ptr<discovery::EndpointWatch> endpoint_watch_;
   std::unique_ptr<control_plane::ControlPlaneClient> control_plane_;
+  InventoryWatch inventory_watch_;
+  net::Timer inventory_timer_;
   net::Timer stop_accepting_timer_;
   net::Timer drain_timer_;
   net::Timer shutdown_deadline_timer_;
--- a/src/inventory/inventory.h
+++ b/src/inventory/inventory.h
@@ -19,6 +19,9 @@
 /// replica), state (up, draining or removed), size, and started (Unix seconds). YAML has the levels
 /// all, children and hosts; the columns' names are variables of a host or of a group that contains
 /// the host. If the address is absent, `ansible_host` and `ansible_port` replace it.
+///
+/// The last line has to end. If the first line is the comment "# end mark: TEXT", the last line has
+/// to be the comment "# TEXT".
 [[nodiscard]] InventoryResult read_inventory(const std::string& path);
 
 }  // namespace gorsebeam::inventory
--- a/tests/integration/endpoint_lifecycle_test.cpp
+++ b/tests/integration/endpoint_lifecycle_test.cpp
@@ -1,6 +1,9 @@
 // Endpoints that drain, are removed, fail or close idle connections.
 #include "gateway_integration_test.h"
 
+#include <csignal>
+#include <string>
+
 using namespace test_harness;
 
 namespace {
@@ -55,6 +58,33 @@
   warm.harness.expect_invariants_and_running();
 }
 
+// SIGHUP comes while an inventory is being written, and what is there ends with a whole line. The
+// gateway is frozen while the rest is written; a try in which it was frozen too late is repeated.
+TEST_P(EndpointLifecycle, AppliesAnInventoryOnlyOnceItIsWritten) {
+  constexpr int kMaxTries = 20;
+  WarmGateway warm(protocol(), 3, 12);
+  GatewayProcess& gateway = warm.harness.gateway;
+  const std::string inventory = warm.harness.inventory_text();
+  const std::size_t first_part = inventory.rfind('\n', inventory.size() - 2) + 1;
+  bool is_frozen_in_time = false;
+  for (int i = 0; i < kMaxTries && !is_frozen_in_time; ++i) {
+    warm.harness.publish_inventory();
+    const std::size_t log_size = gateway.log.size();
+    warm.harness.write_inventory(inventory.substr(0, first_part));
+    gateway.send_signal(SIGHUP);
+    gateway.await_log("reload_started", log_size);
+    gateway.freeze();
+    gateway.read_log();
+    is_frozen_in_time = gateway.log.find("reload_complete", log_size) == std::string::npos;
+    warm.harness.write_inventory(inventory);
+    gateway.resume();
+    gateway.await_log("reload_complete", log_size);
+    const bool has_removed = gateway.log.find("endpoint_removed", log_size) != std::string::npos;
+    ASSERT_FALSE(is_frozen_in_time && has_removed) << "a part of the inventory was applied";
+  }
+  ASSERT_TRUE(is_frozen_in_time);
+}
+
 INSTANTIATE_TEST_SUITE_P(, EndpointLifecycle, both_protocols(), protocol_name);
 
 }  // namespace
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <glib.h>
+#include <sstream>
 #include <unistd.h>
 
 namespace test_harness {
@@ -95,18 +96,25 @@
   std::ofstream(folder_ + "/gateway.textproto") << listener << operator_text;
 }
 
-void GatewayHarness::publish_inventory() {
-  {
-    std::ofstream file(folder_ + "/members.csv");
-    file << "name,address,group,role,state\n";
-    for (const auto& endpoint : endpoints) {
-      if (endpoint->listed_status == ListedStatus::Removed)
-        continue;
-      file << endpoint->name << ',' << endpoint->address << ",0,"
-           << (endpoint->listed_as_primary ? "primary" : "replica") << ','
-           << (endpoint->listed_status == ListedStatus::Draining ? "draining" : "up") << '\n';
-    }
+std::string GatewayHarness::inventory_text() const {
+  std::ostringstream text;
+  text << "name,address,group,role,state\n";
+  for (const auto& endpoint : endpoints) {
+    if (endpoint->listed_status == ListedStatus::Removed)
+      continue;
+    text << endpoint->name << ',' << endpoint->address << ",0,"
+         << (endpoint->listed_as_primary ? "primary" : "replica") << ','
+         << (endpoint->listed_status == ListedStatus::Draining ? "draining" : "up") << '\n';
   }
+  return text.str();
+}
+
+void GatewayHarness::write_inventory(const std::string& text) const {
+  std::ofstream(folder_ + "/members.csv") << text;
+}
+
+void GatewayHarness::publish_inventory() {
+  write_inventory(inventory_text());
   if (!gateway.was_started())
     return;
   gateway.read_log();
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -58,6 +58,10 @@
 
   /// Writes the operators' file: the listener's own lines, then `operator_text`.
   void write_operator_file(const std::string& operator_text);
+  /// The inventory with the endpoints' listed status.
+  [[nodiscard]] std::string inventory_text() const;
+  /// Writes the inventory's file, which a running program does not read before its next reload.
+  void write_inventory(const std::string& text) const;
   /// Writes the inventory with the endpoints' listed status, lets a running program reload it and
   /// waits until it has.
   void publish_inventory();
--- a/tests/inventory_test.cpp
+++ b/tests/inventory_test.cpp
@@ -98,6 +98,26 @@
                "another file and rename it to this one");
 }
 
+// Guards against an inventory that was cut behind a whole line: it lacked endpoints.
+TEST(Inventory, RejectsEachBeginningOfAFileWithAnEndMark) {
+  const std::string csv = "# end mark: eof\nname,address,group\na,127.0.0.1:1,1\nb,127.0.0.1:2,1\n"
+                          "# eof\n";
+  const std::string yaml = "# end mark: eof\nall:\n  hosts:\n"
+                           "    a: {address: '127.0.0.1:1', group: 1}\n"
+                           "    b: {address: '127.0.0.1:2', group: 1}\n# eof\n";
+  for (const auto& [text, extension] : {std::pair(csv, ".csv"), std::pair(yaml, ".yaml")}) {
+    const auto whole = read_text(text, extension);
+    ASSERT_TRUE(whole.has_value()) << whole.error().to_string();
+    EXPECT_EQ(whole.value().size(), 2U);
+    for (std::size_t size = 1; size < text.size(); ++size)
+      EXPECT_FALSE(read_text(text.substr(0, size), extension).has_value()) << size;
+  }
+  expect_error(
+      read_text(csv.substr(0, csv.find("b,")), ".csv"), 3, "end mark",
+      "the last line is not '# eof', which the first line announces; complete the file, or "
+      "remove its first line");
+}
+
 TEST(Inventory, RejectsAnEmptyListAndOtherExtensions) {
   const auto empty = read_text("name,address,group\n", ".csv");
   ASSERT_FALSE(empty.has_value());
