Play replication lag in the fault soak, with a rule on bounded reads

Cause: the endpoints of the soak were always current, so that no stale read could be seen.

Change: a class of bounded reads (0.8 s), replicas that stop to apply what their primary commits for 0.3 to 4 s, and a rule: a bounded read must not arrive at an endpoint whose data is older than the bound, 50 ms of the protocol's slack and 60 ms of the soak's.

--- a/tests/fault_soak/fake_client.cpp
+++ b/tests/fault_soak/fake_client.cpp
@@ -24,11 +24,13 @@
   return "failed";
 }
 
-// Maps a number between 0 and 19 to a class: of twenty requests, sixteen are idempotent reads,
-// three are keyed writes and one is a single-shot write.
+// Maps a number between 0 and 19 to a class: of twenty requests, sixteen are reads, of which six
+// are bounded, three are keyed writes and one is a single-shot write.
 ServiceClass class_for_draw(Millis draw) {
-  if (draw < 16)
+  if (draw < 10)
     return ServiceClass::Idempotent;
+  if (draw < 16)
+    return ServiceClass::BoundedRead;
   return draw < 19 ? ServiceClass::Keyed : ServiceClass::SingleShot;
 }
 
@@ -67,7 +69,7 @@
   request.id = id;
   request.service_class = class_name(service_class_);
   request.timeout_ms = static_cast<int>(context_.traffic_random.between(150, 2000));
-  request.is_write = service_class_ != ServiceClass::Idempotent;
+  request.is_write = !is_read(service_class_);
   request.idempotency_key = request.is_write ? "k" + id : "";
   return request;
 }
--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -78,6 +78,7 @@
     endpoint.group_.end_closed_attempts(request.id);
     request_id = request.id;
     context.oracle.attempt_arrived(endpoint.index_, request.id, request.timeout_ms, now);
+    context.oracle.read_arrived(endpoint.index_, request.id, endpoint.replication_lag(now), now);
     if (now < endpoint.unresponsive_until)
       return;
     const auto served_at = endpoint.occupy_worker(now, request.timeout_ms);
@@ -115,7 +116,9 @@
     return ScriptedResponse::Succeed;
   }
 
-  [[nodiscard]] ReplicationStatus replication() const { return {endpoint.is_primary, 0}; }
+  [[nodiscard]] ReplicationStatus replication() const {
+    return {endpoint.is_primary, static_cast<int>(endpoint.replication_lag(now_ms()))};
+  }
 
   void end_attempt(Effect effect) {
     if (!request_id.empty())
@@ -181,6 +184,17 @@
   return *worker;
 }
 
+void FakeEndpoint::stop_replication(Millis now, Millis duration) {
+  replication_stopped_at_ = now - replication_lag(now);
+  replication_resumes_at_ = now + duration;
+}
+
+// The replica has caught up as soon as replication resumes.
+Millis FakeEndpoint::replication_lag(Millis now) const {
+  const bool is_stopped = !is_primary && now < replication_resumes_at_;
+  return is_stopped ? now - replication_stopped_at_ : 0;
+}
+
 void FakeEndpoint::close_connections() {
   const auto connections = std::exchange(connections_, {});
   for (const auto& connection : connections)
--- a/tests/fault_soak/fake_endpoint.h
+++ b/tests/fault_soak/fake_endpoint.h
@@ -45,6 +45,10 @@
   void list_start() { listed_start_ms_ = started_at_ms_; }
 
   void close_connections();
+  /// The endpoint, if it is a replica, applies nothing for `duration`.
+  void stop_replication(Millis now, Millis duration);
+  /// How old the endpoint's data is.
+  [[nodiscard]] Millis replication_lag(Millis now) const;
   /// Ends each attempt of the request whose connection the gateway has closed.
   void end_closed_attempts(const std::string& request_id);
 
@@ -67,8 +71,10 @@
   std::vector<std::unique_ptr<gorsebeam::net::Listener>> listeners_;  ///< Indexed by gateway.
   std::list<std::shared_ptr<Connection>> connections_;
   std::array<Millis, kWorkers> worker_free_at_{};
-  std::int64_t started_at_ms_ = 0;    ///< The last start, in Unix time; 0: long ago.
-  Millis started_at_ = 0;             ///< The same on the soak's clock; 0: long ago.
+  std::int64_t started_at_ms_ = 0;  ///< The last start, in Unix time; 0: long ago.
+  Millis started_at_ = 0;           ///< The same on the soak's clock; 0: long ago.
+  Millis replication_stopped_at_ = 0;
+  Millis replication_resumes_at_ = 0;
   std::int64_t listed_start_ms_ = 0;  ///< The start that lists contain.
 };
 
--- a/tests/fault_soak/fault_injector.cpp
+++ b/tests/fault_soak/fault_injector.cpp
@@ -36,8 +36,9 @@
 
 void FaultInjector::inject_fault() {
   using Fault = void (FaultInjector::*)();
-  // Each entry is equally probable, so pause_gateway is three times as probable as another fault.
-  static constexpr std::array<Fault, 14> kAllFaults{
+  // Each entry is equally probable, so a fault that stands here twice is twice as probable as
+  // others.
+  static constexpr std::array<Fault, 16> kAllFaults{
       &FaultInjector::pause_gateway,
       &FaultInjector::pause_gateway,
       &FaultInjector::pause_gateway,
@@ -51,6 +52,8 @@
       &FaultInjector::slow_handshakes,
       &FaultInjector::flood_connections,
       &FaultInjector::restart_endpoint,
+      &FaultInjector::stop_replication,
+      &FaultInjector::stop_replication,
       &FaultInjector::begin_crowd,
   };
   static constexpr std::array<Fault, 8> kRecoveryFaults{
@@ -220,6 +223,15 @@
   });
 }
 
+void FaultInjector::stop_replication() {
+  FakeEndpoint& endpoint = draw_endpoint();
+  if (endpoint.is_primary)
+    return;
+  const Millis duration = context_.fault_random.between(300, 4000);
+  log_fault("replication stops", endpoint.index(), duration);
+  endpoint.stop_replication(now_ms(), duration);
+}
+
 void FaultInjector::begin_crowd() {
   const Millis duration = context_.fault_random.between(1000, 4000);
   log_fault("crowd", "for " + std::to_string(duration) + " ms");
--- a/tests/fault_soak/fault_injector.h
+++ b/tests/fault_soak/fault_injector.h
@@ -46,6 +46,7 @@
   void slow_handshakes();
   void flood_connections();
   void restart_endpoint();
+  void stop_replication();
   void begin_crowd();
 
   GatewayUnderTest& draw_gateway();
--- a/tests/fault_soak/gateway_process.cpp
+++ b/tests/fault_soak/gateway_process.cpp
@@ -67,8 +67,11 @@
   config.overload_window_ms = static_cast<int>(kOverloadWindow);
   config.overload_factor = std::to_string(kOverloadFactor);
   config.keepalive_ms = kKeepaliveMs;
+  PlatformClass bounded_read =
+      make_class(ServiceClass::BoundedRead, "free", "lag_bound", 500, kReadDeadline);
+  bounded_read.max_staleness_ms = static_cast<int>(kMaxStaleness);
   config.classes = {
-      make_class(ServiceClass::Idempotent, "free", "causal", 500, kReadDeadline),
+      make_class(ServiceClass::Idempotent, "free", "causal", 500, kReadDeadline), bounded_read,
       make_class(ServiceClass::Keyed, "guarded", "mutate", 750, kWriteDeadline),
       make_class(ServiceClass::SingleShot, "single_shot", "mutate", 750, kWriteDeadline)};
   std::ofstream(config_path()) << test_harness::encode_platform_config(config);
--- a/tests/fault_soak/oracle.cpp
+++ b/tests/fault_soak/oracle.cpp
@@ -199,6 +199,19 @@
   request.last_attempt_at = at;
 }
 
+void Oracle::read_arrived(int endpoint, const std::string& id, Millis staleness, Millis at) {
+  const auto found = requests_.find(id);
+  const Millis limit = kMaxStaleness + kStalenessSlack + kRecordSlack;
+  if (found == requests_.end() || found->second.service_class != ServiceClass::BoundedRead ||
+      staleness <= limit)
+    return;
+  report("stale",
+         "bounded read " + id + " was sent to endpoint " + std::to_string(endpoint) +
+             ", whose data is " + std::to_string(staleness) + " ms old; the limit is " +
+             std::to_string(limit) + " ms",
+         at, Explanation{found->second.sent_at, staleness - limit});
+}
+
 void Oracle::check_disconnected_client(const Request& request, const std::string& id, Millis at) {
   const Millis limit = kDisconnectGrace + kRecordSlack;
   const Millis elapsed = at - request.disconnected_at;
@@ -222,7 +235,7 @@
 }
 
 void Oracle::check_retry(const Request& request, const std::string& id, Millis at) {
-  if (request.may_have_run_since == 0 || request.service_class == ServiceClass::Idempotent)
+  if (request.may_have_run_since == 0 || is_read(request.service_class))
     return;
   if (request.service_class == ServiceClass::SingleShot)
     return report("duplicate",
--- a/tests/fault_soak/oracle.h
+++ b/tests/fault_soak/oracle.h
@@ -29,6 +29,8 @@
 constexpr Millis kDisconnectGrace = 100;
 /// How far a forwarded timeout may exceed the time left until the client's deadline.
 constexpr Millis kDeadlineSlack = 150;
+/// How far the age of the data that a bounded read sees may exceed the class's limit.
+constexpr Millis kStalenessSlack = 50;
 /// The time after a request's deadline, within which its response must arrive.
 constexpr Millis kResponseSlack = 500;
 /// If the gateway closes a connection within this time after a request was sent on it, it may not
@@ -90,6 +92,8 @@
 
   /// An endpoint received an attempt, with the timeout that the gateway forwarded.
   void attempt_arrived(int endpoint, const std::string& id, Millis timeout, Millis at);
+  /// The attempt of a read arrived at an endpoint whose data is `staleness` old.
+  void read_arrived(int endpoint, const std::string& id, Millis staleness, Millis at);
   void attempt_ended(int endpoint, const std::string& id, Effect effect);
   void health_check_arrived(int gateway, int endpoint, Millis at);
 
--- a/tests/fault_soak_oracle_test.cpp
+++ b/tests/fault_soak_oracle_test.cpp
@@ -185,6 +185,15 @@
   }
 }
 
+TEST_F(OracleTest, ReportsBoundedReadsOfOlderData) {
+  send_request(ServiceClass::BoundedRead);
+  const Millis limit = kMaxStaleness + kStalenessSlack + kRecordSlack;
+  oracle_.read_arrived(kEndpoint, "r", limit, kStart + 5);
+  EXPECT_EQ(violated_rules(), Rules{});
+  oracle_.read_arrived(kEndpoint, "r", limit + 1, kStart + 6);
+  EXPECT_EQ(violated_rules(), Rules{"stale"});
+}
+
 TEST_F(OracleTest, ReportsAttemptAfterClientDisconnected) {
   send_request();
   oracle_.client_disconnected("r", kStart + 10);
--- a/tests/integration/platform_config.cpp
+++ b/tests/integration/platform_config.cpp
@@ -34,8 +34,8 @@
   return '"' + platform_class.read_level + '"';
 }
 
-std::string encode_max_lag(const PlatformClass&) {
-  return "0";
+std::string encode_max_lag(const PlatformClass& platform_class) {
+  return nanoseconds(platform_class.max_staleness_ms);
 }
 
 }  // namespace
--- a/tests/integration/platform_config.h
+++ b/tests/integration/platform_config.h
@@ -10,11 +10,12 @@
 struct PlatformClass {
   std::string name;
   std::string effect;      ///< `free`, `guarded` or `single_shot`.
-  std::string read_level;  ///< `eventual`, `causal` or `mutate`.
+  std::string read_level;  ///< `eventual`, `lag_bound`, `causal` or `mutate`.
   int latency_objective_ms = 2000;
   int deadline_ms = 3000;
   int deduplication_window_ms = 2000;
   std::string late_weight_fraction = "0";  ///< A JSON number: `late_worth` in the configuration.
+  int max_staleness_ms = 0;  ///< Of the level `lag_bound`: `lag_allowed` in the configuration.
 };
 
 /// The settings in which tests differ; encode_platform_config() adds those that they share.
