Do not take a lagging replica's report for older than the list's roles

Callers saw: a bounded read at a new process was served with data older than its bound, by a replica that had been the primary when the list was made.

Cause: the role in a load report was dated by the position in it. A primary's position is the time of its report; that of a replica which lags by over 2 s made its report "I am a replica" older than the list, which counts as 2 s old, so that it went on counting as the primary.

Change: the report of a replica counts as 2 s old at most.

Result: RouterRoleEvidence.LaggingReplicaIsNoPrimaryAlthoughTheListNamesIt fails before and passes now.

--- a/src/router/attempt_observer.cpp
+++ b/src/router/attempt_observer.cpp
@@ -33,11 +33,18 @@
     advance_replication_position(state_.endpoints, endpoint, *report.replication_position, now);
   if (!report.is_primary)
     return;
-  // A primary has applied all commits, so its position is the time of the report.
-  const TimePoint as_of = report.replication_position ? time_of(*report.replication_position)
-                                                      : now - kAssumedEvidenceAge;
-  state_.roles.record_role_evidence(endpoint,
-                                    {*report.is_primary, as_of, RoleEvidence::Source::Report});
+  state_.roles.record_role_evidence(
+      endpoint, {*report.is_primary, time_of_report(report, now), RoleEvidence::Source::Report});
+}
+
+// A primary has applied all commits, so its position is the time of the report. The position of a
+// replica may lag behind by any time, so its report is not taken for older than one without.
+TimePoint AttemptObserver::time_of_report(const LoadReport& report, TimePoint now) {
+  const TimePoint assumed = now - kAssumedEvidenceAge;
+  if (!report.replication_position)
+    return assumed;
+  const TimePoint position = time_of(*report.replication_position);
+  return *report.is_primary ? position : std::max(position, assumed);
 }
 
 void AttemptObserver::record_attempt_end(EndpointState& endpoint, PendingRequest& request,
--- a/src/router/attempt_observer.h
+++ b/src/router/attempt_observer.h
@@ -29,6 +29,8 @@
   void record_outcome(EndpointState& endpoint, PendingRequest& request, UpstreamAttempt& attempt,
                       const AttemptResult& result);
   void record_load_report(EndpointState& endpoint, const LoadReport& report);
+  /// The time to which the role in `report` applies.
+  [[nodiscard]] static TimePoint time_of_report(const LoadReport& report, TimePoint now);
   void record_success(EndpointState& endpoint, const PendingRequest& request,
                       const UpstreamAttempt& attempt, const AttemptResult& result);
   void record_misdirection(EndpointState& endpoint, const PendingRequest& request,
--- a/tests/router/router_role_evidence_test.cpp
+++ b/tests/router/router_role_evidence_test.cpp
@@ -55,6 +55,25 @@
   EXPECT_EQ(harness.attempted_endpoint(), 1U);
 }
 
+// Guards against stale reads at a lagging replica that a list still names as the primary: its own
+// report was dated by its replication position, and so taken for older than the list.
+TEST(RouterRoleEvidence, LaggingReplicaIsNoPrimaryAlthoughTheListNamesIt) {
+  Settings settings = default_settings();
+  settings.listed_role = ListedRole::AtStart;
+  RouterHarness harness(settings);
+  Endpoint former_primary = make_endpoint(1);
+  former_primary.listed_as_primary = true;
+  harness.deliver_list({former_primary, make_endpoint(2)});
+  harness.now += 2ms;
+  harness.report_health(1, Role::Replica, 5s);
+  harness.report_health(2, Role::Replica, 20ms);
+
+  harness.send_request(kBoundedRead);
+  EXPECT_EQ(harness.attempted_endpoint(), 2U);
+  harness.send_request(kStrongRead);
+  EXPECT_EQ(harness.attempted_endpoint(), kNoEndpoint);
+}
+
 TEST(RouterRoleEvidence, PrimaryGetsWritesAgainAfterHealthCheck) {
   RouterHarness harness;
   harness.list_healthy_group();
