Pass all endpoint lists that have arrived to the router before it decides

Callers saw: behind a pause of the process in which two lists arrived, requests and health checks went to an endpoint that the second list shows as draining, up to the length of the pause after the notice.

Cause: the watch passed each list that it had read to the router by itself, and the router decided on the first before it knew the second.

Change: the watch holds back the router's events while it handles what one read has brought. Reading goes on before the events are handled, as it did.

--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -96,7 +96,10 @@
   schedule_reconnect(reason);
 }
 
+// The router gets all lists that have arrived before it decides: between two of them it would send
+// to an endpoint that the second one lists as draining.
 void EndpointWatch::received() {
+  const proxy::RequestBroker::EventBatch batch(broker_);
   last_progress_at_ = net::now();
   {
     const common::FlagScope reading(is_reading_);
--- a/tests/integration/endpoint_watch_after_stall_test.cpp
+++ b/tests/integration/endpoint_watch_after_stall_test.cpp
@@ -47,6 +47,35 @@
     harness().gateway.await_log("endpoint_list_received revision=42");
   }
 
+  // Lets the agent list all endpoints as draining, and each client send a read, which waits.
+  void drain_all_and_send_reads() {
+    for (const auto& endpoint : harness().endpoints)
+      endpoint->listed_status = ListedStatus::Draining;
+    agent().send_list(harness(), 42);
+    harness().gateway.await_log("endpoint_list_received revision=42");
+    for (std::size_t i = 0; i < clients_.size(); ++i)
+      clients_[i]->send_request(read_request("waiting" + std::to_string(i), 4000));
+    const auto other = harness().connect_client();
+    await_gateway_loop_iterations(*other, "iteration");
+    requests_before_ = draining().request_count;
+  }
+
+  // Freezes the gateway. Meanwhile the agent sends two lists: in the first, one endpoint is up, and
+  // in the second that one is draining and another is up.
+  void freeze_and_send_two_lists() {
+    harness().gateway.freeze();
+    draining().listed_status = ListedStatus::Up;
+    agent().send_list(harness(), 43);
+    draining().listed_status = ListedStatus::Draining;
+    harness().endpoints[1]->listed_status = ListedStatus::Up;
+    agent().send_list(harness(), 44);
+    wait_until(
+        [this] {
+          return agent().stream->all_written();
+        },
+        "the kernel to accept the lists");
+  }
+
   // Freezes the gateway. Meanwhile the agent lists an endpoint as draining, and after that each
   // client sends a read.
   void freeze_drain_and_send_reads() {
@@ -111,6 +140,18 @@
   expect_reads_served_by_other_endpoints();
 }
 
+// When the gateway runs again, two lists have arrived, and requests wait that only the endpoint
+// which the second one lists as draining could serve after the first.
+TEST_P(EndpointWatchAfterStall, ReadsAllPendingListsBeforeWaitingRequests) {
+  drain_all_and_send_reads();
+  freeze_and_send_two_lists();
+  run_main_loop_for(kBeyondDrainGrace);
+
+  harness().gateway.resume();
+
+  expect_reads_served_by_other_endpoints();
+}
+
 // A reload after SIGHUP names another agent while the list of the current one waits to be read.
 TEST_P(EndpointWatchAfterStall, ReadsPendingListBeforeReloadClosesWatch) {
   DiscoveryAgent next_agent;
