Check in the fault soak that session reads see acknowledged writes

Change: the clients of a gateway form a session. A read that is sent after the session was told of a write must not arrive at an endpoint whose data ends before it.

--- a/tests/fault_soak/fake_client.cpp
+++ b/tests/fault_soak/fake_client.cpp
@@ -71,9 +71,18 @@
   request.timeout_ms = static_cast<int>(context_.traffic_random.between(150, 2000));
   request.is_write = !is_read(service_class_);
   request.idempotency_key = request.is_write ? "k" + id : "";
+  request.statement = statement(request.is_write);
   return request;
 }
 
+// The first literal names the session. All clients of a gateway form one.
+std::string FakeClient::statement(bool is_write) const {
+  const std::string session = "'a" + std::to_string(gateway_) + "'";
+  return is_write
+             ? "INSERT INTO facts (code, data) VALUES (" + session + ", '\\x9f') RETURNING data"
+             : "SELECT data FROM facts WHERE code = " + session;
+}
+
 void FakeClient::send(const std::string& id) {
   const Millis now = now_ms();
   request_.id = id;
@@ -110,7 +119,10 @@
   while (const auto response = postgres().decode_response(input_)) {
     if (request_id_.empty())
       continue;  // an error that precedes the close of a connection without a request
-    context_.oracle.response_received(std::exchange(request_id_, ""), now_ms());
+    context_.oracle.response_received(request_id_, now_ms());
+    if (response->result == ClientResult::Served && request_.is_write)
+      context_.oracle.write_acknowledged(request_id_);
+    request_id_.clear();
     ++context_.report.result_counts[result_name(response->result)];
     const bool is_crowd = now_ms() < context_.crowd_until;
     const Millis max_think_time =
--- a/tests/fault_soak/fake_client.h
+++ b/tests/fault_soak/fake_client.h
@@ -36,6 +36,7 @@
   void ended(const std::string&) override;
 
   [[nodiscard]] test_harness::Request draw_request(const std::string& id);
+  [[nodiscard]] std::string statement(bool is_write) const;
   void send(const std::string& id);
   void send_next_request_after(Millis delay);
   void disconnect();
--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -100,6 +100,8 @@
     }
     const bool may_have_run =
         response == ScriptedResponse::Succeed || response == ScriptedResponse::Fail;
+    if (response == ScriptedResponse::Succeed)
+      context.oracle.attempt_served(request_id, now_ms());
     end_attempt(may_have_run ? Effect::MayHaveRun : Effect::None);
     stream->write({postgres().encode_response(response, replication(), "by an endpoint")});
   }
@@ -242,6 +244,7 @@
     return;
   for (const auto& endpoint : endpoints_)
     endpoint->is_primary = endpoint == *elected;
+  (*elected)->resume_replication();
 }
 
 void FakeEndpointGroup::end_closed_attempts(const std::string& request_id) {
--- a/tests/fault_soak/fake_endpoint.h
+++ b/tests/fault_soak/fake_endpoint.h
@@ -47,6 +47,10 @@
   void close_connections();
   /// The endpoint, if it is a replica, applies nothing for `duration`.
   void stop_replication(Millis now, Millis duration);
+
+  /// The endpoint has applied everything, as an elected primary has.
+  void resume_replication() { replication_resumes_at_ = 0; }
+
   /// How old the endpoint's data is.
   [[nodiscard]] Millis replication_lag(Millis now) const;
   /// Ends each attempt of the request whose connection the gateway has closed.
--- a/tests/fault_soak/fault_injector.cpp
+++ b/tests/fault_soak/fault_injector.cpp
@@ -34,10 +34,8 @@
   });
 }
 
-void FaultInjector::inject_fault() {
-  using Fault = void (FaultInjector::*)();
-  // Each entry is equally probable, so a fault that stands here twice is twice as probable as
-  // others.
+// Each entry is equally probable, so a fault that stands here twice is twice as probable as others.
+FaultInjector::Fault FaultInjector::draw_fault() {
   static constexpr std::array<Fault, 16> kAllFaults{
       &FaultInjector::pause_gateway,
       &FaultInjector::pause_gateway,
@@ -56,6 +54,10 @@
       &FaultInjector::stop_replication,
       &FaultInjector::begin_crowd,
   };
+  return kAllFaults.at(context_.fault_random.index(kAllFaults.size()));
+}
+
+FaultInjector::Fault FaultInjector::draw_recovery_fault() {
   static constexpr std::array<Fault, 8> kRecoveryFaults{
       &FaultInjector::drain_endpoint,
       &FaultInjector::drain_endpoint,
@@ -66,12 +68,14 @@
       &FaultInjector::make_endpoint_unresponsive,
       &FaultInjector::begin_crowd,
   };
+  return kRecoveryFaults.at(context_.fault_random.index(kRecoveryFaults.size()));
+}
+
+void FaultInjector::inject_fault() {
   if (now_ms() - started_at_ > context_.settings.duration)
     return;
   const bool is_recovery = context_.settings.profile == FaultProfile::Recovery;
-  const Fault fault = is_recovery
-                          ? kRecoveryFaults.at(context_.fault_random.index(kRecoveryFaults.size()))
-                          : kAllFaults.at(context_.fault_random.index(kAllFaults.size()));
+  const Fault fault = is_recovery ? draw_recovery_fault() : draw_fault();
   (this->*fault)();
   inject_after(is_recovery ? context_.fault_random.between(100, 700)
                            : context_.fault_random.between(20, 250));
--- a/tests/fault_soak/fault_injector.h
+++ b/tests/fault_soak/fault_injector.h
@@ -31,8 +31,12 @@
   void publish_endpoints();
 
 private:
+  using Fault = void (FaultInjector::*)();
+
   void inject_after(Millis delay);
   void inject_fault();
+  Fault draw_fault();
+  Fault draw_recovery_fault();
 
   void pause_gateway();
   void terminate_gateway();
--- a/tests/fault_soak/oracle.cpp
+++ b/tests/fault_soak/oracle.cpp
@@ -126,6 +126,17 @@
   request.service_class = service_class;
   request.sent_at = at;
   request.deadline = deadline;
+  request.must_see_commit_at = gateways_[gateway].acknowledged_commit_at;
+}
+
+void Oracle::attempt_served(const std::string& id, Millis at) {
+  requests_[id].committed_at = at;
+}
+
+void Oracle::write_acknowledged(const std::string& id) {
+  const Request& request = requests_[id];
+  Millis& acknowledged = gateways_[request.gateway].acknowledged_commit_at;
+  acknowledged = std::max(acknowledged, request.committed_at);
 }
 
 void Oracle::response_received(const std::string& id, Millis at) {
@@ -201,15 +212,34 @@
 
 void Oracle::read_arrived(int endpoint, const std::string& id, Millis staleness, Millis at) {
   const auto found = requests_.find(id);
-  const Millis limit = kMaxStaleness + kStalenessSlack + kRecordSlack;
-  if (found == requests_.end() || found->second.service_class != ServiceClass::BoundedRead ||
-      staleness <= limit)
+  if (found == requests_.end())
     return;
-  report("stale",
-         "bounded read " + id + " was sent to endpoint " + std::to_string(endpoint) +
-             ", whose data is " + std::to_string(staleness) + " ms old; the limit is " +
-             std::to_string(limit) + " ms",
-         at, Explanation{found->second.sent_at, staleness - limit});
+  const Request& request = found->second;
+  const std::string read = "read " + id + " was sent to endpoint " + std::to_string(endpoint);
+  if (request.service_class == ServiceClass::BoundedRead)
+    check_bounded_read(request, read, staleness, at);
+  if (request.service_class == ServiceClass::Idempotent)
+    check_session_read(request, read, staleness, at);
+}
+
+void Oracle::check_bounded_read(const Request& request, const std::string& read, Millis staleness,
+                                Millis at) {
+  const Millis limit = kMaxStaleness + kStalenessSlack + kRecordSlack;
+  if (staleness > limit)
+    report("stale",
+           "bounded " + read + ", whose data is " + std::to_string(staleness) +
+               " ms old; the limit is " + std::to_string(limit) + " ms",
+           at, Explanation{request.sent_at, staleness - limit});
+}
+
+void Oracle::check_session_read(const Request& request, const std::string& read, Millis staleness,
+                                Millis at) {
+  const Millis missing = request.must_see_commit_at - (at - staleness);
+  if (missing > kRecordSlack)
+    report("stale",
+           "session " + read + ", whose data ends " + std::to_string(missing) +
+               " ms before a write that its session was told of",
+           at, Explanation{request.sent_at, missing - kRecordSlack});
 }
 
 void Oracle::check_disconnected_client(const Request& request, const std::string& id, Millis at) {
--- a/tests/fault_soak/oracle.h
+++ b/tests/fault_soak/oracle.h
@@ -85,6 +85,9 @@
   void request_sent(int gateway, const std::string& id, ServiceClass service_class, Millis deadline,
                     Millis at);
   void response_received(const std::string& id, Millis at);
+  /// The client was told that its write is committed. Later reads of the gateway's clients, which
+  /// form one session, must see it.
+  void write_acknowledged(const std::string& id);
   void client_disconnected(const std::string& id, Millis at);
   /// The gateway closed the connection of a request in flight. If the close raced with the request,
   /// the client may send the request again.
@@ -92,6 +95,8 @@
 
   /// An endpoint received an attempt, with the timeout that the gateway forwarded.
   void attempt_arrived(int endpoint, const std::string& id, Millis timeout, Millis at);
+  /// An endpoint served an attempt; if it was that of a write, the write is committed.
+  void attempt_served(const std::string& id, Millis at);
   /// The attempt of a read arrived at an endpoint whose data is `staleness` old.
   void read_arrived(int endpoint, const std::string& id, Millis staleness, Millis at);
   void attempt_ended(int endpoint, const std::string& id, Effect effect);
@@ -119,6 +124,7 @@
     /// For each endpoint that is listed as draining or is missing: the time of the first such list.
     std::map<int, Millis> draining_since;
     std::map<int, std::int64_t> listed_starts;  ///< The newest listed start of each endpoint.
+    Millis acknowledged_commit_at = 0;          ///< Of the newest acknowledged write; 0: none.
   };
 
   struct Request {
@@ -134,6 +140,8 @@
     std::set<int> in_flight;        ///< The endpoints that an attempt is in flight at.
     Millis may_have_run_since = 0;  ///< The first attempt that may have taken effect; 0: none.
     Millis last_attempt_at = 0;     ///< 0: no attempt.
+    Millis committed_at = 0;        ///< Writes only; 0: not committed.
+    Millis must_see_commit_at = 0;  ///< Session reads only; 0: no commit.
   };
 
   /// What a delay of the soak itself has to be to explain a violation, and from when on.
@@ -146,6 +154,10 @@
               std::optional<Explanation> explanation = std::nullopt);
   /// Checks that the endpoint was not drained or removed too long ago to get traffic.
   void check_draining_endpoint(int gateway, int endpoint, const std::string& traffic, Millis at);
+  void check_bounded_read(const Request& request, const std::string& read, Millis staleness,
+                          Millis at);
+  void check_session_read(const Request& request, const std::string& read, Millis staleness,
+                          Millis at);
   void check_overload(int gateway, int endpoint, Millis at);
   void check_retry(const Request& request, const std::string& id, Millis at);
   void check_disconnected_client(const Request& request, const std::string& id, Millis at);
--- a/tests/fault_soak_oracle_test.cpp
+++ b/tests/fault_soak_oracle_test.cpp
@@ -194,6 +194,20 @@
   EXPECT_EQ(violated_rules(), Rules{"stale"});
 }
 
+TEST_F(OracleTest, ReportsSessionReadsThatMissAnAcknowledgedWrite) {
+  const Millis committed_at = kStart - 1000;
+  oracle_.request_sent(kGateway, "w", ServiceClass::Keyed, kDeadline, committed_at - 10);
+  oracle_.attempt_served("w", committed_at);
+  oracle_.request_sent(kGateway, "early", ServiceClass::Idempotent, kDeadline, kStart);
+  oracle_.write_acknowledged("w");
+  send_request();
+  oracle_.read_arrived(kEndpoint, "early", 5000, kStart + 5);
+  oracle_.read_arrived(kEndpoint, "r", kStart + 5 - committed_at + kRecordSlack, kStart + 5);
+  EXPECT_EQ(violated_rules(), Rules{});
+  oracle_.read_arrived(kEndpoint, "r", kStart + 6 - committed_at + kRecordSlack, kStart + 5);
+  EXPECT_EQ(violated_rules(), Rules{"stale"});
+}
+
 TEST_F(OracleTest, ReportsAttemptAfterClientDisconnected) {
   send_request();
   oracle_.client_disconnected("r", kStart + 10);
