Keep a soak client's open connection when a process starts

Cause: a client of the fault soak connected whenever a process became ready, and once more some time after it had disconnected. Where both came close together, the second replaced an open connection with a request in flight, which then had no response: a violation of the soak's own making.

Change: an open connection is kept.

--- a/tests/fault_soak/fake_client.cpp
+++ b/tests/fault_soak/fake_client.cpp
@@ -43,8 +43,10 @@
                        Behavior behavior)
     : context_(context), gateway_(gateway), process_(process), behavior_(behavior) {}
 
+// Both the end of a connection and the start of a process lead here. A connection that is open, on
+// which a request may be in flight, is kept.
 void FakeClient::connect() {
-  if (context_.is_run_over || !process_.is_ready())
+  if (context_.is_run_over || !process_.is_ready() || is_connected())
     return;
   input_.clear();
   stream_ = Stream::connect(process_.address(), *this);
