Refill an endpoint's permits once for each attempt in slow start

Cause: `spend` refilled the permits again right after `admits`, at the same time, which computes the rate and the validity a second time and changes nothing.

Change: `spend` follows `admits`, as its comment now says. Behaviour is unchanged: RouterSlowStartBudget and all router tests pass, five times.

--- a/src/router/slow_start_budget.cpp
+++ b/src/router/slow_start_budget.cpp
@@ -40,7 +40,6 @@
 
 void SlowStartBudget::spend(EndpointState& endpoint, const PendingRequest& request) {
   if (is_limited(endpoint)) {
-    refill(endpoint);
     const double mean = state_.classes.mean_typical_latency();
     const double cost = std::clamp(state_.typical_latency(request) / mean, kMinCost, kMaxCost);
     endpoint.slow_start.permits.spend(cost);
--- a/src/router/slow_start_budget.h
+++ b/src/router/slow_start_budget.h
@@ -17,7 +17,7 @@
   /// Whether the endpoint's budget, if it is in slow start, has room for an attempt now.
   [[nodiscard]] bool admits(EndpointState& endpoint);
 
-  /// Records that an attempt of the request starts at the endpoint.
+  /// Records that an attempt of the request, which has just been admitted, starts at the endpoint.
   void spend(EndpointState& endpoint, const PendingRequest& request);
 
 private:
