--- a/src/router/permit_bucket.h
+++ b/src/router/permit_bucket.h
@@ -34,9 +34,6 @@
   /// than one, changes when the next permit is issued. Does nothing but that if there is no permit.
   void spend(double cost);
 
-  /// Delays the next permit by `cost` permits.
-  void charge(double cost) { progress_ -= cost; }
-
 private:
   TimePoint refilled_at_{};
   double progress_ = 0;               // the fraction of the next permit that has been earned
