State the soak's longest iteration and its mean service time once

Cause: 80 ms stood in verdict.h and, as kReorderingDelay, in oracle.cpp for one thing; the mean of the service times stood in endpoint_capacity.h and in fake_endpoint.cpp.

Change: kMaxIteration and kMeanServiceTime serve both places. Bounds and behaviour are unchanged.

--- a/tests/fault_soak/endpoint_capacity.h
+++ b/tests/fault_soak/endpoint_capacity.h
@@ -11,6 +11,7 @@
 /// The time for which a request occupies a worker at full capacity is uniform between these.
 constexpr Millis kMinServiceTime = 20;
 constexpr Millis kMaxServiceTime = 80;
+constexpr double kMeanServiceTime = (kMinServiceTime + kMaxServiceTime) / 2.0;
 /// An endpoint rejects a request if so many wait for a worker.
 constexpr int kMaxQueueLength = 40;
 
@@ -21,7 +22,7 @@
 constexpr double kOverloadFactor = 2;
 
 /// The requests per second that an endpoint serves at full capacity.
-constexpr double kFullCapacity = 1000.0 * kWorkers / ((kMinServiceTime + kMaxServiceTime) / 2.0);
+constexpr double kFullCapacity = 1000.0 * kWorkers / kMeanServiceTime;
 
 /// The fraction of its full capacity that an endpoint has `age` after its start.
 [[nodiscard]] double capacity_fraction(Millis age);
--- a/tests/fault_soak/fake_endpoint.cpp
+++ b/tests/fault_soak/fake_endpoint.cpp
@@ -175,8 +175,7 @@
 std::optional<Millis> FakeEndpoint::occupy_worker(Millis now, Millis timeout) {
   auto* const worker = std::min_element(worker_free_at_.begin(), worker_free_at_.end());
   const Millis begins_at = std::max(*worker, now);
-  const double mean_service_time = (kMinServiceTime + kMaxServiceTime) / 2.0;
-  const auto max_wait = static_cast<Millis>(kMaxQueueLength * mean_service_time / kWorkers);
+  const auto max_wait = static_cast<Millis>(kMaxQueueLength * kMeanServiceTime / kWorkers);
   if (begins_at - now > std::min(max_wait, timeout))
     return std::nullopt;
   const Millis age = started_at_ == 0 ? kSlowStartDuration : now - started_at_;
--- a/tests/fault_soak/oracle.cpp
+++ b/tests/fault_soak/oracle.cpp
@@ -7,14 +7,6 @@
 
 namespace fault_soak {
 
-namespace {
-
-// Events that are recorded in another order than they happened in, or closer together, are
-// explained by a delay of this length or more.
-constexpr Millis kReorderingDelay = 80;
-
-}  // namespace
-
 void Oracle::report(const std::string& rule, const std::string& detail, Millis at,
                     std::optional<Explanation> explanation) {
   Violation violation{rule, detail, at, at, std::nullopt};
@@ -46,7 +38,7 @@
              "request " + id + ", sent " + std::to_string(request.sent_at - state.terminated_at) +
                  " ms after SIGTERM, was open when the process was killed " +
                  std::to_string(at - state.terminated_at) + " ms after SIGTERM",
-             at, Explanation{request.sent_at, kReorderingDelay});
+             at, Explanation{request.sent_at, kMaxIteration});
   }
 }
 
@@ -97,7 +89,7 @@
   const bool is_notified = found != listed.end() && found->second == start->second;
   const auto knowledge = is_notified ? StartKnowledge::Notified : StartKnowledge::NotNotified;
   if (const auto failure = overload_rule_.record_attempt(endpoint, knowledge, at))
-    report("overload", *failure, at, Explanation{at - kOverloadWindow, kReorderingDelay});
+    report("overload", *failure, at, Explanation{at - kOverloadWindow, kMaxIteration});
 }
 
 // A pause of the process does not extend the time limit: after the pause, the gateway has to read
@@ -202,7 +194,7 @@
            "an attempt of request " + id + " arrived at endpoint " + std::to_string(endpoint) +
                " while another is in flight at endpoint " +
                std::to_string(*request.in_flight.begin()),
-           at, Explanation{request.last_attempt_at, kReorderingDelay});
+           at, Explanation{request.last_attempt_at, kMaxIteration});
   check_retry(request, id, at);
   check_disconnected_client(request, id, at);
   check_forwarded_timeout(request, id, timeout, at);
--- a/tests/fault_soak/oracle.h
+++ b/tests/fault_soak/oracle.h
@@ -37,6 +37,10 @@
 /// have received the request.
 constexpr Millis kCloseRaceTime = 100;
 
+/// The longest iteration of the soak's event loop that is no delay. Events that are recorded in
+/// another order than they happened in, or closer together, are explained by a delay alone.
+constexpr Millis kMaxIteration = 80;
+
 /// Whether an attempt that has ended may have taken effect at the endpoint.
 enum class Effect { None, MayHaveRun };
 
--- a/tests/fault_soak/verdict.h
+++ b/tests/fault_soak/verdict.h
@@ -11,9 +11,6 @@
 
 namespace fault_soak {
 
-/// The longest iteration of the soak's event loop that is no delay.
-constexpr Millis kMaxIteration = 80;
-
 enum class Verdict {
   Violated,
   Clean,
