--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -243,6 +243,9 @@
   return "";
 }
 
+/// Thrown by a handler to end its connection.
+struct HangUp {};
+
 /// A data host.
 class Host {
 public:
@@ -294,7 +297,10 @@
       const int one = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
       std::thread([this, fd] {
-        serve(fd);
+        try {
+          serve(fd);
+        } catch (const HangUp&) {
+        }
         ::close(fd);
       }).detach();
     }
