Bound a SQL statement's syntax tree before the statement is parsed

What callers saw: with `shapes` on, one statement of 64 KiB from one client took a gateway of 32 MB to about 50 MB.

Cause: the classifier bounded the text and the depth at which it visits the tree, not the tree. libpg_query builds it, prints it as JSON, and the classifier reads that into a second tree. Measured by a probe that classifies one statement in a process of its own: 38 MB and 0.11 s for a sum of 32,000 columns, up to 0.83 KiB for each token. On a related path the tree isn't proportional to the text at all: `UPDATE t SET (a, b, ...) = value` is printed with a copy of the value for each column, and nests in subqueries. 4 KB needed 260 MB, 547 bytes with eight levels 124 MB.

Change: `parse_bounds` decides by the tokens, of PostgreSQL's own scanner where a plain bound doesn't do, before the parser runs. At most 4,096 tokens, or what an eighth of the memory limit allows at 1 KiB each, and no assignment to a list of columns. What is not parsed is a write if its first word says so, else unknown.

The largest of 70 forms of statement within the limit needs 3.3 MB and 9 ms. With the check taken out (scratch copy), `SqlClassifier.DoesNotParseAStatementOfTooManyTokens` and `.DoesNotParseAnAssignmentToAListOfColumns` fail. arm64 only; nothing was run on x86-64.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,11 +26,14 @@
 
 using sql_classifier::SqlClassifier;
 
-std::shared_ptr<const SqlClassifier> make_classifier(const config::pb::Shapes& settings) {
+std::shared_ptr<const SqlClassifier> make_classifier(const config::pb::Shapes& settings,
+                                                     std::size_t memory_mib) {
   if (!settings.postgres())
     return nullptr;
-  return std::make_shared<const SqlClassifier>(
-      std::set<std::string>(settings.read_function().begin(), settings.read_function().end()));
+  std::set<std::string> read_functions(settings.read_function().begin(),
+                                       settings.read_function().end());
+  return std::make_shared<const SqlClassifier>(std::move(read_functions),
+                                               max_statement_tokens(memory_mib));
 }
 
 void log_listener(const char* protocol, const frontend::Frontend& frontend) {
@@ -147,7 +150,7 @@
 void Gateway::apply_operator_file(const config::pb::Gateway& file) {
   const bool is_json = file.log().format() == config::pb::Log::JSON;
   net::set_log_format(is_json ? net::LogFormat::Json : net::LogFormat::Text);
-  classifier_ = make_classifier(file.shapes());
+  classifier_ = make_classifier(file.shapes(), config_.platform.memory_mib);
 }
 
 std::optional<std::string> Gateway::restart_reason(const GatewayConfig& config) const {
--- a/src/gateway/resource_shares.cpp
+++ b/src/gateway/resource_shares.cpp
@@ -1,6 +1,7 @@
 #include "resource_shares.h"
 
 #include "config/platform_config.h"
+#include "sql_classifier/sql_classifier.h"
 
 #include <algorithm>
 #include <string>
@@ -13,6 +14,7 @@
 constexpr std::size_t kMaxSockets = 1024;
 constexpr std::size_t kMinSpareSockets = 24;
 constexpr std::size_t kMinConnectionsPerEndpoint = 4;
+constexpr std::size_t kParserMemoryDivisor = 8;  // the parser may use an eighth of the memory
 
 std::size_t reduce_to_process_limit(std::size_t sockets) {
   rlimit limit{};
@@ -48,6 +50,12 @@
   return share;
 }
 
+std::size_t max_statement_tokens(std::size_t memory_mib) {
+  const std::size_t parser_bytes = (memory_mib << 20) / kParserMemoryDivisor;
+  return std::min(sql_classifier::kMaxStatementTokens,
+                  parser_bytes / sql_classifier::kMaxParseBytesPerToken);
+}
+
 std::size_t max_connections_per_endpoint(std::size_t pool_connections) {
   return std::max(kMinConnectionsPerEndpoint, pool_connections / 3);
 }
--- a/src/gateway/resource_shares.h
+++ b/src/gateway/resource_shares.h
@@ -21,6 +21,9 @@
 ResourceShare compute_share(std::size_t max_sockets, std::size_t memory_mib,
                             std::size_t protocol_count);
 
+/// How many tokens a SQL statement may have that is parsed, by the memory that this needs.
+std::size_t max_statement_tokens(std::size_t memory_mib);
+
 /// How many of a pool's connections may be to the same endpoint.
 std::size_t max_connections_per_endpoint(std::size_t pool_connections);
 
--- a/src/sql_classifier/sql_classifier.cpp
+++ b/src/sql_classifier/sql_classifier.cpp
@@ -1,6 +1,7 @@
 #include "sql_classifier.h"
 
 #include "known_names.h"
+#include "parse_bounds.h"
 
 #include <pg_query.h>
 #include <rapidjson/document.h>
@@ -190,6 +191,12 @@
   Classification classification_{Effect::Read, ""};
 };
 
+/// The classification of a statement that is not parsed.
+Classification classify_unparsed(std::string_view statement, std::string reason) {
+  const Effect effect = begins_with_write(statement) ? Effect::Write : Effect::Unknown;
+  return {effect, std::move(reason)};
+}
+
 }  // namespace
 
 Classification SqlClassifier::classify(std::string_view statement) const {
@@ -197,7 +204,10 @@
     return {Effect::Unknown, "it is longer than 64 KiB"};
   if (statement.find('\0') != std::string_view::npos)
     return {Effect::Unknown, "it holds a zero byte"};
-  const ParseResult result{std::string(statement)};
+  const std::string text(statement);
+  if (std::optional<std::string> obstacle = find_parse_obstacle(text, max_tokens_))
+    return classify_unparsed(statement, *std::move(obstacle));
+  const ParseResult result(text);
   if (const char* error = result.error())
     return {Effect::Unknown, std::string("it cannot be parsed: ") + error};
   rapidjson::Document tree;
--- a/src/sql_classifier/sql_classifier.h
+++ b/src/sql_classifier/sql_classifier.h
@@ -30,17 +30,27 @@
 /// The effect of a statement whose syntax tree has more levels is unknown.
 constexpr int kMaxTreeDepth = 400;
 
+/// A statement with more tokens is not parsed, whatever memory there is; it would delay other
+/// clients.
+constexpr std::size_t kMaxStatementTokens = 4096;
+
+/// The memory that parsing needs at most for each token of a statement, in bytes.
+constexpr std::size_t kMaxParseBytesPerToken = 1024;
+
 class SqlClassifier {
 public:
   /// `read_functions` are the operators' own functions that only read, by the names that statements
-  /// use: "area_total" or "app.area_total".
-  explicit SqlClassifier(std::set<std::string> read_functions = {})
-      : read_functions_(std::move(read_functions)) {}
+  /// use: "area_total" or "app.area_total". A statement with more than `max_tokens` tokens is not
+  /// parsed.
+  explicit SqlClassifier(std::set<std::string> read_functions = {},
+                         std::size_t max_tokens = kMaxStatementTokens)
+      : read_functions_(std::move(read_functions)), max_tokens_(max_tokens) {}
 
   [[nodiscard]] Classification classify(std::string_view statement) const;
 
 private:
   std::set<std::string> read_functions_;
+  std::size_t max_tokens_;
 };
 
 }  // namespace gorsebeam::sql_classifier
--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -1,5 +1,6 @@
 /// The classification of SQL statements: a write must never be classified as a read.
 #include "sql_classifier/sql_classifier.h"
+#include "sql_classifier/token_scanner.h"
 
 #include <gtest/gtest.h>
 
@@ -175,5 +176,82 @@
   EXPECT_EQ(sql.classify(std::string("SELECT 1\0DELETE", 15)).effect, Effect::Unknown);
 }
 
+/// A statement with `count` terms, and so with `2 * count` tokens.
+std::string sum_of(int count) {
+  std::string statement = "SELECT a";
+  for (int i = 1; i < count; ++i)
+    statement += "+a";
+  return statement;
+}
+
+/// An UPDATE that assigns one value to four columns, which is a subquery with such an UPDATE, up to
+/// `levels` levels.
+std::string nested_updates(int levels) {
+  if (levels == 0)
+    return "(1)";
+  return "(WITH x AS (UPDATE t SET (a,b,c,d) /* all */ = " + nested_updates(levels - 1) +
+         " RETURNING a) SELECT a FROM x)";
+}
+
+// Guards against a gateway that is killed for its memory because of one statement of 64 KiB.
+TEST(SqlClassifier, DoesNotParseAStatementOfTooManyTokens) {
+  const SqlClassifier sql({}, 100);
+  EXPECT_EQ(sql.classify(sum_of(50)).effect, Effect::Read);
+  const std::string too_many = "it holds more than 100 tokens";
+  for (const int terms : {51, 101, 30'000}) {
+    const Classification classification = sql.classify(sum_of(terms));
+    EXPECT_EQ(classification.effect, Effect::Unknown) << terms;
+    EXPECT_EQ(classification.reason, too_many) << terms;
+  }
+  EXPECT_EQ(SqlClassifier().classify(sum_of(32'000)).reason, "it holds more than 4096 tokens");
+  std::string insert = " insert INTO t VALUES (1";
+  for (int i = 0; i < 1'000; ++i)
+    insert += ",1";
+  EXPECT_EQ(sql.classify(insert + ")").effect, Effect::Write);
+  EXPECT_EQ(sql.classify(insert + ")").reason, too_many);
+}
+
+TEST(SqlClassifier, CountsALongLiteralAsOneToken) {
+  const SqlClassifier sql({}, 100);
+  std::string words;
+  while (words.size() < 700)
+    words += "update ";
+  EXPECT_EQ(sql.classify("SELECT a FROM t WHERE b = '" + words + "'").effect, Effect::Read);
+  EXPECT_EQ(sql.classify("SELECT a FROM t WHERE b = '" + std::string(60'000, 'f') + "'").effect,
+            Effect::Read);
+}
+
+// Guards against a gateway that is killed for its memory because of a statement of a few hundred
+// bytes: its syntax tree is printed with one copy of the assigned value for each column.
+TEST(SqlClassifier, DoesNotParseAnAssignmentToAListOfColumns) {
+  const SqlClassifier sql;
+  const std::string reason = "it may assign to a list of columns";
+  for (const int levels : {1, 6, 8}) {
+    const Classification read = sql.classify("SELECT a FROM t WHERE a = " + nested_updates(levels));
+    EXPECT_EQ(read.effect, Effect::Unknown) << levels;
+    EXPECT_EQ(read.reason, reason) << levels;
+  }
+  const Classification update = sql.classify("UpDaTe t SET (a, b)= (SELECT 1, 2)");
+  EXPECT_EQ(update.effect, Effect::Write);
+  EXPECT_EQ(update.reason, reason);
+  EXPECT_EQ(sql.classify("UPDATE t SET a = 1 WHERE b = (2)").reason, "UpdateStmt");
+  EXPECT_EQ(sql.classify("SELECT 'update' FROM t WHERE (a) = 1").effect, Effect::Read);
+}
+
+TEST(TokenScanner, CountsAtLeastTheTokensThatTheScannerFinds) {
+  for (const std::string text : {
+           "SELECT a1.b, 12.5e3, $1$2$3, 1a, 0x1f, 'it''s', E'\\'', $q$ x $q$ FROM \"t\" -- end",
+           "SELECT a/* one /* two */ */+b||c::int[3], 1e5update, .5.5, \xc3\xa4\xc3\xb6 <> "
+           "U&'\\0061'",
+           "1a2b3c 1_2 a$b$c 1e 1e+ 1.e2.e3",
+       }) {
+    const auto tokens = scan_tokens(text);
+    if (tokens)
+      EXPECT_GE(token_count_bound(text), tokens->size()) << text;
+  }
+  EXPECT_EQ(scan_tokens("SELECT a/* b */+c -- d")->size(), 4U);
+  EXPECT_EQ(scan_tokens("SELECT 'a"), std::nullopt);
+}
+
 }  // namespace
 }  // namespace gorsebeam::sql_classifier
