Reject an inventory that may be cut behind a whole line of a rewrite

What callers saw: a YAML inventory was rewritten in place and its writer paused behind a whole line, the address of a host of group 11.

Cause: a beginning that ends behind a whole line can be a valid inventory. Neither the wait for 0.2 s without a change nor an end mark that nobody has to write tells it from a whole one. The last host may lack variables, a group those that follow its hosts, and hosts may be missing; in CSV only the last.

Change: a reload compares a file that was rewritten in place with what it held when it was applied (`inventory/rewrite_check`), and rejects it if its end shows such a loss.

Still open: a file that is half-written at the start, a rewrite that reorders hosts, and an operators' file cut behind a whole section.

--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -48,27 +48,31 @@
 /// Appends the inventory of one frontend to `members` if the file names an inventory for it.
 OptionalFileError read_frontend_inventory(const ParsedOperatorFile& file,
                                           const std::string& inventory, const char* frontend,
-                                          RepeatedPtrField<pb::Member>& members) {
+                                          RepeatedPtrField<pb::Member>& members,
+                                          InventoryLayouts& layouts) {
   if (inventory.empty())
     return std::nullopt;
   if (!members.empty())
     return file.locate(
         {{{frontend, -1}, {"inventory", -1}},
          "cannot be combined with a list of members for the same frontend; keep one of them"});
-  const auto endpoints = inventory::read_inventory(file.resolve_path(inventory));
-  if (!endpoints)
-    return endpoints.error();
-  append_members(endpoints.value(), members);
+  const std::string path = file.resolve_path(inventory);
+  auto read = inventory::read_inventory(path);
+  if (!read)
+    return read.error();
+  append_members(read.value().endpoints, members);
+  layouts[path] = std::move(read.value().layout);
   return std::nullopt;
 }
 
-OptionalFileError read_inventories(const ParsedOperatorFile& file, pb::Members& members) {
+OptionalFileError read_inventories(const ParsedOperatorFile& file, OperatorFile& content) {
   const pb::Gateway& gateway = file.gateway();
+  pb::Members& members = content.members;
   if (auto error = read_frontend_inventory(file, gateway.postgres().inventory(), "postgres",
-                                           *members.mutable_postgres()))
+                                           *members.mutable_postgres(), content.inventories))
     return error;
   return read_frontend_inventory(file, gateway.mongo().inventory(), "mongo",
-                                 *members.mutable_mongo());
+                                 *members.mutable_mongo(), content.inventories);
 }
 
 OptionalFileError validate_resources(const ParsedOperatorFile& file, const OperatorFile& content) {
@@ -113,7 +117,7 @@
   content.context.classes = classes ? *classes : collect_named_classes(file.gateway().contracts());
   if (auto error = validate_mongo_frontend(file))
     return *std::move(error);
-  if (auto error = read_inventories(file, content.members))
+  if (auto error = read_inventories(file, content))
     return *std::move(error);
   content.context.postgres_members_configured = !content.members.postgres().empty();
   if (auto error = validate_resources(file, content))
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -3,19 +3,25 @@
 #pragma once
 
 #include "common/result.h"
+#include "inventory/inventory.h"
 #include "settings/file_error.h"
 #include "validation.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
 namespace gorsebeam::config {
 
+/// The layouts of inventories by their paths.
+using InventoryLayouts = std::map<std::string, inventory::InventoryLayout>;
+
 /// A validated operators' file.
 struct OperatorFile {
   pb::Gateway gateway;        ///< The file's message, without the rows of its inventories.
   pb::Members members;        ///< The file's members and the rows of its inventories.
   ValidationContext context;  ///< What the file was validated against.
+  InventoryLayouts inventories;
 };
 
 /// Reads and validates the file and the inventories that it names; the inventories' paths are
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "config/conversion.h"
+#include "inventory/rewrite_check.h"
 #include "mongo/client_connection.h"
 #include "mongo/upstream_protocol.h"
 #include "net/log.h"
@@ -164,6 +165,18 @@
   return std::nullopt;
 }
 
+std::optional<settings::FileError> Gateway::find_cut_inventory(const GatewayConfig& config) const {
+  const config::InventoryLayouts& applied = config_.operator_file.inventories;
+  for (const auto& [path, layout] : config.operator_file.inventories) {
+    const auto previous = applied.find(path);
+    if (previous == applied.end())
+      continue;
+    if (auto error = inventory::find_cut(path, previous->second, layout))
+      return error;
+  }
+  return std::nullopt;
+}
+
 std::optional<net::ListenError> Gateway::move_mongo_listener(const GatewayConfig& config) {
   const std::string& address = config.operator_file.gateway.mongo().listen();
   if (!mongo_ || address == config_.operator_file.gateway.mongo().listen())
@@ -206,6 +219,8 @@
   const GatewayConfig& config = read.value();
   if (const auto reason = restart_reason(config))
     return log_rejected_reload(config_.operator_file_path + ": " + *reason);
+  if (const auto error = find_cut_inventory(config))
+    return log_rejected_reload(error->to_string());
   // This is the last step that can reject the reload, because it changes the running process.
   if (const auto error = move_mongo_listener(config))
     return log_rejected_reload(error->message);
@@ -222,6 +237,7 @@
     endpoint_watch_->change_address(config.platform.discovery_address);
   const auto error = control_plane_->reload_file(config.operator_file);
   config_.operator_file.gateway = config.operator_file.gateway;
+  config_.operator_file.inventories = config.operator_file.inventories;
   if (error)
     return net::log({"reload_partial", {{"error", error->message}}});
   net::log({"reload_complete", {{"discovery", config.platform.discovery_address}}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,6 +53,11 @@
   /// Why valid settings cannot be applied to the running process; empty if they can.
   [[nodiscard]] std::optional<std::string> restart_reason(const GatewayConfig& config) const;
 
+  /// Why an inventory of `config` may be the beginning of a file that is being rewritten; empty if
+  /// none may be.
+  [[nodiscard]] std::optional<settings::FileError>
+  find_cut_inventory(const GatewayConfig& config) const;
+
   /// Moves the MongoDB listener if `config` has a new address for it.
   [[nodiscard]] std::optional<net::ListenError> move_mongo_listener(const GatewayConfig& config);
 
--- a/src/inventory/csv_inventory.cpp
+++ b/src/inventory/csv_inventory.cpp
@@ -93,6 +93,9 @@
   Row row;
   for (std::size_t i = 0; i < cells.size(); ++i)
     row[columns[i]] = {cells[i], line};
+  // A row is whole, so that a variable without a column is not one that was cut off.
+  for (const char* variable : kVariables)
+    row.emplace(variable, Cell{"", line});
   return builder.add_row(row, line);
 }
 
@@ -134,7 +137,7 @@
   EndpointListBuilder builder(path);
   if (auto error = add_table(parser.parse(text), builder))
     return *std::move(error);
-  return builder.release_endpoints();
+  return builder.release();
 }
 
 }  // namespace gorsebeam::inventory
--- a/src/inventory/endpoint_list_builder.cpp
+++ b/src/inventory/endpoint_list_builder.cpp
@@ -116,6 +116,16 @@
   return std::nullopt;
 }
 
+HostLayout layout_of(const std::string& name, const Row& row) {
+  HostLayout layout;
+  layout.name = name;
+  for (std::size_t i = 0; i < kVariables.size(); ++i) {
+    const auto cell = row.find(kVariables[i]);
+    layout.depths[i] = cell == row.end() ? kUnsetDepth : cell->second.depth;
+  }
+  return layout;
+}
+
 }  // namespace
 
 FileError EndpointListBuilder::make_error(std::size_t line, const std::string& field,
@@ -152,7 +162,8 @@
     return error;
   if (auto error = parse_weight_and_start(parser, endpoint))
     return error;
-  endpoints_.push_back(std::move(listed));
+  inventory_.layout.hosts.push_back(layout_of(listed.name, row));
+  inventory_.endpoints.push_back(std::move(listed));
   return std::nullopt;
 }
 
--- a/src/inventory/endpoint_list_builder.h
+++ b/src/inventory/endpoint_list_builder.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace gorsebeam::inventory {
 
@@ -16,9 +15,10 @@
 struct Cell {
   std::string text;
   std::size_t line = 0;  ///< Counted from 1.
+  SettingDepth depth = kHostDepth;
 };
 
-/// The cells of one endpoint by the names of their columns.
+/// The cells of one endpoint by the names of their variables.
 using Row = std::map<std::string, Cell>;
 
 /// Validates rows and converts them to endpoints. Names must be unique, and a group may have at
@@ -38,16 +38,14 @@
   /// Whether `name` is one of an inventory's columns.
   [[nodiscard]] static bool is_column(const std::string& name);
 
-  /// Moves the endpoints out of the builder, in the order of their rows.
-  [[nodiscard]] std::vector<proxy::ListedEndpoint> release_endpoints() {
-    return std::move(endpoints_);
-  }
+  /// Moves the endpoints and their layouts out of the builder, in the order of their rows.
+  [[nodiscard]] Inventory release() { return std::move(inventory_); }
 
 private:
   std::string path_;
   std::set<std::string> names_;
   std::set<GroupId> groups_with_primary_;
-  std::vector<proxy::ListedEndpoint> endpoints_;
+  Inventory inventory_;
 };
 
 /// Parses the text of the CSV inventory at `path`, which may be without endpoints.
--- a/src/inventory/yaml_inventory.cpp
+++ b/src/inventory/yaml_inventory.cpp
@@ -40,7 +40,7 @@
                                  "is nested more than " + std::to_string(kMaxGroupDepth) +
                                      " levels deep");
     if (group["vars"])
-      if (auto error = read_variables(group["vars"], "vars", inherited))
+      if (auto error = read_variables(group["vars"], "vars", depth_of_group(depth), inherited))
         return error;
     for (const auto& entry : group)
       if (auto error = add_section(name, entry.first, entry.second, inherited, depth))
@@ -110,7 +110,7 @@
       return name.error();
     row["name"] = {name.value(), line};
     if (!variables.IsNull())
-      if (auto error = read_variables(variables, name.value(), row))
+      if (auto error = read_variables(variables, name.value(), kHostDepth, row))
         return error;
     if (row.count("address") == 0 && row.count("ansible_host") > 0)
       if (auto error = set_address_from_ansible(row, line))
@@ -123,14 +123,16 @@
     if (port.text.empty())
       return builder_.make_error(line, "ansible_port", "is missing");
     const Cell& host = row["ansible_host"];
-    row["address"] = {host.text + ":" + port.text, host.line};
+    row["address"] = {host.text + ":" + port.text, host.line, host.depth};
     return std::nullopt;
   }
 
-  /// Adds variables to `row`, in place of inherited ones of the same name. Variables that are no
-  /// columns are ignored, as they are meant for the configuration tool.
+  static SettingDepth depth_of_group(int depth) { return static_cast<SettingDepth>(depth); }
+
+  /// Adds variables that are set at `depth` to `row`, in place of inherited ones of the same name.
+  /// Variables that are no columns are ignored, as they are meant for the configuration tool.
   [[nodiscard]] OptionalError read_variables(const YAML::Node& variables, const std::string& owner,
-                                             Row& row) const {
+                                             SettingDepth depth, Row& row) const {
     if (auto error = require_mapping(variables, owner))
       return error;
     for (const auto& entry : variables) {
@@ -143,7 +145,7 @@
       const auto value = read_scalar(entry.second, name);
       if (!value)
         return value.error();
-      row[name] = {value.value(), line_of(entry.second)};
+      row[name] = {value.value(), line_of(entry.second), depth};
     }
     return std::nullopt;
   }
@@ -175,7 +177,7 @@
   } catch (const YAML::Exception& error) {
     return builder.make_error(line_of(error.mark), "yaml", error.msg);
   }
-  return builder.release_endpoints();
+  return builder.release();
 }
 
 }  // namespace gorsebeam::inventory
--- a/tests/integration/endpoint_lifecycle_test.cpp
+++ b/tests/integration/endpoint_lifecycle_test.cpp
@@ -75,16 +75,40 @@
     gateway.await_log("reload_started", log_size);
     gateway.freeze();
     gateway.read_log();
-    is_frozen_in_time = gateway.log.find("reload_complete", log_size) == std::string::npos;
+    is_frozen_in_time = gateway.log.find("reload_rejected", log_size) == std::string::npos;
     warm.harness.write_inventory(inventory);
     gateway.resume();
-    gateway.await_log("reload_complete", log_size);
+    gateway.await_log(is_frozen_in_time ? "reload_complete" : "reload_rejected", log_size);
     const bool has_removed = gateway.log.find("endpoint_removed", log_size) != std::string::npos;
-    ASSERT_FALSE(is_frozen_in_time && has_removed) << "a part of the inventory was applied";
+    ASSERT_FALSE(has_removed) << "a part of the inventory was applied";
   }
   ASSERT_TRUE(is_frozen_in_time);
 }
 
+// Guards against a list that loses endpoints, and against foreign data, because a rewrite of the
+// inventory stops behind a whole line.
+TEST_P(EndpointLifecycle, RejectsAnInventoryThatStaysHalfWritten) {
+  WarmGateway warm(protocol(), 3, 12);
+  GatewayProcess& gateway = warm.harness.gateway;
+  const std::string inventory = warm.harness.inventory_text();
+  const std::size_t log_size = gateway.log.size();
+  for (std::size_t size = inventory.rfind('\n', inventory.size() - 2) + 1;
+       std::count(inventory.begin(), inventory.begin() + static_cast<std::ptrdiff_t>(size), '\n') >
+       1;
+       size = inventory.rfind('\n', size - 2) + 1) {
+    const std::size_t reload_begin = gateway.log.size();
+    warm.harness.write_inventory(inventory.substr(0, size));
+    gateway.send_signal(SIGHUP);
+    gateway.await_log("reload_rejected", reload_begin);
+  }
+  const std::size_t last_begin = gateway.log.size();
+  warm.harness.write_inventory(inventory);
+  gateway.send_signal(SIGHUP);
+  gateway.await_log("reload_complete", last_begin);
+  ASSERT_EQ(gateway.log.find("endpoint_removed", log_size), std::string::npos);
+  warm.harness.expect_invariants_and_running();
+}
+
 INSTANTIATE_TEST_SUITE_P(, EndpointLifecycle, both_protocols(), protocol_name);
 
 }  // namespace
--- a/tests/integration/inventory_files_test.cpp
+++ b/tests/integration/inventory_files_test.cpp
@@ -45,7 +45,7 @@
                       "\"db,1\",3,127.0.0.1:27017,a,primary,up,2.5,1767225600\r\n\r\n"
                       "db2,3,127.0.0.1:27018,b,,draining,,\r\n"));
   ASSERT_TRUE(inventory) << inventory.error().to_string();
-  const auto& rows = inventory.value();
+  const auto& rows = inventory.value().endpoints;
   ASSERT_EQ(rows.size(), 2U);
   ASSERT_EQ(rows[0].name, "db,1");
   ASSERT_EQ(rows[0].endpoint.group, 3);
@@ -64,7 +64,7 @@
                       "        db1: {ansible_host: 127.0.0.1, ansible_port: 27017, role: primary}\n"
                       "        db2: {address: '127.0.0.1:27018', zone: b}\n"));
   ASSERT_TRUE(inventory) << inventory.error().to_string();
-  const auto& rows = inventory.value();
+  const auto& rows = inventory.value().endpoints;
   ASSERT_EQ(rows.size(), 2U);
   ASSERT_EQ(rows[0].address, "127.0.0.1:27017");
   ASSERT_EQ(rows[0].endpoint.zone, "a");
--- a/tests/integration/test_harness.cpp
+++ b/tests/integration/test_harness.cpp
@@ -114,7 +114,9 @@
 }
 
 void GatewayHarness::publish_inventory() {
-  write_inventory(inventory_text());
+  const std::string path = folder_ + "/members.csv";
+  std::ofstream(path + ".new") << inventory_text();
+  require(std::rename((path + ".new").c_str(), path.c_str()) == 0, "cannot rename to " + path);
   if (!gateway.was_started())
     return;
   gateway.read_log();
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -60,9 +60,10 @@
   void write_operator_file(const std::string& operator_text);
   /// The inventory with the endpoints' listed status.
   [[nodiscard]] std::string inventory_text() const;
-  /// Writes the inventory's file, which a running program does not read before its next reload.
+  /// Writes the inventory's file in place; a running program does not read it before its next
+  /// reload.
   void write_inventory(const std::string& text) const;
-  /// Writes the inventory with the endpoints' listed status, lets a running program reload it and
+  /// Replaces the inventory by one with the endpoints' listed status, lets a running program reload it and
   /// waits until it has.
   void publish_inventory();
   /// Writes a configuration with `settings`, which takes effect at the next start.
--- a/tests/inventory_test.cpp
+++ b/tests/inventory_test.cpp
@@ -39,12 +39,12 @@
                                 "\"db,1\",3,127.0.0.1:1,draining,2.5\r\ndb2,3,127.0.0.1:2,,\r\n",
                                 ".csv");
   ASSERT_TRUE(result.has_value()) << result.error().to_string();
-  ASSERT_EQ(result.value().size(), 2U);
-  EXPECT_EQ(result.value()[0].name, "db,1");
-  EXPECT_EQ(result.value()[0].endpoint.status, EndpointStatus::Draining);
-  EXPECT_EQ(result.value()[0].endpoint.weight, 2.5);
-  EXPECT_EQ(result.value()[1].endpoint.status, EndpointStatus::Up);
-  EXPECT_EQ(result.value()[1].endpoint.weight, 1);
+  ASSERT_EQ(result.value().endpoints.size(), 2U);
+  EXPECT_EQ(result.value().endpoints[0].name, "db,1");
+  EXPECT_EQ(result.value().endpoints[0].endpoint.status, EndpointStatus::Draining);
+  EXPECT_EQ(result.value().endpoints[0].endpoint.weight, 2.5);
+  EXPECT_EQ(result.value().endpoints[1].endpoint.status, EndpointStatus::Up);
+  EXPECT_EQ(result.value().endpoints[1].endpoint.weight, 1);
 }
 
 TEST(Inventory, ReadsYamlWithInheritedVariables) {
@@ -54,11 +54,11 @@
                                 "        db2: {address: '127.0.0.1:2', zone: b}\n",
                                 ".yml");
   ASSERT_TRUE(result.has_value()) << result.error().to_string();
-  ASSERT_EQ(result.value().size(), 2U);
-  EXPECT_EQ(result.value()[0].address, "127.0.0.1:1");
-  EXPECT_EQ(result.value()[0].endpoint.zone, "a");
-  EXPECT_EQ(result.value()[1].endpoint.zone, "b");
-  EXPECT_EQ(result.value()[1].endpoint.group, 3U);
+  ASSERT_EQ(result.value().endpoints.size(), 2U);
+  EXPECT_EQ(result.value().endpoints[0].address, "127.0.0.1:1");
+  EXPECT_EQ(result.value().endpoints[0].endpoint.zone, "a");
+  EXPECT_EQ(result.value().endpoints[1].endpoint.zone, "b");
+  EXPECT_EQ(result.value().endpoints[1].endpoint.group, 3U);
 }
 
 TEST(Inventory, ReportsLineAndFieldOfCsvErrors) {
@@ -108,7 +108,7 @@
   for (const auto& [text, extension] : {std::pair(csv, ".csv"), std::pair(yaml, ".yaml")}) {
     const auto whole = read_text(text, extension);
     ASSERT_TRUE(whole.has_value()) << whole.error().to_string();
-    EXPECT_EQ(whole.value().size(), 2U);
+    EXPECT_EQ(whole.value().endpoints.size(), 2U);
     for (std::size_t size = 1; size < text.size(); ++size)
       EXPECT_FALSE(read_text(text.substr(0, size), extension).has_value()) << size;
   }
