Begin no attempt for a client whose disconnect may go unnoticed

What callers saw: a client that wrote 4 MB of requests at once and closed after 0.1 s had its first request sent again 0.4 s later, when an endpoint broke the first attempt.

Cause: at most 256 KiB are read behind a request. The kernel holds some hundred KiB more, and the end of the stream stays with the client's kernel, behind what that cannot send. `has_peer_closed` found no sign of an end that had not arrived.

Change: an attempt of a request older than 20 ms is not written if its connection is not read from and the kernel holds over 16 KiB of its input. Reading also goes on when a request begins after the 16 messages of a loop iteration, in place of pausing until its end.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -67,16 +67,20 @@
 // kernel. While memory allows it, more is read, so that the disconnection of a client that sends
 // many messages is noticed. Beyond that limit, nothing is read, and only the end of the client's
 // sending side is watched.
-void ClientConnection::limit_read_ahead() {
+bool ClientConnection::exceeds_read_ahead() const {
   const FrontendLimits& limits = frontend_.limits();
   const bool has_memory = net::total_buffered_bytes() <= limits.max_buffered_bytes / 2;
   const std::size_t max_read_ahead =
       has_memory ? limits.max_message_bytes : kMaxReadAheadUnderPressure;
-  const bool is_pending = has_pending_request();
-  const std::size_t max_size =
-      is_pending ? request_size_ + max_read_ahead : limits.max_message_bytes + kMaxFramingBytes;
-  if (input().size() > max_size)
-    stream_->pause_reading(is_pending ? net::PeerCloseWatch::On : net::PeerCloseWatch::Off);
+  const std::size_t max_size = has_pending_request() ? request_size_ + max_read_ahead
+                                                     : limits.max_message_bytes + kMaxFramingBytes;
+  return input().size() > max_size;
+}
+
+void ClientConnection::limit_read_ahead() {
+  if (exceeds_read_ahead())
+    stream_->pause_reading(has_pending_request() ? net::PeerCloseWatch::On
+                                                 : net::PeerCloseWatch::Off);
 }
 
 void ClientConnection::flushed() {
@@ -111,6 +115,10 @@
     if (!parse_next())
       break;
   }
+  // Reading may have been paused before the request began, and only what is read shows that the
+  // client disconnects.
+  if (has_pending_request() && !exceeds_read_ahead())
+    stream_->resume_reading();
   if (state_ != State::AwaitingInput)
     return;
   if (stream_->all_written())
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -28,7 +28,9 @@
   /// Whether no request is pending and no input or output is buffered.
   [[nodiscard]] bool is_idle() const;
 
-  [[nodiscard]] bool has_client_disconnected() const override { return stream_->has_peer_closed(); }
+  [[nodiscard]] bool may_have_disconnected() const override {
+    return stream_->has_peer_closed() || stream_->may_miss_peer_close();
+  }
 
   /// Whether the kernel holds unread input or the end of the client's sending side.
   [[nodiscard]] bool has_unread_input() const { return stream_->is_readable(); }
@@ -129,6 +131,8 @@
 
   [[nodiscard]] bool has_pending_request() const;
   [[nodiscard]] bool is_closing() const;
+  /// Whether more input is buffered than the limits allow in the present state.
+  [[nodiscard]] bool exceeds_read_ahead() const;
 
   void limit_read_ahead();
   void process_input();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMinReadSize = 4 * 1024;
 constexpr std::size_t kMaxOutputVectors = 16;
 constexpr int kMaxReadsPerCall = 64;
+// With less unread input the kernel's receive buffer has space, even if the input is in small
+// parts.
+constexpr gssize kMaxUnreadWithSpace = 16 * 1024;
 constexpr int kMaxEndedBackoffsPerCall = 3;
 
 // POLLRDHUP is set when the peer has closed its sending side, even if earlier input is unread. GLib
@@ -123,6 +126,10 @@
   return !socket_ || g_socket_condition_check(socket_.get(), kPeerClosed) != 0;
 }
 
+bool Stream::may_miss_peer_close() const {
+  return paused_ && socket_ && g_socket_get_available_bytes(socket_.get()) > kMaxUnreadWithSpace;
+}
+
 bool Stream::is_readable() const {
   return socket_ && g_socket_condition_check(socket_.get(), kReadable) != 0;
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -84,6 +84,10 @@
   /// connection failed.
   [[nodiscard]] bool has_peer_closed() const;
 
+  /// Whether a close by the peer may go unnoticed: reading is paused, and the kernel holds so much
+  /// unread input that it may accept no more. The close is then behind what the peer cannot send.
+  [[nodiscard]] bool may_miss_peer_close() const;
+
   /// Closes the connection at once; no callback follows.
   void close();
 
--- a/src/proxy/interfaces.h
+++ b/src/proxy/interfaces.h
@@ -58,8 +58,8 @@
   virtual ~ClientCall() = default;
 
   /// Whether the client has closed its connection or its sending side, even if the frontend has not
-  /// handled that yet. Costs a system call.
-  [[nodiscard]] virtual bool has_client_disconnected() const = 0;
+  /// handled that yet, or may have without that being noticed. Costs a system call or two.
+  [[nodiscard]] virtual bool may_have_disconnected() const = 0;
 
   /// Returns the request body for an endpoint that must answer within `left`. Called at most once
   /// for each attempt, until the request is complete. The parts are valid until the next call of a
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -144,9 +144,9 @@
   dispatch_events();
 }
 
-bool RequestBroker::has_client_disconnected(const TrackedRequest& request, TimePoint now) {
+bool RequestBroker::may_have_disconnected(const TrackedRequest& request, TimePoint now) {
   const bool is_new = now - request.begun_at < kClientCheckAge;
-  return request.is_open() && !is_new && request.call->has_client_disconnected();
+  return request.is_open() && !is_new && request.call->may_have_disconnected();
 }
 
 bool RequestBroker::authorize_attempt(AttemptId attempt_id) {
@@ -160,7 +160,7 @@
   // therefore no violation.
   if (queue_.has_endpoint_list() && guard_.check_endpoint(attempt->endpoint))
     return false;
-  if (has_client_disconnected(request, now))
+  if (may_have_disconnected(request, now))
     return false;
   if (!router_.is_attempt_allowed(now, attempt->request_id, attempt->endpoint))
     return false;
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -136,8 +136,9 @@
   /// Reads the responses that have arrived if they are stale.
   void refresh_responses();
 
-  /// Whether the client of an open request disconnected, though its frontend may not have noticed.
-  [[nodiscard]] static bool has_client_disconnected(const TrackedRequest& request, TimePoint now);
+  /// Whether the client of an open request may have disconnected, though its frontend has not
+  /// noticed.
+  [[nodiscard]] static bool may_have_disconnected(const TrackedRequest& request, TimePoint now);
 
   Settings settings_;
   Router router_;
--- a/tests/integration/client_disconnects_test.cpp
+++ b/tests/integration/client_disconnects_test.cpp
@@ -143,6 +143,32 @@
   harness.expect_invariants_and_running();
 }
 
+// Guards against an attempt for a client that has gone: its close was behind so much that it had
+// written, and the gateway does not read, that nothing showed it.
+TEST_P(ClientDisconnects, RetriesNothingIfADisconnectMayBeUnnoticed) {
+  WarmGateway warm(protocol(), 2, 8);
+  GatewayHarness& harness = warm.harness;
+  harness.script = {ScriptedResponse::NoResponse};
+  const auto disconnecting = harness.connect_client();
+  constexpr std::size_t kMoreThanTheKernelHolds = 24'000'000;
+  disconnecting->write(encode_requests(0) + std::string(kMoreThanTheKernelHolds, 'x'));
+  harness.await_first_attempt("abandoned-0");
+  await_gateway_loop_iterations(*warm.client, "u");
+  ASSERT_FALSE(disconnecting->is_flushed());
+
+  disconnecting->close();
+  await_gateway_loop_iterations(*warm.client, "v");
+  // The gateway does not examine the connection of a request that it has just read.
+  run_main_loop_for(std::chrono::milliseconds(50));
+  for (const auto& endpoint : harness.endpoints)
+    endpoint->close_connections();
+
+  expect_reads_served(*warm.client, "b", 12);
+  ASSERT_EQ(harness.attempt_count("abandoned-0"), 1);
+  harness.sent_requests["abandoned-0"] = 0;  // a client sent it, and it gets no response
+  harness.expect_invariants_and_running();
+}
+
 INSTANTIATE_TEST_SUITE_P(, ClientDisconnects, both_protocols(), protocol_name);
 
 }  // namespace
--- a/tests/request_broker_fakes.h
+++ b/tests/request_broker_fakes.h
@@ -48,7 +48,7 @@
 
 /// Counts the final answers that it gets.
 struct FakeCall : ClientCall {
-  [[nodiscard]] bool has_client_disconnected() const override { return false; }
+  [[nodiscard]] bool may_have_disconnected() const override { return false; }
 
   ByteSpans body(Duration) override { return {}; }
 
--- a/tests/request_tracker_test.cpp
+++ b/tests/request_tracker_test.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 struct UnusedCall : ClientCall {
-  [[nodiscard]] bool has_client_disconnected() const override { return false; }
+  [[nodiscard]] bool may_have_disconnected() const override { return false; }
 
   ByteSpans body(Duration) override { return {}; }
 
--- a/tests/soak/list_histories.cpp
+++ b/tests/soak/list_histories.cpp
@@ -89,7 +89,7 @@
 };
 
 struct HistoryCall : proxy::ClientCall {
-  [[nodiscard]] bool has_client_disconnected() const override { return false; }
+  [[nodiscard]] bool may_have_disconnected() const override { return false; }
 
   proxy::ByteSpans body(Duration) override { return {"SELECT"}; }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -75,7 +75,7 @@
 
 /// A client call that counts its final responses.
 struct CountingClientCall : proxy::ClientCall {
-  [[nodiscard]] bool has_client_disconnected() const override { return false; }
+  [[nodiscard]] bool may_have_disconnected() const override { return false; }
 
   int response_count = 0;
 
