Remember requests that may have run, so that none runs twice when it comes again

Cause: the broker forgot a request with its last attempt, so only an id that was open or in flight was known.

Change: `proxy/sent_requests` remembers the id and the key of each attempt that was written, unless it ended without having run. An id that may have run is rejected, unless the protocol itself repeats ids (MongoDB's reads and retryable writes) and the class permits it. A key is sent only within the window of its first attempt, whichever request that belonged to.

Tests: two writes of the suite shared one key by accident, which now counts as a repeat; requests of the harness have a key of their own unless a test names one.

--- a/include/gorsebeam/events.h
+++ b/include/gorsebeam/events.h
@@ -36,6 +36,12 @@
   std::vector<Endpoint> endpoints;
 };
 
+/// An attempt of an earlier request with the same idempotency key.
+struct EarlierAttempt {
+  TimePoint sent_at{};
+  EndpointId endpoint = 0;
+};
+
 /// A client's request. Ids of open requests are unique; a duplicate is ignored.
 struct Request {
   std::string id;
@@ -48,6 +54,12 @@
   /// read must see. It can lie ahead of the router's clock. Empty: the session has written nothing.
   std::optional<ReplicationPosition> session_token;
   bool is_client_retry = false;
+  /// IdempotencyKey only: the key by which endpoints recognize repeats; empty if it has none.
+  std::string idempotency_key;
+  /// The client's protocol repeats a request under its id, as MongoDB's drivers do.
+  bool id_names_retries = false;
+  /// The first attempt with the same idempotency key that may have run; empty if none may have.
+  std::optional<EarlierAttempt> earlier_attempt;
   std::uint32_t max_attempts = 0;  ///< By its contract; 0: only the settings limit it.
   /// Above 0: the request exceeds its team's rate limit, which admits one after this time.
   Duration rate_limit_retry_after{};
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -147,26 +147,31 @@
   }
 }
 
-bool ClientConnection::begin_request(Request request, std::size_t size) {
+proxy::BeginResult ClientConnection::begin_request(Request request, std::size_t size) {
+  using proxy::BeginResult;
   if (stream_->has_peer_closed()) {
     close_idle(CloseReason::PeerClosed);
-    return true;
+    return BeginResult::Begun;
   }
   state_ = State::StartingRequest;
   request_size_ = size;
   if (frontend_.is_stopping()) {
     reject_request(request.id);
-    return true;
+    return BeginResult::Begun;
   }
   std::string id = request.id;
-  const bool accepted = frontend_.broker().begin_request(std::move(request), *this);
+  const BeginResult result = frontend_.broker().begin_request(std::move(request), *this);
   // The request may have been answered within the call.
   if (state_ != State::StartingRequest)
-    return accepted;
-  state_ = accepted ? State::RequestInFlight : State::AwaitingInput;
-  if (accepted)
+    return result;
+  if (result == BeginResult::Begun) {
+    state_ = State::RequestInFlight;
     request_id_ = std::move(id);
-  return accepted;
+    return result;
+  }
+  state_ = State::AwaitingInput;
+  net::log({"request_not_accepted", {{"request", id}, {"reason", proxy::name_of(result)}}});
+  return result;
 }
 
 void ClientConnection::reject_request(const std::string& id) {
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -94,10 +94,9 @@
   [[nodiscard]] TimePoint waiting_since(std::size_t size) const;
 
   /// Passes the request, which is in the first `size` bytes of the input, to the broker. Returns
-  /// false if the broker does not accept the id of the request (see
-  /// `proxy::RequestBroker::begin_request`). The request is rejected if the frontend is stopping.
-  /// If the client has disconnected, the request is dropped with its connection.
-  [[nodiscard]] bool begin_request(Request request, std::size_t size);
+  /// whether the broker accepts it. The request is rejected if the frontend is stopping. If the
+  /// client has disconnected, the request is dropped with its connection.
+  [[nodiscard]] proxy::BeginResult begin_request(Request request, std::size_t size);
 
   /// Called when the response to the pending request has been written and its input consumed.
   void finish_request();
@@ -131,9 +130,9 @@
 
   [[nodiscard]] bool has_pending_request() const;
   [[nodiscard]] bool is_closing() const;
+
   /// Whether more input is buffered than the limits allow in the present state.
   [[nodiscard]] bool exceeds_read_ahead() const;
-
   void limit_read_ahead();
   void process_input();
 
--- a/src/frontend/request_admission.h
+++ b/src/frontend/request_admission.h
@@ -12,9 +12,6 @@
 
 namespace gorsebeam::frontend {
 
-/// The error text for a request whose id the broker does not accept.
-constexpr const char* kUnacceptedIdText = "a request with this id is open, or it is no fit id";
-
 class RequestAdmission {
 public:
   /// Borrows both arguments.
--- a/src/mongo/client_connection.cpp
+++ b/src/mongo/client_connection.cpp
@@ -144,8 +144,9 @@
     if (!request)
       return CommandError{ErrorCode::Unauthorized, proxy::describe(request.error())};
     pending_command_kind_ = command.kind;
-    if (!begin_request(std::move(request.value()), message_size_))
-      return CommandError{ErrorCode::FailedToParse, frontend::kUnacceptedIdText};
+    const proxy::BeginResult result = begin_request(std::move(request.value()), message_size_);
+    if (result != proxy::BeginResult::Begun)
+      return CommandError{ErrorCode::FailedToParse, proxy::describe(result)};
     return std::nullopt;
   }
 
--- a/src/mongo/command_parser.cpp
+++ b/src/mongo/command_parser.cpp
@@ -94,11 +94,21 @@
   return find(command, "startTransaction") || find(command, "autocommit");
 }
 
-/// Whether a command has a key in its comment or is a retryable write. MongoDB identifies a
-/// retryable write by its session and its number within the session, so it needs no other key.
-bool has_idempotency_key(std::string_view command, const CommandComment& comment) {
-  const bool is_retryable_write = find_session(command) && find(command, "txnNumber");
-  return !comment.idempotency_key.empty() || is_retryable_write;
+/// Whether MongoDB's drivers repeat a command as it is, with its comment. MongoDB identifies a
+/// retryable write by its session and its number within the session.
+bool is_retryable_write(std::string_view command) {
+  return find_session(command) && find(command, "txnNumber");
+}
+
+/// Returns the key by which endpoints recognize repeats of a command: that in its comment, or that
+/// of a retryable write. Empty if it has none.
+std::string idempotency_key_of(std::string_view command, const CommandComment& comment) {
+  if (!comment.idempotency_key.empty())
+    return comment.idempotency_key;
+  if (!is_retryable_write(command))
+    return "";
+  const std::optional<Element> number = find(command, "txnNumber");
+  return std::string(*find_session(command)) + std::string(number->value);
 }
 
 /// Returns why a command does not meet the requirements of its request class, or nothing if it
@@ -108,7 +118,7 @@
   if (frontend::is_write(settings) != (command.kind == CommandKind::Write))
     return parse_error("the command does not fit its class");
   if (settings.idempotency == Idempotency::IdempotencyKey &&
-      !has_idempotency_key(command.document, comment))
+      idempotency_key_of(command.document, comment).empty())
     return parse_error("the class needs a key: k in the comment, or lsid and txnNumber");
   if (settings.consistency == ConsistencyLevel::Session && !find_session(command.document))
     return parse_error("the class needs a session: lsid");
@@ -189,6 +199,10 @@
   parsed.request.id = comment.id;
   parsed.request.class_index = request_class->index;
   parsed.request.group = *group;
+  parsed.request.id_names_retries =
+      command.kind == CommandKind::Read || is_retryable_write(command.document);
+  if (settings.idempotency == Idempotency::IdempotencyKey)
+    parsed.request.idempotency_key = idempotency_key_of(command.document, comment);
   const std::optional<std::string_view> session = find_session(command.document);
   if (session && frontend::belongs_to_session(settings))
     parsed.request.session = hash_session(*session);
--- a/src/postgres/client_connection.cpp
+++ b/src/postgres/client_connection.cpp
@@ -163,8 +163,9 @@
       return SqlError{kInsufficientPrivilege, proxy::describe(request.error())};
     statement_size_ = text.size();
     deadline_ = statement.deadline;
-    if (!begin_request(std::move(request.value()), message_size))
-      return SqlError{kDuplicateObject, frontend::kUnacceptedIdText};
+    const proxy::BeginResult result = begin_request(std::move(request.value()), message_size);
+    if (result != proxy::BeginResult::Begun)
+      return SqlError{kDuplicateObject, proxy::describe(result)};
     return std::nullopt;
   }
 
--- a/src/postgres/statement_request.cpp
+++ b/src/postgres/statement_request.cpp
@@ -107,6 +107,8 @@
   request.parsed.request.class_index = request_class->index;
   request.parsed.request.group = static_cast<GroupId>(*group);
   request.parsed.request.is_client_retry = statement.retry == "1";
+  if (settings.idempotency == Idempotency::IdempotencyKey)
+    request.parsed.request.idempotency_key = std::string(statement.idempotency_key);
   if (frontend::belongs_to_session(settings))
     request.parsed.request.session = session_from_key(statement.first_literal);
   request.parsed.time_limit = std::chrono::milliseconds(*deadline_ms);
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -74,7 +74,8 @@
 }  // namespace
 
 RequestBroker::RequestBroker(const Settings& settings, std::uint64_t seed)
-    : settings_(settings), router_(settings, seed), router_timer_([this] {
+    : settings_(settings), router_(settings, seed), sent_requests_(settings_, seed),
+      router_timer_([this] {
         queue_.push(TimerExpired{});
         dispatch_events();
       }),
@@ -90,16 +91,35 @@
   executor_.attach(upstream);
 }
 
-bool RequestBroker::begin_request(Request request, ClientCall& call) {
-  // A request with the id of a pending one, of this client or another, is taken for a copy of it,
-  // and two copies must not be in flight at once.
-  const std::string& id = request.id;
-  if (id.empty() || id.size() > kMaxRequestIdLength || requests_.contains(id))
-    return false;
-  requests_.begin(request, call, net::now());
+BeginResult RequestBroker::begin_request(Request request, ClientCall& call) {
+  const BeginResult result = check_request(request);
+  if (result != BeginResult::Begun)
+    return result;
+  requests_.begin(request, sent_requests_.keys_of(request), call, net::now());
   queue_.push(std::move(request));
   dispatch_events();
-  return true;
+  return result;
+}
+
+// A request with the id of a pending one, of this client or another, is taken for a copy of it,
+// and two copies must not be in flight at once.
+BeginResult RequestBroker::check_request(Request& request) {
+  if (request.id.empty() || request.id.size() > kMaxRequestIdLength)
+    return BeginResult::InvalidId;
+  if (requests_.contains(request.id))
+    return BeginResult::IdInUse;
+  const RepetitionCheck check = sent_requests_.check(request, net::now());
+  request.earlier_attempt = check.earlier_attempt;
+  switch (check.repetition) {
+  case Repetition::None:
+  case Repetition::Permitted:
+    return BeginResult::Begun;
+  case Repetition::IdUsed:
+    return BeginResult::IdUsed;
+  case Repetition::KeyExpired:
+    return BeginResult::KeyExpired;
+  }
+  return BeginResult::IdUsed;
 }
 
 void RequestBroker::client_disconnected(const std::string& request_id) {
@@ -119,6 +139,7 @@
   if (!attempt)
     return;
   const EventBatch batch(*this);
+  forget_if_not_run(*attempt, response.status);
   const bool is_open =
       requests_.record_attempt_end(attempt->request_id, attempt->written_at, response.status);
   const bool is_answer = is_open && response.status == AttemptStatus::Ok;
@@ -131,6 +152,13 @@
     requests_.complete(attempt->request_id)->respond(response.body);
 }
 
+void RequestBroker::forget_if_not_run(const InFlightAttempt& attempt, AttemptStatus status) {
+  const TrackedRequest* const request = requests_.find(attempt.request_id);
+  const bool has_run = status == AttemptStatus::Ok || may_have_run(status);
+  if (request != nullptr && attempt.written_at && !has_run)
+    sent_requests_.forget_attempt(request->keys, *attempt.written_at);
+}
+
 void RequestBroker::complete_health_check(EndpointId endpoint, const UpstreamResponse& response) {
   const std::optional<TimePoint> started_at = in_flight_.remove_health_check(endpoint);
   if (!started_at)
@@ -169,6 +197,7 @@
     return false;
   }
   attempt->written_at = now;
+  sent_requests_.record_attempt(request.keys, attempt->endpoint, now);
   ++request.history.written_attempts;
   ++request.history.in_flight;
   return true;
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "action_executor.h"
+#include "begin_result.h"
 #include "endpoint_registry.h"
 #include "event_queue.h"
 #include "in_flight_table.h"
@@ -15,6 +16,7 @@
 #include "listed_endpoint.h"
 #include "net/timer.h"
 #include "request_tracker.h"
+#include "sent_requests.h"
 
 #include <cstddef>
 #include <exception>
@@ -41,10 +43,9 @@
   void set_list_source(EndpointListSource* source) { list_source_ = source; }
 
   /// For frontends: passes a request to the router and borrows `call` until the request is
-  /// complete, which can happen before this returns. Returns false, and does nothing, if
-  /// `request.id` is empty, too long, or the id of a request that is open or has an attempt in
-  /// flight.
-  [[nodiscard]] bool begin_request(Request request, ClientCall& call);
+  /// complete, which can happen before this returns. Does nothing but return the reason if the
+  /// request is not accepted.
+  [[nodiscard]] BeginResult begin_request(Request request, ClientCall& call);
 
   /// For frontends: reports that the client of a request disconnected. The broker does not use its
   /// call again. Ignored if the request is complete.
@@ -99,6 +100,12 @@
   };
 
 private:
+  /// Whether a request is accepted. Sets what is known of earlier attempts with its key.
+  [[nodiscard]] BeginResult check_request(Request& request);
+
+  /// Forgets an attempt whose end proves that it did not run.
+  void forget_if_not_run(const InFlightAttempt& attempt, AttemptStatus status);
+
   /// Passes all waiting events to the router and performs its actions. Does nothing while a batch
   /// is open, or inside another call of itself.
   void dispatch_events();
@@ -145,6 +152,7 @@
   InvariantGuard guard_{settings_};
   EndpointRegistry registry_{settings_, router_, guard_};
   RequestTracker requests_;
+  SentRequests sent_requests_;
   InFlightTable in_flight_;
   EventQueue queue_;
   InputFreshness freshness_;
--- a/src/proxy/request_tracker.cpp
+++ b/src/proxy/request_tracker.cpp
@@ -4,14 +4,18 @@
 
 namespace gorsebeam::proxy {
 
-void RequestTracker::begin(const Request& request, ClientCall& call, TimePoint now) {
+void RequestTracker::begin(const Request& request, const SentRequestKeys& keys, ClientCall& call,
+                           TimePoint now) {
   TrackedRequest& tracked = requests_[request.id];
   tracked.call = &call;
   tracked.deadline = request.deadline;
   tracked.begun_at = now;
+  tracked.keys = keys;
   tracked.history.class_index = request.class_index;
   tracked.history.group = request.group;
   tracked.history.is_open = true;
+  if (request.earlier_attempt)
+    tracked.history.may_have_run_since = request.earlier_attempt->sent_at;
   ++open_count_;
 }
 
--- a/src/proxy/request_tracker.h
+++ b/src/proxy/request_tracker.h
@@ -6,6 +6,7 @@
 
 #include "interfaces.h"
 #include "invariant_guard.h"
+#include "sent_requests.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +24,7 @@
   std::optional<AttemptId> current_attempt;  ///< The attempt in flight.
   TimePoint deadline{};
   TimePoint begun_at{};
+  SentRequestKeys keys;
   RequestHistory history;  ///< Also holds whether the request is open.
 
   /// Whether the request has no final answer and its client has not disconnected.
@@ -36,9 +38,9 @@
     return requests_.count(request_id) > 0;
   }
 
-  /// Adds an open request, whose id must not be tracked yet. Borrows `call` until the request is
-  /// complete.
-  void begin(const Request& request, ClientCall& call, TimePoint now);
+  /// Adds an open request, whose id must not be tracked yet and whose hashes are `keys`. Borrows
+  /// `call` until the request is complete.
+  void begin(const Request& request, const SentRequestKeys& keys, ClientCall& call, TimePoint now);
 
   /// Returns the entry, valid until it is erased, or null if there is none.
   [[nodiscard]] TrackedRequest* find(const std::string& request_id);
--- a/src/router/retry_policy.cpp
+++ b/src/router/retry_policy.cpp
@@ -92,8 +92,8 @@
       request_class.deduplication_scope != DeduplicationScope::Zone ||
       request.may_have_run_at == kUnknownTime)
     return true;
-  const EndpointState& ran_on = state_.endpoints.at(request.may_have_run_on);
-  return endpoint.listing.zone == ran_on.listing.zone;
+  const EndpointState* const ran_on = state_.endpoints.find(request.may_have_run_on);
+  return ran_on != nullptr && endpoint.listing.zone == ran_on->listing.zone;
 }
 
 bool RetryPolicy::is_attempt_allowed(const PendingRequest& request,
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -76,6 +76,10 @@
     request.id_hash = router::hash_text(arrived.id);
     request.affinity_hash = router::mix_hash(arrived.session.value_or(request.id_hash + 2));
     request.session_token = state_.sessions.token_for(arrived, request_class, now);
+    if (arrived.earlier_attempt) {
+      request.may_have_run_at = arrived.earlier_attempt->sent_at;
+      request.may_have_run_on = arrived.earlier_attempt->endpoint;
+    }
     state_.classes.record_request(arrived.class_index);
     state_.capacities.record_request();
     dispatcher_.accept(request);
--- a/tests/integration/client_disconnects_test.cpp
+++ b/tests/integration/client_disconnects_test.cpp
@@ -169,6 +169,53 @@
   harness.expect_invariants_and_running();
 }
 
+// Guards against a request that runs twice: its client disconnects while it runs, and another
+// client sends it again under its id once it has ended.
+TEST_P(ClientDisconnects, SendsNoRequestAgainUnderAUsedId) {
+  WarmGateway warm(protocol(), 2, 8);
+  GatewayHarness& harness = warm.harness;
+  std::vector<Request> requests{keyed_write("keyed"), single_shot_write("single")};
+  // MongoDB's drivers repeat reads with their comment.
+  if (!is_mongo())
+    requests.push_back(read_request("read"));
+  for (const Request& request : requests) {
+    SCOPED_TRACE(request.id);
+    harness.script = {ScriptedResponse::NoResponse};
+    const auto disconnecting = harness.connect_client();
+    disconnecting->send_request(request);
+    harness.await_first_attempt(request.id);
+    disconnecting->close();
+    await_gateway_loop_iterations(*warm.client, "u-" + request.id);
+    harness.attempts.back().endpoint->respond_to_open_attempts();
+    await_gateway_loop_iterations(*warm.client, "v-" + request.id);
+    ASSERT_EQ(warm.client->send_and_await(request), ClientResult::Failed);
+    ASSERT_EQ(harness.attempt_count(request.id), 1);
+    harness.sent_requests[request.id] = 1;  // the first one gets no response
+  }
+  expect_reads_served(*warm.client, "b", 4);
+  harness.expect_invariants_and_running();
+}
+
+// Guards against a write that runs twice: it comes again under a new id after the endpoints may
+// have forgotten its key.
+TEST_P(ClientDisconnects, SendsNoWriteAfterTheWindowOfItsKey) {
+  for (const int window_ms : {60'000, 1}) {
+    PlatformSettings settings;
+    settings.deduplication_window_ms = window_ms;
+    WarmGateway warm(protocol(), 2, 8, settings);
+    Request first = keyed_write("first");
+    Request second = keyed_write("second");
+    second.idempotency_key = first.idempotency_key;
+    ASSERT_EQ(warm.client->send_and_await(first), ClientResult::Served);
+    run_main_loop_for(std::chrono::milliseconds(2));
+    const bool is_within = window_ms > 1;
+    ASSERT_EQ(warm.client->send_and_await(second),
+              is_within ? ClientResult::Served : ClientResult::Failed);
+    ASSERT_EQ(warm.harness.attempt_count("second"), is_within ? 1 : 0);
+    warm.harness.expect_invariants_and_running();
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(, ClientDisconnects, both_protocols(), protocol_name);
 
 }  // namespace
--- a/tests/integration/contracts_test.cpp
+++ b/tests/integration/contracts_test.cpp
@@ -103,7 +103,7 @@
   }
 
   Request write_statement(const char* statement) {
-    return {next_id(), "save", "key", 2000, true, statement};
+    return {next_id(), "save", "", 2000, true, statement};
   }
 
   GatewayHarness harness_;
--- a/tests/integration/mongo_protocol.cpp
+++ b/tests/integration/mongo_protocol.cpp
@@ -109,7 +109,7 @@
         .append_string("c", request.service_class)
         .append_string("cluster", "0");
     if (request.is_write)
-      annotations.append_string("k", request.idempotency_key);
+      annotations.append_string("k", key_of(request));
     Writer command;
     const std::string document = Writer().append_string("code", "7f").finish();
     if (request.is_write)
--- a/tests/integration/postgres_protocol.cpp
+++ b/tests/integration/postgres_protocol.cpp
@@ -174,7 +174,7 @@
   [[nodiscard]] std::string encode_request(const Request& request) const override {
     const std::string annotations = " /* id=" + request.id + ",c=" + request.service_class +
                                     ",d=" + std::to_string(request.timeout_ms) +
-                                    (request.is_write ? ",k=" + request.idempotency_key : "") +
+                                    (request.is_write ? ",k=" + key_of(request) : "") +
                                     ",cluster=0 */";
     if (!request.statement.empty())
       return encode_message(kQuery, request.statement + annotations + '\0');
--- a/tests/integration/protocol.h
+++ b/tests/integration/protocol.h
@@ -43,12 +43,17 @@
 struct Request {
   std::string id;
   std::string service_class = "any";
-  std::string idempotency_key = "k1";
+  std::string idempotency_key{};  ///< Of a write; if empty, a key of its own.
   int timeout_ms = 2000;
   bool is_write = false;
   std::string statement{};  ///< PostgreSQL only; if empty, the statement follows from `is_write`.
 };
 
+/// The idempotency key that a client writes for `request`.
+inline std::string key_of(const Request& request) {
+  return request.idempotency_key.empty() ? "key of " + request.id : request.idempotency_key;
+}
+
 /// The replication state that an endpoint reports.
 struct ReplicationStatus {
   bool is_primary = false;
--- a/tests/integration/test_harness.h
+++ b/tests/integration/test_harness.h
@@ -63,8 +63,8 @@
   /// Writes the inventory's file in place; a running program does not read it before its next
   /// reload.
   void write_inventory(const std::string& text) const;
-  /// Replaces the inventory by one with the endpoints' listed status, lets a running program reload it and
-  /// waits until it has.
+  /// Replaces the inventory by one with the endpoints' listed status, lets a running program reload
+  /// it and waits until it has.
   void publish_inventory();
   /// Writes a configuration with `settings`, which takes effect at the next start.
   void set_platform_settings(const PlatformSettings& settings);
--- a/tests/request_broker_recovery_test.cpp
+++ b/tests/request_broker_recovery_test.cpp
@@ -38,7 +38,7 @@
     Request request;
     request.id = id;
     request.deadline = net::now() + kDeadline;
-    ASSERT_TRUE(broker_.begin_request(request, call));
+    ASSERT_EQ(broker_.begin_request(request, call), BeginResult::Begun);
   }
 
   /// Makes the broker contain an exception at each `interval` from now on, for `duration`.
@@ -107,7 +107,7 @@
   request.id = "thrown";
   request.deadline = net::now() + kDeadline;
   bool is_begun = false;
-  EXPECT_NO_THROW(is_begun = broker_.begin_request(request, thrown));
+  EXPECT_NO_THROW(is_begun = broker_.begin_request(request, thrown) == BeginResult::Begun);
   EXPECT_TRUE(is_begun);
   EXPECT_EQ(broker_.open_requests(), 0U);
 }
--- a/tests/request_broker_test.cpp
+++ b/tests/request_broker_test.cpp
@@ -42,7 +42,7 @@
     Request request;
     request.id = id;
     request.deadline = net::now() + 2s;
-    return broker_.begin_request(request, call);
+    return broker_.begin_request(request, call) == BeginResult::Begun;
   }
 
   void answer_last_attempt() {
--- a/tests/request_tracker_test.cpp
+++ b/tests/request_tracker_test.cpp
@@ -33,7 +33,7 @@
     request.id = "r";
     request.class_index = 2;
     request.group = 3;
-    tracker_.begin(request, call_, TimePoint(5s));
+    tracker_.begin(request, {}, call_, TimePoint(5s));
   }
 
   void start_attempt(AttemptId attempt) { tracker_.find("r")->current_attempt = attempt; }
@@ -89,7 +89,7 @@
     RequestTracker tracker;
     Request request;
     request.id = "r";
-    tracker.begin(request, call_, TimePoint(5s));
+    tracker.begin(request, {}, call_, TimePoint(5s));
     tracker.find("r")->history.in_flight = 1;
     EXPECT_TRUE(tracker.record_attempt_end("r", written_at, status));
     const RequestHistory& history = tracker.find("r")->history;
@@ -111,7 +111,7 @@
   Request request;
   request.id = "later";
   request.deadline = TimePoint(9s);
-  tracker_.begin(request, call_, TimePoint(5s));
+  tracker_.begin(request, {}, call_, TimePoint(5s));
   EXPECT_TRUE(tracker_.overdue(TimePoint(-1s)).empty());
   EXPECT_EQ(tracker_.overdue(TimePoint(8s)), std::vector<std::string>{"r"});
   EXPECT_EQ(tracker_.overdue(TimePoint(9s)).size(), 2U);
--- a/tests/soak/list_histories.cpp
+++ b/tests/soak/list_histories.cpp
@@ -246,7 +246,7 @@
     request.group = call->group;
     request.deadline = net::now() + kDeadline;
     calls_.push_back(call);
-    if (!broker_->begin_request(std::move(request), *call))
+    if (broker_->begin_request(std::move(request), *call) != proxy::BeginResult::Begun)
       report(seed_, call->id + " was not accepted");
     virtual_time::schedule(net::now() + kDeadline + kAnswerSlack, [this, call] {
       if (call->answers != 1)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -237,7 +237,7 @@
       request.session = next_session();
     auto client = std::make_shared<CountingClientCall>();
     const TimePoint deadline = request.deadline;
-    if (!broker_->begin_request(std::move(request), *client)) {
+    if (broker_->begin_request(std::move(request), *client) != proxy::BeginResult::Begun) {
       ++requests_without_response;
       return;
     }
--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -246,8 +246,9 @@
            "1a2b3c 1_2 a$b$c 1e 1e+ 1.e2.e3",
        }) {
     const auto tokens = scan_tokens(text);
-    if (tokens)
+    if (tokens) {
       EXPECT_GE(token_count_bound(text), tokens->size()) << text;
+    }
   }
   EXPECT_EQ(scan_tokens("SELECT a/* b */+c -- d")->size(), 4U);
   EXPECT_EQ(scan_tokens("SELECT 'a"), std::nullopt);
