Classify one large SQL statement in an iteration of the event loop

Cause: a statement within the token limit takes up to 9 ms to classify, and an iteration classified what it found on all connections, up to 16 on each.

Change: a statement of over 128 tokens waits for its connection's turn; one connection has a turn in each iteration, first come, first served. Nothing more is read from a connection that waits, and it isn't closed for memory or as overdue.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -121,6 +121,9 @@
     stream_->resume_reading();
   if (state_ != State::AwaitingInput)
     return;
+  // The input holds a complete message. What follows it stays in the kernel.
+  if (awaits_turn_)
+    return stream_->pause_reading(net::PeerCloseWatch::On);
   if (stream_->all_written())
     stream_->resume_reading();
   else
@@ -129,6 +132,7 @@
 
 bool ClientConnection::parse_next() {
   const std::size_t size_before = input().size();
+  awaits_turn_ = false;
   parse();
   const bool has_consumed = input().size() < size_before;
   if (has_consumed) {
@@ -174,6 +178,11 @@
   return result;
 }
 
+bool ClientConnection::try_expensive_work() {
+  awaits_turn_ = !frontend_.try_expensive_work(*this);
+  return !awaits_turn_;
+}
+
 void ClientConnection::reject_request(const std::string& id) {
   net::log({"request_rejected", {{"request", id}, {"reason", "shutdown"}}});
   reject(0ms);
@@ -195,7 +204,7 @@
 }
 
 std::optional<RejectReason> ClientConnection::overdue_reason(TimePoint now) const {
-  if (has_pending_request())
+  if (has_pending_request() || awaits_turn_)
     return std::nullopt;
   const Duration waited = now - last_progress_at_;
   if (!stream_->all_written())
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -45,9 +45,10 @@
   /// answered, or buffered output was sent.
   [[nodiscard]] TimePoint last_progress_at() const { return last_progress_at_; }
 
-  /// Buffered bytes that closing the connection would free; 0 while a request is pending.
+  /// Buffered bytes that closing the connection would free; 0 while a request is pending, or its
+  /// message is complete.
   [[nodiscard]] std::size_t reclaimable_bytes() const {
-    return has_pending_request() ? 0 : stream_->buffered_bytes();
+    return has_pending_request() || awaits_turn_ ? 0 : stream_->buffered_bytes();
   }
 
   /// Why the connection is to be rejected at `now`; empty if it is not overdue.
@@ -67,6 +68,9 @@
   /// Closes the connection now and drops a pending request.
   void close(CloseReason reason);
 
+  /// Continues `process_input` from a timer; an exception closes only this connection.
+  void resume_processing();
+
 protected:
   /// Consumes complete messages of the input until it needs more bytes or has begun a request. It
   /// is called again when there is more input or the request is complete.
@@ -98,6 +102,10 @@
   /// client has disconnected, the request is dropped with its connection.
   [[nodiscard]] proxy::BeginResult begin_request(Request request, std::size_t size);
 
+  /// Returns whether the connection may do work now that takes milliseconds. Otherwise the message
+  /// has to stay in the input, which is parsed again when it is the connection's turn.
+  [[nodiscard]] bool try_expensive_work();
+
   /// Called when the response to the pending request has been written and its input consumed.
   void finish_request();
 
@@ -136,9 +144,6 @@
   void limit_read_ahead();
   void process_input();
 
-  /// Continues `process_input` from a timer; an exception closes only this connection.
-  void resume_processing();
-
   /// Parses once. Returns whether there is more input that may be complete.
   [[nodiscard]] bool parse_next();
 
@@ -155,6 +160,7 @@
   std::size_t request_size_ = 0;  ///< The size of the pending request in the input.
   State state_ = State::AwaitingInput;
   bool is_over_limit_ = false;
+  bool awaits_turn_ = false;  ///< The next message is complete and waits for `try_expensive_work`.
   bool has_sent_message_ = false;  ///< Whether a message of the client was parsed.
   std::size_t answered_count_ = 0;
   TimePoint last_progress_at_{};
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -19,6 +19,9 @@
       listener_(new_listener()), removal_timer_([this] {
         removed_.clear();
       }),
+      turn_timer_([this] {
+        run_turn();
+      }),
       stop_timer_([this] {
         stop_accepting();
       }),
@@ -150,6 +153,22 @@
   }
 }
 
+bool Frontend::try_expensive_work(ClientConnection& connection) {
+  if (turns_.try_use_turn(connection))
+    return true;
+  if (!turn_timer_.is_set())
+    turn_timer_.after(0ms);
+  return false;
+}
+
+void Frontend::run_turn() {
+  ClientConnection* const connection = turns_.begin_turn();
+  if (connection != nullptr)
+    connection->resume_processing();
+  if (!turns_.is_empty())
+    turn_timer_.after(0ms);
+}
+
 void Frontend::enforce_buffer_limit() {
   if (net::total_buffered_bytes() <= limits_.max_buffered_bytes)
     return;
@@ -166,6 +185,7 @@
 }
 
 void Frontend::add_lingering(ClientConnection* connection) {
+  turns_.remove(*connection);
   const auto found = connections_.find(connection);
   if (found == connections_.end())
     return;
@@ -192,6 +212,7 @@
 }
 
 void Frontend::remove(ClientConnection* connection) {
+  turns_.remove(*connection);
   if (connection->is_lingering())
     return remove_lingering(connection);
   const auto found = connections_.find(connection);
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "client_connection.h"
+#include "turn_queue.h"
 
 #include "connection_admission/connection_admission.h"
 #include "net/listener.h"
@@ -82,6 +83,11 @@
   /// exceed their limit; called when input was received.
   void enforce_buffer_limit();
 
+  /// For work that takes milliseconds, such as the parsing of a large message: returns whether the
+  /// connection may do it now. Otherwise its input is processed again when it is its turn; one
+  /// connection has a turn in each iteration of the event loop.
+  [[nodiscard]] bool try_expensive_work(ClientConnection& connection);
+
 private:
   using OwnedConnection = std::unique_ptr<ClientConnection>;
 
@@ -108,6 +114,9 @@
   void remove_lingering(ClientConnection* connection);
   void resume_listening();
 
+  /// Lets the next connection that waits for its turn process its input.
+  void run_turn();
+
   proxy::RequestBroker& broker_;
   FrontendLimits limits_;
   ConnectionFactory make_connection_;
@@ -115,7 +124,9 @@
   std::map<ClientConnection*, OwnedConnection> connections_;
   std::vector<OwnedConnection> removed_;  ///< Closed, and destroyed in the next iteration.
   std::list<OwnedConnection> lingering_;  ///< Ordered by when they began to linger.
+  TurnQueue<ClientConnection> turns_;
   net::Timer removal_timer_;
+  net::Timer turn_timer_;
   net::Timer stop_timer_;
   net::Timer maintenance_timer_;
   net::Timer linger_timer_;
--- a/src/postgres/client_connection.cpp
+++ b/src/postgres/client_connection.cpp
@@ -147,6 +147,8 @@
       return close_with_error(text.error());
     if (is_blank(text.value()))
       return reply(message, {encode_message('I', ""), kReadyForQuery});
+    if (classifier_ && sql_classifier::is_expensive(text.value()) && !try_expensive_work())
+      return;
     if (const auto error = begin_statement(text.value(), message.encoded.size()))
       reject_message(message, *error);
   }
--- a/src/sql_classifier/sql_classifier.cpp
+++ b/src/sql_classifier/sql_classifier.cpp
@@ -2,6 +2,7 @@
 
 #include "known_names.h"
 #include "parse_bounds.h"
+#include "token_scanner.h"
 
 #include <pg_query.h>
 #include <rapidjson/document.h>
@@ -199,6 +200,10 @@
 
 }  // namespace
 
+bool is_expensive(std::string_view statement) {
+  return statement.size() <= kMaxStatementBytes && token_count_bound(statement) > kMaxCheapTokens;
+}
+
 Classification SqlClassifier::classify(std::string_view statement) const {
   if (statement.size() > kMaxStatementBytes)
     return {Effect::Unknown, "it is longer than 64 KiB"};
--- a/src/sql_classifier/sql_classifier.h
+++ b/src/sql_classifier/sql_classifier.h
@@ -37,6 +37,13 @@
 /// The memory that parsing needs at most for each token of a statement, in bytes.
 constexpr std::size_t kMaxParseBytesPerToken = 1024;
 
+/// Classifying a statement with more words and signs takes so long that other clients must not wait
+/// for several of them.
+constexpr std::size_t kMaxCheapTokens = 128;
+
+/// Whether classifying the statement can take milliseconds.
+[[nodiscard]] bool is_expensive(std::string_view statement);
+
 class SqlClassifier {
 public:
   /// `read_functions` are the operators' own functions that only read, by the names that statements
--- a/tests/integration/contracts_test.cpp
+++ b/tests/integration/contracts_test.cpp
@@ -1,6 +1,7 @@
 // Team contracts and the classification of SQL statements, which the operators' file configures.
 #include "gateway_integration_test.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -147,6 +148,40 @@
   harness_.expect_invariants_and_running();
 }
 
+// Guards against late answers to other clients: statements of thousands of tokens, which take
+// milliseconds each to classify, were all classified in one iteration of the event loop.
+TEST_P(SqlClassification, ServesOthersBetweenLargeStatements) {
+  constexpr std::size_t kLargeCount = 20;
+  std::string columns = "other(3)";
+  for (int i = 0; i < 1'900; ++i)
+    columns += ",a";
+  const std::string statement = "SELECT " + columns + " FROM facts";
+  std::vector<std::unique_ptr<TestClient>> senders;
+  for (std::size_t i = 0; i < kLargeCount; ++i) {
+    senders.push_back(harness_.connect_client());
+    expect_reads_served(*senders.back(), "s" + std::to_string(i) + "-", 1);
+  }
+  const auto other = harness_.connect_client();
+  expect_reads_served(*other, "o", 1);
+  harness_.gateway.freeze();
+  for (const auto& sender : senders)
+    sender->send_request(read_statement(statement.c_str()));
+  other->send_request(read_request("between"));
+  for (const auto& sender : senders)
+    sender->await_flushed();
+  other->await_flushed();
+  harness_.gateway.resume();
+
+  ASSERT_EQ(other->await_response(), ClientResult::Served);
+  const auto answered = std::count_if(senders.begin(), senders.end(), [](const auto& sender) {
+    return !sender->responses.empty();
+  });
+  EXPECT_LT(static_cast<std::size_t>(answered), kLargeCount / 2);
+  for (const auto& sender : senders)
+    ASSERT_EQ(sender->await_response(), ClientResult::Failed);
+  harness_.expect_invariants_and_running();
+}
+
 TEST_P(SqlClassification, IsDisabledByReload) {
   ASSERT_EQ(client_->send_and_await(read_statement("SELECT other(3)")), ClientResult::Failed);
 
