Take no cut copy of a response for the response to the next request

What callers saw: one endpoint of eight began a second copy behind its answers and closed the connection.

Cause: a response without ReadyForQuery was complete once the connection ended, and was taken for no copy because a copy has ReadyForQuery. A cut copy has none.

Change: on a connection that had a response before, a response without ReadyForQuery counts only if it is a fatal error, after which an endpoint closes; any other is a reset. A connection's first response counts as before.

--- a/src/postgres/response_matcher.cpp
+++ b/src/postgres/response_matcher.cpp
@@ -33,8 +33,10 @@
   case Kind::Result:
     break;
   }
+  if (may_be_cut_copy(response))
+    return ParsedResponse::with_status(Status::Incomplete);
   const std::uint64_t hash = hash_of(in.substr(0, response.size));
-  if (!may_be_surplus(response, hash))
+  if (!may_be_surplus(hash))
     return complete(std::move(response), hash);
   if (input == InputState::Ended)  // it can no longer be confirmed
     return ParsedResponse::with_status(Status::Incomplete);
@@ -42,9 +44,13 @@
   return parse_confirmed(in, kind, input);
 }
 
-// A response without ReadyForQuery ends the connection, so it is no copy of an earlier one.
-bool ResponseMatcher::may_be_surplus(const QueryResponse& response, std::uint64_t hash) const {
-  return response.is_ready_for_query && hash == previous_hash_;
+// An endpoint closes the connection after a fatal error, so that no copy of one follows it.
+bool ResponseMatcher::may_be_cut_copy(const QueryResponse& response) const {
+  return !response.is_ready_for_query && !response.is_fatal && previous_hash_.has_value();
+}
+
+bool ResponseMatcher::may_be_surplus(std::uint64_t hash) const {
+  return hash == previous_hash_;
 }
 
 // Without the answer to the empty query it is not known whether more responses follow. An endpoint
--- a/src/postgres/response_matcher.h
+++ b/src/postgres/response_matcher.h
@@ -5,7 +5,9 @@
 /// response the copy would then be taken for. A response with the same bytes as the connection's
 /// previous one is therefore confirmed: the gateway sends an empty query, which the endpoint
 /// answers in order, and the response is the last one before the answer to that. Other responses
-/// need no confirmation.
+/// need no confirmation. A response that the end of the connection cuts before ReadyForQuery may be
+/// the beginning of a copy; on a connection that had a response before, only a fatal error counts
+/// without ReadyForQuery.
 ///
 /// Does no I/O. Holds one hash for the previous response.
 #pragma once
@@ -34,8 +36,11 @@
     AwaitingConfirmation,  ///< The responses that arrive end with that to an empty query.
   };
 
-  /// Whether `response`, whose bytes have the hash `hash`, may be a copy of the previous response.
-  [[nodiscard]] bool may_be_surplus(const QueryResponse& response, std::uint64_t hash) const;
+  /// Whether `response`, behind which the connection ended, may be the beginning of a copy of the
+  /// previous response.
+  [[nodiscard]] bool may_be_cut_copy(const QueryResponse& response) const;
+  /// Whether a response whose bytes have the hash `hash` may be a copy of the previous response.
+  [[nodiscard]] bool may_be_surplus(std::uint64_t hash) const;
   connection_pool::ParsedResponse parse_confirmed(std::string_view in,
                                                   connection_pool::RequestKind kind,
                                                   connection_pool::InputState input);
--- a/src/postgres/response_parser.cpp
+++ b/src/postgres/response_parser.cpp
@@ -131,6 +131,7 @@
       response_.status = attempt_status_for(sqlstate_);
     }
     parsed.is_protocol_violation = sqlstate_ == kProtocolViolation;
+    parsed.is_fatal = is_fatal_;
     parsed.response = std::move(response_);
     return parsed;
   }
@@ -167,6 +168,7 @@
     if (message.body.empty() || message.body.back() != '\0')
       return false;
     sqlstate_ = error_field(message.body, 'C').value_or(kInternalError);
+    is_fatal_ = error_field(message.body, 'S') == "FATAL";
     return true;
   }
 
@@ -196,6 +198,7 @@
   std::string_view row_;
   std::string_view command_complete_;
   std::string_view sqlstate_;  ///< The SQLSTATE of the last error; empty if there was none.
+  bool is_fatal_ = false;      ///< The last error has the severity FATAL.
   bool is_empty_query_ = false;
   bool has_invalid_rows_ = false;
   bool is_ready_ = false;
--- a/src/postgres/response_parser.h
+++ b/src/postgres/response_parser.h
@@ -36,6 +36,8 @@
   bool is_protocol_violation = false;
   /// Whether it ends with ReadyForQuery, and not with the end of the connection.
   bool is_ready_for_query = false;
+  /// Whether it is an error after which an endpoint closes the connection.
+  bool is_fatal = false;
 };
 
 /// Parses the response to one simple query at the beginning of `in`.
--- a/tests/postgres_response_matcher_test.cpp
+++ b/tests/postgres_response_matcher_test.cpp
@@ -102,6 +102,28 @@
   EXPECT_EQ(parse(equal, InputState::Ended).status, Status::Incomplete);
 }
 
+// Guards against foreign answers and writes that are confirmed and ran nowhere: a second copy of
+// the previous response, cut by the end of the connection, was taken for the next request's
+// response.
+TEST_F(ResponseMatcherTest, TakesNoCutOfACopyForTheResponse) {
+  for (const std::string& response :
+       {row_response("a"), error_response(kReadOnlyTransaction), error_response(kInternalError)}) {
+    ResponseMatcher matcher;
+    const auto parse_next = [&matcher](const std::string& in, InputState input) {
+      return matcher.parse(in, RequestKind::ClientRequest, input).status;
+    };
+    ASSERT_EQ(parse_next(response, InputState::Open), Status::Complete);
+    for (std::size_t size = 0; size <= response.size(); ++size)
+      EXPECT_NE(parse_next(response.substr(0, size), InputState::Ended), Status::Complete) << size;
+  }
+}
+
+TEST_F(ResponseMatcherTest, CompletesTheFirstResponseAtTheEndOfTheConnection) {
+  const std::string response = row_response("a");
+  const std::size_t result_size = response.find("caught_up_to") - 5;
+  EXPECT_EQ(parse(response.substr(0, result_size), InputState::Ended).status, Status::Complete);
+}
+
 TEST_F(ResponseMatcherTest, CompletesAFatalErrorAtTheEndOfTheConnection) {
   const std::string error = encode_error(Severity::Fatal, {kTooManyConnections, "text"});
   parse(error + encode_message('Z', "I"));
