Close incomplete messages for the buffers' limit before unread answers

Cause: beyond the limit the connection with the largest buffers was closed, and the rest of an answer counted like an incomplete message.

Change: connections that are owed no answer go first. Only if none has an incomplete message is the largest unread answer cut off, so that the limit holds.

--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -45,10 +45,17 @@
   /// answered, or buffered output was sent.
   [[nodiscard]] TimePoint last_progress_at() const { return last_progress_at_; }
 
-  /// Buffered bytes that closing the connection would free; 0 while a request is pending, or its
-  /// message is complete.
-  [[nodiscard]] std::size_t reclaimable_bytes() const {
-    return has_pending_request() || awaits_turn_ ? 0 : stream_->buffered_bytes();
+  /// The buffered bytes.
+  [[nodiscard]] std::size_t buffered_bytes() const { return stream_->buffered_bytes(); }
+
+  /// Whether the client is owed an answer, or a part of one: closing the connection would lose it.
+  [[nodiscard]] bool is_owed_answer() const {
+    return has_pending_request() || awaits_turn_ || !stream_->all_written();
+  }
+
+  /// Whether the connection has a request without an answer.
+  [[nodiscard]] bool has_unanswered_request() const {
+    return has_pending_request() || awaits_turn_;
   }
 
   /// Why the connection is to be rejected at `now`; empty if it is not overdue.
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -172,18 +172,36 @@
 void Frontend::enforce_buffer_limit() {
   if (net::total_buffered_bytes() <= limits_.max_buffered_bytes)
     return;
-  ClientConnection* largest = nullptr;
-  for (const auto& [connection, owned] : connections_)
-    if (!largest || connection->reclaimable_bytes() > largest->reclaimable_bytes())
-      largest = connection;
-  if (!largest || largest->reclaimable_bytes() == 0)
+  // A client that is owed no answer loses nothing but an incomplete message.
+  ClientConnection* largest = find_largest([](const ClientConnection& connection) {
+    return !connection.is_owed_answer();
+  });
+  if (largest == nullptr)
+    largest = find_largest([](const ClientConnection& connection) {
+      return !connection.has_unanswered_request();
+    });
+  if (largest == nullptr)
     return;
-  net::log({"client_closed",
-            {{"reason", "memory_limit"},
-             {"message_bytes", std::to_string(largest->reclaimable_bytes())}}});
+  net::log(
+      {"client_closed",
+       {{"reason", "memory_limit"}, {"message_bytes", std::to_string(largest->buffered_bytes())}}});
   largest->reject_and_close(RejectReason::MemoryLimitExceeded);
 }
 
+template <typename Predicate>
+ClientConnection* Frontend::find_largest(Predicate&& is_candidate) const {
+  ClientConnection* largest = nullptr;
+  std::size_t largest_size = 0;
+  for (const auto& [connection, owned] : connections_) {
+    const std::size_t size = connection->buffered_bytes();
+    if (size <= largest_size || !is_candidate(*connection))
+      continue;
+    largest = connection;
+    largest_size = size;
+  }
+  return largest;
+}
+
 void Frontend::add_lingering(ClientConnection* connection) {
   turns_.remove(*connection);
   const auto found = connections_.find(connection);
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -79,8 +79,9 @@
   /// Keeps a connection that lingers until the client closes its side or 0.25 s have passed.
   void add_lingering(ClientConnection* connection);
 
-  /// Closes the connection with the largest buffers and no pending request if all buffers together
-  /// exceed their limit; called when input was received.
+  /// Closes a connection if all buffers together exceed their limit: the one with the largest
+  /// incomplete message, or else the one with the largest answer that its client has not read.
+  /// Called when input was received.
   void enforce_buffer_limit();
 
   /// For work that takes milliseconds, such as the parsing of a large message: returns whether the
@@ -114,6 +115,11 @@
   void remove_lingering(ClientConnection* connection);
   void resume_listening();
 
+  /// The connection with the largest buffers of those for which `is_candidate` holds; null if none
+  /// has buffered bytes.
+  template <typename Predicate>
+  [[nodiscard]] ClientConnection* find_largest(Predicate&& is_candidate) const;
+
   /// Lets the next connection that waits for its turn process its input.
   void run_turn();
 
--- a/tests/integration/client_admission_test.cpp
+++ b/tests/integration/client_admission_test.cpp
@@ -167,6 +167,53 @@
   harness.expect_invariants_and_running();
 }
 
+// Guards against answers that are cut off because other clients occupy the buffers: the connection
+// with the largest buffers was closed, also if they held an answer.
+TEST_P(ClientAdmission, ClosesIncompleteMessagesBeforeAnswers) {
+  constexpr int kRequestCount = 200;
+  constexpr std::size_t kValueBytes = 120'000;
+  constexpr std::size_t kHalfMessageBytes = 20'000;
+  GatewayHarness harness(protocol(), 3, 0, "limits { buffered_mib: 1 }");
+  harness.start();
+  const auto other = harness.connect_client();
+  expect_reads_served(*other, "warm", 8);
+  harness.set_min_value_bytes(kValueBytes);
+  const auto reader = harness.connect_client();
+  reader->pause_reading();
+  for (int i = 0; i < kRequestCount; ++i)
+    reader->send_request(read_request("read" + std::to_string(i)));
+  // The kernel accepts answers up to some number, and the gateway forwards no request meanwhile.
+  int attempt_count = -1;
+  for (int round = 0; attempt_count != harness.attempt_count_with_prefix("read"); ++round) {
+    attempt_count = harness.attempt_count_with_prefix("read");
+    run_main_loop_for(std::chrono::milliseconds(50));
+    await_gateway_loop_iterations(*other, "u" + std::to_string(round) + "-");
+  }
+  ASSERT_LT(attempt_count, kRequestCount);
+
+  Clients stopped;
+  for (int i = 0; i < 80; ++i) {
+    stopped.push_back(harness.connect_client());
+    Request large = read_request("stopped" + std::to_string(i));
+    large.id.resize(2 * kHalfMessageBytes, 'x');
+    stopped.back()->write(protocol().encode_request(large).substr(0, kHalfMessageBytes));
+  }
+  for (const auto& client : stopped)
+    client->await_flushed();
+  await_gateway_loop_iterations(*other, "v");
+  const auto closed = std::count_if(stopped.begin(), stopped.end(), [](const auto& client) {
+    return client->closed_by_gateway;
+  });
+  EXPECT_GT(closed, 0);
+
+  reader->resume_reading();
+  for (int i = 0; i < kRequestCount; ++i)
+    ASSERT_EQ(reader->await_response(), ClientResult::Served) << i;
+  for (const auto& client : stopped)  // each error that a client got instead of its answer
+    harness.response_count -= static_cast<int>(client->responses.size());
+  harness.expect_invariants_and_running();
+}
+
 INSTANTIATE_TEST_SUITE_P(, ClientAdmission, both_protocols(), protocol_name);
 
 }  // namespace
