Move the broker's translations out of request_broker.cpp

No change of behaviour: the tests of the broker and of `ClientDisconnects` and `RequestOutcomes` pass.

--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -1,17 +1,17 @@
 #include "request_broker.h"
 
+#include "attempt_results.h"
+#include "named_request.h"
+#include "violation_report.h"
+
 #include "common/flag_scope.h"
-#include "logging/log_record.h"
 #include "net/log.h"
 #include "net/loop_monitor.h"
-#include "violation_report.h"
 
 #include <algorithm>
 #include <deque>
 #include <optional>
-#include <type_traits>
 #include <utility>
-#include <variant>
 
 namespace gorsebeam::proxy {
 namespace {
@@ -24,53 +24,6 @@
 // How long after an exception overdue requests are looked for, beyond the longest deadline.
 constexpr Duration kRecoveryMargin = 1000ms;
 
-/// The id of the request that an event or action names; empty if it names none.
-template <typename Content>
-std::string request_id_of(const Content& content) {
-  if constexpr (std::is_same_v<Content, Request>)
-    return content.id;
-  else if constexpr (std::is_same_v<Content, AttemptResult> ||
-                     std::is_same_v<Content, ClientDisconnected> ||
-                     std::is_same_v<Content, StartAttempt> ||
-                     std::is_same_v<Content, CancelAttempt> ||
-                     std::is_same_v<Content, RejectRequest> || std::is_same_v<Content, FailRequest>)
-    return content.request_id;
-  else
-    return "";
-}
-
-template <typename... Contents>
-std::string request_id_of(const std::variant<Contents...>& variant) {
-  return std::visit(
-      [](const auto& content) {
-        return request_id_of(content);
-      },
-      variant);
-}
-
-AttemptResult make_result(const InFlightAttempt& attempt, const UpstreamResponse& response) {
-  AttemptResult result;
-  result.request_id = attempt.request_id;
-  result.attempt = attempt.number;
-  result.endpoint = attempt.endpoint;
-  result.status = response.status;
-  result.elapsed = net::now() - attempt.started_at;
-  result.role = response.role;
-  result.replication_position = response.replication_position;
-  result.commit_position = response.commit_position;
-  result.load_report = response.load_report;
-  return result;
-}
-
-void log_failed_attempt(const AttemptResult& result) {
-  net::log({"attempt_failed",
-            {{"request", result.request_id},
-             {"attempt", std::to_string(result.attempt)},
-             {"endpoint", std::to_string(result.endpoint)},
-             {"status", logging::status_name(result.status)},
-             {"elapsed_ms", std::to_string(result.elapsed / 1ms)}}});
-}
-
 }  // namespace
 
 RequestBroker::RequestBroker(const Settings& settings, std::uint64_t seed)
@@ -143,7 +96,7 @@
   const bool is_open =
       requests_.record_attempt_end(attempt->request_id, attempt->written_at, response.status);
   const bool is_answer = is_open && response.status == AttemptStatus::Ok;
-  AttemptResult result = make_result(*attempt, response);
+  AttemptResult result = make_attempt_result(*attempt, response, net::now());
   result.request_finished = is_answer || !is_open;
   if (response.status != AttemptStatus::Ok)
     log_failed_attempt(result);
