--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -240,7 +240,7 @@
 
 TEST(TokenScanner, CountsAtLeastTheTokensThatTheScannerFinds) {
   for (const std::string text : {
-           "SELECT a1.b, 12.5e3, $1$2$3, 1a, 0x1f, 'it''s', E'\\'', $q$ x $q$ FROM \"t\" -- end",
+           R"(SELECT a1.b, 12.5e3, $1$2$3, 1a, 0x1f, 'it''s', E'\'', $q$ x $q$ FROM "t" -- end)",
            "SELECT a/* one /* two */ */+b||c::int[3], 1e5update, .5.5, \xc3\xa4\xc3\xb6 <> "
            "U&'\\0061'",
            "1a2b3c 1_2 a$b$c 1e 1e+ 1.e2.e3",
