Count vertical tabs in the bound on a statement's tokens

Found by reading the change once more. `token_count_bound` took a vertical tab for white space. To the scanner of PostgreSQL 15 it is a token, so the bound could be below the number of tokens, against its contract. No harm was seen from it: the grammar has no such token. The characters are now classified by GLib's functions, as `postgres/statement` does, in place of functions of its own.

`TokenScanner.CountsAtLeastTheTokensThatTheScannerFinds` has a text with vertical tabs and form feeds; with the old functions the bound was 4 for 8 tokens.

--- a/src/sql_classifier/parse_bounds.cpp
+++ b/src/sql_classifier/parse_bounds.cpp
@@ -2,9 +2,10 @@
 
 #include "token_scanner.h"
 
+#include <glib.h>
+
 #include <algorithm>
 #include <array>
-#include <cstdint>
 #include <vector>
 
 namespace gorsebeam::sql_classifier {
@@ -16,13 +17,9 @@
 constexpr std::string_view kUpdate = "update";
 constexpr std::array<std::string_view, 4> kWritingKeywords{"insert", kUpdate, "delete", "merge"};
 
-char to_lower(char c) {
-  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 /// Whether `first` and `second` differ at most in the case of ASCII letters.
 bool is_same_letter(char first, char second) {
-  return to_lower(first) == to_lower(second);
+  return g_ascii_tolower(first) == g_ascii_tolower(second);
 }
 
 /// Whether `text` is `keyword`, in any case of its letters.
--- a/src/sql_classifier/token_scanner.cpp
+++ b/src/sql_classifier/token_scanner.cpp
@@ -1,5 +1,6 @@
 #include "token_scanner.h"
 
+#include <glib.h>
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/wire_format_lite.h>
 #include <pg_query.h>
@@ -64,17 +65,12 @@
   return begin == "--" || begin == "/*";
 }
 
-bool is_space(char c) {
-  return c == ' ' || (c >= '\t' && c <= '\r');
-}
-
 bool is_digit(char c) {
-  return c >= '0' && c <= '9';
+  return g_ascii_isdigit(c) != 0;
 }
 
 bool is_letter(char c) {
-  const bool is_ascii_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  return is_ascii_letter || c == '_' || static_cast<unsigned char>(c) >= 0x80;
+  return g_ascii_isalpha(c) != 0 || c == '_' || static_cast<unsigned char>(c) >= 0x80;
 }
 
 }  // namespace
@@ -91,7 +87,7 @@
       continue;
     is_in_word = is_letter(c);
     is_in_number = is_digit(c);
-    count += is_space(c) ? 0 : 1;
+    count += g_ascii_isspace(c) != 0 ? 0 : 1;
   }
   return count;
 }
--- a/tests/sql_classifier_test.cpp
+++ b/tests/sql_classifier_test.cpp
@@ -244,6 +244,7 @@
            "SELECT a/* one /* two */ */+b||c::int[3], 1e5update, .5.5, \xc3\xa4\xc3\xb6 <> "
            "U&'\\0061'",
            "1a2b3c 1_2 a$b$c 1e 1e+ 1.e2.e3",
+           "a\vb \v\v\v c\fd",
        }) {
     const auto tokens = scan_tokens(text);
     if (tokens) {
