Compute the keys of a request once, and drop checks that stood twice

- `RequestBroker::begin_request` hashed id and key twice for each request; it passes the hashes on now, and `check_request`, which only translated one enum to another, is gone.
- The MongoDB parser searched a command for its session and number up to eight times to check the key and to take it.
It is taken once.
- `find_any_cut` indexed all hosts of the new inventory to look one name up.
- What makes a request unanswered stood three times in `ClientConnection`.
- The loop over the beginnings of an inventory stood twice in its test.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -204,7 +204,7 @@
 }
 
 std::optional<RejectReason> ClientConnection::overdue_reason(TimePoint now) const {
-  if (has_pending_request() || awaits_turn_)
+  if (has_unanswered_request())
     return std::nullopt;
   const Duration waited = now - last_progress_at_;
   if (!stream_->all_written())
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -48,16 +48,16 @@
   /// The buffered bytes.
   [[nodiscard]] std::size_t buffered_bytes() const { return stream_->buffered_bytes(); }
 
-  /// Whether the client is owed an answer, or a part of one: closing the connection would lose it.
-  [[nodiscard]] bool is_owed_answer() const {
-    return has_pending_request() || awaits_turn_ || !stream_->all_written();
-  }
-
   /// Whether the connection has a request without an answer.
   [[nodiscard]] bool has_unanswered_request() const {
     return has_pending_request() || awaits_turn_;
   }
 
+  /// Whether the client is owed an answer, or a part of one: closing the connection would lose it.
+  [[nodiscard]] bool is_owed_answer() const {
+    return has_unanswered_request() || !stream_->all_written();
+  }
+
   /// Why the connection is to be rejected at `now`; empty if it is not overdue.
   [[nodiscard]] std::optional<RejectReason> overdue_reason(TimePoint now) const;
 
--- a/src/inventory/rewrite_check.cpp
+++ b/src/inventory/rewrite_check.cpp
@@ -47,9 +47,13 @@
 }
 
 std::optional<Cut> find_missing_last_host(const InventoryLayout& previous,
-                                          const HostsByName& current) {
+                                          const InventoryLayout& current) {
   const std::string& last = previous.hosts.back().name;
-  if (current.count(last) > 0)
+  const bool is_listed =
+      std::any_of(current.hosts.begin(), current.hosts.end(), [&last](const HostLayout& host) {
+        return host.name == last;
+      });
+  if (is_listed)
     return std::nullopt;
   return Cut{"hosts", "the last host of the inventory in force, '" + last + "', is missing"};
 }
@@ -93,10 +97,9 @@
 }
 
 std::optional<Cut> find_any_cut(const InventoryLayout& previous, const InventoryLayout& current) {
-  const HostsByName previous_hosts = index_hosts(previous);
-  const HostsByName current_hosts = index_hosts(current);
-  if (auto cut = find_missing_last_host(previous, current_hosts))
+  if (auto cut = find_missing_last_host(previous, current))
     return cut;
+  const HostsByName previous_hosts = index_hosts(previous);
   if (auto cut = find_lost_variable_of_last_host(current.hosts.back(), previous_hosts))
     return cut;
   if (auto cut = find_doubtful_group(current, previous_hosts))
--- a/src/mongo/command_parser.cpp
+++ b/src/mongo/command_parser.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace gorsebeam::mongo {
 namespace {
@@ -105,20 +106,20 @@
 std::string idempotency_key_of(std::string_view command, const CommandComment& comment) {
   if (!comment.idempotency_key.empty())
     return comment.idempotency_key;
-  if (!is_retryable_write(command))
-    return "";
+  const std::optional<std::string_view> session = find_session(command);
   const std::optional<Element> number = find(command, "txnNumber");
-  return std::string(*find_session(command)) + std::string(number->value);
+  if (!session || !number)
+    return "";
+  return std::string(*session) + std::string(number->value);
 }
 
-/// Returns why a command does not meet the requirements of its request class, or nothing if it
-/// does.
-std::optional<CommandError> check_class(const Command& command, const CommandComment& comment,
+/// Returns why a command with this idempotency key does not meet the requirements of its request
+/// class, or nothing if it does.
+std::optional<CommandError> check_class(const Command& command, const std::string& idempotency_key,
                                         const RequestClass& settings) {
   if (frontend::is_write(settings) != (command.kind == CommandKind::Write))
     return parse_error("the command does not fit its class");
-  if (settings.idempotency == Idempotency::IdempotencyKey &&
-      idempotency_key_of(command.document, comment).empty())
+  if (settings.idempotency == Idempotency::IdempotencyKey && idempotency_key.empty())
     return parse_error("the class needs a key: k in the comment, or lsid and txnNumber");
   if (settings.consistency == ConsistencyLevel::Session && !find_session(command.document))
     return parse_error("the class needs a session: lsid");
@@ -190,7 +191,10 @@
   if (!group)
     return parse_error("the command's comment names no cluster");
   const RequestClass& settings = request_class->settings;
-  if (const auto error = check_class(command, comment, settings))
+  std::string idempotency_key;
+  if (settings.idempotency == Idempotency::IdempotencyKey)
+    idempotency_key = idempotency_key_of(command.document, comment);
+  if (const auto error = check_class(command, idempotency_key, settings))
     return *error;
   const auto time_limit = parse_time_limit(command.document, settings);
   if (!time_limit)
@@ -201,8 +205,7 @@
   parsed.request.group = *group;
   parsed.request.id_names_retries =
       command.kind == CommandKind::Read || is_retryable_write(command.document);
-  if (settings.idempotency == Idempotency::IdempotencyKey)
-    parsed.request.idempotency_key = idempotency_key_of(command.document, comment);
+  parsed.request.idempotency_key = std::move(idempotency_key);
   const std::optional<std::string_view> session = find_session(command.document);
   if (session && frontend::belongs_to_session(settings))
     parsed.request.session = hash_session(*session);
--- a/src/proxy/request_broker.cpp
+++ b/src/proxy/request_broker.cpp
@@ -44,35 +44,25 @@
   executor_.attach(upstream);
 }
 
-BeginResult RequestBroker::begin_request(Request request, ClientCall& call) {
-  const BeginResult result = check_request(request);
-  if (result != BeginResult::Begun)
-    return result;
-  requests_.begin(request, sent_requests_.keys_of(request), call, net::now());
-  queue_.push(std::move(request));
-  dispatch_events();
-  return result;
-}
-
 // A request with the id of a pending one, of this client or another, is taken for a copy of it,
 // and two copies must not be in flight at once.
-BeginResult RequestBroker::check_request(Request& request) {
+BeginResult RequestBroker::begin_request(Request request, ClientCall& call) {
   if (request.id.empty() || request.id.size() > kMaxRequestIdLength)
     return BeginResult::InvalidId;
   if (requests_.contains(request.id))
     return BeginResult::IdInUse;
-  const RepetitionCheck check = sent_requests_.check(request, net::now());
-  request.earlier_attempt = check.earlier_attempt;
-  switch (check.repetition) {
-  case Repetition::None:
-  case Repetition::Permitted:
-    return BeginResult::Begun;
-  case Repetition::IdUsed:
+  const TimePoint now = net::now();
+  const SentRequestKeys keys = sent_requests_.keys_of(request);
+  const RepetitionCheck check = sent_requests_.check(request, keys, now);
+  if (check.repetition == Repetition::IdUsed)
     return BeginResult::IdUsed;
-  case Repetition::KeyExpired:
+  if (check.repetition == Repetition::KeyExpired)
     return BeginResult::KeyExpired;
-  }
-  return BeginResult::IdUsed;
+  request.earlier_attempt = check.earlier_attempt;
+  requests_.begin(request, keys, call, now);
+  queue_.push(std::move(request));
+  dispatch_events();
+  return BeginResult::Begun;
 }
 
 void RequestBroker::client_disconnected(const std::string& request_id) {
--- a/src/proxy/request_broker.h
+++ b/src/proxy/request_broker.h
@@ -100,9 +100,6 @@
   };
 
 private:
-  /// Whether a request is accepted. Sets what is known of earlier attempts with its key.
-  [[nodiscard]] BeginResult check_request(Request& request);
-
   /// Forgets an attempt whose end proves that it did not run.
   void forget_if_not_run(const InFlightAttempt& attempt, AttemptStatus status);
 
--- a/src/proxy/sent_requests.cpp
+++ b/src/proxy/sent_requests.cpp
@@ -46,9 +46,9 @@
   return request.id_names_retries && settings.idempotency != Idempotency::NotIdempotent;
 }
 
-RepetitionCheck SentRequests::check(const Request& request, TimePoint now) {
+RepetitionCheck SentRequests::check(const Request& request, const SentRequestKeys& keys,
+                                    TimePoint now) {
   drop_expired(now);
-  const SentRequestKeys keys = keys_of(request);
   const RequestClass& request_class = settings_.classes.at(request.class_index);
   const EarlierAttempt* const under_key =
       keys.idempotency_key ? find(*keys.idempotency_key) : nullptr;
--- a/src/proxy/sent_requests.h
+++ b/src/proxy/sent_requests.h
@@ -55,8 +55,9 @@
 
   [[nodiscard]] SentRequestKeys keys_of(const Request& request) const;
 
-  /// Checks a request that arrives at `now`, and is not open.
-  [[nodiscard]] RepetitionCheck check(const Request& request, TimePoint now);
+  /// Checks a request that arrives at `now`, and is not open. `keys` are those of the request.
+  [[nodiscard]] RepetitionCheck check(const Request& request, const SentRequestKeys& keys,
+                                      TimePoint now);
 
   /// Records that an attempt of a request was written to `endpoint` at `now`.
   void record_attempt(const SentRequestKeys& keys, EndpointId endpoint, TimePoint now);
--- a/tests/inventory_rewrite_test.cpp
+++ b/tests/inventory_rewrite_test.cpp
@@ -69,6 +69,13 @@
   return sizes;
 }
 
+/// Expects that each beginning of `text` that ends behind a whole line is rejected, and `text` not.
+void expect_only_whole_text_accepted(RewrittenFile& file, const std::string& text) {
+  for (const std::size_t size : whole_line_beginnings(text))
+    EXPECT_NE(file.rewrite(text.substr(0, size)), "") << text.substr(0, size);
+  EXPECT_EQ(file.rewrite(text), "");
+}
+
 const std::string kCsv = "name,address,group,state\na,127.0.0.1:1,1,up\nb,127.0.0.1:2,11,draining\n"
                          "c,127.0.0.1:3,12,up\n";
 
@@ -95,9 +102,7 @@
         std::pair(".yaml", kYamlWithVarsAtTheEnd)}) {
     RewrittenFile file(extension);
     file.apply(text);
-    for (const std::size_t size : whole_line_beginnings(text))
-      EXPECT_NE(file.rewrite(text.substr(0, size)), "") << text.substr(0, size);
-    EXPECT_EQ(file.rewrite(text), "");
+    expect_only_whole_text_accepted(file, text);
   }
 }
 
@@ -113,9 +118,7 @@
   EXPECT_EQ(file.rewrite(kYamlWithDefaults + added), "");
   std::string moved = kYamlWithDefaults;
   moved.replace(moved.find("north"), 5, "porto");
-  for (const std::size_t size : whole_line_beginnings(moved))
-    EXPECT_NE(file.rewrite(moved.substr(0, size)), "") << moved.substr(0, size);
-  EXPECT_EQ(file.rewrite(moved), "");
+  expect_only_whole_text_accepted(file, moved);
 }
 
 TEST(InventoryRewrite, AcceptsChangesThatNoCutExplains) {
--- a/tests/sent_requests_test.cpp
+++ b/tests/sent_requests_test.cpp
@@ -45,7 +45,7 @@
   }
 
   Repetition check(const Request& request, TimePoint now) {
-    return sent_.check(request, now).repetition;
+    return sent_.check(request, sent_.keys_of(request), now).repetition;
   }
 
   Settings settings_ = make_settings();
@@ -93,7 +93,7 @@
   const Request first = make_request(kKeyed, "r1", "k");
   const Request second = make_request(kKeyed, "r2", "k");
   send(first, TimePoint(1s));
-  const RepetitionCheck within = sent_.check(second, TimePoint(2900ms));
+  const RepetitionCheck within = sent_.check(second, sent_.keys_of(second), TimePoint(2900ms));
   EXPECT_EQ(within.repetition, Repetition::Permitted);
   ASSERT_TRUE(within.earlier_attempt.has_value());
   EXPECT_EQ(within.earlier_attempt->sent_at, TimePoint(1s));
